--- /dev/null
+++ b/src/base/clock.ts
@@ -0,0 +1,17 @@
+/** The steady clock of one process, in seconds. Passed in so that scheduling code stays pure. */
+export interface Clock {
+  now(): number;
+  /** Time of day in seconds; only for display and for ordering arrivals, never for safety. */
+  wall(): number;
+}
+
+export const systemClock: Clock = {
+  now: () => performance.now() / 1000,
+  wall: () => Date.now() / 1000,
+};
+
+export const sleep = (seconds: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, Math.max(0, seconds * 1000)));
+
+/** Bound on how far two steady clocks drift apart (PROTOCOL: 0.05 %), taken twice for good measure. */
+export const DRIFT = 0.001;
--- /dev/null
+++ b/src/cli.ts
@@ -0,0 +1,58 @@
+/** `barrowlb why` and `barrowlb status`: what a controller answers, for people. */
+import * as v from 'valibot';
+import type { Overview } from './coordination/overview.js';
+import { jobPath, paths } from './protocol/routes.js';
+import { parseAddress } from './transport/address.js';
+import { HttpClient, type Response } from './transport/httpClient.js';
+
+export class QueryError extends Error {}
+
+async function query(server: string, target: string): Promise<Response> {
+  if (parseAddress(server) === null) {
+    throw new QueryError(`--server: "${server}" is not of the form host:port`);
+  }
+  const http = new HttpClient(1, 0);
+  try {
+    return await http.call(server, 'GET', target, undefined, 5);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new QueryError(`${server} cannot be reached: ${reason}`);
+  }
+}
+
+const answerSchema = v.object({
+  Status: v.string(),
+  done: v.number(),
+  running: v.number(),
+  Reason: v.optional(v.string()),
+});
+
+export async function printWhy(server: string, job: string): Promise<void> {
+  const response = await query(server, jobPath(job));
+  if (response.status === 404) throw new QueryError(`there is no job ${job}`);
+  const answer = v.safeParse(answerSchema, response.body);
+  if (response.status !== 200 || !answer.success) {
+    throw new QueryError(`${server} can't tell now (${response.status}); try again`);
+  }
+  const { Status: status, done, running, Reason: reason } = answer.output;
+  const why = reason ?? (status === 'queued' ? 'No reason is known.' : 'It does not wait.');
+  process.stdout.write(`${job}: ${status}, ${done} done, ${running} running\n${why}\n`);
+}
+
+export async function printStatus(server: string): Promise<void> {
+  const response = await query(server, paths.overview);
+  if (response.status !== 200) throw new QueryError(`${server} answered ${response.status}`);
+  const { node, served, parts } = response.body as Overview;
+  const lines = [`${node}: ${served ? 'served by' : 'NOT served by'} the state service`];
+  for (const part of parts) {
+    const use = `${Math.round(part.utilisation * 100)} % used`;
+    lines.push(`part ${part.part}: ${part.machines.length} machines, ${use}`);
+    lines.push(
+      `  queue: ${part.openJobs} open jobs, ${part.runningTasks} tasks running, ${part.waitingTasks} waiting`,
+    );
+    for (const m of part.machines) {
+      lines.push(`  ${m.name}  ${m.type}  ${m.zone}  ${m.state}  ${m.tasks} tasks`);
+    }
+  }
+  process.stdout.write(`${lines.join('\n')}\n`);
+}
--- /dev/null
+++ b/src/coordination/chunk.ts
@@ -0,0 +1,143 @@
+import { rankOrder, type JobSpec } from '../protocol/job.js';
+import type { TaskState } from '../protocol/worker.js';
+import { fromRanges, toRanges, type ChunkRecord } from '../storage/records.js';
+
+/** One attempt of one task that is, or may be, on a machine. */
+export interface Entry {
+  task: number;
+  attempt: number;
+  machine: string;
+  session: number;
+  /** The chunk's version that first held it; once that is stored, the start may be sent. */
+  version: number;
+  seen: boolean;
+  state: TaskState;
+  placedAt: number;
+  runningSince: number | null;
+  /**
+   * A start sent straight to the worker without an answer may be carried out later, while the worker
+   * has seen no token above this one. Null: nothing is in doubt.
+   */
+  doubt: number | null;
+  /** A start rides in the answer to a report; the worker's next report settles it. */
+  riding: boolean;
+  stop: { wind: number; sentAt: number | null } | null;
+}
+
+export class Chunk {
+  readonly done: Set<number>;
+  readonly entries = new Map<number, Entry>();
+  next: number;
+  /** Rises with each change; `stored` is the version that the state service has. */
+  version = 1;
+  stored = 0;
+  /** The record's stamp; 0 while it is not there yet. */
+  stamp = 0;
+  flushing = false;
+  dirtySince: number | null = null;
+  cancelled = false;
+  /** Set once its record is gone from this part. */
+  dropped = false;
+  /** Nothing is started before this time, after failures. */
+  notBefore = 0;
+  failures = 0;
+  readonly failedOn = new Set<string>();
+  readonly queuedAt: number;
+  moves = 0;
+  /** Steady time of the last question to the peers. */
+  askedAt = -Infinity;
+  /** Since when there was room nowhere; null when all is placed. */
+  blockedSince: number | null = null;
+  private cursor: number;
+
+  constructor(
+    readonly spec: JobSpec,
+    readonly index: number,
+    readonly home: string,
+    readonly at: number,
+    readonly from: number,
+    readonly to: number,
+    readonly zone: string | null,
+    now: number,
+  ) {
+    this.done = new Set();
+    this.next = 1;
+    this.cursor = from;
+    this.queuedAt = now;
+  }
+
+  static load(index: number, record: ChunkRecord, stamp: number, now: number): Chunk {
+    const { spec, home, at, from, to, zone } = record;
+    const chunk = new Chunk(spec, index, home, at, from, to, zone, now);
+    chunk.next = record.next;
+    chunk.moves = record.moves;
+    chunk.stamp = stamp;
+    chunk.stored = chunk.version;
+    for (const task of fromRanges(record.done)) chunk.done.add(task);
+    return chunk;
+  }
+
+  get id(): string {
+    return `${this.spec.id}/${this.index}`;
+  }
+  get rank(): number {
+    return rankOrder[this.spec.rank];
+  }
+  get size(): number {
+    return this.to - this.from;
+  }
+  get pending(): number {
+    return this.cancelled ? 0 : this.size - this.done.size - this.entries.size;
+  }
+  get complete(): boolean {
+    return this.done.size === this.size;
+  }
+  get running(): number {
+    let count = 0;
+    for (const entry of this.entries.values()) if (entry.state === 'running') count++;
+    return count;
+  }
+
+  taskName(task: number): string {
+    return `${this.spec.id}/${task}`;
+  }
+
+  isDurable(entry: Entry): boolean {
+    return this.stored >= entry.version;
+  }
+
+  touch(now: number): void {
+    this.version++;
+    this.dirtySince ??= now;
+  }
+
+  /** A task that neither runs nor is done. */
+  nextPending(): number | null {
+    for (let i = 0; i < this.size; i++) {
+      const task = this.cursor;
+      this.cursor = this.cursor + 1 >= this.to ? this.from : this.cursor + 1;
+      if (!this.done.has(task) && !this.entries.has(task)) return task;
+    }
+    return null;
+  }
+
+  record(): ChunkRecord {
+    return {
+      spec: this.spec,
+      home: this.home,
+      at: this.at,
+      from: this.from,
+      to: this.to,
+      zone: this.zone,
+      next: this.next,
+      done: toRanges([...this.done].sort((a, b) => a - b)),
+      entries: [...this.entries.values()].map((e) => ({
+        task: e.task,
+        attempt: e.attempt,
+        machine: e.machine,
+        session: e.session,
+      })),
+      moves: this.moves,
+    };
+  }
+}
--- /dev/null
+++ b/src/coordination/chunks.ts
@@ -0,0 +1,62 @@
+/** How a job is cut into chunks: pure, and the same on every node. */
+import type { JobSpec } from '../protocol/job.js';
+import type { JobRecord } from '../storage/records.js';
+
+export interface Range {
+  from: number;
+  to: number;
+  zone: string | null;
+}
+
+/**
+ * Chunk K of a job. A spread job is cut into two halves that are held to different zones, so that at
+ * most half of its tasks, rounded up, can ever be in one zone, whoever runs them and whatever is
+ * still unreachable. A job that must share a zone has the same zone for all chunks.
+ */
+export function chunkRanges(tasks: number, size: number, zones: string[]): Range[] {
+  const half = zones.length > 1 ? Math.ceil(tasks / 2) : tasks;
+  const ranges: Range[] = [];
+  for (const [start, end, zone] of [
+    [0, half, zones[0] ?? null],
+    [half, tasks, zones[1] ?? null],
+  ] as const) {
+    for (let from = start; from < end; from += size) {
+      ranges.push({ from, to: Math.min(end, from + size), zone });
+    }
+  }
+  return ranges;
+}
+
+export const totalChunks = (record: JobRecord): number =>
+  record.spec === null ? 0 : chunkRanges(record.spec.tasks, record.size, record.zones).length;
+
+/**
+ * Where only one zone can run a spread job, its second half waits until all of the first is over:
+ * until then a task of it would be one too many in that zone.
+ */
+export function mayCut(record: JobRecord, index: number): boolean {
+  const { spec, size, zones, finished } = record;
+  if (spec === null || zones.length < 2 || zones[0] !== zones[1]) return true;
+  const firstHalf = Math.ceil(Math.ceil(spec.tasks / 2) / size);
+  if (index < firstHalf) return true;
+  return finished.filter((k) => k < firstHalf).length === firstHalf;
+}
+
+/** Zones that a job is held to from the start; empty when any will do. */
+export function zonesFor(spec: JobSpec, byRoom: string[]): string[] {
+  const allowed = spec.zone === null ? byRoom : byRoom.filter((z) => z === spec.zone);
+  const first = allowed[0];
+  if (first === undefined) return [];
+  // Sharing one zone and being spread over several leaves half of the tasks, in one zone.
+  if (spec.spread) return [first, spec.oneZone ? first : (allowed[1] ?? first)];
+  if (spec.oneZone) return [first];
+  return [];
+}
+
+/** Tasks a chunk: what a part of this size can run at once, within bounds of a record's size. */
+export function chunkSize(spec: JobSpec, partCpus: number, valueBytes: number): number {
+  const fits = Math.floor(partCpus / spec.cpus);
+  // An entry of a running task is some 60 bytes; half the record is left for the rest.
+  const most = Math.max(8, Math.floor(valueBytes / 2 / 60));
+  return Math.max(1, Math.min(Math.max(fits, 8), most));
+}
--- /dev/null
+++ b/src/coordination/controller.ts
@@ -0,0 +1,496 @@
+/** One node: what it hosts, and the loops that bring what is in line with what is wanted. */
+import { DRIFT, sleep, type Clock } from '../base/clock.js';
+import { describe, log } from '../base/log.js';
+import type { Random } from '../base/random.js';
+import type { Settings, Tuning } from '../protocol/settings.js';
+import { parseTypes, paths as cloudPaths, type MachineType } from '../protocol/cloud.js';
+import { ordersRequest, parseReport, paths as workerPaths } from '../protocol/worker.js';
+import type { Change } from '../protocol/state.js';
+import {
+  keys,
+  ROOT,
+  type ChunkRecord,
+  type JobRecord,
+  type MachineRecord,
+  type OwnerRecord,
+} from '../storage/records.js';
+import { Replica } from '../storage/replica.js';
+import { StateClient } from '../storage/stateClient.js';
+import { CallFailed, HttpClient } from '../transport/httpClient.js';
+import { PeerClient } from '../transport/peerLink.js';
+import type { Chunk } from './chunk.js';
+import { Commits } from './commits.js';
+import { RunTimes } from './estimate.js';
+import type { Hosted } from './hosted.js';
+import type { Machine } from './machine.js';
+import { Ownership, PROVISIONER, type Held } from './ownership.js';
+import { Part } from './part.js';
+import { Peers } from './peers.js';
+import { Provisioner } from './provisioner.js';
+import { Quotas } from './quotas.js';
+
+export class Controller {
+  readonly hosted = new Map<string, Hosted>();
+  readonly replica: Replica;
+  readonly state: StateClient;
+  readonly ownership: Ownership;
+  readonly commits: Commits;
+  readonly peers: Peers;
+  readonly parts: string[];
+  readonly runTimes = new RunTimes();
+  types = new Map<string, MachineType>();
+  /** Which node's zone each part is in. */
+  readonly zoneOf = new Map<string, string>();
+  /** Parts lost lately that may still have workers to answer: their token and until when. */
+  readonly graces = new Map<string, { token: number; until: number }>();
+  private readonly quotas: Quotas;
+  private readonly provisioner: Provisioner;
+  private kicked = false;
+  private lastGossip = -Infinity;
+
+  constructor(
+    readonly settings: Settings,
+    readonly tuning: Tuning,
+    readonly clock: Clock,
+    readonly random: Random,
+    readonly http: HttpClient,
+    process: string,
+  ) {
+    this.parts = [settings.label, ...settings.peers.map((p) => p.label)].sort();
+    this.zoneOf.set(settings.label, settings.zone);
+    for (const peer of settings.peers) this.zoneOf.set(peer.label, peer.zone);
+    this.state = new StateClient(http, clock, {
+      endpoint: settings.stateEndpoint,
+      rate: settings.stateRate,
+      writeRate: settings.stateWriteRate,
+      sharers: this.parts.length,
+      timeout: this.stateTtl / 3,
+    });
+    // Watches may take a tenth of the requests.
+    const pause = Math.max(0.05, this.parts.length / (settings.stateRate * 0.1));
+    this.replica = new Replica(this.state, ROOT, { hold: settings.report * 2, pause }, (change) => {
+      this.onChange(change);
+    });
+    this.ownership = new Ownership(
+      this.state,
+      this.replica,
+      clock,
+      { label: settings.label, process, parts: this.parts, ttl: this.stateTtl },
+      {
+        gained: (part, held) => {
+          this.gain(part, held);
+        },
+        lost: (part) => {
+          this.lose(part);
+        },
+        quiet: async (part) => {
+          while ((this.hosted.get(part)?.writing ?? 0) > 0) await sleep(0.01);
+        },
+        wantsBack: (node) => this.peers.steady(node, settings.report / 2),
+      },
+    );
+    this.commits = new Commits(
+      this.state,
+      this.replica,
+      clock,
+      {
+        hosted: this.hosted,
+        valid: () => this.ownership.valid,
+        doubt: (part) => this.ownership.doubt(part),
+        stored: (host, chunks) => {
+          this.pokeFor(host, chunks);
+        },
+      },
+      { txnOps: settings.txnOps, linger: settings.report / 4, retry: settings.report / 15 },
+    );
+    this.peers = new Peers(
+      clock,
+      settings.report,
+      settings.peers.map((p) => ({ ...p, client: new PeerClient(p.endpoint, 256) })),
+    );
+    this.quotas = new Quotas(this);
+    this.provisioner = new Provisioner(this, process);
+  }
+
+  /** The lease at the state service: long against a renewal's delay, short against a worker's lease. */
+  get stateTtl(): number {
+    return Math.max(1, Math.min(this.settings.report * 1.5, this.settings.lease / 4));
+  }
+
+  /** How long after its own lease a node goes on answering its workers, so that an outage of the state
+   * service does not end healthy tasks. An adopter waits this out for machines it can't reach. */
+  get grace(): number {
+    return this.settings.lease * 2;
+  }
+
+  /** Can take requests: its records are loaded and it knows the machine types. */
+  get ready(): boolean {
+    return this.replica.loaded && this.types.size > 0;
+  }
+
+  start(): void {
+    void this.ownership.run();
+    void this.replica.run();
+    void this.refreshTypes();
+    void this.provisioner.run();
+    void this.every(this.settings.report / 30, () => {
+      this.round();
+    });
+    void this.every(this.settings.report / 3, () => {
+      this.commits.review();
+      this.sweep();
+      void this.quotas.balance();
+    });
+  }
+
+  private async every(seconds: number, work: () => void): Promise<void> {
+    for (;;) {
+      try {
+        work();
+      } catch (error) {
+        log.error(`loop: ${error instanceof Error ? (error.stack ?? '') : String(error)}`);
+      }
+      await sleep(seconds);
+    }
+  }
+
+  private async refreshTypes(): Promise<void> {
+    for (;;) {
+      try {
+        const { cloudEndpoint } = this.settings;
+        const answer = await this.http.call(cloudEndpoint, 'GET', cloudPaths.types, undefined, 4);
+        const types = answer.status === 200 ? parseTypes(answer.body) : null;
+        if (types !== null) this.types = new Map(types.map((t) => [t.name, t]));
+      } catch (error) {
+        log.debug(`machine types: ${describe(error)}`);
+      }
+      await sleep(this.types.size > 0 ? this.settings.listLag * 8 : 0.5);
+    }
+  }
+
+  /** Something changed: a round of decisions soon, gathered with what else comes meanwhile. */
+  kick(): void {
+    if (this.kicked) return;
+    this.kicked = true;
+    setTimeout(() => {
+      this.kicked = false;
+      this.round();
+    }, 2);
+  }
+
+  private round(): void {
+    if (this.ownership.valid) {
+      const now = this.clock.now();
+      const deadline = now + this.tuning.roundBudget;
+      for (const host of this.hosted.values()) {
+        host.part.decide(now, () => this.clock.now() > deadline);
+      }
+      this.commits.pass();
+    }
+    this.sendOrders();
+    this.gossip();
+  }
+
+  /** Gossip goes out at a steady pace, and sooner when a demand has come up. */
+  private gossip(): void {
+    const now = this.clock.now();
+    if (now - this.lastGossip < this.settings.report / 8) return;
+    this.lastGossip = now;
+    const hosts = [...this.hosted.values()].map((h) => ({
+      part: h.part.label,
+      token: h.token,
+      utilisation: h.part.utilisation,
+      waiting: h.part.waiting,
+    }));
+    const reports = [...this.hosted.values()].map((h) => h.part);
+    this.peers.gossip(
+      {
+        from: this.settings.label,
+        served: this.ownership.valid,
+        hosts,
+        demands: this.ownership.valid ? this.localDemands() : [],
+        spare: this.ownership.valid ? this.localSpare() : [],
+        lost: this.ownership.valid ? this.localLost() : [],
+        hungry: [...new Set(reports.flatMap((p) => [...p.hungry]))],
+      },
+      this.settings.report / 2,
+    );
+  }
+
+  localDemands(): ReturnType<Part['demands']> {
+    const now = this.clock.now();
+    return [...this.hosted.values()].flatMap((h) => h.part.demands(now));
+  }
+
+  // ---- Ownership ----
+
+  private gain(label: string, held: Held): void {
+    if (label === PROVISIONER) {
+      this.provisioner.elected();
+      return;
+    }
+    const now = this.clock.now();
+    const { report, lease, zones } = this.settings;
+    const part = new Part(
+      label,
+      { lease, report, sample: this.tuning.sample, zones },
+      () => this.types,
+      this.runTimes,
+      this.random,
+      (team) => this.quotas.allowance(label, team),
+    );
+    const host: Hosted = {
+      part,
+      token: held.token,
+      stamp: held.stamp,
+      alive: true,
+      jobs: new Map(),
+      writing: 0,
+      raisedAt: now,
+    };
+    // Another node may go on answering its workers for its grace; ourselves, before a restart, not.
+    const renewed = held.adopted ? now + this.grace : now;
+    for (const [key, { value }] of this.replica.under('b/machine/')) {
+      const record = value as MachineRecord;
+      if (record.part === label)
+        part.addMachine(key.slice('b/machine/'.length), record, now, renewed);
+    }
+    for (const [key, { value, stamp }] of this.replica.under(keys.runs(label))) {
+      const index = Number(key.slice(key.lastIndexOf('/') + 1));
+      part.loadChunk(index, value as ChunkRecord, stamp, held.token, now);
+    }
+    for (const [key, { value, stamp }] of this.replica.under('b/job/')) {
+      const record = value as JobRecord;
+      const id = key.slice('b/job/'.length);
+      if (record.state === 'open' && record.home === label) {
+        host.jobs.set(id, { id, record, stamp, busy: false });
+      }
+    }
+    for (const chunk of [...part.chunks.values()]) {
+      const job = this.replica.get(keys.job(chunk.spec.id))?.value as JobRecord | undefined;
+      if (job?.state === 'cancelled') part.cancel(chunk, now);
+    }
+    this.graces.delete(label);
+    this.hosted.set(label, host);
+    this.kick();
+  }
+
+  private lose(label: string): void {
+    if (label === PROVISIONER) {
+      this.provisioner.retired();
+      return;
+    }
+    const host = this.hosted.get(label);
+    if (host === undefined) return;
+    host.alive = false;
+    this.hosted.delete(label);
+  }
+
+  /** Follows the stored records. */
+  private onChange(change: Change): void {
+    const [, kind, name = '', id = '', index = ''] = change.key.split('/');
+    const now = this.clock.now();
+    if (kind === 'machine') this.onMachine(name, change);
+    else if (kind === 'job' && !change.removed) {
+      const record = change.value as JobRecord;
+      if (record.state === 'open') return;
+      for (const host of this.hosted.values()) {
+        for (const chunk of host.part.chunksOf(name)) {
+          if (record.state === 'cancelled') host.part.cancel(chunk, now);
+        }
+      }
+      this.kick();
+    } else if (kind === 'run') {
+      const host = this.hosted.get(name);
+      if (host === undefined) return;
+      const known = host.part.chunks.get(`${id}/${index}`);
+      if (change.removed) {
+        if (known !== undefined && known.stamp > 0 && known.complete) host.part.dropChunk(known);
+      } else if (known === undefined && (change.value as ChunkRecord).moves > 0) {
+        this.takeIn(host, Number(index), change);
+      }
+    }
+  }
+
+  /** A chunk that a peer sent here. */
+  private takeIn(host: Hosted, index: number, change: Change): void {
+    const record = change.value as ChunkRecord;
+    // Only what was just sent: nothing of it can have been started by this part's owners.
+    if (record.entries.length > 0 || record.done.length > 0) return;
+    const now = this.clock.now();
+    const chunk = host.part.loadChunk(index, record, change.stamp, host.token, now);
+    const job = this.replica.get(keys.job(chunk.spec.id))?.value as JobRecord | undefined;
+    if (job?.state === 'cancelled') host.part.cancel(chunk, now);
+    this.kick();
+  }
+
+  private onMachine(name: string, change: Change): void {
+    const now = this.clock.now();
+    for (const host of this.hosted.values()) {
+      const record = change.value as MachineRecord | null;
+      if (change.removed || record?.part !== host.part.label) {
+        // The record goes only after the cloud has said that the machine is gone.
+        host.part.removeMachine(name, now);
+      } else host.part.addMachine(name, record, now);
+    }
+    this.kick();
+  }
+
+  ownerOf(part: string): string | null {
+    const stored = this.replica.get(keys.owner(part))?.value as OwnerRecord | undefined;
+    const told = this.peers.hostOf(part);
+    if (told !== null && told.token > (stored?.token ?? 0)) return told.label;
+    return stored?.node ?? told?.label ?? null;
+  }
+
+  // ---- Orders ----
+
+  private pokeFor(host: Hosted, chunks: Chunk[]): void {
+    for (const chunk of chunks) {
+      for (const entry of chunk.entries.values()) {
+        if (entry.seen) continue;
+        const machine = host.part.machines.get(entry.machine);
+        if (machine !== undefined) host.part.pokes.add(machine);
+      }
+    }
+    this.sendOrders();
+    this.kick();
+  }
+
+  private sendOrders(): void {
+    if (!this.ownership.valid) return;
+    for (const host of this.hosted.values()) {
+      for (const machine of host.part.pokes) {
+        if (machine.inFlight || machine.address === '') continue;
+        host.part.pokes.delete(machine);
+        void this.command(host, machine);
+      }
+    }
+  }
+
+  private async command(host: Hosted, machine: Machine): Promise<void> {
+    const { report } = this.settings;
+    const orders = machine.orders(true, this.clock.now(), report * 1.5);
+    if (orders.length === 0) return;
+    const { token } = host;
+    const started = orders.flatMap((o) => {
+      const placed = o.verb === 'start' ? machine.entries.get(o.task) : undefined;
+      return placed === undefined ? [] : [placed.entry];
+    });
+    // In doubt from now on: without an answer it may be carried out minutes later.
+    for (const entry of started) entry.doubt = Math.max(token, entry.doubt ?? 0);
+    machine.inFlight = true;
+    try {
+      const body = ordersRequest(token, machine.session, orders);
+      const target = workerPaths.orders;
+      const answer = await this.http.call(machine.address, 'POST', target, body, report / 2);
+      // Carried out (200) or certainly not (409).
+      if (answer.status === 200 || answer.status === 409) {
+        for (const entry of started) if (entry.doubt === token) entry.doubt = null;
+      }
+      const parsed = parseReport(answer.body);
+      if (parsed !== null && host.alive) {
+        host.part.apply(machine, parsed, this.clock.now(), false);
+        this.kick();
+      }
+    } catch (error) {
+      if (error instanceof CallFailed && error.unsent) {
+        for (const entry of started) if (entry.doubt === token) entry.doubt = null;
+      } else if (started.length > 0) machine.doubtSince ??= this.clock.now();
+      log.debug(`orders to ${machine.name}: ${describe(error)}`);
+    } finally {
+      machine.inFlight = false;
+    }
+    if (host.alive && machine.orders(true, this.clock.now(), report * 1.5).length > 0) {
+      setTimeout(
+        () => {
+          host.part.pokes.add(machine);
+          this.kick();
+        },
+        (report / 6) * 1000,
+      );
+    }
+  }
+
+  private sweep(): void {
+    const now = this.clock.now();
+    for (const [part, grace] of this.graces) if (grace.until < now) this.graces.delete(part);
+    if (!this.ownership.valid) return;
+    for (const host of this.hosted.values()) {
+      host.part.sweep(now);
+      this.settleDoubts(host, now);
+      for (const machine of host.part.machines.values()) {
+        if (machine.up) host.part.pokes.add(machine);
+      }
+    }
+    this.kick();
+  }
+
+  /** A start stays in doubt until its worker has seen a higher token: get one when it drags on. */
+  private settleDoubts(host: Hosted, now: number): void {
+    const { report } = this.settings;
+    let stuck = false;
+    for (const machine of host.part.machines.values()) {
+      if (machine.doubtSince === null) continue;
+      const heard = machine.heard !== null && now - machine.heard < report * 2;
+      if (heard && now - machine.doubtSince > report) stuck = true;
+      machine.doubtSince = heard && now - machine.doubtSince > report ? null : machine.doubtSince;
+    }
+    if (!stuck || now - host.raisedAt < report) return;
+    host.raisedAt = now;
+    void this.ownership
+      .raise(host.part.label)
+      .then((held) => {
+        if (held === null || !host.alive) return;
+        host.token = held.token;
+        host.stamp = held.stamp;
+      })
+      .catch((error: unknown) => {
+        log.debug(`raise: ${describe(error)}`);
+      });
+  }
+
+  // ---- Machines for the provisioner ----
+
+  /** Machines that have been idle long enough to be returned. */
+  localSpare(): string[] {
+    const now = this.clock.now();
+    const spare: string[] = [];
+    for (const host of this.hosted.values()) {
+      const waiting = host.part.waiting > 0;
+      for (const machine of host.part.machines.values()) {
+        if (machine.entries.size > 0 || !machine.up) continue;
+        if (machine.leaving) {
+          spare.push(machine.name);
+          continue;
+        }
+        const patience = (machine.shape?.boot ?? 60) * this.tuning.idleRatio;
+        if (waiting || now - machine.idleSince < patience) continue;
+        machine.leaving = true;
+        spare.push(machine.name);
+      }
+    }
+    return spare;
+  }
+
+  /**
+   * Machines so long silent that they count as lost. Ending them is the quickest proof that their
+   * tasks are over. When most of a part is silent at once, the fault is more likely ours.
+   */
+  localLost(): string[] {
+    const now = this.clock.now();
+    const lost: string[] = [];
+    for (const host of this.hosted.values()) {
+      const silent: string[] = [];
+      let all = 0;
+      for (const machine of host.part.machines.values()) {
+        if (machine.heard === null) continue;
+        all++;
+        const limit = this.settings.report * (1.25 + DRIFT) * 2.5;
+        if (now - machine.heard > limit) silent.push(machine.name);
+      }
+      if (silent.length <= Math.max(1, all / 2)) lost.push(...silent);
+    }
+    return lost;
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway.ts
@@ -0,0 +1,81 @@
+/** Routes requests, whether they come from users, workers or peers. */
+import { paths, helloPath } from '../protocol/routes.js';
+import { decodeRequest, encodeAnswer, type PeerAnswer, type Relay } from '../protocol/peer.js';
+import { decodeSpec } from '../protocol/peer.js';
+import type { HttpMessage } from '../transport/httpParser.js';
+import type { Reply } from '../transport/httpServer.js';
+import type { Controller } from './controller.js';
+import { overview } from './overview.js';
+import { Users } from './users.js';
+import { Workers } from './workers.js';
+
+const NOT_FOUND: Reply = { status: 404, body: { error: 'no such path' } };
+
+export class Gateway {
+  private readonly users: Users;
+  private readonly workers: Workers;
+
+  constructor(private readonly node: Controller) {
+    this.users = new Users(node);
+    this.workers = new Workers(node);
+  }
+
+  handle(request: HttpMessage): Promise<Reply> {
+    const path = request.target.split('?')[0] ?? '';
+    return this.route(request.method, path, request.body, false);
+  }
+
+  private async route(
+    method: string,
+    path: string,
+    body: string,
+    relayed: boolean,
+  ): Promise<Reply> {
+    if (path === helloPath && method === 'POST') return this.workers.hello(body, relayed);
+    if (path === paths.ready) {
+      if (this.node.ready) return { status: 200, body: {} };
+      return { status: 503, body: { error: 'starting' }, retryAfter: 1 };
+    }
+    if (path === paths.overview && method === 'GET') {
+      return { status: 200, body: overview(this.node) };
+    }
+    if (path === paths.jobs) {
+      if (method !== 'POST') return { status: 405, body: { error: 'use POST' } };
+      return this.users.submit(body, relayed);
+    }
+    const job = paths.job.exec(path);
+    if (job?.[1] === undefined) return NOT_FOUND;
+    if (job[2] === undefined) {
+      if (method !== 'GET') return { status: 405, body: { error: 'use GET' } };
+      return this.users.read(job[1], relayed);
+    }
+    if (method !== 'POST') return { status: 405, body: { error: 'use POST' } };
+    return this.users.cancel(job[1], relayed);
+  }
+
+  async peer(body: Buffer): Promise<Buffer> {
+    return encodeAnswer(await this.answerPeer(decodeRequest(body)));
+  }
+
+  private async answerPeer(request: ReturnType<typeof decodeRequest>): Promise<PeerAnswer> {
+    if ('Gossip' in request) {
+      this.node.peers.note(request.Gossip);
+      return { Noted: {} };
+    }
+    if ('Ask' in request) {
+      const { spec, zone, tasks } = request.Ask;
+      return { Estimates: { of: this.users.localEstimates(decodeSpec(spec), zone, tasks) } };
+    }
+    return { Relayed: await this.relayed(request.Relay) };
+  }
+
+  private async relayed(relay: Relay): Promise<{
+    status: number;
+    body: string;
+    retryAfter: number | null;
+  }> {
+    const reply = await this.route(relay.method, relay.target, relay.body, true);
+    const { status, retryAfter } = reply;
+    return { status, body: JSON.stringify(reply.body), retryAfter: retryAfter ?? null };
+  }
+}
--- /dev/null
+++ b/src/coordination/hosted.ts
@@ -0,0 +1,24 @@
+import type { JobRecord } from '../storage/records.js';
+import type { Part } from './part.js';
+
+/** A job whose home is a part that we host. */
+export interface HomeJob {
+  id: string;
+  record: JobRecord;
+  stamp: number;
+  /** A change of its record is on its way. */
+  busy: boolean;
+}
+
+/** A part that this node hosts: its own, or one adopted from a peer. */
+export interface Hosted {
+  part: Part;
+  token: number;
+  stamp: number;
+  /** False once the part is lost: nothing is written or started for it any more. */
+  alive: boolean;
+  jobs: Map<string, HomeJob>;
+  /** Transactions on their way. */
+  writing: number;
+  raisedAt: number;
+}
--- /dev/null
+++ b/src/coordination/machine.ts
@@ -0,0 +1,164 @@
+import type { Order, Report, TaskReport } from '../protocol/worker.js';
+import type { MachineType } from '../protocol/cloud.js';
+import type { MachineRecord } from '../storage/records.js';
+import type { Chunk, Entry } from './chunk.js';
+import type { Host, Room } from './placement.js';
+
+/** An ended attempt that the worker still reports, and from when on it may be forgotten. */
+export interface Leftover {
+  attempt: number;
+  mayReap: () => boolean;
+}
+
+export interface Placed {
+  chunk: Chunk;
+  entry: Entry;
+}
+
+const NOTHING: Room = { cpus: 0, gpus: 0, memory: 0 };
+
+/** One machine of a part, as its worker last reported it. */
+export class Machine implements Host {
+  address = '';
+  session = 0;
+  tick = -1;
+  seenToken = 0;
+  /** Steady time of the last report; null before the first one. */
+  heard: number | null = null;
+  /** Until when, at most, its worker's lease may have been renewed by an answer: ours or another's. */
+  renewed: number;
+  /** Steady time at which the cloud will take it; null without a notice. */
+  goneBy: number | null = null;
+  tasks = new Map<string, TaskReport>();
+  readonly entries = new Map<string, Placed>();
+  readonly leftovers = new Map<string, Leftover>();
+  /** Images seen here, oldest use first. */
+  private readonly images = new Map<string, number>();
+  slowness = 1;
+  /** Distinct jobs whose tasks failed here in a row. */
+  readonly failedJobs = new Set<string>();
+  /** Nothing is placed before this time. */
+  shunnedUntil = 0;
+  /** Offered back to the cloud: nothing is placed here any more. */
+  leaving = false;
+  /** Given up as lost; release is asked for. */
+  lost = false;
+  idleSince: number;
+  inFlight = false;
+  /** Since when a start sent here is without an answer. */
+  doubtSince: number | null = null;
+
+  constructor(
+    readonly name: string,
+    readonly record: MachineRecord,
+    readonly shape: MachineType | undefined,
+    now: number,
+  ) {
+    this.renewed = now;
+    this.idleSince = now;
+    this.created = now;
+  }
+
+  readonly created: number;
+
+  get type(): string {
+    return this.record.type;
+  }
+  get zone(): string {
+    return this.record.zone;
+  }
+  get spot(): boolean {
+    return this.record.spot;
+  }
+  get up(): boolean {
+    return this.heard !== null && !this.lost;
+  }
+
+  get size(): Room {
+    return this.shape ?? NOTHING;
+  }
+
+  /** Room left beside everything that is or may still be here. */
+  get free(): Room {
+    const room = { ...this.size };
+    for (const { chunk } of this.entries.values()) {
+      room.cpus -= chunk.spec.cpus;
+      room.gpus -= chunk.spec.gpus;
+      room.memory -= chunk.spec.memory;
+    }
+    // A stranger (an attempt we know nothing of) takes room that we can't measure.
+    for (const [task, report] of this.tasks) {
+      if (report.state !== 'ended' && this.entries.get(task)?.entry.attempt !== report.attempt) {
+        return NOTHING;
+      }
+    }
+    return room;
+  }
+
+  usable(now: number): boolean {
+    return (
+      this.up && !this.leaving && this.goneBy === null && this.shunnedUntil <= now && !this.lost
+    );
+  }
+
+  hasImage(image: string): boolean {
+    return this.images.has(image);
+  }
+
+  noteImage(image: string, gb: number): void {
+    this.images.delete(image);
+    this.images.set(image, gb);
+    let total = 0;
+    for (const size of this.images.values()) total += size;
+    for (const [old, size] of this.images) {
+      if (total <= (this.shape?.cache ?? Infinity) || this.images.size === 1) break;
+      this.images.delete(old);
+      total -= size;
+    }
+  }
+
+  isNewer(report: Report): boolean {
+    return (
+      report.session > this.session || (report.session === this.session && report.tick > this.tick)
+    );
+  }
+
+  /** Stops, starts and reaps that the worker should carry out now. */
+  orders(mayStart: boolean, now: number, again: number): Order[] {
+    const orders: Order[] = [];
+    for (const [task, report] of this.tasks) {
+      const known = this.entries.get(task);
+      if (report.state === 'ended') {
+        const leftover = this.leftovers.get(task);
+        const mayReap = leftover?.attempt === report.attempt && leftover.mayReap();
+        // Nothing of ours: an attempt that was given up before; nobody waits for it.
+        const stranger = leftover === undefined && known === undefined;
+        if (mayReap || stranger) orders.push({ verb: 'reap', task, attempt: report.attempt });
+      } else if (known?.entry.attempt !== report.attempt) {
+        orders.push({ verb: 'halt', task, attempt: report.attempt, wind: 0 });
+      }
+    }
+    for (const [task, { chunk, entry }] of this.entries) {
+      const report = this.tasks.get(task);
+      const here = report?.attempt === entry.attempt ? report : undefined;
+      if (entry.stop !== null) {
+        const due = entry.stop.sentAt === null || now - entry.stop.sentAt > again;
+        const saving = here?.state === 'saving';
+        // A second halt would end a task that is still saving; only after its time is up.
+        const late = saving && now - (entry.stop.sentAt ?? now) > entry.stop.wind + again;
+        if (here !== undefined && here.state !== 'ended' && due && (!saving || late)) {
+          orders.push({
+            verb: 'halt',
+            task,
+            attempt: entry.attempt,
+            wind: late ? 0 : entry.stop.wind,
+          });
+          if (!late) entry.stop.sentAt = now;
+        }
+      } else if (here === undefined && mayStart && chunk.isDurable(entry) && !entry.seen) {
+        orders.push({ verb: 'start', task, attempt: entry.attempt });
+      }
+    }
+    return orders;
+  }
+}
--- /dev/null
+++ b/src/coordination/ownership.ts
@@ -0,0 +1,251 @@
+/**
+ * Who owns which part. A part's owner holds its key by a lease of the state service; tokens come from
+ * one counter there, so that any new ownership has a token above every earlier one.
+ */
+import { DRIFT, sleep, type Clock } from '../base/clock.js';
+import { describe, log } from '../base/log.js';
+import type { Replica } from '../storage/replica.js';
+import type { StateClient } from '../storage/stateClient.js';
+import { keys, type OwnerRecord } from '../storage/records.js';
+
+/** Not a part: the key by which the one node that rents and returns machines is elected. */
+export const PROVISIONER = '~provisioner';
+
+export interface Held {
+  token: number;
+  stamp: number;
+  /** True when the last owner was another node, which may still answer its workers for a while. */
+  adopted: boolean;
+}
+
+export interface OwnershipOptions {
+  label: string;
+  process: string;
+  parts: string[];
+  /** The lease at the state service, in seconds. */
+  ttl: number;
+}
+
+export interface OwnershipEvents {
+  gained(part: string, held: Held): void;
+  lost(part: string): void;
+  /** Resolves once nothing of the part is on its way to the state service any more. */
+  quiet(part: string): Promise<void>;
+  /** True when this node has been up and served long enough to get its part back. */
+  wantsBack(node: string): boolean;
+}
+
+export class Ownership {
+  private hold: number | null = null;
+  private validUntil = -Infinity;
+  private readonly held = new Map<string, Held>();
+  private readonly absentSince = new Map<string, number>();
+  private readonly busy = new Set<string>();
+  private stopped = false;
+
+  constructor(
+    private readonly client: StateClient,
+    private readonly replica: Replica,
+    private readonly clock: Clock,
+    private readonly options: OwnershipOptions,
+    private readonly events: OwnershipEvents,
+  ) {}
+
+  /** Whether this node may start work and speak for its parts: by its own clock, drift included. */
+  get valid(): boolean {
+    return this.hold !== null && this.clock.now() < this.validUntil;
+  }
+
+  /** Steady time at which the right to start work ends, or ended. */
+  get until(): number {
+    return this.validUntil;
+  }
+
+  get(part: string): Held | undefined {
+    return this.held.get(part);
+  }
+
+  async run(): Promise<void> {
+    const pause = this.options.ttl / 5;
+    void this.watchKeys();
+    while (!this.stopped) {
+      try {
+        await this.renew();
+      } catch (error) {
+        log.debug(`lease: ${describe(error)}`);
+      }
+      await sleep(this.hold === null ? pause / 4 : pause);
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private async renew(): Promise<void> {
+    // Counted from when the renewal was sent: it can't have reached the service earlier.
+    const sent = this.clock.now();
+    if (this.hold === null) {
+      this.hold = await this.client.grant(this.options.ttl);
+    } else if (!(await this.client.extend(this.hold, this.options.ttl / 3))) {
+      log.info('our lease at the state service has ended; giving up all parts');
+      this.hold = null;
+      this.validUntil = -Infinity;
+      for (const part of [...this.held.keys()]) this.lose(part);
+      return;
+    }
+    this.validUntil = sent + this.options.ttl * (1 - DRIFT);
+  }
+
+  /** A transaction of ours failed on the ownership key: look, and give the part up if it's true. */
+  async doubt(part: string): Promise<void> {
+    const held = this.held.get(part);
+    if (held === undefined) return;
+    const item = await this.client.get(keys.owner(part));
+    if (this.held.get(part) === held && item?.stamp !== held.stamp) this.lose(part);
+  }
+
+  private lose(part: string): void {
+    if (!this.held.delete(part)) return;
+    log.info(`part ${part} is no longer ours`);
+    this.events.lost(part);
+  }
+
+  private async watchKeys(): Promise<void> {
+    while (!this.stopped) {
+      if (this.valid && this.replica.loaded) {
+        for (const part of [...this.options.parts, PROVISIONER]) this.look(part);
+      }
+      await sleep(this.options.ttl / 20);
+    }
+  }
+
+  private look(part: string): void {
+    if (this.busy.has(part)) return;
+    const { label } = this.options;
+    const stored = this.replica.get(keys.owner(part))?.value as OwnerRecord | undefined;
+    if (this.held.has(part)) {
+      if (part !== label && part !== PROVISIONER && this.events.wantsBack(part)) {
+        this.exclusive(part, () => this.handBack(part));
+      }
+      return;
+    }
+    if (stored !== undefined) {
+      this.absentSince.delete(part);
+      // Our own key from before a restart: the process that wrote it is dead, so take it at once.
+      if (stored.node === label) this.exclusive(part, () => this.claim(part));
+      return;
+    }
+    const since = this.absentSince.get(part) ?? this.clock.now();
+    this.absentSince.set(part, since);
+    if (this.clock.now() - since >= this.patience(part)) {
+      this.exclusive(part, () => this.claim(part));
+    }
+  }
+
+  /** The part's own node goes first; the others one after the other, in an order of the part's. */
+  private patience(part: string): number {
+    const { label, parts, ttl } = this.options;
+    if (part === label) return 0;
+    const size = parts.length;
+    const turn = (parts.indexOf(label) - Math.max(0, parts.indexOf(part)) + size) % size;
+    return part === PROVISIONER ? (turn * ttl) / 10 : ((1 + turn) * ttl) / 8;
+  }
+
+  private exclusive(part: string, work: () => Promise<void>): void {
+    this.busy.add(part);
+    void work()
+      .catch((error: unknown) => {
+        log.debug(`ownership of ${part}: ${describe(error)}`);
+      })
+      .finally(() => this.busy.delete(part));
+  }
+
+  private async claim(part: string): Promise<void> {
+    const held = await this.writeOwner(
+      part,
+      (owner) => owner?.node === this.options.label || !owner,
+    );
+    if (held === null) return;
+    // Read after the key was written: no earlier owner's transaction can be applied any more.
+    await this.replica.load();
+    if (!this.valid || this.held.has(part)) return;
+    this.held.set(part, held);
+    log.info(`part ${part} is ours with token ${held.token}`);
+    this.events.gained(part, held);
+  }
+
+  /** A higher token for a part that we own already; it settles starts that are in doubt. */
+  async raise(part: string): Promise<Held | null> {
+    const before = this.held.get(part);
+    if (before === undefined || this.busy.has(part)) return null;
+    this.busy.add(part);
+    try {
+      await this.events.quiet(part);
+      const raised = await this.writeOwner(part, (_, stamp) => stamp === before.stamp);
+      if (raised === null || this.held.get(part) !== before) return null;
+      this.held.set(part, { ...raised, adopted: before.adopted });
+      return raised;
+    } finally {
+      this.busy.delete(part);
+    }
+  }
+
+  private async writeOwner(
+    part: string,
+    may: (owner: OwnerRecord | null, stamp: number) => boolean,
+  ): Promise<Held | null> {
+    const key = keys.owner(part);
+    const { label: node, process } = this.options;
+    const counter = await this.client.get(keys.token);
+    const before = await this.client.get(key);
+    const owner = (before?.value ?? null) as OwnerRecord | null;
+    if (!may(owner, before?.stamp ?? 0) || this.hold === null) {
+      if (before !== null) this.replica.note(key, before.value, before.stamp);
+      return null;
+    }
+    const token = ((counter?.value as { last: number } | undefined)?.last ?? 0) + 1;
+    const record: OwnerRecord = { node, token, process };
+    const result = await this.client.txn(
+      {
+        when: [
+          { key: keys.token, stamp: counter?.stamp ?? 0 },
+          { key, stamp: before?.stamp ?? 0 },
+        ],
+        puts: [
+          { key: keys.token, value: { last: token } },
+          { key, value: record, hold: this.hold },
+        ],
+        removes: [],
+      },
+      true,
+    );
+    let stamp = result.kind === 'applied' ? result.stamp : 0;
+    if (result.kind === 'unknown' || result.kind === 'conflict') {
+      // It may have been applied all the same: read back, then decide.
+      const now = await this.client.get(key);
+      const stored = now?.value as OwnerRecord | undefined;
+      if (now !== null && stored?.token === token && stored.process === process) stamp = now.stamp;
+    }
+    if (stamp === 0) return null;
+    this.replica.note(key, record, stamp);
+    return { token, stamp, adopted: owner !== null ? owner.node !== node : part !== node };
+  }
+
+  private async handBack(part: string): Promise<void> {
+    const held = this.held.get(part);
+    if (held === undefined) return;
+    log.info(`handing part ${part} back`);
+    this.events.lost(part);
+    this.held.delete(part);
+    await this.events.quiet(part);
+    const key = keys.owner(part);
+    for (let tries = 0; tries < 5; tries++) {
+      const when = [{ key, stamp: held.stamp }];
+      const result = await this.client.txn({ when, puts: [], removes: [key] }, true);
+      if (result.kind === 'applied') this.replica.noteRemoved(key, result.stamp);
+      if (result.kind === 'applied' || result.kind === 'conflict') return;
+      await sleep(this.options.ttl / 10);
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/part.ts
@@ -0,0 +1,615 @@
+/**
+ * One part: its machines, its queue and what runs where. No I/O: reports come in, orders and changed
+ * records go out, and the clock is passed in.
+ */
+import type { Random } from '../base/random.js';
+import { DRIFT } from '../base/clock.js';
+import type { MachineType } from '../protocol/cloud.js';
+import type { Demand } from '../protocol/peer.js';
+import { rankOrder, type JobSpec } from '../protocol/job.js';
+import type { Report, TaskReport } from '../protocol/worker.js';
+import type { ChunkRecord, MachineRecord } from '../storage/records.js';
+import { Chunk, type Entry } from './chunk.js';
+import type { RunTimes } from './estimate.js';
+import { Machine, type Placed } from './machine.js';
+import { allows, bestFit, holds, sampleHosts, victimsFor, type Room } from './placement.js';
+import { replay, type ReplayHost, type ReplayItem } from './replay.js';
+
+export interface PartOptions {
+  lease: number;
+  report: number;
+  sample: number;
+  zones: string[];
+}
+
+/** How much of a team's limit this part may use; null: no limit. */
+export type Allowance = (team: string) => { cpus: number; gpus: number } | null;
+
+export class Part {
+  readonly machines = new Map<string, Machine>();
+  readonly chunks = new Map<string, Chunk>();
+  /** Chunks that changed and are not stored yet. */
+  readonly dirty = new Set<Chunk>();
+  /** Machines that should be sent orders now. */
+  readonly pokes = new Set<Machine>();
+  /** Chunks whose tasks are all done or, cancelled, all over. */
+  readonly settled = new Set<Chunk>();
+  private resumeAfter: string | null = null;
+  /** Teams that were kept waiting by their share of the limit in the last round. */
+  readonly hungry = new Set<string>();
+
+  constructor(
+    readonly label: string,
+    private readonly options: PartOptions,
+    private readonly types: () => Map<string, MachineType>,
+    private readonly runTimes: RunTimes,
+    private readonly random: Random,
+    private readonly allowance: Allowance = () => null,
+  ) {}
+
+  // ---- Machines ----
+
+  /** `renewed`: until when another owner may have renewed the worker's lease. */
+  addMachine(name: string, record: MachineRecord, now: number, renewed = now): Machine {
+    const known = this.machines.get(name);
+    if (known !== undefined) return known;
+    const machine = new Machine(name, record, this.types().get(record.type), now);
+    machine.renewed = renewed;
+    this.machines.set(name, machine);
+    return machine;
+  }
+
+  /** The machine is known to be gone, and everything on it. */
+  removeMachine(name: string, now: number): void {
+    const machine = this.machines.get(name);
+    if (machine === undefined) return;
+    this.machines.delete(name);
+    this.pokes.delete(machine);
+    for (const placed of [...machine.entries.values()]) this.release(machine, placed, now);
+  }
+
+  /** Takes a worker's report. Gives false when it is older than what is known. */
+  apply(machine: Machine, report: Report, now: number, isHello: boolean): boolean {
+    if (!machine.isNewer(report)) return false;
+    const newSession = report.session > machine.session && machine.heard !== null;
+    machine.address = report.address;
+    machine.session = report.session;
+    machine.tick = report.tick;
+    machine.seenToken = Math.max(machine.seenToken, report.token);
+    machine.heard = now;
+    machine.lost = false;
+    machine.goneBy = report.warning === null ? null : now + report.warning;
+    machine.tasks = new Map(report.tasks.map((t) => [t.task, t]));
+    if (newSession) machine.leftovers.clear();
+    for (const [task, leftover] of machine.leftovers) {
+      const still = machine.tasks.get(task);
+      if (still === undefined || still.attempt !== leftover.attempt) machine.leftovers.delete(task);
+    }
+    for (const placed of [...machine.entries.values()]) {
+      this.settle(machine, placed, report.session, isHello, now);
+    }
+    this.claimStrays(machine, now);
+    if (machine.goneBy !== null) this.drain(machine, now);
+    if (machine.entries.size > 0) machine.idleSince = now;
+    return true;
+  }
+
+  /** What a newer report says of one attempt. */
+  private settle(
+    machine: Machine,
+    placed: Placed,
+    session: number,
+    isHello: boolean,
+    now: number,
+  ): void {
+    const { chunk, entry } = placed;
+    if (session > entry.session) {
+      // The worker killed everything when its lease ran out; nothing of that session comes back.
+      this.release(machine, placed, now);
+      return;
+    }
+    if (entry.doubt !== null && machine.seenToken > entry.doubt) entry.doubt = null;
+    if (isHello) entry.riding = false;
+    const report = machine.tasks.get(chunk.taskName(entry.task));
+    if (report?.attempt === entry.attempt) {
+      this.progress(machine, placed, report, now);
+      return;
+    }
+    const unsettled = entry.doubt !== null || entry.riding;
+    if (entry.seen ? entry.doubt === null : entry.stop !== null && !unsettled) {
+      // It was here and is no more, or it never came and is not wanted any longer.
+      this.release(machine, placed, now);
+    }
+  }
+
+  private progress(machine: Machine, placed: Placed, report: TaskReport, now: number): void {
+    const { chunk, entry } = placed;
+    entry.seen = true;
+    if (report.state !== 'ended') {
+      if (report.state === 'running' && entry.state !== 'running') {
+        entry.runningSince = now;
+        machine.noteImage(chunk.spec.image, chunk.spec.imageGb);
+      }
+      entry.state = report.state;
+      return;
+    }
+    if (report.cause === 'done') this.finish(machine, placed, now);
+    else {
+      if (report.cause === 'error') this.noteFailure(machine, chunk, now);
+      if (report.cause === 'no_room' || report.cause === 'busy') {
+        machine.shunnedUntil = now + this.options.report;
+      }
+      // The description is on its way, or the user never sent it: try again, but not at once.
+      if (report.cause === 'unknown') this.backOff(chunk, now);
+      this.release(machine, placed, now);
+    }
+    this.leave(machine, chunk, entry);
+  }
+
+  private finish(machine: Machine, placed: Placed, now: number): void {
+    const { chunk, entry } = placed;
+    if (entry.runningSince !== null) {
+      const actual = now - entry.runningSince;
+      const expected = this.runTimes.expected(chunk.spec.jobClass, chunk.spec.expect);
+      this.runTimes.note(chunk.spec.jobClass, chunk.spec.expect, actual);
+      // A machine's own pace, slowly followed; one odd task says little.
+      if (expected > 0) {
+        machine.slowness += 0.25 * (Math.min(8, actual / expected) - machine.slowness);
+      }
+    }
+    machine.failedJobs.clear();
+    chunk.failures = 0;
+    chunk.failedOn.clear();
+    chunk.done.add(entry.task);
+    this.release(machine, placed, now);
+  }
+
+  /** The attempt's end stays in the worker's reports until it may be forgotten. */
+  private leave(machine: Machine, chunk: Chunk, entry: Entry): void {
+    const version = chunk.version;
+    const { doubt, attempt, task } = entry;
+    machine.leftovers.set(chunk.taskName(task), {
+      attempt,
+      // Its end must be stored first; and a start that may still come would run it once more.
+      mayReap: () =>
+        (chunk.stored >= version || chunk.dropped) &&
+        (doubt === null || machine.seenToken > doubt) &&
+        !entry.riding,
+    });
+  }
+
+  private noteFailure(machine: Machine, chunk: Chunk, now: number): void {
+    machine.failedJobs.add(chunk.spec.id);
+    chunk.failures++;
+    chunk.failedOn.add(machine.name);
+    // Several jobs failing on one machine point at the machine; one job failing on several machines
+    // points at the job. Neither takes the other's good name with it.
+    const jobIsBad = chunk.failedOn.size >= 3;
+    if (jobIsBad) machine.failedJobs.delete(chunk.spec.id);
+    if (machine.failedJobs.size >= 2) {
+      machine.shunnedUntil = now + this.options.lease * machine.failedJobs.size;
+    }
+    this.backOff(chunk, now);
+  }
+
+  private backOff(chunk: Chunk, now: number): void {
+    const steps = Math.min(5, chunk.failedOn.size);
+    chunk.notBefore = now + (this.options.report / 4) * 2 ** steps;
+  }
+
+  /** A done attempt of ours that an earlier owner started and we hold no entry for. */
+  private claimStrays(machine: Machine, now: number): void {
+    for (const [task, report] of machine.tasks) {
+      if (report.state !== 'ended' || report.cause !== 'done') continue;
+      if (machine.entries.has(task) || machine.leftovers.has(task)) continue;
+      const slash = task.lastIndexOf('/');
+      const number = Number(task.slice(slash + 1));
+      for (const chunk of this.chunksOf(task.slice(0, slash))) {
+        if (number < chunk.from || number >= chunk.to || chunk.done.has(number)) continue;
+        if (chunk.entries.has(number)) continue;
+        chunk.done.add(number);
+        this.changed(chunk, now);
+        const version = chunk.version;
+        machine.leftovers.set(task, {
+          attempt: report.attempt,
+          mayReap: () => chunk.stored >= version || chunk.dropped,
+        });
+      }
+    }
+  }
+
+  chunksOf(id: string): Chunk[] {
+    const found: Chunk[] = [];
+    for (let k = 0, misses = 0; misses < 1 || k === 0; k++) {
+      const chunk = this.chunks.get(`${id}/${k}`);
+      if (chunk === undefined) misses++;
+      else found.push(chunk);
+      if (k > 2 && misses > 0) break;
+    }
+    if (found.length > 0) return found;
+    for (const chunk of this.chunks.values()) if (chunk.spec.id === id) found.push(chunk);
+    return found;
+  }
+
+  private drain(machine: Machine, now: number): void {
+    for (const { chunk, entry } of machine.entries.values()) {
+      if (entry.stop !== null || chunk.cancelled) continue;
+      const left = (machine.goneBy ?? now) - now;
+      const { service, checkpoint, save } = chunk.spec;
+      // Without a checkpoint stopping gains nothing, save that a replica's successor starts sooner.
+      const worth = service || (checkpoint > 0 && left <= save + 2 * this.options.report);
+      if (worth) this.stop(machine, entry, checkpoint > 0 ? save : 0);
+    }
+  }
+
+  stop(machine: Machine, entry: Entry, wind: number): void {
+    if (entry.stop !== null) return;
+    entry.stop = { wind, sentAt: null };
+    this.pokes.add(machine);
+  }
+
+  /** Ends an entry whose attempt is known to be over. */
+  private release(machine: Machine, { chunk, entry }: Placed, now: number): void {
+    chunk.entries.delete(entry.task);
+    machine.entries.delete(chunk.taskName(entry.task));
+    if (machine.entries.size === 0) machine.idleSince = now;
+    this.changed(chunk, now);
+  }
+
+  private changed(chunk: Chunk, now: number): void {
+    chunk.touch(now);
+    if (chunk.complete || (chunk.cancelled && chunk.entries.size === 0)) this.settled.add(chunk);
+    else this.dirty.add(chunk);
+  }
+
+  /** Silent machines: what ran there is over once nobody can have renewed the lease that long. */
+  sweep(now: number): void {
+    for (const machine of this.machines.values()) {
+      const limit = this.options.lease * (1 + DRIFT) + this.options.report / 2;
+      if (machine.entries.size === 0 || now - machine.renewed <= limit) continue;
+      machine.lost = true;
+      for (const placed of [...machine.entries.values()]) this.release(machine, placed, now);
+    }
+  }
+
+  // ---- Chunks ----
+
+  addChunk(chunk: Chunk): void {
+    this.chunks.set(chunk.id, chunk);
+    if (chunk.complete) this.settled.add(chunk);
+  }
+
+  /** Takes up a stored chunk, with all that its last owner may have started. */
+  loadChunk(index: number, record: ChunkRecord, stamp: number, token: number, now: number): Chunk {
+    const chunk = Chunk.load(index, record, stamp, now);
+    for (const e of record.entries) {
+      const machine = this.machines.get(e.machine);
+      // Its machine's record is deleted only after the machine is gone.
+      if (machine === undefined) continue;
+      const entry: Entry = {
+        ...e,
+        version: 0,
+        seen: false,
+        state: 'fetching',
+        placedAt: now,
+        runningSince: null,
+        // Whatever the last owner sent is settled once the worker has seen our token.
+        doubt: token - 1,
+        riding: false,
+        stop: null,
+      };
+      chunk.entries.set(e.task, entry);
+      machine.entries.set(chunk.taskName(e.task), { chunk, entry });
+    }
+    if (chunk.entries.size < record.entries.length) this.dirty.add(chunk);
+    this.addChunk(chunk);
+    return chunk;
+  }
+
+  dropChunk(chunk: Chunk): void {
+    chunk.dropped = true;
+    this.chunks.delete(chunk.id);
+    this.dirty.delete(chunk);
+    this.settled.delete(chunk);
+    for (const entry of chunk.entries.values()) {
+      this.machines.get(entry.machine)?.entries.delete(chunk.taskName(entry.task));
+    }
+  }
+
+  cancel(chunk: Chunk, now: number): void {
+    if (chunk.cancelled) return;
+    chunk.cancelled = true;
+    for (const entry of [...chunk.entries.values()]) {
+      const machine = this.machines.get(entry.machine);
+      if (machine === undefined) continue;
+      this.stop(machine, entry, 0);
+      entry.stop = { wind: 0, sentAt: null };
+      // Never sent, so nothing can come of it.
+      if (!entry.seen && entry.doubt === null && !entry.riding && !machine.inFlight) {
+        this.release(machine, { chunk, entry }, now);
+      }
+    }
+    this.changed(chunk, now);
+  }
+
+  // ---- Decisions ----
+
+  private queue(): Chunk[] {
+    const waiting = [...this.chunks.values()].filter((c) => c.pending > 0);
+    return waiting.sort((a, b) => b.rank - a.rank || a.at - b.at || (a.id < b.id ? -1 : 1));
+  }
+
+  get waiting(): number {
+    let count = 0;
+    for (const chunk of this.chunks.values()) count += chunk.pending;
+    return count;
+  }
+
+  get utilisation(): number {
+    let all = 0;
+    let used = 0;
+    for (const machine of this.machines.values()) {
+      if (!machine.up) continue;
+      all += machine.size.cpus;
+      for (const { chunk } of machine.entries.values()) used += chunk.spec.cpus;
+    }
+    return all === 0 ? 1 : used / all;
+  }
+
+  get cpus(): number {
+    let all = 0;
+    for (const machine of this.machines.values()) all += machine.size.cpus;
+    return all;
+  }
+
+  /**
+   * One round: places what fits, first come first served within a rank, later work filling in
+   * behind. Stops at the deadline; the next round goes on where this one stopped.
+   */
+  decide(now: number, outOfTime: () => boolean): void {
+    const queue = this.queue();
+    this.hungry.clear();
+    const start = queue.findIndex((c) => c.id === this.resumeAfter);
+    this.resumeAfter = null;
+    let reserved: { machine: Machine; at: number } | null = null;
+    for (let i = 0; i < queue.length; i++) {
+      const chunk = queue[i];
+      if (chunk === undefined) continue;
+      // Live services are always looked at first; batch goes on where the last round stopped.
+      if (chunk.rank < rankOrder.prod && start > 0 && i < start) continue;
+      if (outOfTime()) {
+        this.resumeAfter = chunk.id;
+        return;
+      }
+      if (chunk.notBefore > now) continue;
+      const blocked = this.placeChunk(chunk, reserved, now);
+      if (!blocked) {
+        chunk.blockedSince = null;
+        continue;
+      }
+      chunk.blockedSince ??= now;
+      if (chunk.rank > 0) this.preempt(chunk, now);
+      reserved ??= this.shadow(chunk, now);
+    }
+  }
+
+  /** Gives true when tasks of it are left without room. */
+  private placeChunk(
+    chunk: Chunk,
+    reserved: { machine: Machine; at: number } | null,
+    now: number,
+  ): boolean {
+    const run = this.runTimes.expected(chunk.spec.jobClass, chunk.spec.expect);
+    while (chunk.pending > 0) {
+      if (!this.withinAllowance(chunk.spec)) {
+        this.hungry.add(chunk.spec.team);
+        return true;
+      }
+      const hosts: Machine[] = [];
+      for (const machine of this.machines.values()) {
+        if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) continue;
+        if (chunk.failedOn.has(machine.name) && chunk.failedOn.size < this.machines.size) continue;
+        if (!holds(machine.free, chunk.spec)) continue;
+        // Backfilling must not delay the first that waits.
+        const delays = chunk.spec.service || now + run > (reserved?.at ?? Infinity);
+        if (machine === reserved?.machine && delays) continue;
+        hosts.push(machine);
+      }
+      const sampled = sampleHosts(hosts, chunk.spec.image, this.options.sample, this.random);
+      const machine = bestFit(sampled, chunk.spec);
+      if (machine === null) return true;
+      const task = chunk.nextPending();
+      if (task === null) return false;
+      this.place(chunk, task, machine, now);
+    }
+    return false;
+  }
+
+  private place(chunk: Chunk, task: number, machine: Machine, now: number): void {
+    const entry: Entry = {
+      task,
+      attempt: chunk.next++,
+      machine: machine.name,
+      session: machine.session,
+      version: chunk.version + 1,
+      seen: false,
+      state: 'fetching',
+      placedAt: now,
+      runningSince: null,
+      doubt: null,
+      riding: false,
+      stop: null,
+    };
+    chunk.entries.set(task, entry);
+    machine.entries.set(chunk.taskName(task), { chunk, entry });
+    this.changed(chunk, now);
+  }
+
+  private withinAllowance(spec: JobSpec): boolean {
+    const allowance = this.allowance(spec.team);
+    if (allowance === null) return true;
+    const used = this.usedBy(spec.team);
+    return (
+      used.cpus + spec.cpus <= allowance.cpus + 1e-6 &&
+      used.gpus + spec.gpus <= allowance.gpus + 1e-6
+    );
+  }
+
+  /** What a team's tasks take here, those that may still run included. */
+  usedBy(team: string): { cpus: number; gpus: number } {
+    const used = { cpus: 0, gpus: 0 };
+    for (const chunk of this.chunks.values()) {
+      if (chunk.spec.team !== team) continue;
+      used.cpus += chunk.entries.size * chunk.spec.cpus;
+      used.gpus += chunk.entries.size * chunk.spec.gpus;
+    }
+    return used;
+  }
+
+  /** Where and when the first that waits will find room: that room is kept for it. */
+  private shadow(chunk: Chunk, now: number): { machine: Machine; at: number } | null {
+    let best: { machine: Machine; at: number } | null = null;
+    for (const machine of this.machines.values()) {
+      if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) continue;
+      if (!holds(machine.size, chunk.spec)) continue;
+      const room = { ...machine.free };
+      const ends = [...machine.entries.values()]
+        .map((p) => ({ at: this.endOf(p, now), need: p.chunk.spec }))
+        .sort((a, b) => a.at - b.at);
+      let at = now;
+      for (const end of ends) {
+        if (holds(room, chunk.spec)) break;
+        room.cpus += end.need.cpus;
+        room.gpus += end.need.gpus;
+        room.memory += end.need.memory;
+        at = end.at;
+      }
+      if (holds(room, chunk.spec) && at < (best?.at ?? Infinity)) best = { machine, at };
+    }
+    return best;
+  }
+
+  private endOf({ chunk, entry }: Placed, now: number): number {
+    if (chunk.spec.service) return Infinity;
+    const run = this.runTimes.expected(chunk.spec.jobClass, chunk.spec.expect);
+    return Math.max(now, (entry.runningSince ?? now) + run);
+  }
+
+  /** Stops lower-ranked work on the machine where that costs least. */
+  private preempt(chunk: Chunk, now: number): void {
+    let making = 0;
+    for (const machine of this.machines.values()) {
+      for (const { chunk: other, entry } of machine.entries.values()) {
+        if (entry.stop !== null && !other.cancelled && other.rank < chunk.rank) making++;
+      }
+    }
+    // One task's room at a time for each that waits; more would stop work for nothing.
+    for (let left = chunk.pending - making; left > 0; left--) {
+      let best: { machine: Machine; victims: Victims; loss: number } | null = null;
+      for (const machine of this.machines.values()) {
+        if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) continue;
+        const victims = victimsFor(
+          machine.free,
+          chunk.spec,
+          this.stoppable(machine, now),
+          chunk.rank,
+        );
+        if (victims === null || victims.length === 0) continue;
+        const fetch = machine.hasImage(chunk.spec.image) ? 0 : 1e6;
+        const loss = victims.reduce((sum, v) => sum + v.loss, fetch);
+        if (loss < (best?.loss ?? Infinity)) best = { machine, victims, loss };
+      }
+      if (best === null) return;
+      for (const { placed } of best.victims) {
+        const { checkpoint, save } = placed.chunk.spec;
+        this.stop(best.machine, placed.entry, checkpoint > 0 ? save : 0);
+      }
+    }
+  }
+
+  private stoppable(machine: Machine, now: number): Victims {
+    const list: Victims = [];
+    for (const placed of machine.entries.values()) {
+      const { chunk, entry } = placed;
+      if (entry.stop !== null) continue;
+      const ran = entry.runningSince === null ? 0 : now - entry.runningSince;
+      const loss = chunk.spec.checkpoint > 0 ? Math.min(ran, chunk.spec.save) : ran;
+      list.push({ rank: chunk.rank, need: chunk.spec, loss, placed });
+    }
+    return list;
+  }
+
+  // ---- Estimates ----
+
+  /** The wait that a candidate would see here, by replaying the queue. */
+  waitFor(candidate: ReplayItem, now: number): number {
+    const hosts: ReplayHost[] = [];
+    for (const machine of this.machines.values()) {
+      const { type, zone, spot } = machine;
+      if (machine.shape === undefined || machine.leaving || machine.lost) continue;
+      const boot = machine.created + machine.shape.boot - now;
+      const ready = machine.up ? Math.max(0, machine.shunnedUntil - now) : Math.max(1, boot);
+      const running = [...machine.entries.values()]
+        .map((p) => ({ ends: this.endOf(p, now) - now, need: p.chunk.spec }))
+        .filter((r) => Number.isFinite(r.ends));
+      hosts.push({ type, zone, spot, free: machine.free, ready, running });
+    }
+    const queue = this.queue()
+      .filter((c) => c.rank >= rankOrder[candidate.spec.rank])
+      .map((c) => ({
+        spec: c.spec,
+        zone: c.zone,
+        count: c.pending,
+        run: c.spec.service ? Infinity : this.expectedRun(c.spec),
+      }));
+    return replay(hosts, queue, candidate).wait;
+  }
+
+  expectedRun(spec: JobSpec): number {
+    return this.runTimes.expected(spec.jobClass, spec.expect);
+  }
+
+  /** Seconds to fetch an image here: nothing when a machine with room already has it. */
+  fetchFor(spec: JobSpec, zone: string | null): number {
+    let best = Infinity;
+    for (const machine of this.machines.values()) {
+      if (machine.shape === undefined || !allows(spec, zone, machine)) continue;
+      const warm = machine.hasImage(spec.image) && holds(machine.free, spec);
+      best = Math.min(best, warm ? 0 : spec.imageGb / Math.max(1e-3, machine.shape.fetchRate));
+    }
+    return Number.isFinite(best) ? best : 0;
+  }
+
+  /** Work that neither machines that are up nor those on their way can hold. */
+  demands(now: number): Demand[] {
+    const rooms: { machine: Machine; room: Room }[] = [];
+    for (const machine of this.machines.values()) {
+      if (machine.lost || machine.leaving || machine.goneBy !== null) continue;
+      if (machine.up && machine.shunnedUntil > now) continue;
+      rooms.push({ machine, room: machine.up ? machine.free : { ...machine.size } });
+    }
+    const demands: Demand[] = [];
+    for (const chunk of this.queue()) {
+      if (chunk.failures > 2) continue;
+      let count = chunk.pending;
+      for (const { machine, room } of rooms) {
+        if (!allows(chunk.spec, chunk.zone, machine)) continue;
+        while (count > 0 && holds(room, chunk.spec)) {
+          count--;
+          room.cpus -= chunk.spec.cpus;
+          room.gpus -= chunk.spec.gpus;
+          room.memory -= chunk.spec.memory;
+        }
+      }
+      if (count === 0) continue;
+      const { cpus, gpus, memory, types, spot, rank, service, image, imageGb } = chunk.spec;
+      const zone = chunk.zone ?? chunk.spec.zone;
+      const run = service ? 0 : this.expectedRun(chunk.spec);
+      const demand = { part: this.label, cpus, gpus, memory, types, zone, spot, rank, service };
+      demands.push({ ...demand, image, imageGb, count, run });
+    }
+    return demands;
+  }
+}
+
+type Victims = { rank: number; need: Room; loss: number; placed: Placed }[];
--- /dev/null
+++ b/src/coordination/peers.ts
@@ -0,0 +1,130 @@
+/** What this node knows of the others, and its calls to them. */
+import type { Clock } from '../base/clock.js';
+import {
+  decodeAnswer,
+  encodeRequest,
+  encodeSpec,
+  type Demand,
+  type Estimate,
+  type Gossip,
+  type Relay,
+  type Relayed,
+} from '../protocol/peer.js';
+import type { JobSpec } from '../protocol/job.js';
+import type { PeerClient } from '../transport/peerLink.js';
+
+interface Peer {
+  label: string;
+  zone: string;
+  client: PeerClient;
+  gossip: Gossip | null;
+  heard: number;
+  servedSince: number | null;
+}
+
+export class Peers {
+  private readonly peers = new Map<string, Peer>();
+
+  constructor(
+    private readonly clock: Clock,
+    /** Gossip older than this says nothing. */
+    private readonly fresh: number,
+    peers: { label: string; zone: string; client: PeerClient }[],
+  ) {
+    for (const p of peers) {
+      this.peers.set(p.label, { ...p, gossip: null, heard: -Infinity, servedSince: null });
+    }
+  }
+
+  get labels(): string[] {
+    return [...this.peers.keys()];
+  }
+
+  note(gossip: Gossip): void {
+    const peer = this.peers.get(gossip.from);
+    if (peer === undefined) return;
+    const now = this.clock.now();
+    if (!gossip.served || now - peer.heard > this.fresh) peer.servedSince = null;
+    if (gossip.served) peer.servedSince ??= now;
+    peer.gossip = gossip;
+    peer.heard = now;
+  }
+
+  private isFresh(peer: Peer): boolean {
+    return this.clock.now() - peer.heard <= this.fresh;
+  }
+
+  /** Has been up, in reach and served by the state service for this long. */
+  steady(label: string, seconds: number): boolean {
+    const peer = this.peers.get(label);
+    if (peer?.servedSince === null || peer === undefined || !this.isFresh(peer)) return false;
+    return this.clock.now() - peer.servedSince >= seconds;
+  }
+
+  /** Nodes that the state service serves, as far as we know. */
+  served(): string[] {
+    return [...this.peers.values()]
+      .filter((p) => this.isFresh(p) && p.gossip?.served === true)
+      .map((p) => p.label);
+  }
+
+  gossips(): Gossip[] {
+    return [...this.peers.values()].flatMap((p) =>
+      p.gossip !== null && this.isFresh(p) ? [p.gossip] : [],
+    );
+  }
+
+  demands(): Demand[] {
+    return this.gossips().flatMap((g) => g.demands);
+  }
+
+  /** Who hosts a part, by the peers' own word. */
+  hostOf(part: string): { label: string; token: number } | null {
+    let best: { label: string; token: number } | null = null;
+    for (const gossip of this.gossips()) {
+      const host = gossip.hosts.find((h) => h.part === part);
+      if (host !== undefined && host.token > (best?.token ?? -1)) {
+        best = { label: gossip.from, token: host.token };
+      }
+    }
+    return best;
+  }
+
+  gossip(gossip: Gossip, timeout: number): void {
+    const body = encodeRequest({ Gossip: gossip });
+    for (const peer of this.peers.values()) {
+      peer.client.call(body, timeout).catch(() => undefined);
+    }
+  }
+
+  /** Asks all peers at once; those that are silent for `timeout` are ignored. */
+  async ask(
+    spec: JobSpec,
+    zone: string | null,
+    tasks: number,
+    timeout: number,
+  ): Promise<(Estimate & { node: string })[]> {
+    const body = encodeRequest({ Ask: { spec: encodeSpec(spec), zone, tasks } });
+    const calls = [...this.peers.values()].map(async (peer) => {
+      try {
+        const answer = decodeAnswer(await peer.client.call(body, timeout));
+        if (!('Estimates' in answer)) return [];
+        return answer.Estimates.of.map((e) => ({ ...e, node: peer.label }));
+      } catch {
+        return [];
+      }
+    });
+    return (await Promise.all(calls)).flat();
+  }
+
+  async relay(label: string, relay: Relay, timeout: number): Promise<Relayed | null> {
+    const peer = this.peers.get(label);
+    if (peer === undefined) return null;
+    try {
+      const answer = decodeAnswer(await peer.client.call(encodeRequest({ Relay: relay }), timeout));
+      return 'Relayed' in answer ? answer.Relayed : null;
+    } catch {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/placement.ts
@@ -0,0 +1,111 @@
+/** Where one task may go: pure functions over what machines last reported. */
+import type { Random } from '../base/random.js';
+import type { JobSpec } from '../protocol/job.js';
+
+export interface Room {
+  cpus: number;
+  gpus: number;
+  memory: number;
+}
+
+export interface Host {
+  name: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  free: Room;
+  /** Time per unit of work against the usual; 1 is usual, 2 is half as fast. */
+  slowness: number;
+  hasImage(image: string): boolean;
+}
+
+const EPSILON = 1e-6;
+
+export const holds = (room: Room, need: Room): boolean =>
+  room.cpus + EPSILON >= need.cpus &&
+  room.gpus + EPSILON >= need.gpus &&
+  room.memory + EPSILON >= need.memory;
+
+/** Whether a job's constraints allow a machine, whatever room it has. */
+export function allows(
+  spec: JobSpec,
+  zone: string | null,
+  host: { type: string; zone: string; spot: boolean },
+): boolean {
+  return (
+    (spec.types === null || spec.types.includes(host.type)) &&
+    (spec.zone === null || spec.zone === host.zone) &&
+    (zone === null || zone === host.zone) &&
+    (spec.spot || !host.spot)
+  );
+}
+
+/** Samples a few of the machines that have room; those that hold the image are always looked at. */
+export function sampleHosts<T extends Host>(
+  hosts: T[],
+  image: string,
+  count: number,
+  random: Random,
+): T[] {
+  if (hosts.length <= count) return hosts;
+  const pool = hosts.filter((h) => !h.hasImage(image));
+  const chosen = hosts.filter((h) => h.hasImage(image));
+  for (let i = 0; i < count && pool.length > 0; i++) {
+    const at = Math.floor(random() * pool.length);
+    const [picked] = pool.splice(at, 1);
+    if (picked !== undefined) chosen.push(picked);
+  }
+  return chosen;
+}
+
+/**
+ * Best fit: the least that is left of the scarcer of processors and memory. Slow machines and, where
+ * the fetch would hold the task up, machines without the image come last.
+ */
+export function bestFit<T extends Host>(hosts: T[], spec: JobSpec): T | null {
+  let best: T | null = null;
+  let bestScore = Infinity;
+  for (const host of hosts) {
+    const left = host.free.cpus - spec.cpus + (host.free.memory - spec.memory) / 1e3;
+    const spotFirst = spec.spot && !host.spot ? 1e3 : 0;
+    const imageFirst = host.hasImage(spec.image) ? 0 : 1e4;
+    const slow = host.slowness > 1.5 ? 1e6 * host.slowness : 0;
+    const score = left + spotFirst + imageFirst + slow;
+    if (score < bestScore) {
+      best = host;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+export interface Victim {
+  rank: number;
+  need: Room;
+  /** Seconds of work that stopping it would lose. */
+  loss: number;
+}
+
+/**
+ * The cheapest set of lower-ranked tasks whose end makes room for a task on this machine, or null.
+ * Work of the same or a higher rank is never in it.
+ */
+export function victimsFor<T extends Victim>(
+  free: Room,
+  need: Room,
+  running: T[],
+  rank: number,
+): T[] | null {
+  const candidates = running.filter((v) => v.rank < rank);
+  candidates.sort((a, b) => a.rank - b.rank || a.loss - b.loss);
+  const room = { ...free };
+  const chosen: T[] = [];
+  for (const victim of candidates) {
+    if (holds(room, need)) break;
+    room.cpus += victim.need.cpus;
+    room.gpus += victim.need.gpus;
+    room.memory += victim.need.memory;
+    chosen.push(victim);
+  }
+  return holds(room, need) ? chosen : null;
+}
--- /dev/null
+++ b/src/coordination/renting.ts
@@ -0,0 +1,112 @@
+/** What to rent for work that has no room: pure. */
+import type { MachineType } from '../protocol/cloud.js';
+import type { Demand } from '../protocol/peer.js';
+
+export interface RentPlan {
+  part: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export interface RentContext {
+  types: MachineType[];
+  /** True while the cloud has lately refused this kind. */
+  refused(type: string, zone: string, spot: boolean): boolean;
+  /** The part that machines of this zone go to, for a demand of that part. */
+  partFor(zone: string, wanted: string): string;
+  /** Zone that the demanding part is in. */
+  zoneOf(part: string): string | undefined;
+  /** Seconds in which batch work should be through. */
+  patience: number;
+  /** How long a live service's machine is expected to be kept. */
+  serviceHorizon: number;
+}
+
+const RANKS = ['prod', 'high', 'normal', 'idle'];
+
+interface Offer {
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  fits: number;
+  score: number;
+}
+
+const perMachine = (type: MachineType, d: Demand): number => {
+  const by = (have: number, need: number): number =>
+    need > 0 ? Math.floor(have / need + 1e-9) : Infinity;
+  return Math.min(by(type.cpus, d.cpus), by(type.gpus, d.gpus), by(type.memory, d.memory));
+};
+
+function offers(demand: Demand, context: RentContext): Offer[] {
+  const found: Offer[] = [];
+  for (const type of context.types) {
+    if (demand.types !== null && !demand.types.includes(type.name)) continue;
+    const fits = perMachine(type, demand);
+    if (fits < 1) continue;
+    for (const zone of type.zones) {
+      if (demand.zone !== null && demand.zone !== zone) continue;
+      for (const spot of demand.spot ? [true, false] : [false]) {
+        if (context.refused(type.name, zone, spot)) continue;
+        const price = spot ? type.spotPrice : type.price;
+        const used = Math.min(fits, demand.count);
+        // What else comes along may use the rest; count half of it as wasted.
+        const share = price * (0.5 / fits + 0.5 / used);
+        const horizon = demand.service ? context.serviceHorizon : Math.max(demand.run * 2, 60);
+        const fetch = demand.imageGb / Math.max(1e-3, type.fetchRate);
+        const away = zone === (context.zoneOf(demand.part) ?? zone) ? 1 : 1.05;
+        const score = share * ((horizon + type.boot + fetch) / horizon) * away;
+        found.push({ type, zone, spot, fits, score });
+      }
+    }
+  }
+  return found.sort((a, b) => a.score - b.score);
+}
+
+/** Machines that hold what waits, each kind at the lowest price for the work; largest rank first. */
+export function planRentals(demands: Demand[], context: RentContext): RentPlan[] {
+  const plans: RentPlan[] = [];
+  const spare = new Map<RentPlan, { offer: Offer; cpus: number; memory: number; gpus: number }>();
+  const sorted = [...demands].sort((a, b) => RANKS.indexOf(a.rank) - RANKS.indexOf(b.rank));
+  for (const demand of sorted) {
+    let count = demand.count;
+    // Room left on machines that are being rented for others.
+    for (const [plan, room] of spare) {
+      const fitsThere =
+        (demand.types === null || demand.types.includes(plan.type)) &&
+        (demand.zone === null || demand.zone === plan.zone) &&
+        (demand.spot || !plan.spot) &&
+        plan.part === context.partFor(plan.zone, demand.part);
+      while (fitsThere && count > 0 && room.cpus >= demand.cpus && room.memory >= demand.memory) {
+        if (room.gpus < demand.gpus) break;
+        count--;
+        room.cpus -= demand.cpus;
+        room.memory -= demand.memory;
+        room.gpus -= demand.gpus;
+      }
+    }
+    if (count === 0) continue;
+    const best = offers({ ...demand, count }, context)[0];
+    if (best === undefined) continue;
+    // Short tasks can follow each other on one machine and still be through in time.
+    const spareTime = context.patience - best.type.boot;
+    const waves = demand.service
+      ? 1
+      : Math.max(1, Math.min(3, Math.floor(spareTime / Math.max(1, demand.run))));
+    const machines = Math.ceil(count / (best.fits * waves));
+    const { type, zone, spot, fits } = best;
+    const part = context.partFor(zone, demand.part);
+    const plan = { part, type: type.name, zone, spot, count: machines };
+    plans.push(plan);
+    const left = Math.max(0, machines * fits - count);
+    const room = {
+      cpus: left * demand.cpus,
+      memory: left * demand.memory,
+      gpus: left * demand.gpus,
+    };
+    spare.set(plan, { offer: best, ...room });
+  }
+  return plans;
+}
--- /dev/null
+++ b/src/coordination/users.ts
@@ -0,0 +1,495 @@
+/** What users ask: submissions, states, cancellations. Any node answers for any job. */
+import { sleep } from '../base/clock.js';
+import { describe, log } from '../base/log.js';
+import {
+  acceptedAnswer,
+  idPattern,
+  jobAnswer,
+  parseJob,
+  type JobSpec,
+  type JobStatus,
+  type JobView,
+} from '../protocol/job.js';
+import type { Estimate } from '../protocol/peer.js';
+import { keys, type ChunkRecord, type JobRecord } from '../storage/records.js';
+import type { Txn } from '../protocol/state.js';
+import type { Reply } from '../transport/httpServer.js';
+import { Chunk } from './chunk.js';
+import { chunkRanges, chunkSize, mayCut, zonesFor, type Range } from './chunks.js';
+import type { Controller } from './controller.js';
+import type { HomeJob, Hosted } from './hosted.js';
+import { choosePart, turnaround } from './migration.js';
+import { allows, holds } from './placement.js';
+import { limitOf } from './quotas.js';
+import { reasonFor } from './reasons.js';
+
+const later = (reason: string, retryAfter = 1): Reply => ({
+  status: 503,
+  body: { error: reason },
+  retryAfter,
+});
+
+export class Users {
+  private readonly accepting = new Map<string, Promise<Reply>>();
+
+  constructor(private readonly node: Controller) {}
+
+  // ---- Submitting ----
+
+  async submit(body: string, relayed: boolean): Promise<Reply> {
+    const parsed = parseJob(body);
+    if ('error' in parsed) return { status: 400, body: { error: parsed.error } };
+    const { job } = parsed;
+    const running = this.accepting.get(job.id);
+    if (running !== undefined) return running;
+    const { node } = this;
+    if (!node.ownership.valid) {
+      if (!relayed) {
+        const answer = await this.relayAny({ method: 'POST', target: '/v1/jobs', body });
+        if (answer !== null) return answer;
+      }
+      return later('no node can store the job now');
+    }
+    if (node.replica.get(keys.job(job.id)) !== undefined) return this.known(job.id);
+    if (node.types.size === 0) return later('machine types are not known yet');
+    const host = node.hosted.get(node.settings.label) ?? [...node.hosted.values()][0];
+    if (host === undefined) return later('this node is starting');
+    // More waits for the state service than it can take in the time that a user waits.
+    if (node.state.backlog > node.settings.stateWriteRate * 2) {
+      return later('too many requests just now', 2);
+    }
+    const promise = this.accept(host, job);
+    this.accepting.set(job.id, promise);
+    try {
+      return await promise;
+    } finally {
+      this.accepting.delete(job.id);
+    }
+  }
+
+  private async known(id: string): Promise<Reply> {
+    const { view, unavailable } = await this.view(id, false);
+    if (view === null)
+      return later(unavailable ? 'the state service is out of reach' : 'try again');
+    return { status: 200, body: acceptedAnswer(id, view.status) };
+  }
+
+  /** Why a job can never run, or null. */
+  private impossible(spec: JobSpec): string | null {
+    const { node } = this;
+    const team = node.settings.teams.find((t) => t.name === spec.team);
+    if (team === undefined) return `unknown team ${spec.team}`;
+    const limit = limitOf(team);
+    const factor = spec.service ? spec.tasks : 1;
+    if (spec.cpus * factor > limit.cpus || spec.gpus * factor > limit.gpus) {
+      return `needs more than the limit of team ${spec.team}`;
+    }
+    if (spec.zone !== null && !node.settings.zones.includes(spec.zone)) {
+      return `unknown zone ${spec.zone}`;
+    }
+    return this.zones(spec).length > 0 ? null : 'a task fits no allowed machine type';
+  }
+
+  /** Zones in which a machine type exists that can hold a task; those with most room first. */
+  private zones(spec: JobSpec): string[] {
+    const { node } = this;
+    const found = new Map<string, number>();
+    for (const type of node.types.values()) {
+      if (!holds(type, spec)) continue;
+      for (const zone of type.zones) {
+        const host = { type: type.name, zone, spot: false };
+        if (allows(spec, null, host)) found.set(zone, 0);
+      }
+    }
+    for (const host of node.hosted.values()) {
+      for (const machine of host.part.machines.values()) {
+        const before = found.get(machine.zone);
+        if (before !== undefined) found.set(machine.zone, before + machine.free.cpus);
+      }
+    }
+    // The own zone first where there is nothing to choose between them.
+    const own = (zone: string): number => (zone === node.settings.zone ? 1 : 0);
+    return [...found.keys()].sort(
+      (a, b) => own(b) - own(a) || (found.get(b) ?? 0) - (found.get(a) ?? 0),
+    );
+  }
+
+  private async accept(home: Hosted, spec: JobSpec): Promise<Reply> {
+    const reason = this.impossible(spec);
+    // A job may have been accepted before its retry reached us: that is never refused.
+    const before = await this.stored(spec.id);
+    if (before === undefined) return later('the state service is out of reach');
+    if (before !== null) return this.known(spec.id);
+    if (reason !== null) return { status: 422, body: { error: reason } };
+    const { node } = this;
+    const now = node.clock.now();
+    const { valueBytes, stateWriteRate } = node.settings;
+    const record: JobRecord = {
+      spec,
+      home: home.part.label,
+      state: 'open',
+      tasks: spec.tasks,
+      at: node.clock.wall(),
+      size: chunkSize(spec, home.part.cpus, valueBytes),
+      zones: zonesFor(spec, this.zones(spec)),
+      cut: 0,
+      finished: [],
+    };
+    const ranges = chunkRanges(spec.tasks, record.size, record.zones);
+    const most = Math.min(4, node.settings.txnOps - 2, Math.floor(stateWriteRate / 4));
+    const first: { range: Range; part: string; chunk: Chunk }[] = [];
+    for (const range of ranges.slice(0, Math.max(2, most))) {
+      if (!mayCut(record, first.length)) break;
+      const part = await this.choose(home, spec, range);
+      const { label } = home.part;
+      const { from, to, zone } = range;
+      const chunk = new Chunk(spec, first.length, label, record.at, from, to, zone, now);
+      if (part !== label) chunk.moves = 1;
+      first.push({ range, part, chunk });
+    }
+    record.cut = first.length;
+    return this.storeJob(home, record, first);
+  }
+
+  /**
+   * Where a chunk goes: home while the wait there is short, or within the factor of the best; else
+   * the peer with the smallest turnaround (DESIGN). A chunk held to a zone starts from a part there.
+   */
+  private async choose(home: Hosted, spec: JobSpec, range: Range): Promise<string> {
+    const { node } = this;
+    const { tuning } = node;
+    const count = range.to - range.from;
+    const zone = range.zone ?? spec.zone;
+    const item = { spec, zone, count, run: home.part.expectedRun(spec) };
+    const now = node.clock.now();
+    const wait = home.part.waitFor(item, now);
+    // A live service's users wait for a second or so, not for ten: the objective says how long.
+    const promised = node.settings.objectives
+      .filter((o) => o.kind === 'wait' && o.jobClass === spec.jobClass)
+      .map((o) => o.within);
+    const threshold = Math.min(tuning.threshold, ...promised);
+    const fetch = home.part.fetchFor(spec, zone);
+    if (Math.max(wait, spec.service ? fetch : 0) < threshold || !tuning.migrate) {
+      return home.part.label;
+    }
+    const run = home.part.expectedRun(spec);
+    const estimate: Estimate = {
+      part: home.part.label,
+      wait,
+      turnaround: turnaround(wait, fetch, run),
+      utilisation: home.part.utilisation,
+    };
+    const answers = await node.peers.ask(spec, zone, count, tuning.peerTimeout);
+    const others = this.localEstimates(spec, zone, count).filter((e) => e.part !== estimate.part);
+    const part = choosePart(estimate, [...answers, ...others], tuning);
+    const known = node.replica.get(keys.owner(part)) !== undefined;
+    if (part !== home.part.label && known) return part;
+    // Nobody has such machines yet: a part in the zone is the one that they will be rented for.
+    if (zone !== null && !Number.isFinite(wait) && node.zoneOf.get(home.part.label) !== zone) {
+      const near = answers.filter((a) => node.zoneOf.get(a.part) === zone);
+      near.sort((a, b) => a.utilisation - b.utilisation);
+      if (near[0] !== undefined) return near[0].part;
+    }
+    return home.part.label;
+  }
+
+  /** Answers to a peer's question, one for each part hosted here. */
+  localEstimates(spec: JobSpec, zone: string | null, tasks: number): Estimate[] {
+    if (!this.node.ownership.valid) return [];
+    const now = this.node.clock.now();
+    return [...this.node.hosted.values()].map(({ part }) => {
+      const run = part.expectedRun(spec);
+      const wait = part.waitFor({ spec, zone, count: tasks, run }, now);
+      return {
+        part: part.label,
+        wait,
+        turnaround: turnaround(wait, part.fetchFor(spec, zone), run),
+        utilisation: part.utilisation,
+      };
+    });
+  }
+
+  /** Stores the job with its first chunks, placements included, in one transaction. */
+  private async storeJob(
+    home: Hosted,
+    record: JobRecord,
+    first: { range: Range; part: string; chunk: Chunk }[],
+  ): Promise<Reply> {
+    const { node } = this;
+    const spec = first[0]?.chunk.spec;
+    if (spec === undefined) return later('nothing to run');
+    const local = first.filter((f) => node.hosted.has(f.part));
+    const now = node.clock.now();
+    for (const { part, chunk } of local) {
+      const host = node.hosted.get(part);
+      if (host === undefined) continue;
+      chunk.moves = 0;
+      chunk.flushing = true;
+      host.part.addChunk(chunk);
+      host.part.decide(now, () => false);
+    }
+    const deadline = now + 4;
+    const key = keys.job(spec.id);
+    let mayBeStored = false;
+    const attempt = async (): Promise<Reply | null> => {
+      const owners = new Set(first.map((f) => f.part).filter((p) => p !== home.part.label));
+      const when: Txn['when'] = [{ key, stamp: 0 }];
+      for (const part of owners) {
+        when.push({ key: keys.owner(part), stamp: node.replica.get(keys.owner(part))?.stamp ?? 0 });
+      }
+      const versions = first.map((f) => f.chunk.version);
+      const runs = first.map((f) => ({
+        key: keys.run(f.part, spec.id, f.chunk.index),
+        value: f.chunk.record(),
+      }));
+      const puts = [{ key, value: record }, ...runs];
+      const result = await node.commits.write(home, { when, puts, removes: [] }, true);
+      let stamp = result.kind === 'applied' ? result.stamp : 0;
+      if (result.kind === 'unknown') mayBeStored = true;
+      if (result.kind === 'conflict') {
+        const item = await node.state.get(key);
+        if (item !== null) {
+          const stored = item.value as JobRecord;
+          const ours = mayBeStored && stored.at === record.at && stored.home === record.home;
+          if (!ours) return this.known(spec.id);
+          // A copy without an answer was applied; which placements it held, the records tell.
+          stamp = item.stamp;
+          versions.fill(0);
+        } else {
+          await node.ownership.doubt(home.part.label);
+          if (!home.alive) return later('this node lost its part');
+          return mayBeStored ? null : later('a peer has changed; try again');
+        }
+      }
+      if (stamp === 0) return null;
+      this.applyAccepted(home, { id: spec.id, record, stamp, busy: false }, first, versions, stamp);
+      for (const [i, run] of runs.entries()) {
+        if (versions[i] !== 0) node.replica.note(run.key, run.value, stamp);
+      }
+      node.replica.note(key, record, stamp);
+      return { status: 201, body: acceptedAnswer(spec.id, 'queued') };
+    };
+    const undo = (): void => {
+      for (const { part, chunk } of local) node.hosted.get(part)?.part.dropChunk(chunk);
+    };
+    const persist = async (until: () => boolean): Promise<Reply | null> => {
+      while (!until()) {
+        try {
+          const reply = await attempt();
+          if (reply !== null) {
+            if (reply.status !== 201) undo();
+            return reply;
+          }
+        } catch (error) {
+          log.debug(`accept ${spec.id}: ${describe(error)}`);
+        }
+        await sleep(0.15);
+      }
+      return null;
+    };
+    const reply = await persist(
+      () => node.clock.now() > deadline || (!mayBeStored && !node.ownership.valid),
+    );
+    if (reply !== null) return reply;
+    if (!mayBeStored) {
+      undo();
+      return later('the state service could not store the job', 2);
+    }
+    // It may have been stored, or may still be: what is held for it stays until that is known.
+    void persist(() => !home.alive);
+    return later('the state service has not confirmed the job yet', 2);
+  }
+
+  private applyAccepted(
+    home: Hosted,
+    job: HomeJob,
+    first: { part: string; chunk: Chunk }[],
+    versions: number[],
+    stamp: number,
+  ): void {
+    const { node } = this;
+    if (home.alive) home.jobs.set(job.id, job);
+    first.forEach(({ part, chunk }, i) => {
+      const host = node.hosted.get(part);
+      if (host?.part.chunks.get(chunk.id) !== chunk) return;
+      chunk.stamp = stamp;
+      chunk.stored = versions[i] ?? 0;
+      chunk.flushing = false;
+      chunk.dirtySince = null;
+      if (chunk.stored === chunk.version) host.part.dirty.delete(chunk);
+      else host.part.dirty.add(chunk);
+      for (const entry of chunk.entries.values()) {
+        const machine = host.part.machines.get(entry.machine);
+        if (machine !== undefined) host.part.pokes.add(machine);
+      }
+    });
+    node.kick();
+  }
+
+  // ---- Reading ----
+
+  /** The stored record; null when there is none, undefined when that can't be told. */
+  private async stored(id: string): Promise<JobRecord | null | undefined> {
+    try {
+      const item = await this.node.state.get(keys.job(id));
+      if (item === null) return null;
+      this.node.replica.note(item.key, item.value, item.stamp);
+      return item.value as JobRecord;
+    } catch {
+      return undefined;
+    }
+  }
+
+  async read(id: string, relayed: boolean): Promise<Reply> {
+    if (!idPattern.test(id)) return { status: 404, body: { error: 'no such job' } };
+    const { view, unavailable, relay } = await this.view(id, !relayed);
+    if (relay !== undefined) return relay;
+    if (view !== null) return { status: 200, body: jobAnswer(id, view) };
+    if (unavailable) return later('the state service is out of reach');
+    return { status: 404, body: { error: 'no such job' } };
+  }
+
+  /**
+   * A final state never changes, so any copy of it will do. All else comes from the owner of the
+   * job's home part, whose word is the latest while its ownership is valid, or from the store.
+   */
+  private async view(
+    id: string,
+    mayRelay: boolean,
+  ): Promise<{ view: JobView | null; unavailable: boolean; relay?: Reply }> {
+    const { node } = this;
+    const copy = node.replica.get(keys.job(id))?.value as JobRecord | undefined;
+    if (copy !== undefined && copy.state !== 'open') return found(final(copy));
+    if (copy !== undefined && node.ownership.valid) {
+      const host = node.hosted.get(copy.home);
+      const job = host?.jobs.get(id);
+      if (job !== undefined) return found(this.describe(job.record));
+    }
+    if (copy !== undefined && mayRelay) {
+      const owner = node.ownerOf(copy.home);
+      if (owner !== null && owner !== node.settings.label) {
+        const request = { method: 'GET', target: `/v1/jobs/${id}`, body: '' };
+        const answer = await node.peers.relay(owner, request, 0.6);
+        if (answer?.status === 200) {
+          const relay = { status: 200, body: JSON.parse(answer.body) as unknown };
+          return { view: null, unavailable: false, relay };
+        }
+      }
+    }
+    const record = await this.stored(id);
+    if (record === null) return { view: null, unavailable: false };
+    if (record !== undefined) {
+      return found(record.state === 'open' ? this.describe(record) : final(record));
+    }
+    if (mayRelay) {
+      const request = { method: 'GET', target: `/v1/jobs/${id}`, body: '' };
+      const relay = await this.relayAny(request, 0.7);
+      if (relay !== null && (relay.status === 200 || relay.status === 404)) {
+        return { view: null, unavailable: false, relay };
+      }
+    }
+    return { view: null, unavailable: true };
+  }
+
+  /** An open job, its counts gathered from wherever its chunks are. */
+  private describe(record: JobRecord): JobView {
+    const { node } = this;
+    const { spec } = record;
+    if (spec === null) return final(record);
+    const ranges = chunkRanges(spec.tasks, record.size, record.zones);
+    let done = 0;
+    let running = 0;
+    const chunks: Chunk[] = [];
+    for (let k = 0; k < record.cut; k++) {
+      const range = ranges[k];
+      if (range === undefined) continue;
+      if (record.finished.includes(k)) {
+        done += range.to - range.from;
+        continue;
+      }
+      for (const part of node.parts) {
+        const local = node.hosted.get(part)?.part.chunks.get(`${spec.id}/${k}`);
+        const stored = node.replica.get(keys.run(part, spec.id, k))?.value as
+          ChunkRecord | undefined;
+        if (local !== undefined) {
+          done += local.done.size;
+          running += local.running;
+          chunks.push(local);
+        } else if (stored !== undefined) {
+          for (let i = 0; i + 1 < stored.done.length; i += 2) {
+            done += (stored.done[i + 1] ?? 0) - (stored.done[i] ?? 0);
+          }
+          running += stored.entries.length;
+        } else continue;
+        break;
+      }
+    }
+    // Done is said only once it is stored: the last tasks may be over already.
+    const reason = done + running >= spec.tasks ? null : reasonFor(node, record, chunks);
+    return { status: running > 0 ? 'running' : 'queued', done, running, reason };
+  }
+
+  // ---- Cancelling ----
+
+  async cancel(id: string, relayed: boolean): Promise<Reply> {
+    const { node } = this;
+    if (!idPattern.test(id)) return { status: 404, body: { error: 'no such job' } };
+    let record = node.replica.get(keys.job(id))?.value as JobRecord | undefined | null;
+    if (record === undefined) record = await this.stored(id);
+    if (record === null) return { status: 404, body: { error: 'no such job' } };
+    if (record !== undefined && record.state !== 'open') return over(id, record.state);
+    const request = { method: 'POST', target: `/v1/jobs/${id}/withdraw`, body: '' };
+    if (record === undefined) {
+      return (relayed ? null : await this.relayAny(request)) ?? later('out of reach');
+    }
+    const host = node.hosted.get(record.home);
+    const job = host?.jobs.get(id);
+    if (host !== undefined && job !== undefined && node.ownership.valid) {
+      const state = await node.commits.cancel(host, job, node.clock.now() + 4);
+      if (state !== null && state !== 'open') return over(id, state);
+      return later('the cancellation could not be stored');
+    }
+    const owner = node.ownerOf(record.home);
+    if (!relayed && owner !== null && owner !== node.settings.label) {
+      const answer = await node.peers.relay(owner, request, 4.2);
+      if (answer !== null) return fromRelay(answer);
+    }
+    return later('the job has no owner just now');
+  }
+
+  // ---- Passing on ----
+
+  /** Asks nodes that the state service serves, one after the other. */
+  private async relayAny(
+    request: { method: string; target: string; body: string },
+    timeout = 4,
+  ): Promise<Reply | null> {
+    for (const label of this.node.peers.served()) {
+      const answer = await this.node.peers.relay(label, request, timeout);
+      if (answer !== null && answer.status !== 503) return fromRelay(answer);
+    }
+    return null;
+  }
+}
+
+const found = (view: JobView): { view: JobView; unavailable: false } => ({
+  view,
+  unavailable: false,
+});
+
+function final(record: JobRecord): JobView {
+  const status: JobStatus = record.state === 'cancelled' ? 'cancelled' : 'done';
+  const done = status === 'done' ? record.tasks : 0;
+  return { status, done, running: 0, reason: null };
+}
+
+const over = (id: string, state: 'done' | 'cancelled'): Reply => ({
+  status: 200,
+  body: acceptedAnswer(id, state),
+});
+
+function fromRelay(answer: { status: number; body: string; retryAfter: number | null }): Reply {
+  const body = JSON.parse(answer.body) as unknown;
+  const { status, retryAfter } = answer;
+  return retryAfter === null ? { status, body } : { status, body, retryAfter };
+}
--- /dev/null
+++ b/src/protocol/job.ts
@@ -0,0 +1,124 @@
+/** Jobs as users submit them, and as the rest of the program knows them. */
+import * as v from 'valibot';
+
+export type Rank = 'prod' | 'high' | 'normal' | 'idle';
+/** Larger goes first. */
+export const rankOrder: Record<Rank, number> = { prod: 3, high: 2, normal: 1, idle: 0 };
+
+export interface JobSpec {
+  id: string;
+  jobClass: string;
+  team: string;
+  service: boolean;
+  rank: Rank;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memory: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  image: string;
+  imageGb: number;
+  expect: number;
+  checkpoint: number;
+  save: number;
+  due: number | null;
+}
+
+const LIMIT = 1e12;
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(LIMIT));
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0), v.maxValue(LIMIT));
+const name = v.pipe(v.string(), v.nonEmpty(), v.maxLength(256));
+
+/** The form of an id, which also makes it safe inside a key of the state service. */
+export const idPattern = /^wk-[0-9A-Za-z_.-]{1,100}$/;
+
+const schema = v.object({
+  Uid: v.pipe(v.string(), v.regex(idPattern)),
+  Jobclass: name,
+  Owner: name,
+  Shape: v.picklist(['sweep', 'daemon']),
+  Rank: v.picklist(['prod', 'high', 'normal', 'idle']),
+  Pieces: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
+  Cores: positive,
+  Accelerators: amount,
+  MemoryGb: amount,
+  Flavours: v.nullish(v.array(name)),
+  Yard: v.nullish(name),
+  SamePlace: v.boolean(),
+  Apart: v.boolean(),
+  Loaners: v.boolean(),
+  Bundle: name,
+  PullGb: amount,
+  ExpectS: amount,
+  SnapshotS: amount,
+  FlushS: amount,
+  DueS: v.nullish(amount),
+});
+
+export type Parsed = { job: JobSpec } | { error: string };
+
+export function parseJob(body: string): Parsed {
+  let raw: unknown;
+  try {
+    raw = JSON.parse(body);
+  } catch {
+    return { error: 'not JSON' };
+  }
+  const result = v.safeParse(schema, raw);
+  if (!result.success) {
+    const issue = result.issues[0];
+    return { error: `${v.getDotPath(issue) ?? 'body'}: ${issue.message}` };
+  }
+  const w = result.output;
+  return {
+    job: {
+      id: w.Uid,
+      jobClass: w.Jobclass,
+      team: w.Owner,
+      service: w.Shape === 'daemon',
+      rank: w.Rank,
+      tasks: w.Pieces,
+      cpus: w.Cores,
+      gpus: w.Accelerators,
+      memory: w.MemoryGb,
+      types: w.Flavours ?? null,
+      zone: w.Yard ?? null,
+      oneZone: w.SamePlace,
+      spread: w.Apart,
+      spot: w.Loaners,
+      image: w.Bundle,
+      imageGb: w.PullGb,
+      expect: w.ExpectS,
+      checkpoint: w.SnapshotS,
+      save: w.FlushS,
+      due: w.DueS ?? null,
+    },
+  };
+}
+
+export type JobStatus = 'queued' | 'running' | 'done' | 'cancelled';
+
+export interface JobView {
+  status: JobStatus;
+  done: number;
+  running: number;
+  /** In plain words, what the job waits for. */
+  reason: string | null;
+}
+
+export const jobAnswer = (id: string, view: JobView): Record<string, unknown> => ({
+  Uid: id,
+  Status: view.status,
+  done: view.done,
+  running: view.running,
+  ...(view.reason === null ? {} : { Reason: view.reason }),
+});
+
+export const acceptedAnswer = (id: string, status: JobStatus): Record<string, unknown> => ({
+  Uid: id,
+  Status: status,
+});
--- /dev/null
+++ b/src/protocol/settings.ts
@@ -0,0 +1,219 @@
+/** The platform's settings file (TOML) and the operators' own (properties). */
+import { readFileSync } from 'node:fs';
+import { parse as parseProperties } from 'dot-properties';
+import { parse as parseToml } from 'smol-toml';
+import * as v from 'valibot';
+import { parseAddress } from '../transport/address.js';
+
+export class SettingsError extends Error {}
+
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
+const address = v.pipe(
+  v.string(),
+  v.check((text) => parseAddress(text) !== null, 'not an address of the form host:port'),
+);
+const name = v.pipe(v.string(), v.nonEmpty());
+
+const schema = v.object({
+  label: name,
+  site: name,
+  client_listen: address,
+  back: address,
+  peers: v.optional(v.array(v.object({ label: name, site: name, endpoint: address })), []),
+  services: v.object({ cloud: address, state: address }),
+  settings: v.object({
+    zones: v.pipe(v.array(name), v.nonEmpty()),
+    skew_ms: v.optional(amount, 100),
+    teams: v.array(
+      v.object({
+        name,
+        cpus: v.optional(amount, 0),
+        cpus_max: v.optional(amount, 0),
+        gpus: v.optional(amount, 0),
+        gpus_max: v.optional(amount, 0),
+      }),
+    ),
+    objectives: v.optional(
+      v.array(
+        v.object({
+          kind: v.string(),
+          class: v.optional(v.string(), ''),
+          within_s: v.optional(amount, 0),
+          share: v.optional(amount, 0),
+        }),
+      ),
+      [],
+    ),
+    workers: v.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
+    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: positive }),
+    cloud: v.object({ rps: positive, list_lag_s: amount }),
+    limits: v.object({ cores: positive, ram_mb: positive, fd_limit: positive }),
+  }),
+});
+
+export interface Team {
+  name: string;
+  cpus: number;
+  /** 0: no limit. */
+  cpusMax: number;
+  gpus: number;
+  gpusMax: number;
+}
+
+export interface Objective {
+  kind: string;
+  jobClass: string;
+  within: number;
+  share: number;
+}
+
+export interface Settings {
+  label: string;
+  zone: string;
+  clientListen: string;
+  peerListen: string;
+  peers: { label: string; zone: string; endpoint: string }[];
+  cloudEndpoint: string;
+  stateEndpoint: string;
+  zones: string[];
+  skew: number;
+  teams: Team[];
+  objectives: Objective[];
+  report: number;
+  lease: number;
+  cancel: number;
+  stateRate: number;
+  stateWriteRate: number;
+  valueBytes: number;
+  txnOps: number;
+  cloudRate: number;
+  listLag: number;
+  maxSockets: number;
+}
+
+export function parseSettings(text: string): Settings {
+  let raw: unknown;
+  try {
+    raw = parseToml(text);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message.split('\n')[0] : String(error);
+    throw new SettingsError(`settings are not TOML: ${reason ?? ''}`);
+  }
+  const result = v.safeParse(schema, raw);
+  if (!result.success) {
+    const issue = result.issues[0];
+    throw new SettingsError(`settings: ${v.getDotPath(issue) ?? 'file'}: ${issue.message}`);
+  }
+  const { settings: s, ...top } = result.output;
+  return {
+    label: top.label,
+    zone: top.site,
+    clientListen: top.client_listen,
+    peerListen: top.back,
+    peers: top.peers.map((p) => ({ label: p.label, zone: p.site, endpoint: p.endpoint })),
+    cloudEndpoint: top.services.cloud,
+    stateEndpoint: top.services.state,
+    zones: s.zones,
+    skew: s.skew_ms / 1000,
+    teams: s.teams.map((t) => ({
+      name: t.name,
+      cpus: t.cpus,
+      cpusMax: t.cpus_max,
+      gpus: t.gpus,
+      gpusMax: t.gpus_max,
+    })),
+    objectives: s.objectives.map((o) => ({
+      kind: o.kind,
+      jobClass: o.class,
+      within: o.within_s,
+      share: o.share,
+    })),
+    report: s.workers.report_s,
+    lease: s.workers.lease_s,
+    cancel: s.workers.cancel_s,
+    stateRate: s.state.rps,
+    stateWriteRate: s.state.write_rps,
+    valueBytes: s.state.value_kb * 1024,
+    txnOps: s.state.txn_ops,
+    cloudRate: s.cloud.rps,
+    listLag: s.cloud.list_lag_s,
+    maxSockets: s.limits.fd_limit,
+  };
+}
+
+/** What operators may change; every value has a default, so the file is optional. */
+export interface Tuning {
+  /** Wait, in seconds, under which a job stays home (DESIGN: 10 s). */
+  threshold: number;
+  /** How much worse than the best answer home may be (DESIGN: 1.4). */
+  factor: number;
+  /** Answers this close count as equal (DESIGN: 1 %). */
+  tolerance: number;
+  /** Seconds after which a silent peer is ignored (DESIGN: 2 s). */
+  peerTimeout: number;
+  /** Machines compared at each placement. */
+  sample: number;
+  /** Seconds that one round of decisions may take. */
+  roundBudget: number;
+  /** False: no job leaves its home part. */
+  migrate: boolean;
+  /** Seconds a machine stays idle before it is returned, as a ratio to its boot time. */
+  idleRatio: number;
+}
+
+export const defaultTuning: Tuning = {
+  threshold: 10,
+  factor: 1.4,
+  tolerance: 0.01,
+  peerTimeout: 2,
+  sample: 8,
+  roundBudget: 0.02,
+  migrate: true,
+  idleRatio: 0.5,
+};
+
+const tuningKeys: Record<string, keyof Tuning> = {
+  'migration.threshold': 'threshold',
+  'migration.factor': 'factor',
+  'migration.tolerance': 'tolerance',
+  'migration.enabled': 'migrate',
+  'peer.timeout': 'peerTimeout',
+  'placement.sample': 'sample',
+  'round.budget': 'roundBudget',
+  'machines.idle.ratio': 'idleRatio',
+};
+
+export function parseTuning(text: string): Tuning {
+  const properties = parseProperties(text) as Record<string, unknown>;
+  const tuning: Tuning = { ...defaultTuning };
+  for (const [key, field] of Object.entries(tuningKeys)) {
+    const value = properties[key];
+    if (value === undefined) continue;
+    if (field === 'migrate') {
+      if (value !== 'true' && value !== 'false') {
+        throw new SettingsError(`properties: ${key}: expected true or false`);
+      }
+      tuning.migrate = value === 'true';
+      continue;
+    }
+    const number = Number(value);
+    if (typeof value !== 'string' || value === '' || !Number.isFinite(number) || number < 0) {
+      throw new SettingsError(`properties: ${key}: expected a number of at least 0`);
+    }
+    if (field === 'sample' && number < 1) {
+      throw new SettingsError(`properties: ${key}: expected a number of at least 1`);
+    }
+    tuning[field] = number;
+  }
+  return tuning;
+}
+
+export function readText(path: string): string {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch (error) {
+    const code = (error as NodeJS.ErrnoException).code ?? 'unreadable';
+    throw new SettingsError(`cannot read ${path}: ${code}`);
+  }
+}
--- /dev/null
+++ b/src/protocol/state.ts
@@ -0,0 +1,113 @@
+/** The state service's wire form. */
+import * as v from 'valibot';
+
+export interface Item {
+  key: string;
+  value: unknown;
+  stamp: number;
+}
+
+export type Change = { key: string; value: unknown; stamp: number; removed: boolean };
+
+export interface Txn {
+  /** Keys and the stamps they must have; 0: must not exist. */
+  when: { key: string; stamp: number }[];
+  puts: { key: string; value: unknown; hold?: number }[];
+  removes: string[];
+}
+
+export const txnRequest = (txn: Txn): Record<string, unknown> => ({
+  When: txn.when.map((c) => ({ K: c.key, Stamp: c.stamp })),
+  Then: [
+    ...txn.puts.map((p) => ({
+      Put: p.key,
+      Value: p.value,
+      ...(p.hold === undefined ? {} : { Hold: p.hold }),
+    })),
+    ...txn.removes.map((key) => ({ Remove: key })),
+  ],
+});
+
+const stamp = v.pipe(v.number(), v.integer(), v.minValue(0));
+const itemSchema = v.object({ K: v.string(), Value: v.unknown(), Stamp: stamp });
+const rangeSchema = v.object({ Rows: v.array(itemSchema), More: v.boolean(), Epoch: stamp });
+const epochSchema = v.object({ Epoch: stamp });
+const failedSchema = v.object({ failed: v.array(v.string()), Epoch: stamp });
+const grantSchema = v.object({ Hold: stamp });
+const logSchema = v.object({
+  Epoch: stamp,
+  Log: v.array(
+    v.object({
+      Put: v.optional(v.string()),
+      Remove: v.optional(v.string()),
+      Value: v.optional(v.unknown()),
+      Stamp: stamp,
+    }),
+  ),
+});
+
+export function parseItem(raw: unknown): Item | null {
+  const result = v.safeParse(itemSchema, raw);
+  if (!result.success) return null;
+  return { key: result.output.K, value: result.output.Value, stamp: result.output.Stamp };
+}
+
+export function parseRange(raw: unknown): { items: Item[]; more: boolean; epoch: number } | null {
+  const result = v.safeParse(rangeSchema, raw);
+  if (!result.success) return null;
+  const { Rows, More, Epoch } = result.output;
+  return {
+    items: Rows.map((r) => ({ key: r.K, value: r.Value, stamp: r.Stamp })),
+    more: More,
+    epoch: Epoch,
+  };
+}
+
+export function parseEpoch(raw: unknown): number | null {
+  const result = v.safeParse(epochSchema, raw);
+  return result.success ? result.output.Epoch : null;
+}
+
+export function parseFailed(raw: unknown): string[] {
+  const result = v.safeParse(failedSchema, raw);
+  return result.success ? result.output.failed : [];
+}
+
+export function parseGrant(raw: unknown): number | null {
+  const result = v.safeParse(grantSchema, raw);
+  return result.success ? result.output.Hold : null;
+}
+
+export function parseLog(raw: unknown): { epoch: number; changes: Change[] } | null {
+  const result = v.safeParse(logSchema, raw);
+  if (!result.success) return null;
+  return {
+    epoch: result.output.Epoch,
+    changes: result.output.Log.map((c) => ({
+      key: c.Put ?? c.Remove ?? '',
+      value: c.Value ?? null,
+      stamp: c.Stamp,
+      removed: c.Put === undefined,
+    })),
+  };
+}
+
+export const grantRequest = (ttl: number): Record<string, unknown> => ({
+  TtlMs: Math.round(ttl * 1000),
+});
+
+export const paths = {
+  key: (key: string): string => `/kv/${key}`,
+  range: (prefix: string, after: string, page: number): string =>
+    `/kv?Under=${encodeURIComponent(prefix)}` +
+    `${after === '' ? '' : `&From=${encodeURIComponent(after)}`}&Page=${page}`,
+  txn: '/multi',
+  grants: '/grants',
+  extend: (hold: number): string => `/grants/${hold}/extend`,
+  changes: (prefix: string, from: number, hold: number): string =>
+    `/changes?Under=${encodeURIComponent(prefix)}&From=${from}&HoldMs=${Math.round(hold * 1000)}`,
+};
+
+export const RANGE_PAGE = 1000;
+/** A transaction as a whole may hold 64 KiB; some is left for its conditions. */
+export const TXN_BYTES = 60 * 1024;
--- /dev/null
+++ b/src/protocol/worker.ts
@@ -0,0 +1,114 @@
+/** Reports of the workers and commands to them. */
+import * as v from 'valibot';
+
+export type TaskState = 'fetching' | 'running' | 'saving' | 'ended' | 'waiting';
+
+export interface TaskReport {
+  task: string;
+  attempt: number;
+  state: TaskState;
+  cause: string | null;
+  saved: boolean;
+}
+
+export interface Report {
+  machine: string;
+  address: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  tick: number;
+  /** Highest token that the worker has seen. */
+  token: number;
+  /** Seconds until the cloud takes the machine away, or null. */
+  warning: number | null;
+  tasks: TaskReport[];
+}
+
+const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+
+const schema = v.object({
+  Drone: v.string(),
+  Address: v.string(),
+  Flavour: v.string(),
+  Yard: v.string(),
+  Loaners: v.boolean(),
+  Shift: count,
+  Tick: count,
+  Baton: count,
+  WarningS: v.nullish(v.number()),
+  Pieces: v.nullish(
+    v.array(
+      v.object({
+        Piece: v.string(),
+        Try: count,
+        Status: v.string(),
+        Cause: v.nullish(v.string()),
+        Kept: v.nullish(v.boolean()),
+      }),
+    ),
+  ),
+});
+
+const states: Record<string, TaskState> = {
+  fetching: 'fetching',
+  waiting: 'waiting',
+  running: 'running',
+  saving: 'saving',
+  ended: 'ended',
+};
+
+/** Gives null for anything that is no report. */
+export function parseReport(raw: unknown): Report | null {
+  const result = v.safeParse(schema, raw);
+  if (!result.success) return null;
+  const w = result.output;
+  return {
+    machine: w.Drone,
+    address: w.Address,
+    type: w.Flavour,
+    zone: w.Yard,
+    spot: w.Loaners,
+    session: w.Shift,
+    tick: w.Tick,
+    token: w.Baton,
+    warning: w.WarningS ?? null,
+    tasks: (w.Pieces ?? []).map((p) => ({
+      task: p.Piece,
+      attempt: p.Try,
+      // A state we don't know still holds its room.
+      state: states[p.Status] ?? 'running',
+      cause: p.Cause ?? null,
+      saved: p.Kept ?? false,
+    })),
+  };
+}
+
+export type Order =
+  | { verb: 'start'; task: string; attempt: number }
+  | { verb: 'halt'; task: string; attempt: number; wind: number }
+  | { verb: 'reap'; task: string; attempt: number };
+
+const orderWire = (order: Order): Record<string, unknown> => ({
+  Verb: order.verb,
+  Piece: order.task,
+  Try: order.attempt,
+  ...(order.verb === 'halt' ? { WindDownS: order.wind } : {}),
+});
+
+export const helloAnswer = (token: number, orders: Order[]): Record<string, unknown> => ({
+  Baton: token,
+  Orders: orders.map(orderWire),
+});
+
+export const ordersRequest = (
+  token: number,
+  session: number,
+  orders: Order[],
+): Record<string, unknown> => ({ Baton: token, Shift: session, Orders: orders.map(orderWire) });
+
+export const redirectAnswer = (owner: string | null): Record<string, unknown> =>
+  owner === null ? {} : { Foreman: owner };
+
+export const paths = { orders: '/orders', inspect: '/inspect' };
--- /dev/null
+++ b/src/storage/records.ts
@@ -0,0 +1,107 @@
+/**
+ * What is kept in the state service. All keys share one prefix, so that one watch follows them all.
+ *
+ *   b/token              the counter that tokens come from
+ *   b/own/PART           who owns a part (held by the owner's lease)
+ *   b/job/ID             a job: its description, home part and state
+ *   b/run/PART/ID/K      chunk K of a job, at the part that runs it
+ *   b/machine/NAME       the part that a machine belongs to
+ *   b/rental/ASK         a rental that was or will be sent
+ *   b/quota/TEAM         how a team's limit is shared out to the parts
+ */
+import type { JobSpec } from '../protocol/job.js';
+
+export const ROOT = 'b/';
+
+export const keys = {
+  token: 'b/token',
+  owner: (part: string): string => `b/own/${part}`,
+  job: (id: string): string => `b/job/${id}`,
+  run: (part: string, id: string, chunk: number): string => `b/run/${part}/${id}/${chunk}`,
+  runs: (part: string): string => `b/run/${part}/`,
+  machine: (name: string): string => `b/machine/${name}`,
+  rental: (ask: string): string => `b/rental/${ask}`,
+  quota: (team: string): string => `b/quota/${team}`,
+};
+
+export interface OwnerRecord {
+  node: string;
+  token: number;
+  /** Tells one start of a process from the next. */
+  process: string;
+}
+
+export interface JobRecord {
+  /** Dropped once the job is over, so that final states, which are kept for good, stay small. */
+  spec: JobSpec | null;
+  home: string;
+  state: 'open' | 'done' | 'cancelled';
+  tasks: number;
+  /** Time of day of the submission; orders the queues. */
+  at: number;
+  /** Tasks a chunk, and the zones that a spread job's two halves are held to. */
+  size: number;
+  zones: string[];
+  /** Chunks that have been made so far, and those of them that are done. */
+  cut: number;
+  finished: number[];
+}
+
+export interface EntryRecord {
+  task: number;
+  attempt: number;
+  machine: string;
+  session: number;
+}
+
+export interface ChunkRecord {
+  spec: JobSpec;
+  home: string;
+  at: number;
+  from: number;
+  to: number;
+  zone: string | null;
+  /** The next attempt number of any of its tasks; it only rises. */
+  next: number;
+  /** Done tasks as ranges: first, one past the last, first, … */
+  done: number[];
+  entries: EntryRecord[];
+  /** How often it has been sent on. */
+  moves: number;
+}
+
+export interface MachineRecord {
+  part: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+export interface RentalRecord {
+  part: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+  at: number;
+}
+
+export type QuotaRecord = Record<string, { cpus: number; gpus: number }>;
+
+/** Task numbers as sorted half-open ranges. */
+export function toRanges(sorted: Iterable<number>): number[] {
+  const ranges: number[] = [];
+  for (const n of sorted) {
+    if (ranges.length > 0 && ranges[ranges.length - 1] === n) ranges[ranges.length - 1] = n + 1;
+    else ranges.push(n, n + 1);
+  }
+  return ranges;
+}
+
+export function fromRanges(ranges: number[]): Set<number> {
+  const set = new Set<number>();
+  for (let i = 0; i + 1 < ranges.length; i += 2) {
+    for (let n = ranges[i] ?? 0; n < (ranges[i + 1] ?? 0); n++) set.add(n);
+  }
+  return set;
+}
--- /dev/null
+++ b/src/storage/stateClient.ts
@@ -0,0 +1,244 @@
+import type { Clock } from '../base/clock.js';
+import { sleep } from '../base/clock.js';
+import { CallFailed, type HttpClient, type Response } from '../transport/httpClient.js';
+import * as wire from '../protocol/state.js';
+
+/** The state service could not be asked, or refused: nothing is known to have been carried out. */
+export class Unavailable extends Error {}
+
+export type TxnResult =
+  | { kind: 'applied'; stamp: number }
+  | { kind: 'conflict'; failed: string[] }
+  /** No answer: it may have been applied, or may still be. */
+  | { kind: 'unknown' }
+  | { kind: 'refused' }
+  /** A put named a lease that has ended. */
+  | { kind: 'no-lease' };
+
+/** A bucket of tokens, refilled at a rate; callers wait their turn, urgent ones first. */
+export class Budget {
+  private level: number;
+  private filled: number;
+  private readonly queue: { cost: number; urgent: boolean; go: () => void }[] = [];
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly rate: number,
+    private readonly burst: number,
+  ) {
+    this.level = burst;
+    this.filled = clock.now();
+  }
+
+  get waiting(): number {
+    return this.queue.length;
+  }
+
+  take(cost: number, urgent: boolean): Promise<void> {
+    return new Promise((go) => {
+      const entry = { cost, urgent, go };
+      const at = urgent ? this.queue.findIndex((e) => !e.urgent) : -1;
+      if (at >= 0) this.queue.splice(at, 0, entry);
+      else this.queue.push(entry);
+      this.drain();
+    });
+  }
+
+  /** The other side says that the rate was passed: the others use more than we thought. */
+  punish(): void {
+    this.refill();
+    this.level = Math.min(this.level, 0);
+  }
+
+  private refill(): void {
+    const now = this.clock.now();
+    this.level = Math.min(this.burst, this.level + (now - this.filled) * this.rate);
+    this.filled = now;
+  }
+
+  private drain(): void {
+    this.refill();
+    for (;;) {
+      const head = this.queue[0];
+      if (head === undefined) return;
+      // A request larger than the burst goes when the bucket is full, and leaves a debt.
+      const need = Math.min(head.cost, this.burst);
+      if (this.level + 1e-9 < need) {
+        this.timer ??= setTimeout(
+          () => {
+            this.timer = null;
+            this.drain();
+          },
+          Math.ceil(((need - this.level) / this.rate) * 1000) + 1,
+        );
+        return;
+      }
+      this.queue.shift();
+      this.level -= head.cost;
+      head.go();
+    }
+  }
+}
+
+export interface StateClientOptions {
+  endpoint: string;
+  rate: number;
+  writeRate: number;
+  /** How many nodes share the rates. */
+  sharers: number;
+  timeout: number;
+}
+
+export class StateClient {
+  private readonly requests: Budget;
+  private readonly writes: Budget;
+  /** Steady time of the last answer that was no refusal. */
+  lastServed = -Infinity;
+  /** Steady time of the last refusal or silence. */
+  lastFailed = -Infinity;
+
+  constructor(
+    private readonly http: HttpClient,
+    private readonly clock: Clock,
+    private readonly options: StateClientOptions,
+  ) {
+    // Each node may use a little more than its even share, since seldom all are busy at once.
+    const share = Math.min(1, 1.35 / options.sharers);
+    this.requests = new Budget(clock, options.rate * share, options.rate * share);
+    this.writes = new Budget(clock, options.writeRate * share, options.writeRate * share);
+  }
+
+  /** Requests and changes that wait for their turn. */
+  get backlog(): number {
+    return this.requests.waiting + this.writes.waiting;
+  }
+
+  get healthy(): boolean {
+    return this.lastServed > this.lastFailed;
+  }
+
+  private async call(
+    method: string,
+    target: string,
+    body: unknown,
+    timeout = this.options.timeout,
+  ): Promise<Response> {
+    try {
+      const response = await this.http.call(this.options.endpoint, method, target, body, timeout);
+      if (response.status === 503) this.lastFailed = this.clock.now();
+      else this.lastServed = this.clock.now();
+      return response;
+    } catch (error) {
+      this.lastFailed = this.clock.now();
+      throw error;
+    }
+  }
+
+  /** A read or a lease call, once more after 429. */
+  private async ask(
+    method: string,
+    target: string,
+    body?: unknown,
+    timeout?: number,
+  ): Promise<Response> {
+    for (let tries = 0; ; tries++) {
+      await this.requests.take(1, method === 'POST');
+      let response: Response;
+      try {
+        response = await this.call(method, target, body, timeout);
+      } catch (error) {
+        throw new Unavailable(error instanceof Error ? error.message : 'no answer');
+      }
+      if (response.status === 503) throw new Unavailable('state service refuses');
+      if (response.status !== 429) return response;
+      this.requests.punish();
+      if (tries >= 3) throw new Unavailable('state service is over its rate');
+      await sleep(0.1 * (tries + 1));
+    }
+  }
+
+  async get(key: string): Promise<wire.Item | null> {
+    const response = await this.ask('GET', wire.paths.key(key));
+    if (response.status === 404) return null;
+    const item = wire.parseItem(response.body);
+    if (response.status !== 200 || item === null) throw new Unavailable('odd answer');
+    return item;
+  }
+
+  /** All items below a prefix, with a revision not newer than any of them was read at. */
+  async range(prefix: string): Promise<{ items: wire.Item[]; epoch: number }> {
+    const items: wire.Item[] = [];
+    let epoch: number | null = null;
+    for (let after = ''; ;) {
+      const target = wire.paths.range(prefix, after, wire.RANGE_PAGE);
+      const response = await this.ask('GET', target, undefined, this.options.timeout * 3);
+      const page = wire.parseRange(response.body);
+      if (response.status !== 200 || page === null) throw new Unavailable('odd answer');
+      items.push(...page.items);
+      epoch ??= page.epoch;
+      const last = page.items[page.items.length - 1];
+      if (!page.more || last === undefined) return { items, epoch };
+      after = last.key;
+    }
+  }
+
+  async txn(txn: wire.Txn, urgent = false): Promise<TxnResult> {
+    const cost = txn.puts.length + txn.removes.length;
+    if (cost > 0) await this.writes.take(cost, urgent);
+    await this.requests.take(1, urgent);
+    let response: Response;
+    try {
+      response = await this.call('POST', wire.paths.txn, wire.txnRequest(txn));
+    } catch (error) {
+      if (error instanceof CallFailed && error.unsent) return { kind: 'refused' };
+      return { kind: 'unknown' };
+    }
+    if (response.status === 200) {
+      return { kind: 'applied', stamp: wire.parseEpoch(response.body) ?? 0 };
+    }
+    if (response.status === 409) {
+      return { kind: 'conflict', failed: wire.parseFailed(response.body) };
+    }
+    if (response.status === 400) return { kind: 'no-lease' };
+    if (response.status === 429) {
+      this.writes.punish();
+      this.requests.punish();
+    }
+    return { kind: 'refused' };
+  }
+
+  async grant(ttl: number): Promise<number> {
+    const response = await this.ask('POST', wire.paths.grants, wire.grantRequest(ttl));
+    const hold = wire.parseGrant(response.body);
+    if (hold === null) throw new Unavailable('odd answer');
+    return hold;
+  }
+
+  /** Gives false when the lease has ended. Not queued: a renewal that waits is worth nothing. */
+  async extend(hold: number, timeout: number): Promise<boolean> {
+    let response: Response;
+    try {
+      response = await this.call('POST', wire.paths.extend(hold), undefined, timeout);
+    } catch (error) {
+      throw new Unavailable(error instanceof Error ? error.message : 'no answer');
+    }
+    if (response.status === 404) return false;
+    if (response.status !== 200) throw new Unavailable(`renewal: ${response.status}`);
+    return true;
+  }
+
+  /** Changes after a revision; null when that revision is too old. */
+  async changes(
+    prefix: string,
+    from: number,
+    hold: number,
+  ): Promise<{ epoch: number; changes: wire.Change[] } | null> {
+    const target = wire.paths.changes(prefix, from, hold);
+    const response = await this.ask('GET', target, undefined, hold + this.options.timeout);
+    if (response.status === 410) return null;
+    const log = wire.parseLog(response.body);
+    if (response.status !== 200 || log === null) throw new Unavailable('odd answer');
+    return log;
+  }
+}
--- /dev/null
+++ b/src/transport/httpClient.ts
@@ -0,0 +1,163 @@
+import net from 'node:net';
+import { HttpParser, type HttpMessage } from './httpParser.js';
+import { parseAddress } from './address.js';
+
+export interface Response {
+  status: number;
+  body: unknown;
+  retryAfter: number | null;
+}
+
+interface Idle {
+  socket: net.Socket;
+  timer: NodeJS.Timeout;
+}
+
+/**
+ * `unsent` says that the request cannot have been carried out: the connection never came up.
+ * Anything else that fails may have been carried out, or may still be.
+ */
+export class CallFailed extends Error {
+  constructor(
+    message: string,
+    readonly unsent: boolean,
+  ) {
+    super(message);
+  }
+}
+
+const RESPONSE_LIMIT = 64 * 1024 * 1024;
+
+/** Keeps a few idle connections a host; one request at a time on each. */
+export class HttpClient {
+  private readonly idle = new Map<string, Idle[]>();
+  private open = 0;
+
+  constructor(
+    private readonly maxOpen: number,
+    private readonly idleSeconds: number,
+  ) {}
+
+  async call(
+    endpoint: string,
+    method: string,
+    target: string,
+    body: unknown,
+    timeout: number,
+  ): Promise<Response> {
+    const text = body === undefined ? '' : JSON.stringify(body);
+    const head =
+      `${method} ${target} HTTP/1.1\r\nHost: ${endpoint}\r\n` +
+      (text === '' ? '' : 'Content-Type: application/json\r\n') +
+      `Content-Length: ${Buffer.byteLength(text)}\r\n\r\n`;
+    const message = await this.exchange(endpoint, head + text, timeout);
+    let parsed: unknown = null;
+    try {
+      parsed = message.body === '' ? null : JSON.parse(message.body);
+    } catch {
+      throw new CallFailed('response is not JSON', false);
+    }
+    const retry = Number(message.headers.get('retry-after'));
+    return { status: message.status, body: parsed, retryAfter: retry > 0 ? retry : null };
+  }
+
+  private exchange(endpoint: string, text: string, timeout: number): Promise<HttpMessage> {
+    const kept = this.idle.get(endpoint)?.pop();
+    if (kept !== undefined) {
+      clearTimeout(kept.timer);
+      // Not `close`: that listener keeps the count of open sockets.
+      for (const event of ['data', 'error', 'end']) kept.socket.removeAllListeners(event);
+      if (!kept.socket.destroyed) return this.send(endpoint, kept.socket, text, timeout, true);
+    }
+    if (this.open >= this.maxOpen) {
+      return Promise.reject(new CallFailed('too many open connections', true));
+    }
+    const address = parseAddress(endpoint);
+    if (address === null) return Promise.reject(new CallFailed(`bad address ${endpoint}`, true));
+    const socket = net.connect({ ...address, noDelay: true });
+    this.open++;
+    socket.once('close', () => {
+      this.open--;
+    });
+    return this.send(endpoint, socket, text, timeout, false);
+  }
+
+  private send(
+    endpoint: string,
+    socket: net.Socket,
+    text: string,
+    timeout: number,
+    connected: boolean,
+  ): Promise<HttpMessage> {
+    return new Promise((resolve, reject) => {
+      const parser = new HttpParser('response', RESPONSE_LIMIT);
+      let sent = connected;
+      const settle = (): void => {
+        clearTimeout(timer);
+        for (const event of ['data', 'error', 'end', 'connect']) socket.removeAllListeners(event);
+      };
+      const fail = (reason: string): void => {
+        settle();
+        socket.on('error', () => undefined);
+        socket.destroy();
+        reject(new CallFailed(reason, !sent));
+      };
+      const finish = (message: HttpMessage): void => {
+        settle();
+        if (message.keepAlive) this.keep(endpoint, socket);
+        else {
+          socket.on('error', () => undefined);
+          socket.destroy();
+        }
+        resolve(message);
+      };
+      const timer = setTimeout(() => {
+        fail('timed out');
+      }, timeout * 1000);
+      socket.on('data', (data) => {
+        try {
+          const message = parser.push(data)[0];
+          if (message !== undefined) finish(message);
+        } catch {
+          fail('malformed response');
+        }
+      });
+      socket.on('error', (error) => {
+        fail(error.message);
+      });
+      socket.on('end', () => {
+        const message = parser.end();
+        if (message !== null) finish(message);
+        else fail('connection closed');
+      });
+      if (connected) socket.write(text);
+      else {
+        socket.once('connect', () => {
+          sent = true;
+          socket.write(text);
+        });
+      }
+    });
+  }
+
+  private keep(endpoint: string, socket: net.Socket): void {
+    const pool = this.idle.get(endpoint) ?? [];
+    this.idle.set(endpoint, pool);
+    const entry: Idle = {
+      socket,
+      timer: setTimeout(() => socket.destroy(), this.idleSeconds * 1000),
+    };
+    entry.timer.unref();
+    const drop = (): void => {
+      clearTimeout(entry.timer);
+      const at = pool.indexOf(entry);
+      if (at >= 0) pool.splice(at, 1);
+      if (pool.length === 0 && this.idle.get(endpoint) === pool) this.idle.delete(endpoint);
+      socket.destroy();
+    };
+    socket.on('error', drop);
+    socket.on('end', drop);
+    socket.on('data', drop);
+    pool.push(entry);
+  }
+}
--- /dev/null
+++ b/src/transport/httpParser.ts
@@ -0,0 +1,219 @@
+/** An incremental HTTP/1.1 parser for requests and responses: no pipelining, bounded heads and bodies. */
+
+export interface HttpMessage {
+  /** Requests: method and target. Responses: status in `status`. */
+  method: string;
+  target: string;
+  status: number;
+  headers: Map<string, string>;
+  body: string;
+  keepAlive: boolean;
+}
+
+export class HttpError extends Error {
+  constructor(
+    readonly status: number,
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+const HEAD_LIMIT = 16 * 1024;
+const HEAD_END = Buffer.from('\r\n\r\n');
+const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+
+type State = 'head' | 'length' | 'chunk-size' | 'chunk-data' | 'trailer' | 'until-close';
+
+export class HttpParser {
+  private buffer: Buffer = Buffer.alloc(0);
+  private state: State = 'head';
+  private message: HttpMessage | null = null;
+  private parts: Buffer[] = [];
+  private need = 0;
+  private total = 0;
+
+  constructor(
+    private readonly kind: 'request' | 'response',
+    private readonly bodyLimit: number,
+  ) {}
+
+  /** True between messages: nothing of the next one has come yet. */
+  get idle(): boolean {
+    return this.state === 'head' && this.buffer.length === 0;
+  }
+
+  /** Feeds bytes; gives the messages they complete. Throws HttpError on malformed input. */
+  push(data: Buffer): HttpMessage[] {
+    this.buffer = this.buffer.length === 0 ? data : Buffer.concat([this.buffer, data]);
+    const done: HttpMessage[] = [];
+    while (this.step(done));
+    return done;
+  }
+
+  /** The other side has closed: completes a response that is delimited by that. */
+  end(): HttpMessage | null {
+    if (this.state !== 'until-close' || this.message === null) return null;
+    this.parts.push(this.buffer);
+    const message = this.message;
+    message.body = Buffer.concat(this.parts).toString('utf8');
+    message.keepAlive = false;
+    this.reset();
+    return message;
+  }
+
+  private step(done: HttpMessage[]): boolean {
+    switch (this.state) {
+      case 'head':
+        return this.readHead(done);
+      case 'length':
+      case 'chunk-data':
+        return this.readData(done);
+      case 'chunk-size':
+        return this.readChunkSize();
+      case 'trailer':
+        return this.readTrailer(done);
+      case 'until-close':
+        this.count(this.buffer.length);
+        this.parts.push(this.buffer);
+        this.buffer = Buffer.alloc(0);
+        return false;
+    }
+  }
+
+  private readHead(done: HttpMessage[]): boolean {
+    // Blank lines before a request line are tolerated, as RFC 9112 asks.
+    while (this.buffer.length >= 2 && this.buffer[0] === 13 && this.buffer[1] === 10) {
+      this.buffer = this.buffer.subarray(2);
+    }
+    const end = this.buffer.indexOf(HEAD_END);
+    if (end < 0) {
+      if (this.buffer.length > HEAD_LIMIT) throw new HttpError(431, 'header too large');
+      return false;
+    }
+    if (end > HEAD_LIMIT) throw new HttpError(431, 'header too large');
+    const lines = this.buffer.toString('latin1', 0, end).split('\r\n');
+    this.buffer = this.buffer.subarray(end + HEAD_END.length);
+    const message = this.parseStart(lines[0] ?? '');
+    for (const line of lines.slice(1)) {
+      const colon = line.indexOf(':');
+      const name = line.slice(0, colon).toLowerCase();
+      if (colon <= 0 || !TOKEN.test(name)) throw new HttpError(400, 'malformed header');
+      const value = line.slice(colon + 1).trim();
+      if (name === 'content-length' && (message.headers.get(name) ?? value) !== value) {
+        throw new HttpError(400, 'conflicting content-length');
+      }
+      message.headers.set(name, value);
+    }
+    const connection = (message.headers.get('connection') ?? '').toLowerCase();
+    if (connection.includes('close')) message.keepAlive = false;
+    if (connection.includes('keep-alive')) message.keepAlive = true;
+    this.message = message;
+    this.chooseBody(message, done);
+    return this.buffer.length > 0;
+  }
+
+  private parseStart(line: string): HttpMessage {
+    const base = { headers: new Map<string, string>(), body: '' };
+    if (this.kind === 'request') {
+      const match = /^([A-Z]{1,16}) (\S{1,4096}) HTTP\/1\.([01])$/.exec(line);
+      if (match === null) throw new HttpError(400, 'malformed request line');
+      const [, method = '', target = '', minor] = match;
+      return { ...base, method, target, status: 0, keepAlive: minor === '1' };
+    }
+    const match = /^HTTP\/1\.([01]) ([1-5]\d\d)(?: .*)?$/.exec(line);
+    if (match === null) throw new HttpError(400, 'malformed status line');
+    return {
+      ...base,
+      method: '',
+      target: '',
+      status: Number(match[2]),
+      keepAlive: match[1] === '1',
+    };
+  }
+
+  private chooseBody(message: HttpMessage, done: HttpMessage[]): void {
+    const coding = message.headers.get('transfer-encoding');
+    const length = message.headers.get('content-length');
+    if (coding !== undefined) {
+      // Both at once is the classic way to smuggle a request; refuse it.
+      if (coding.toLowerCase() !== 'chunked' || length !== undefined) {
+        throw new HttpError(400, 'unsupported transfer-encoding');
+      }
+      this.state = 'chunk-size';
+    } else if (length !== undefined) {
+      if (!/^\d{1,15}$/.test(length)) throw new HttpError(400, 'bad content-length');
+      this.need = Number(length);
+      this.count(this.need);
+      if (this.need === 0) this.finish(done);
+      else this.state = 'length';
+    } else if (this.kind === 'response' && message.status !== 204 && message.status !== 304) {
+      this.state = 'until-close';
+    } else {
+      this.finish(done);
+    }
+  }
+
+  private readData(done: HttpMessage[]): boolean {
+    if (this.buffer.length === 0) return false;
+    const piece = this.buffer.subarray(0, this.need);
+    this.buffer = this.buffer.subarray(piece.length);
+    this.need -= piece.length;
+    this.parts.push(piece);
+    if (this.need > 0) return false;
+    if (this.state === 'length') this.finish(done);
+    else this.state = 'chunk-size';
+    return this.buffer.length > 0;
+  }
+
+  private readLine(): string | null {
+    const end = this.buffer.indexOf('\r\n');
+    if (end < 0) {
+      if (this.buffer.length > HEAD_LIMIT) throw new HttpError(400, 'line too long');
+      return null;
+    }
+    const line = this.buffer.toString('latin1', 0, end);
+    this.buffer = this.buffer.subarray(end + 2);
+    return line;
+  }
+
+  private readChunkSize(): boolean {
+    const line = this.readLine();
+    if (line === null) return false;
+    // The line break that ends a chunk's data stands before the next size.
+    if (line === '' && this.parts.length > 0) return this.buffer.length > 0;
+    const match = /^([0-9a-fA-F]{1,8})(?:;.*)?$/.exec(line);
+    if (match === null) throw new HttpError(400, 'bad chunk size');
+    this.need = parseInt(match[1] ?? '', 16);
+    this.count(this.need);
+    this.state = this.need === 0 ? 'trailer' : 'chunk-data';
+    return this.buffer.length > 0;
+  }
+
+  private readTrailer(done: HttpMessage[]): boolean {
+    const line = this.readLine();
+    if (line === null) return false;
+    if (line === '') this.finish(done);
+    return this.buffer.length > 0;
+  }
+
+  private count(more: number): void {
+    this.total += more;
+    if (this.total > this.bodyLimit) throw new HttpError(413, 'body too large');
+  }
+
+  private finish(done: HttpMessage[]): void {
+    if (this.message === null) return;
+    this.message.body = this.parts.length === 0 ? '' : Buffer.concat(this.parts).toString('utf8');
+    done.push(this.message);
+    this.reset();
+  }
+
+  private reset(): void {
+    this.state = 'head';
+    this.message = null;
+    this.parts = [];
+    this.need = 0;
+    this.total = 0;
+  }
+}
--- /dev/null
+++ b/src/transport/peerLink.ts
@@ -0,0 +1,164 @@
+/**
+ * Calls between our own processes: frames of a 32-bit length, an id, a kind and a body that the
+ * protocol layer encodes. One connection for each direction; a call that isn't answered in time fails.
+ */
+import net from 'node:net';
+import { CallFailed } from './httpClient.js';
+import { parseAddress, type Address } from './address.js';
+
+const HEADER = 9;
+const FRAME_LIMIT = 8 * 1024 * 1024;
+
+export type PeerHandler = (body: Buffer) => Promise<Buffer>;
+
+class FrameReader {
+  private buffer: Buffer = Buffer.alloc(0);
+
+  push(data: Buffer, each: (id: number, kind: number, body: Buffer) => void): boolean {
+    this.buffer = this.buffer.length === 0 ? data : Buffer.concat([this.buffer, data]);
+    while (this.buffer.length >= HEADER) {
+      const length = this.buffer.readUInt32BE(0);
+      if (length > FRAME_LIMIT) return false;
+      if (this.buffer.length < HEADER + length) return true;
+      const body = Buffer.from(this.buffer.subarray(HEADER, HEADER + length));
+      const id = this.buffer.readUInt32BE(4);
+      const kind = this.buffer.readUInt8(8);
+      this.buffer = this.buffer.subarray(HEADER + length);
+      each(id, kind, body);
+    }
+    return true;
+  }
+}
+
+function frame(id: number, kind: number, body: Buffer): Buffer {
+  const head = Buffer.alloc(HEADER);
+  head.writeUInt32BE(body.length, 0);
+  head.writeUInt32BE(id, 4);
+  head.writeUInt8(kind, 8);
+  return Buffer.concat([head, body]);
+}
+
+const REQUEST = 0;
+const ANSWER = 1;
+const REFUSAL = 2;
+
+export class PeerServer {
+  private readonly server: net.Server;
+
+  constructor(handler: PeerHandler) {
+    this.server = net.createServer({ noDelay: true }, (socket) => {
+      const reader = new FrameReader();
+      socket.on('error', () => socket.destroy());
+      socket.on('data', (data) => {
+        const sound = reader.push(data, (id, kind, body) => {
+          if (kind !== REQUEST) return;
+          handler(body).then(
+            (answer) => socket.destroyed || socket.write(frame(id, ANSWER, answer)),
+            (error: unknown) =>
+              socket.destroyed || socket.write(frame(id, REFUSAL, Buffer.from(String(error)))),
+          );
+        });
+        if (!sound) socket.destroy();
+      });
+    });
+    this.server.maxConnections = 64;
+  }
+
+  listen(address: Address): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(address.port, address.host, () => {
+        const bound = this.server.address();
+        resolve(typeof bound === 'object' && bound !== null ? bound.port : address.port);
+      });
+    });
+  }
+
+  close(): void {
+    this.server.close();
+  }
+}
+
+interface Pending {
+  resolve: (body: Buffer) => void;
+  reject: (error: Error) => void;
+  timer: NodeJS.Timeout;
+}
+
+export class PeerClient {
+  private socket: net.Socket | null = null;
+  private readonly pending = new Map<number, Pending>();
+  private nextId = 1;
+  private silent = 0;
+
+  constructor(
+    private readonly endpoint: string,
+    private readonly maxPending: number,
+  ) {}
+
+  call(body: Buffer, timeout: number): Promise<Buffer> {
+    return new Promise((resolve, reject) => {
+      if (this.pending.size >= this.maxPending) {
+        reject(new CallFailed('peer is overloaded', true));
+        return;
+      }
+      const socket = this.connection();
+      if (socket === null) {
+        reject(new CallFailed(`bad address ${this.endpoint}`, true));
+        return;
+      }
+      const id = this.nextId;
+      this.nextId = (this.nextId % 0xfffffff0) + 1;
+      const timer = setTimeout(() => {
+        this.pending.delete(id);
+        this.silent++;
+        // A cut leaves the connection hanging without an error; a new one is tried after it.
+        if (this.silent >= 2) this.drop(socket);
+        reject(new CallFailed('peer is silent', false));
+      }, timeout * 1000);
+      this.pending.set(id, { resolve, reject, timer });
+      socket.write(frame(id, REQUEST, body));
+    });
+  }
+
+  private connection(): net.Socket | null {
+    if (this.socket !== null) return this.socket;
+    const address = parseAddress(this.endpoint);
+    if (address === null) return null;
+    const socket = net.connect({ ...address, noDelay: true });
+    const reader = new FrameReader();
+    socket.on('data', (data) => {
+      this.silent = 0;
+      const sound = reader.push(data, (id, kind, body) => {
+        const waiting = this.pending.get(id);
+        if (waiting === undefined) return;
+        this.pending.delete(id);
+        clearTimeout(waiting.timer);
+        if (kind === ANSWER) waiting.resolve(body);
+        else waiting.reject(new CallFailed(body.toString('utf8'), false));
+      });
+      if (!sound) this.drop(socket);
+    });
+    socket.on('error', () => {
+      this.drop(socket);
+    });
+    socket.on('close', () => {
+      this.drop(socket);
+    });
+    this.socket = socket;
+    this.silent = 0;
+    return socket;
+  }
+
+  private drop(socket: net.Socket): void {
+    socket.destroy();
+    if (this.socket !== socket) return;
+    this.socket = null;
+    const lost = [...this.pending.values()];
+    this.pending.clear();
+    for (const waiting of lost) {
+      clearTimeout(waiting.timer);
+      waiting.reject(new CallFailed('peer connection lost', false));
+    }
+  }
+}
