Release machines that never come up; one rental request for each kind

Cause: machines whose boot failed were kept and charged for ever, and each waiting chunk sent a rental of its own (two changes each at the state service).

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -484,7 +484,16 @@
       const silent: string[] = [];
       let all = 0;
       for (const machine of host.part.machines.values()) {
-        if (machine.heard === null) continue;
+        if (machine.heard === null) {
+          // Most are up within 1.5 times the boot time; one that isn't may never come, and is charged.
+          const age = this.clock.wall() - machine.record.at;
+          const boot = machine.shape?.boot ?? this.settings.lease;
+          // After a takeover every worker first has to find us.
+          const watched = now - machine.created;
+          const { report } = this.settings;
+          if (age > boot * 1.6 + report * 2 && watched > report * 5) lost.push(machine.name);
+          continue;
+        }
         all++;
         const limit = this.settings.report * (1.25 + DRIFT) * 2.5;
         if (now - machine.heard > limit) silent.push(machine.name);
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -7,7 +7,7 @@
 import type { Response } from '../transport/httpClient.js';
 import type { Controller } from './controller.js';
 import { PROVISIONER } from './ownership.js';
-import { planRentals, type RentPlan } from './renting.js';
+import { mergePlans, planRentals, type RentPlan } from './renting.js';
 
 export class Provisioner {
   private active = false;
@@ -118,7 +118,8 @@
       if (now - since < this.node.settings.listLag * 0.5) continue;
       const { type, zone, spot } = machine;
       const part = this.partFor(zone, '');
-      await this.write({ [name]: { part, type, zone, spot } }, null);
+      const at = this.node.clock.wall() - machine.age;
+      await this.write({ [name]: { part, type, zone, spot, at } }, null);
       this.strays.delete(name);
     }
   }
@@ -177,7 +178,7 @@
       patience: within.length > 0 ? Math.min(...within) : settings.lease * 2,
       serviceHorizon: 600,
     });
-    for (const plan of plans) {
+    for (const plan of mergePlans(plans)) {
       // Until the machines' records have reached the part, its demand tells of them once more.
       this.holdOff.set(plan.part, now + settings.report * 0.7);
       void this.intend(plan, now);
@@ -223,7 +224,8 @@
       if (answer.status === 200) {
         const names = cloud.parseRented(answer.body) ?? [];
         log.info(`rented ${names.length} of ${count} ${kind} for ${part}: ${names.join(' ')}`);
-        const machines = Object.fromEntries(names.map((n) => [n, { part, type, zone, spot }]));
+        const at = this.node.clock.wall();
+        const machines = Object.fromEntries(names.map((n) => [n, { part, type, zone, spot, at }]));
         const result = await this.write(machines, rental);
         if (result.kind === 'conflict') await this.forget(rental, machines);
         if (names.length < count) this.refuse(kind);
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -65,6 +65,18 @@
   return found.sort((a, b) => a.score - b.score);
 }
 
+/** One request for each kind and part: every request costs changes at the state service. */
+export function mergePlans(plans: RentPlan[]): RentPlan[] {
+  const merged = new Map<string, RentPlan>();
+  for (const plan of plans) {
+    const key = [plan.part, plan.type, plan.zone, String(plan.spot)].join(' ');
+    const known = merged.get(key);
+    if (known === undefined) merged.set(key, { ...plan });
+    else known.count += plan.count;
+  }
+  return [...merged.values()];
+}
+
 /** Machines that hold what waits, each kind at the lowest price for the work; largest rank first. */
 export function planRentals(demands: Demand[], context: RentContext): RentPlan[] {
   const plans: RentPlan[] = [];
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -93,7 +93,8 @@
     this.registering.add(machine);
     try {
       const key = keys.machine(machine);
-      const value: MachineRecord = { part: choosePartFor(node, zone, ''), type, zone, spot };
+      const part = choosePartFor(node, zone, '');
+      const value: MachineRecord = { part, type, zone, spot, at: node.clock.wall() };
       const when = [{ key, stamp: 0 }];
       const result = await node.commits.write(host, { when, puts: [{ key, value }], removes: [] });
       if (result.kind === 'applied') node.replica.note(key, value, result.stamp);
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -75,6 +75,8 @@
   type: string;
   zone: string;
   spot: boolean;
+  /** Time of day at which it was rented, or first heard of. */
+  at: number;
 }
 
 export interface RentalRecord {
