Ask again for waiting chunks; rent batch room by average arrivals

Cause: services stuck in a part without room while a peer could make room; whole batch bursts rented for although over before the machines were up.

--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -194,6 +194,39 @@
     }
   }
 
+  /** Hands a chunk, of which nothing is on any machine, to another part. */
+  async move(host: Hosted, chunk: Chunk, to: string): Promise<void> {
+    const from = this.runKey(host, chunk);
+    const key = keys.run(to, chunk.spec.id, chunk.index);
+    const owner = this.replica.get(keys.owner(to));
+    if (owner === undefined) return;
+    const value: ChunkRecord = { ...chunk.record(), moves: chunk.moves + 1 };
+    chunk.flushing = true;
+    host.writing++;
+    try {
+      const result = await this.write(host, {
+        when: [
+          { key: from, stamp: chunk.stamp },
+          { key: keys.owner(to), stamp: owner.stamp },
+          { key, stamp: 0 },
+        ],
+        puts: [{ key, value }],
+        removes: [from],
+      });
+      if (result.kind === 'applied') {
+        host.part.dropChunk(chunk);
+        this.replica.noteRemoved(from, result.stamp);
+        this.replica.note(key, value, result.stamp);
+      }
+      // Without an answer it may be applied late: then our next write of the chunk fails on its
+      // stamp, before anything of it can have been started here.
+      if (result.kind === 'conflict') await this.resolve(host, [chunk], result.failed);
+    } finally {
+      chunk.flushing = false;
+      host.writing--;
+    }
+  }
+
   private async finishLocal(host: Hosted, chunk: Chunk, home: Hosted, job: HomeJob): Promise<void> {
     if (job.busy) return;
     const key = this.runKey(host, chunk);
@@ -348,7 +381,7 @@
       if (await this.writeJob(home, job, next, [{ key, stamp: 0 }], [{ key, value }], [])) {
         chunk.stamp = job.stamp;
         chunk.stored = version;
-        if (job.record.state === 'open' && home.alive) home.part.addChunk(chunk);
+        if (job.record.state === 'open' && home.alive) home.part.addChunk(chunk, this.clock.now());
       }
     } catch (error) {
       log.debug(`cut: ${describe(error)}`);
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -28,6 +28,7 @@
 import { Peers } from './peers.js';
 import { Provisioner } from './provisioner.js';
 import { Quotas } from './quotas.js';
+import { Sender } from './sender.js';
 
 export class Controller {
   readonly hosted = new Map<string, Hosted>();
@@ -43,6 +44,7 @@
   readonly zoneOf = new Map<string, string>();
   /** Parts lost lately that may still have workers to answer: their token and until when. */
   readonly graces = new Map<string, { token: number; until: number }>();
+  readonly sender: Sender;
   private readonly quotas: Quotas;
   private readonly provisioner: Provisioner;
   private kicked = false;
@@ -108,6 +110,7 @@
       settings.report,
       settings.peers.map((p) => ({ ...p, client: new PeerClient(p.endpoint, 256) })),
     );
+    this.sender = new Sender(this);
     this.quotas = new Quotas(this);
     this.provisioner = new Provisioner(this, process);
   }
@@ -117,6 +120,13 @@
     return Math.max(1, Math.min(this.settings.report * 1.5, this.settings.lease / 4));
   }
 
+  /** How soon batch work should be through, and how far back its arrivals are looked at. */
+  private get pace(): { patience: number; headroom: number; window: number } {
+    const promised = this.settings.objectives.filter((o) => o.kind === 'finished');
+    const patience = Math.min(this.settings.lease * 4, ...promised.map((o) => o.within));
+    return { patience: patience / 2, headroom: 1.2, window: patience * 2 };
+  }
+
   /** How long after its own lease a node goes on answering its workers, so that an outage of the state
    * service does not end healthy tasks. An adopter waits this out for machines it can't reach. */
   get grace(): number {
@@ -138,6 +148,7 @@
     });
     void this.every(this.settings.report / 3, () => {
       this.commits.review();
+      this.sender.review();
       this.sweep();
       void this.quotas.balance();
     });
@@ -233,7 +244,7 @@
     const { report, lease, zones } = this.settings;
     const part = new Part(
       label,
-      { lease, report, sample: this.tuning.sample, zones },
+      { lease, report, sample: this.tuning.sample, zones, ...this.pace },
       () => this.types,
       this.runTimes,
       this.random,
@@ -316,7 +327,7 @@
   private takeIn(host: Hosted, index: number, change: Change): void {
     const record = change.value as ChunkRecord;
     // Only what was just sent: nothing of it can have been started by this part's owners.
-    if (record.entries.length > 0 || record.done.length > 0) return;
+    if (record.entries.length > 0) return;
     const now = this.clock.now();
     const chunk = host.part.loadChunk(index, record, change.stamp, host.token, now);
     const job = this.replica.get(keys.job(chunk.spec.id))?.value as JobRecord | undefined;
@@ -458,6 +469,7 @@
     const spare: string[] = [];
     for (const host of this.hosted.values()) {
       const waiting = host.part.waiting > 0;
+      let surplus = host.part.surplus(now);
       for (const machine of host.part.machines.values()) {
         if (machine.entries.size > 0 || !machine.up) continue;
         if (machine.leaving) {
@@ -466,6 +478,9 @@
         }
         const patience = (machine.shape?.boot ?? 60) * this.tuning.idleRatio;
         if (waiting || now - machine.idleSince < patience) continue;
+        // What arrives on the average is kept room for; a machine that may hold only that stays.
+        if (surplus < machine.size.cpus) continue;
+        surplus -= machine.size.cpus;
         machine.leaving = true;
         spare.push(machine.name);
       }
--- a/src/coordination/estimate.ts
+++ b/src/coordination/estimate.ts
@@ -32,3 +32,31 @@
     return (expect * histogram.getValueAtPercentile(50)) / SCALE;
   }
 }
+
+/** Work that arrives, in processors, averaged over a window that forgets slowly. */
+export class Arrivals {
+  private level = 0;
+  private at = 0;
+  private since: number | null = null;
+
+  constructor(private readonly window: number) {}
+
+  note(work: number, now: number): void {
+    this.decay(now);
+    this.since ??= now;
+    this.level += work;
+  }
+
+  rate(now: number): number {
+    this.decay(now);
+    if (this.since === null) return 0;
+    // Before the window is full the average is over the time that has been seen.
+    const seen = 1 - Math.exp(-Math.max(this.window / 4, now - this.since) / this.window);
+    return this.level / (this.window * seen);
+  }
+
+  private decay(now: number): void {
+    this.level *= Math.exp(-Math.max(0, now - this.at) / this.window);
+    this.at = now;
+  }
+}
--- a/src/coordination/gateway.ts
+++ b/src/coordination/gateway.ts
@@ -64,7 +64,7 @@
     }
     if ('Ask' in request) {
       const { spec, zone, tasks } = request.Ask;
-      return { Estimates: { of: this.users.localEstimates(decodeSpec(spec), zone, tasks) } };
+      return { Estimates: { of: this.node.sender.estimates(decodeSpec(spec), zone, tasks) } };
     }
     return { Relayed: await this.relayed(request.Relay) };
   }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -10,7 +10,7 @@
 import type { Report, TaskReport } from '../protocol/worker.js';
 import type { ChunkRecord, MachineRecord } from '../storage/records.js';
 import { Chunk, type Entry } from './chunk.js';
-import type { RunTimes } from './estimate.js';
+import { Arrivals, type RunTimes } from './estimate.js';
 import { Machine, type Placed } from './machine.js';
 import { allows, bestFit, holds, sampleHosts, victimsFor, type Room } from './placement.js';
 import { replay, type ReplayHost, type ReplayItem } from './replay.js';
@@ -20,6 +20,12 @@
   report: number;
   sample: number;
   zones: string[];
+  /** Batch work that waits should be through in this many seconds. */
+  patience: number;
+  /** Room for arriving batch work, as a ratio to its average. */
+  headroom: number;
+  /** Seconds over which arrivals are averaged. */
+  window: number;
 }
 
 /** How much of a team's limit this part may use; null: no limit. */
@@ -37,6 +43,7 @@
   private resumeAfter: string | null = null;
   /** Teams that were kept waiting by their share of the limit in the last round. */
   readonly hungry = new Set<string>();
+  private readonly arrivals: Arrivals;
 
   constructor(
     readonly label: string,
@@ -45,7 +52,9 @@
     private readonly runTimes: RunTimes,
     private readonly random: Random,
     private readonly allowance: Allowance = () => null,
-  ) {}
+  ) {
+    this.arrivals = new Arrivals(options.window);
+  }
 
   // ---- Machines ----
 
@@ -274,8 +283,11 @@
 
   // ---- Chunks ----
 
-  addChunk(chunk: Chunk): void {
+  addChunk(chunk: Chunk, now: number): void {
     this.chunks.set(chunk.id, chunk);
+    if (!chunk.spec.service) {
+      this.arrivals.note(chunk.pending * chunk.spec.cpus * this.expectedRun(chunk.spec), now);
+    }
     if (chunk.complete) this.settled.add(chunk);
   }
 
@@ -302,7 +314,7 @@
       machine.entries.set(chunk.taskName(e.task), { chunk, entry });
     }
     if (chunk.entries.size < record.entries.length) this.dirty.add(chunk);
-    this.addChunk(chunk);
+    this.addChunk(chunk, now);
     return chunk;
   }
 
@@ -336,7 +348,7 @@
 
   private queue(): Chunk[] {
     const waiting = [...this.chunks.values()].filter((c) => c.pending > 0);
-    return waiting.sort((a, b) => b.rank - a.rank || a.at - b.at || (a.id < b.id ? -1 : 1));
+    return waiting.sort(byOrder);
   }
 
   get waiting(): number {
@@ -542,20 +554,32 @@
   // ---- Estimates ----
 
   /** The wait that a candidate would see here, by replaying the queue. */
-  waitFor(candidate: ReplayItem, now: number): number {
+  waitFor(candidate: ReplayItem, now: number, self?: Chunk): number {
+    const rank = rankOrder[candidate.spec.rank];
     const hosts: ReplayHost[] = [];
     for (const machine of this.machines.values()) {
       const { type, zone, spot } = machine;
       if (machine.shape === undefined || machine.leaving || machine.lost) continue;
       const boot = machine.created + machine.shape.boot - now;
       const ready = machine.up ? Math.max(0, machine.shunnedUntil - now) : Math.max(1, boot);
-      const running = [...machine.entries.values()]
-        .map((p) => ({ ends: this.endOf(p, now) - now, need: p.chunk.spec }))
-        .filter((r) => Number.isFinite(r.ends));
-      hosts.push({ type, zone, spot, free: machine.free, ready, running });
+      const running: ReplayHost['running'] = [];
+      const free = { ...machine.free };
+      for (const placed of machine.entries.values()) {
+        const need = placed.chunk.spec;
+        if (placed.chunk.rank < rank) {
+          // It would be stopped for the candidate.
+          free.cpus += need.cpus;
+          free.gpus += need.gpus;
+          free.memory += need.memory;
+          continue;
+        }
+        const ends = this.endOf(placed, now) - now;
+        if (Number.isFinite(ends)) running.push({ ends, need });
+      }
+      hosts.push({ type, zone, spot, free, ready, running });
     }
     const queue = this.queue()
-      .filter((c) => c.rank >= rankOrder[candidate.spec.rank])
+      .filter((c) => c !== self && c.rank >= rank && (self === undefined || ahead(c, self)))
       .map((c) => ({
         spec: c.spec,
         zone: c.zone,
@@ -580,7 +604,40 @@
     return Number.isFinite(best) ? best : 0;
   }
 
-  /** Work that neither machines that are up nor those on their way can hold. */
+  /** Processors that batch work has or may have here, those on their way included. */
+  private batchCpus(now: number): number {
+    let cpus = 0;
+    for (const machine of this.machines.values()) {
+      if (machine.lost || machine.leaving || machine.goneBy !== null) continue;
+      if (machine.up && machine.shunnedUntil > now) continue;
+      cpus += machine.size.cpus;
+      for (const { chunk } of machine.entries.values()) {
+        if (chunk.spec.service) cpus -= chunk.spec.cpus;
+      }
+    }
+    return cpus;
+  }
+
+  /** Processors that batch work needs: what arrives on the average, and what has piled up. */
+  private batchNeed(now: number): number {
+    let backlog = 0;
+    for (const chunk of this.chunks.values()) {
+      if (chunk.spec.service || chunk.cancelled) continue;
+      const run = this.expectedRun(chunk.spec);
+      backlog += (chunk.pending * run + chunk.entries.size * run * 0.5) * chunk.spec.cpus;
+    }
+    return Math.max(
+      this.arrivals.rate(now) * this.options.headroom,
+      backlog / this.options.patience,
+    );
+  }
+
+  /** Processors beyond what is needed. */
+  surplus(now: number): number {
+    return this.batchCpus(now) - this.batchNeed(now);
+  }
+
+  /** Work that neither machines that are up nor those on their way can hold in good time. */
   demands(now: number): Demand[] {
     const rooms: { machine: Machine; room: Room }[] = [];
     for (const machine of this.machines.values()) {
@@ -589,11 +646,14 @@
       rooms.push({ machine, room: machine.up ? machine.free : { ...machine.size } });
     }
     const demands: Demand[] = [];
+    let deficit = Math.max(0, this.batchNeed(now) - this.batchCpus(now));
     for (const chunk of this.queue()) {
       if (chunk.failures > 2) continue;
       let count = chunk.pending;
+      let suited = 0;
       for (const { machine, room } of rooms) {
         if (!allows(chunk.spec, chunk.zone, machine)) continue;
+        if (holds(machine.size, chunk.spec)) suited++;
         while (count > 0 && holds(room, chunk.spec)) {
           count--;
           room.cpus -= chunk.spec.cpus;
@@ -601,7 +661,12 @@
           room.memory -= chunk.spec.memory;
         }
       }
-      if (count === 0) continue;
+      if (!chunk.spec.service && suited > 0) {
+        // Short work is through before a machine is up: only what is missing in the long run.
+        count = Math.min(count, Math.ceil(deficit / chunk.spec.cpus));
+        deficit -= count * chunk.spec.cpus;
+      }
+      if (count <= 0) continue;
       const { cpus, gpus, memory, types, spot, rank, service, image, imageGb } = chunk.spec;
       const zone = chunk.zone ?? chunk.spec.zone;
       const run = service ? 0 : this.expectedRun(chunk.spec);
@@ -612,4 +677,10 @@
   }
 }
 
+/** The order of the queue: rank before arrival. */
+const byOrder = (a: Chunk, b: Chunk): number =>
+  b.rank - a.rank || a.at - b.at || (a.id < b.id ? -1 : 1);
+
+const ahead = (a: Chunk, b: Chunk): boolean => byOrder(a, b) < 0;
+
 type Victims = { rank: number; need: Room; loss: number; placed: Placed }[];
--- /dev/null
+++ b/src/coordination/sender.ts
@@ -0,0 +1,120 @@
+/** Sends jobs on: the sender-initiated path of the paper, for new chunks and for those that wait. */
+import { describe, log } from '../base/log.js';
+import type { JobSpec } from '../protocol/job.js';
+import type { Estimate } from '../protocol/peer.js';
+import { keys } from '../storage/records.js';
+import type { Chunk } from './chunk.js';
+import type { Controller } from './controller.js';
+import type { Hosted } from './hosted.js';
+import { choosePart, turnaround } from './migration.js';
+
+export class Sender {
+  private readonly asking = new Set<Chunk>();
+
+  constructor(private readonly node: Controller) {}
+
+  /** The wait that users of this class of job accept without a question to the peers. */
+  private threshold(spec: JobSpec): number {
+    // A live service's users wait for a second or so, not for ten: the objective says how long.
+    const promised = this.node.settings.objectives
+      .filter((o) => o.kind === 'wait' && o.jobClass === spec.jobClass)
+      .map((o) => o.within);
+    return Math.min(this.node.tuning.threshold, ...promised);
+  }
+
+  /**
+   * Where a chunk goes: home while the wait there is short, or within the factor of the best; else
+   * the peer with the smallest turnaround (DESIGN). A chunk held to a zone starts from a part there.
+   */
+  async choose(
+    home: Hosted,
+    spec: JobSpec,
+    zone: string | null,
+    count: number,
+    queued?: Chunk,
+  ): Promise<string> {
+    const { node } = this;
+    const { tuning } = node;
+    const run = home.part.expectedRun(spec);
+    const wait = home.part.waitFor({ spec, zone, count, run }, node.clock.now(), queued);
+    const fetch = home.part.fetchFor(spec, zone);
+    const start = spec.service ? Math.max(wait, fetch) : wait;
+    if (start < this.threshold(spec) || !tuning.migrate) return home.part.label;
+    const estimate: Estimate = {
+      part: home.part.label,
+      wait,
+      turnaround: turnaround(wait, fetch, run),
+      utilisation: home.part.utilisation,
+    };
+    const answers = await node.peers.ask(spec, zone, count, tuning.peerTimeout);
+    const others = this.estimates(spec, zone, count).filter((e) => e.part !== estimate.part);
+    const part = choosePart(estimate, [...answers, ...others], tuning);
+    const known = node.replica.get(keys.owner(part)) !== undefined;
+    if (part !== home.part.label && known) return part;
+    // Nobody has such machines yet: a part in the zone is the one that they will be rented for.
+    if (zone !== null && !Number.isFinite(wait) && node.zoneOf.get(home.part.label) !== zone) {
+      const near = answers.filter((a) => node.zoneOf.get(a.part) === zone);
+      near.sort((a, b) => a.utilisation - b.utilisation);
+      if (near[0] !== undefined) return near[0].part;
+    }
+    return home.part.label;
+  }
+
+  /** Answers to a peer's question, one for each part hosted here. */
+  estimates(spec: JobSpec, zone: string | null, tasks: number): Estimate[] {
+    if (!this.node.ownership.valid) return [];
+    const now = this.node.clock.now();
+    return [...this.node.hosted.values()].map(({ part }) => {
+      const run = part.expectedRun(spec);
+      const wait = part.waitFor({ spec, zone, count: tasks, run }, now);
+      return {
+        part: part.label,
+        wait,
+        turnaround: turnaround(wait, part.fetchFor(spec, zone), run),
+        utilisation: part.utilisation,
+      };
+    });
+  }
+
+  /**
+   * Chunks that wait and have nothing running are asked for once more. DESIGN lets queued jobs stay
+   * put; but room comes and goes with the machines here, and a job would wait beside an idle peer.
+   */
+  review(): void {
+    const { node } = this;
+    if (!node.ownership.valid || !node.tuning.migrate) return;
+    const now = node.clock.now();
+    for (const host of node.hosted.values()) {
+      let started = 0;
+      for (const chunk of host.part.chunks.values()) {
+        const pause = this.threshold(chunk.spec);
+        if (chunk.blockedSince === null || now - chunk.blockedSince < pause) continue;
+        if (chunk.entries.size > 0 || chunk.flushing || chunk.stamp === 0) continue;
+        if (chunk.cancelled || now - chunk.askedAt < Math.max(pause, node.settings.report))
+          continue;
+        if (this.asking.has(chunk)) continue;
+        chunk.askedAt = now;
+        void this.sendOn(host, chunk);
+        // A few at a time: many senders reading the same answers would flood one idle peer.
+        if (++started >= 2) break;
+      }
+    }
+  }
+
+  private async sendOn(host: Hosted, chunk: Chunk): Promise<void> {
+    const { node } = this;
+    this.asking.add(chunk);
+    try {
+      const zone = chunk.zone ?? chunk.spec.zone;
+      const part = await this.choose(host, chunk.spec, zone, chunk.pending, chunk);
+      if (part === host.part.label || !host.alive || chunk.dropped) return;
+      if (chunk.entries.size > 0 || chunk.flushing || chunk.cancelled) return;
+      log.info(`sending ${chunk.id} from ${host.part.label} to ${part}`);
+      await node.commits.move(host, chunk, part);
+    } catch (error) {
+      log.debug(`sending ${chunk.id}: ${describe(error)}`);
+    } finally {
+      this.asking.delete(chunk);
+    }
+  }
+}
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -10,7 +10,6 @@
   type JobStatus,
   type JobView,
 } from '../protocol/job.js';
-import type { Estimate } from '../protocol/peer.js';
 import { keys, type ChunkRecord, type JobRecord } from '../storage/records.js';
 import type { Txn } from '../protocol/state.js';
 import type { Reply } from '../transport/httpServer.js';
@@ -18,7 +17,6 @@
 import { chunkRanges, chunkSize, mayCut, zonesFor, type Range } from './chunks.js';
 import type { Controller } from './controller.js';
 import type { HomeJob, Hosted } from './hosted.js';
-import { choosePart, turnaround } from './migration.js';
 import { allows, holds } from './placement.js';
 import { limitOf } from './quotas.js';
 import { reasonFor } from './reasons.js';
@@ -140,7 +138,12 @@
     const first: { range: Range; part: string; chunk: Chunk }[] = [];
     for (const range of ranges.slice(0, Math.max(2, most))) {
       if (!mayCut(record, first.length)) break;
-      const part = await this.choose(home, spec, range);
+      const part = await node.sender.choose(
+        home,
+        spec,
+        range.zone ?? spec.zone,
+        range.to - range.from,
+      );
       const { label } = home.part;
       const { from, to, zone } = range;
       const chunk = new Chunk(spec, first.length, label, record.at, from, to, zone, now);
@@ -151,64 +154,6 @@
     return this.storeJob(home, record, first);
   }
 
-  /**
-   * Where a chunk goes: home while the wait there is short, or within the factor of the best; else
-   * the peer with the smallest turnaround (DESIGN). A chunk held to a zone starts from a part there.
-   */
-  private async choose(home: Hosted, spec: JobSpec, range: Range): Promise<string> {
-    const { node } = this;
-    const { tuning } = node;
-    const count = range.to - range.from;
-    const zone = range.zone ?? spec.zone;
-    const item = { spec, zone, count, run: home.part.expectedRun(spec) };
-    const now = node.clock.now();
-    const wait = home.part.waitFor(item, now);
-    // A live service's users wait for a second or so, not for ten: the objective says how long.
-    const promised = node.settings.objectives
-      .filter((o) => o.kind === 'wait' && o.jobClass === spec.jobClass)
-      .map((o) => o.within);
-    const threshold = Math.min(tuning.threshold, ...promised);
-    const fetch = home.part.fetchFor(spec, zone);
-    if (Math.max(wait, spec.service ? fetch : 0) < threshold || !tuning.migrate) {
-      return home.part.label;
-    }
-    const run = home.part.expectedRun(spec);
-    const estimate: Estimate = {
-      part: home.part.label,
-      wait,
-      turnaround: turnaround(wait, fetch, run),
-      utilisation: home.part.utilisation,
-    };
-    const answers = await node.peers.ask(spec, zone, count, tuning.peerTimeout);
-    const others = this.localEstimates(spec, zone, count).filter((e) => e.part !== estimate.part);
-    const part = choosePart(estimate, [...answers, ...others], tuning);
-    const known = node.replica.get(keys.owner(part)) !== undefined;
-    if (part !== home.part.label && known) return part;
-    // Nobody has such machines yet: a part in the zone is the one that they will be rented for.
-    if (zone !== null && !Number.isFinite(wait) && node.zoneOf.get(home.part.label) !== zone) {
-      const near = answers.filter((a) => node.zoneOf.get(a.part) === zone);
-      near.sort((a, b) => a.utilisation - b.utilisation);
-      if (near[0] !== undefined) return near[0].part;
-    }
-    return home.part.label;
-  }
-
-  /** Answers to a peer's question, one for each part hosted here. */
-  localEstimates(spec: JobSpec, zone: string | null, tasks: number): Estimate[] {
-    if (!this.node.ownership.valid) return [];
-    const now = this.node.clock.now();
-    return [...this.node.hosted.values()].map(({ part }) => {
-      const run = part.expectedRun(spec);
-      const wait = part.waitFor({ spec, zone, count: tasks, run }, now);
-      return {
-        part: part.label,
-        wait,
-        turnaround: turnaround(wait, part.fetchFor(spec, zone), run),
-        utilisation: part.utilisation,
-      };
-    });
-  }
-
   /** Stores the job with its first chunks, placements included, in one transaction. */
   private async storeJob(
     home: Hosted,
@@ -225,7 +170,7 @@
       if (host === undefined) continue;
       chunk.moves = 0;
       chunk.flushing = true;
-      host.part.addChunk(chunk);
+      host.part.addChunk(chunk, now);
       host.part.decide(now, () => false);
     }
     const deadline = now + 4;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -170,7 +170,7 @@
   sample: 8,
   roundBudget: 0.02,
   migrate: true,
-  idleRatio: 0.5,
+  idleRatio: 1,
 };
 
 const tuningKeys: Record<string, keyof Tuning> = {
