--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -214,7 +214,7 @@
         removes: [from],
       });
       if (result.kind === 'applied') {
-        host.part.dropChunk(chunk);
+        host.part.sendAway(chunk, this.clock.now());
         this.replica.noteRemoved(from, result.stamp);
         this.replica.note(key, value, result.stamp);
       }
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -42,8 +42,6 @@
   types = new Map<string, MachineType>();
   /** Which node's zone each part is in. */
   readonly zoneOf = new Map<string, string>();
-  /** Parts lost lately that may still have workers to answer: their token and until when. */
-  readonly graces = new Map<string, { token: number; until: number }>();
   readonly sender: Sender;
   private readonly quotas: Quotas;
   private readonly provisioner: Provisioner;
@@ -281,7 +279,7 @@
       const job = this.replica.get(keys.job(chunk.spec.id))?.value as JobRecord | undefined;
       if (job?.state === 'cancelled') part.cancel(chunk, now);
     }
-    this.graces.delete(label);
+    part.seedArrivals(now);
     this.hosted.set(label, host);
     this.kick();
   }
@@ -425,7 +423,6 @@
 
   private sweep(): void {
     const now = this.clock.now();
-    for (const [part, grace] of this.graces) if (grace.until < now) this.graces.delete(part);
     if (!this.ownership.valid) return;
     for (const host of this.hosted.values()) {
       host.part.sweep(now);
@@ -506,7 +503,10 @@
           // After a takeover every worker first has to find us.
           const watched = now - machine.created;
           const { report } = this.settings;
-          if (age > boot * 1.6 + report * 2 && watched > report * 5) lost.push(machine.name);
+          // A machine that has tasks was up once: it is settled by its lease, not by its boot time.
+          const never = machine.entries.size === 0;
+          if (never && age > boot * 1.6 + report * 2 && watched > report * 5)
+            lost.push(machine.name);
           continue;
         }
         all++;
--- a/src/coordination/estimate.ts
+++ b/src/coordination/estimate.ts
@@ -47,12 +47,18 @@
     this.level += work;
   }
 
+  seed(cpus: number, now: number): void {
+    this.at = now;
+    this.since = now - this.window;
+    this.level = cpus * this.window * (1 - Math.exp(-1));
+  }
+
   rate(now: number): number {
     this.decay(now);
     if (this.since === null) return 0;
     // Before the window is full the average is over the time that has been seen.
     const seen = 1 - Math.exp(-Math.max(this.window / 4, now - this.since) / this.window);
-    return this.level / (this.window * seen);
+    return Math.max(0, this.level) / (this.window * seen);
   }
 
   private decay(now: number): void {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -285,9 +285,7 @@
 
   addChunk(chunk: Chunk, now: number): void {
     this.chunks.set(chunk.id, chunk);
-    if (!chunk.spec.service) {
-      this.arrivals.note(chunk.pending * chunk.spec.cpus * this.expectedRun(chunk.spec), now);
-    }
+    this.noteArrival(chunk, 1, now);
     if (chunk.complete) this.settled.add(chunk);
   }
 
@@ -318,6 +316,26 @@
     return chunk;
   }
 
+  private noteArrival(chunk: Chunk, sign: number, now: number): void {
+    if (chunk.spec.service) return;
+    this.arrivals.note(sign * chunk.pending * chunk.spec.cpus * this.expectedRun(chunk.spec), now);
+  }
+
+  /** It goes to another part, and so does the work that had arrived with it. */
+  sendAway(chunk: Chunk, now: number): void {
+    this.noteArrival(chunk, -1, now);
+    this.dropChunk(chunk);
+  }
+
+  /** After a start the rate of arrivals is not known: what runs is the best guess. */
+  seedArrivals(now: number): void {
+    let cpus = 0;
+    for (const chunk of this.chunks.values()) {
+      if (!chunk.spec.service) cpus += chunk.entries.size * chunk.spec.cpus;
+    }
+    this.arrivals.seed(cpus, now);
+  }
+
   dropChunk(chunk: Chunk): void {
     chunk.dropped = true;
     this.chunks.delete(chunk.id);
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -199,11 +199,8 @@
     this.holdOff.set(plan.part, now + this.node.settings.report);
     try {
       const when = [owner, { key, stamp: 0 }];
-      const result = await this.node.state.txn({
-        when,
-        puts: [{ key, value: record }],
-        removes: [],
-      });
+      const txn = { when, puts: [{ key, value: record }], removes: [] };
+      const result = await this.node.state.txn(txn, true);
       if (result.kind === 'applied') this.node.replica.note(key, record, result.stamp);
     } finally {
       this.renting.delete(ask);
