--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,15 +1,24 @@
 import js from '@eslint/js';
 import ts from 'typescript-eslint';
-import imports from 'eslint-plugin-import-x';
 
 // The layers, top first. A file may import from its own layer and those below it.
 const layers = ['coordination', 'storage', 'protocol', 'transport', 'base'];
-const upward = layers.flatMap((layer, depth) =>
-  layers
-    .slice(0, depth)
-    .concat('main.ts', 'cli.ts')
-    .map((higher) => ({ target: `./src/${layer}`, from: `./src/${higher}` })),
-);
+const downwardsOnly = layers.map((layer, depth) => ({
+  files: [`src/${layer}/**/*.ts`],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: [
+          {
+            group: [...layers.slice(0, depth).map((l) => `**/${l}/**`), '../main.js', '../cli.js'],
+            message: 'Imports go downwards only.',
+          },
+        ],
+      },
+    ],
+  },
+}));
 
 // Wire names of PROTOCOL stay inside src/protocol; elsewhere the field's own terms are used.
 const wireNames = ['Drone', 'Drones', 'Baton', 'Shift', 'Try', 'Tick', 'Loaners', 'Yard'];
@@ -20,13 +29,12 @@
   js.configs.recommended,
   ...ts.configs.strict,
   {
-    plugins: { 'import-x': imports },
     rules: {
-      'import-x/no-restricted-paths': ['error', { zones: upward }],
       '@typescript-eslint/no-explicit-any': 'error',
       eqeqeq: 'error',
     },
   },
+  ...downwardsOnly,
   {
     files: ['src/{base,transport,storage,coordination}/**/*.ts'],
     rules: {
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -46,6 +46,7 @@
   private readonly quotas: Quotas;
   private readonly provisioner: Provisioner;
   private kicked = false;
+  private stopped = false;
   private lastGossip = -Infinity;
 
   constructor(
@@ -152,8 +153,19 @@
     });
   }
 
+  /** Ends all loops; what is stored is enough to go on from. */
+  stop(): void {
+    this.stopped = true;
+    this.ownership.stop();
+    this.replica.stop();
+    this.provisioner.stop();
+    for (const host of this.hosted.values()) host.alive = false;
+    this.hosted.clear();
+    this.peers.close();
+  }
+
   private async every(seconds: number, work: () => void): Promise<void> {
-    for (;;) {
+    while (!this.stopped) {
       try {
         work();
       } catch (error) {
@@ -164,7 +176,7 @@
   }
 
   private async refreshTypes(): Promise<void> {
-    for (;;) {
+    while (!this.stopped) {
       try {
         const { cloudEndpoint } = this.settings;
         const answer = await this.http.call(cloudEndpoint, 'GET', cloudPaths.types, undefined, 4);
@@ -188,6 +200,7 @@
   }
 
   private round(): void {
+    if (this.stopped) return;
     if (this.ownership.valid) {
       const now = this.clock.now();
       const deadline = now + this.tuning.roundBudget;
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -40,6 +40,10 @@
     return [...this.peers.keys()];
   }
 
+  close(): void {
+    for (const peer of this.peers.values()) peer.client.close();
+  }
+
   note(gossip: Gossip): void {
     const peer = this.peers.get(gossip.from);
     if (peer === undefined) return;
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -11,6 +11,7 @@
 
 export class Provisioner {
   private active = false;
+  private stopped = false;
   private sequence = 0;
   private readonly budget: Budget;
   private readonly refusals = new Map<string, { until: number; pause: number }>();
@@ -43,8 +44,12 @@
     this.active = false;
   }
 
+  stop(): void {
+    this.stopped = true;
+  }
+
   async run(): Promise<void> {
-    for (;;) {
+    while (!this.stopped) {
       try {
         if (this.active && this.node.ownership.valid && this.node.types.size > 0) this.step();
       } catch (error) {
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -49,6 +49,7 @@
 export class HttpServer {
   private readonly server: net.Server;
   private inFlight = 0;
+  private readonly sockets = new Set<net.Socket>();
 
   constructor(
     private readonly handler: Handler,
@@ -72,12 +73,15 @@
 
   close(): void {
     this.server.close();
+    for (const socket of this.sockets) socket.destroy();
   }
 
   private serve(socket: net.Socket): void {
     const parser = new HttpParser('request', this.options.bodyLimit);
     const waiting: HttpMessage[] = [];
     let busy = false;
+    this.sockets.add(socket);
+    socket.on('close', () => this.sockets.delete(socket));
     let closing = false;
     socket.on('error', () => socket.destroy());
     socket.setTimeout(this.options.requestTimeout * 1000, () => {
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -44,10 +44,13 @@
 
 export class PeerServer {
   private readonly server: net.Server;
+  private readonly sockets = new Set<net.Socket>();
 
   constructor(handler: PeerHandler) {
     this.server = net.createServer({ noDelay: true }, (socket) => {
       const reader = new FrameReader();
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
       socket.on('error', () => socket.destroy());
       socket.on('data', (data) => {
         const sound = reader.push(data, (id, kind, body) => {
@@ -76,6 +79,7 @@
 
   close(): void {
     this.server.close();
+    for (const socket of this.sockets) socket.destroy();
   }
 }
 
@@ -121,6 +125,10 @@
     });
   }
 
+  close(): void {
+    if (this.socket !== null) this.drop(this.socket);
+  }
+
   private connection(): net.Socket | null {
     if (this.socket !== null) return this.socket;
     const address = parseAddress(this.endpoint);
--- /dev/null
+++ b/test/cluster.test.ts
@@ -0,0 +1,123 @@
+/** Whole controllers on stand-ins: what users see. Each case waits for an outcome. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { submission, until } from './support/cluster.js';
+import { accept, service, status, withCluster, type Answer } from './support/users.js';
+
+const forever = (): number => Infinity;
+const brief = (): number => 0.3;
+
+test('a job runs to done, and every node says so', () =>
+  withCluster({ nodes: 3, runs: brief }, async (cluster) => {
+    const first = await cluster.call('drone-0', 'POST', '/v1/jobs', submission('wk-000001'));
+    assert.equal(first.status, 201);
+    const again = await cluster.call('drone-1', 'POST', '/v1/jobs', submission('wk-000001'));
+    assert.equal(again.status, 200);
+    for (const label of cluster.nodes.keys()) {
+      await until(`${label} says done`, async () => {
+        return (await status(cluster, label, 'wk-000001')).Status === 'done';
+      });
+    }
+    assert.deepEqual(
+      [...cluster.cloud.starts].sort(),
+      [0, 1, 2].map((n) => `wk-000001/${n}`),
+    );
+    const unknown = await cluster.call('drone-2', 'GET', '/v1/jobs/wk-999999');
+    assert.equal(unknown.status, 404);
+  }));
+
+test('a cancelled job stays cancelled at every node, and its tasks go', () =>
+  withCluster({ nodes: 2, runs: forever }, async (cluster) => {
+    await accept(cluster, 'drone-0', submission('wk-000002', service));
+    await until('it runs', async () => {
+      return (await status(cluster, 'drone-0', 'wk-000002')).running === 2;
+    });
+    const answer = await cluster.call('drone-1', 'POST', '/v1/jobs/wk-000002/withdraw');
+    assert.equal(answer.status, 200);
+    assert.equal((answer.body as Answer).Status, 'cancelled');
+    for (const label of cluster.nodes.keys()) {
+      assert.equal((await status(cluster, label, 'wk-000002')).Status, 'cancelled');
+    }
+    await until('no task is left', () =>
+      [...cluster.cloud.workers.values()].every((w) => w.tasks.length === 0),
+    );
+    const retry = await cluster.call(
+      'drone-1',
+      'POST',
+      '/v1/jobs',
+      submission('wk-000002', service),
+    );
+    assert.deepEqual([retry.status, (retry.body as Answer).Status], [200, 'cancelled']);
+  }));
+
+test('a node that the state service refuses passes users on to one that is served', () =>
+  withCluster({ nodes: 2, runs: brief }, async (cluster) => {
+    cluster.state.refused.add('drone-1');
+    await accept(cluster, 'drone-1', submission('wk-000031'));
+    await until('done at the refused node', async () => {
+      return (await status(cluster, 'drone-1', 'wk-000031')).Status === 'done';
+    });
+  }));
+
+test('tasks of a hanging machine start elsewhere only once they are over there', () =>
+  withCluster({ nodes: 2, runs: forever }, async (cluster) => {
+    await accept(cluster, 'drone-0', submission('wk-000041', { ...service, Pieces: 1 }));
+    const on = (): string | undefined =>
+      [...cluster.cloud.workers.values()].find((w) => w.tasks.includes('wk-000041/0'))?.name;
+    await until('it runs', () => on() !== undefined);
+    const first = on() ?? '';
+    const worker = cluster.cloud.workers.get(first);
+    if (worker !== undefined) worker.hanging = true;
+    await until('it runs on another machine', () => on() !== undefined && on() !== first);
+    assert.ok(cluster.cloud.released.includes(first), 'the silent machine was not ended first');
+  }));
+
+test('a team limit holds across parts', () => {
+  const teams = '[[settings.teams]]\nname = "crew"\ncpus_max = 4.0';
+  return withCluster({ nodes: 3, runs: brief, teams }, async (cluster) => {
+    let most = 0;
+    const watch = setInterval(() => {
+      let cpus = 0;
+      for (const worker of cluster.cloud.workers.values()) cpus += worker.tasks.length * 2;
+      most = Math.max(most, cpus);
+    }, 5);
+    for (const [i, label] of [...cluster.nodes.keys()].entries()) {
+      await accept(cluster, label, submission(`wk-00005${i}`));
+    }
+    await until('all are done', async () => {
+      for (const i of [0, 1, 2]) {
+        if ((await status(cluster, 'drone-0', `wk-00005${i}`)).Status !== 'done') return false;
+      }
+      return true;
+    });
+    clearInterval(watch);
+    assert.ok(most <= 4, `${most} processors were in use`);
+    const tooLarge = submission('wk-000059', { ...service, Pieces: 3 });
+    assert.equal((await cluster.call('drone-0', 'POST', '/v1/jobs', tooLarge)).status, 422);
+  });
+});
+
+test('a waiting job says why', () =>
+  withCluster({ nodes: 1, runs: forever }, async (cluster) => {
+    cluster.cloud.capacity = 0;
+    await accept(cluster, 'drone-0', submission('wk-000061'));
+    const { Reason } = await status(cluster, 'drone-0', 'wk-000061');
+    assert.match(Reason ?? '', /3 task\(s\) of 2 CPUs and 4 GB wait for a machine/);
+    assert.match(Reason ?? '', /Nothing is ahead of it/);
+  }));
+
+test('a job whose storing got no answer is accepted once, also when it is applied late', () =>
+  withCluster({ nodes: 1, runs: brief }, async (cluster) => {
+    const isJob = (body: { Then?: { Put?: string }[] }): boolean =>
+      (body.Then ?? []).some((op) => op.Put === 'b/job/wk-000071');
+    let kept = 0;
+    cluster.state.swallow = (body) => isJob(body) && kept++ === 0;
+    await accept(cluster, 'drone-0', submission('wk-000071'));
+    for (const body of cluster.state.late) {
+      assert.equal(cluster.state.apply(body).status, 409, 'the late copy was applied too');
+    }
+    await until('done', async () => {
+      return (await status(cluster, 'drone-0', 'wk-000071')).Status === 'done';
+    });
+    assert.equal(cluster.cloud.starts.length, 3);
+  }));
--- /dev/null
+++ b/test/http.test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import { test } from 'node:test';
+import { HttpClient } from '../src/transport/httpClient.js';
+import { HttpError, HttpParser } from '../src/transport/httpParser.js';
+import { HttpServer } from '../src/transport/httpServer.js';
+
+const post = 'POST /v1/jobs HTTP/1.1\r\nHost: x\r\n';
+const good: { name: string; input: string; bodies: string[]; keepAlive?: boolean }[] = [
+  { name: 'no body', input: 'GET /a HTTP/1.1\r\n\r\n', bodies: [''], keepAlive: true },
+  { name: 'a length', input: `${post}Content-Length: 5\r\n\r\nhello`, bodies: ['hello'] },
+  { name: 'length 0', input: `${post}content-length: 0\r\n\r\n`, bodies: [''] },
+  {
+    name: 'chunks',
+    input: `${post}Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nT: 1\r\n\r\n`,
+    bodies: ['hello'],
+  },
+  {
+    name: 'one after the other',
+    input: `${post}Content-Length: 1\r\n\r\naGET /b HTTP/1.1\r\nConnection: close\r\n\r\n`,
+    bodies: ['a', ''],
+    keepAlive: false,
+  },
+  { name: 'HTTP/1.0', input: 'GET / HTTP/1.0\r\n\r\n', bodies: [''], keepAlive: false },
+  { name: 'a blank line first', input: '\r\nGET / HTTP/1.1\r\n\r\n', bodies: [''] },
+];
+
+test('the parser reads requests however they are split', () => {
+  for (const { name, input, bodies, keepAlive } of good) {
+    for (const step of [1, 2, 7, input.length]) {
+      const parser = new HttpParser('request', 100);
+      const messages = [];
+      for (let at = 0; at < input.length; at += step) {
+        messages.push(...parser.push(Buffer.from(input.slice(at, at + step))));
+      }
+      assert.deepEqual(
+        messages.map((m) => m.body),
+        bodies,
+        `${name}, in steps of ${step}`,
+      );
+      if (keepAlive !== undefined) assert.equal(messages.at(-1)?.keepAlive, keepAlive, name);
+      assert.ok(parser.idle, name);
+    }
+  }
+});
+
+const bad: [string, string, number][] = [
+  ['no request line', 'hello\r\n\r\n', 400],
+  ['a bad version', 'GET / HTTP/2.0\r\n\r\n', 400],
+  ['a header without a colon', 'GET / HTTP/1.1\r\nnonsense\r\n\r\n', 400],
+  ['a space in a header name', 'GET / HTTP/1.1\r\nA b: c\r\n\r\n', 400],
+  ['a bad length', `${post}Content-Length: -1\r\n\r\n`, 400],
+  ['two lengths', `${post}Content-Length: 1\r\nContent-Length: 2\r\n\r\n`, 400],
+  ['length and chunks', `${post}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n`, 400],
+  ['another coding', `${post}Transfer-Encoding: gzip\r\n\r\n`, 400],
+  ['a bad chunk size', `${post}Transfer-Encoding: chunked\r\n\r\nxyz\r\n`, 400],
+  ['a body over the limit', `${post}Content-Length: 101\r\n\r\n`, 413],
+  ['chunks over the limit', `${post}Transfer-Encoding: chunked\r\n\r\nfff\r\n`, 413],
+  ['a huge header', `GET / HTTP/1.1\r\nA: ${'x'.repeat(20000)}`, 431],
+];
+
+test('the parser refuses malformed and oversized input', () => {
+  for (const [name, input, status] of bad) {
+    const parser = new HttpParser('request', 100);
+    assert.throws(
+      () => parser.push(Buffer.from(input)),
+      (error) => error instanceof HttpError && error.status === status,
+      name,
+    );
+  }
+});
+
+test('a response without a length ends with its connection', () => {
+  const parser = new HttpParser('response', 100);
+  assert.deepEqual(parser.push(Buffer.from('HTTP/1.1 200 OK\r\n\r\nab')), []);
+  assert.equal(parser.end()?.body, 'ab');
+});
+
+async function exchange(port: number, text: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const socket = net.connect(port, '127.0.0.1');
+    let seen = '';
+    socket.on('data', (data) => (seen += data.toString()));
+    socket.on('close', () => {
+      resolve(seen);
+    });
+    socket.on('error', reject);
+    socket.write(text);
+  });
+}
+
+test('the server answers, keeps connections, closes when asked and survives bad input', async () => {
+  const server = new HttpServer(
+    (request) => {
+      if (request.target === '/fail') throw new Error('broken');
+      return Promise.resolve({ status: 200, body: { got: request.body } });
+    },
+    { bodyLimit: 10, maxConnections: 10, maxInFlight: 5, requestTimeout: 5 },
+  );
+  const port = await server.listen({ host: '127.0.0.1', port: 0 });
+  try {
+    const two = await exchange(
+      port,
+      'POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\naGET / HTTP/1.1\r\nConnection: close\r\n\r\n',
+    );
+    assert.match(two, /"got":"a"[^]*"got":""/);
+    assert.equal(two.match(/Connection: close/g)?.length, 1);
+    assert.match(await exchange(port, 'rubbish\r\n\r\n'), /^HTTP\/1.1 400 /);
+    const large = 'POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n';
+    assert.match(await exchange(port, large), /^HTTP\/1.1 413 /);
+    const failed = await exchange(port, 'GET /fail HTTP/1.1\r\nConnection: close\r\n\r\n');
+    assert.match(failed, /^HTTP\/1.1 503 [^]*Retry-After: 1/);
+    const client = new HttpClient(2, 1);
+    for (const body of ['x', 'y']) {
+      const answer = await client.call(`127.0.0.1:${port}`, 'POST', '/', body, 5);
+      assert.deepEqual(answer.body, { got: JSON.stringify(body) });
+    }
+  } finally {
+    server.close();
+  }
+});
+
+test('the client tells what was never sent from what may have been carried out', async () => {
+  const silent = net.createServer((socket) => socket.resume());
+  await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve));
+  const { port } = silent.address() as net.AddressInfo;
+  const client = new HttpClient(2, 1);
+  await assert.rejects(client.call(`127.0.0.1:${port}`, 'GET', '/', undefined, 0.1), {
+    unsent: false,
+  });
+  await new Promise((resolve) => silent.close(resolve));
+  await assert.rejects(client.call(`127.0.0.1:${port}`, 'GET', '/', undefined, 5), {
+    unsent: true,
+  });
+});
--- /dev/null
+++ b/test/part.test.ts
@@ -0,0 +1,366 @@
+/** A part's book-keeping: stale reports, sessions, starts in doubt, failures, preemption. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { seededRandom } from '../src/base/random.js';
+import { Chunk } from '../src/coordination/chunk.js';
+import { RunTimes } from '../src/coordination/estimate.js';
+import type { Machine } from '../src/coordination/machine.js';
+import { Part } from '../src/coordination/part.js';
+import type { MachineType } from '../src/protocol/cloud.js';
+import type { JobSpec } from '../src/protocol/job.js';
+import type { Report, TaskReport } from '../src/protocol/worker.js';
+import { spec } from './support/spec.js';
+
+const TOKEN = 5;
+const m8: MachineType = {
+  name: 'm8',
+  cpus: 8,
+  gpus: 0,
+  memory: 32,
+  fetchRate: 1,
+  cache: 10,
+  price: 1,
+  spotPrice: 0.4,
+  boot: 30,
+  zones: ['a'],
+};
+
+class Bench {
+  now = 100;
+  tick = 0;
+  session = 1;
+  readonly part = new Part(
+    'p',
+    { lease: 18, report: 3, sample: 8, zones: ['a'], patience: 30, headroom: 1.2, window: 100 },
+    () => new Map([['m8', m8]]),
+    new RunTimes(),
+    seededRandom(1),
+  );
+
+  machine(name = 'n-1', report = true): Machine {
+    const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0 };
+    const machine = this.part.addMachine(name, record, this.now);
+    if (report) this.report(machine, []);
+    return machine;
+  }
+
+  report(machine: Machine, tasks: Partial<TaskReport>[], changes: Partial<Report> = {}): boolean {
+    const full = tasks.map((t) => ({
+      task: 'wk-1/0',
+      attempt: 1,
+      state: 'running' as const,
+      cause: null,
+      saved: false,
+      ...t,
+    }));
+    const report: Report = {
+      machine: machine.name,
+      address: '127.0.0.1:1',
+      type: 'm8',
+      zone: 'a',
+      spot: false,
+      session: this.session,
+      tick: ++this.tick,
+      token: TOKEN,
+      warning: null,
+      tasks: full,
+      ...changes,
+    };
+    return this.part.apply(machine, report, this.now, true);
+  }
+
+  chunk(changes: Partial<JobSpec> = {}): Chunk {
+    const s = spec({ tasks: 1, ...changes });
+    const chunk = new Chunk(s, 0, 'p', this.now, 0, s.tasks, null, this.now);
+    chunk.stamp = 1;
+    this.part.addChunk(chunk, this.now);
+    return chunk;
+  }
+
+  decide(): void {
+    this.part.decide(this.now, () => false);
+  }
+
+  /** As if every change had been stored. */
+  store(...chunks: Chunk[]): void {
+    for (const chunk of chunks) chunk.stored = chunk.version;
+  }
+
+  verbs(machine: Machine): string[] {
+    return machine.orders(true, this.now, 4).map((o) => `${o.verb} ${o.task} ${o.attempt}`);
+  }
+}
+
+test('a start goes out only after its placement is stored, and only while it may', () => {
+  const b = new Bench();
+  const machine = b.machine();
+  const chunk = b.chunk();
+  b.decide();
+  assert.deepEqual(b.verbs(machine), []);
+  b.store(chunk);
+  assert.deepEqual(machine.orders(false, b.now, 4), []);
+  assert.deepEqual(b.verbs(machine), ['start wk-1/0 1']);
+});
+
+test('done is stored before it is reaped', () => {
+  const b = new Bench();
+  const machine = b.machine();
+  const chunk = b.chunk();
+  b.decide();
+  b.store(chunk);
+  b.report(machine, [{}]);
+  b.report(machine, [{ state: 'ended', cause: 'done' }]);
+  assert.ok(chunk.complete);
+  assert.deepEqual(b.verbs(machine), []);
+  b.store(chunk);
+  assert.deepEqual(b.verbs(machine), ['reap wk-1/0 1']);
+});
+
+test('older reports change nothing', () => {
+  const b = new Bench();
+  const machine = b.machine();
+  const chunk = b.chunk();
+  b.decide();
+  b.store(chunk);
+  b.report(machine, [{}], { tick: 50 });
+  assert.equal(b.report(machine, [], { tick: 49 }), false);
+  assert.equal(b.report(machine, [], { tick: 90, session: 0 }), false);
+  assert.equal(chunk.entries.size, 1);
+});
+
+const ends: {
+  name: string;
+  seen: boolean;
+  doubt: number | null;
+  report: Partial<Report>;
+  over: boolean;
+}[] = [
+  { name: 'seen, now absent', seen: true, doubt: null, report: {}, over: true },
+  {
+    name: 'never seen, nothing in doubt: still wanted',
+    seen: false,
+    doubt: null,
+    report: {},
+    over: false,
+  },
+  {
+    name: 'seen, absent, but a copy of the start is in doubt',
+    seen: true,
+    doubt: TOKEN,
+    report: {},
+    over: false,
+  },
+  {
+    name: 'the worker has shown a higher token',
+    seen: true,
+    doubt: TOKEN,
+    report: { token: TOKEN + 1 },
+    over: true,
+  },
+  {
+    name: 'a new session ends everything',
+    seen: false,
+    doubt: TOKEN,
+    report: { session: 2 },
+    over: true,
+  },
+];
+
+for (const { name, seen, doubt, report, over } of ends) {
+  test(`whether an attempt is over: ${name}`, () => {
+    const b = new Bench();
+    const machine = b.machine();
+    const chunk = b.chunk();
+    b.decide();
+    b.store(chunk);
+    if (seen) b.report(machine, [{}]);
+    const entry = chunk.entries.get(0);
+    assert.ok(entry);
+    entry.doubt = doubt;
+    b.report(machine, [], report);
+    assert.equal(chunk.entries.size, over ? 0 : 1);
+    if (over) {
+      b.decide();
+      assert.equal(chunk.entries.get(0)?.attempt, 2, 'attempts only rise');
+    }
+  });
+}
+
+test('a start in doubt is neither reaped nor given up when its job is cancelled', () => {
+  const b = new Bench();
+  const machine = b.machine();
+  const chunk = b.chunk();
+  b.decide();
+  b.store(chunk);
+  const entry = chunk.entries.get(0);
+  assert.ok(entry);
+  entry.doubt = TOKEN;
+  b.part.cancel(chunk, b.now);
+  b.report(machine, []);
+  assert.equal(chunk.entries.size, 1, 'it may still be carried out');
+  b.report(machine, [{}]);
+  assert.deepEqual(b.verbs(machine), ['halt wk-1/0 1']);
+  b.report(machine, [{ state: 'ended', cause: 'halted' }]);
+  assert.deepEqual(b.verbs(machine), [], 'a late copy of the start would run it once more');
+  b.report(machine, [{ state: 'ended', cause: 'halted' }], { token: TOKEN + 1 });
+  b.store(chunk);
+  assert.deepEqual(b.verbs(machine), ['reap wk-1/0 1']);
+});
+
+test('after a takeover, what the last owner started is settled by our token', () => {
+  const cases: [string, Partial<TaskReport>[], Partial<Report>, number][] = [
+    ['it runs: kept', [{}], { token: 3 }, 1],
+    ['absent, our token not seen: kept', [], { token: 3 }, 1],
+    ['absent after our token: started anew', [], { token: TOKEN }, 0],
+  ];
+  for (const [name, tasks, report, left] of cases) {
+    const b = new Bench();
+    const machine = b.machine('n-1', false);
+    const record = {
+      spec: spec({ tasks: 1 }),
+      home: 'p',
+      at: 1,
+      from: 0,
+      to: 1,
+      zone: null,
+      next: 2,
+      done: [],
+      entries: [{ task: 0, attempt: 1, machine: 'n-1', session: 1 }],
+      moves: 0,
+    };
+    const chunk = b.part.loadChunk(0, record, 9, TOKEN, b.now);
+    // The entry was stored before it was sent, but whether it was sent nobody knows.
+    b.report(machine, tasks, report);
+    const entry = chunk.entries.get(0);
+    if (left === 0 && entry !== undefined) {
+      assert.equal(entry.doubt, null, name);
+      assert.deepEqual(b.verbs(machine), ['start wk-1/0 1'], name);
+    } else assert.equal(chunk.entries.size, left, name);
+  }
+});
+
+test('a silent machine keeps its tasks until nobody can have renewed its lease', () => {
+  const b = new Bench();
+  const machine = b.machine();
+  const chunk = b.chunk();
+  b.decide();
+  b.store(chunk);
+  b.report(machine, [{}]);
+  machine.renewed = b.now;
+  b.part.sweep(b.now + 18);
+  assert.equal(chunk.entries.size, 1);
+  b.part.sweep(b.now + 20);
+  assert.equal(chunk.entries.size, 0);
+});
+
+test('a machine that is known to be gone frees its tasks at once', () => {
+  const b = new Bench();
+  b.machine();
+  const chunk = b.chunk();
+  b.decide();
+  b.part.removeMachine('n-1', b.now);
+  assert.equal(chunk.entries.size, 0);
+});
+
+test('a job that fails everywhere does not take the machines with it, nor a machine the jobs', () => {
+  const b = new Bench();
+  const machines = [1, 2, 3, 4].map((n) => b.machine(`n-${n}`));
+  const chunk = b.chunk();
+  for (let i = 0; i < 3; i++) {
+    b.now += 100;
+    b.decide();
+    b.store(chunk);
+    const entry = chunk.entries.get(0);
+    assert.ok(entry, `try ${i}`);
+    const machine = b.part.machines.get(entry.machine);
+    assert.ok(machine);
+    b.report(machine, [{ attempt: entry.attempt, state: 'ended', cause: 'error' }]);
+  }
+  assert.equal(chunk.failedOn.size, 3, 'each try on another machine');
+  assert.ok(machines.every((m) => m.usable(b.now)));
+  assert.ok(chunk.notBefore > b.now, 'the job waits before its next try');
+
+  const c = new Bench();
+  const faulty = c.machine();
+  for (const id of ['wk-1', 'wk-2']) {
+    const failing = c.chunk({ id });
+    c.decide();
+    c.store(failing);
+    c.report(faulty, [{ task: `${id}/0`, state: 'ended', cause: 'error' }]);
+  }
+  assert.ok(!faulty.usable(c.now), 'two jobs failed on it');
+});
+
+test('rank before arrival; a live service stops batch work, batch work stops nothing', () => {
+  const b = new Bench();
+  const machine = b.machine();
+  const batch = b.chunk({ id: 'wk-1', cpus: 8 });
+  b.decide();
+  b.store(batch);
+  b.report(machine, [{}]);
+  b.now++;
+  const other = b.chunk({ id: 'wk-2', cpus: 8 });
+  b.decide();
+  assert.deepEqual(b.verbs(machine), []);
+  const live = b.chunk({ id: 'wk-3', rank: 'prod', service: true });
+  b.decide();
+  assert.deepEqual(b.verbs(machine), ['halt wk-1/0 1']);
+  b.report(machine, [{ state: 'ended', cause: 'halted' }]);
+  b.decide();
+  assert.equal(live.entries.size, 1);
+  assert.equal(other.entries.size + batch.entries.size, 0, 'no room beside the service');
+});
+
+test('later work fills in, but not on the machine kept for the first that waits', () => {
+  const b = new Bench();
+  const first = b.machine('n-1');
+  b.machine('n-2');
+  const running = b.chunk({ id: 'wk-1', cpus: 6, tasks: 2 });
+  b.decide();
+  b.store(running);
+  b.report(first, [{ task: 'wk-1/0', attempt: 1 }]);
+  b.now++;
+  const large = b.chunk({ id: 'wk-2', cpus: 8 });
+  b.now++;
+  const long = b.chunk({ id: 'wk-3', cpus: 2, tasks: 2, expect: 500 });
+  b.decide();
+  assert.equal(large.entries.size, 0);
+  assert.equal(long.entries.size, 1, 'one of two: the other machine is kept');
+});
+
+test('a round that runs out of time goes on where it stopped', () => {
+  const b = new Bench();
+  for (let n = 0; n < 4; n++) b.machine(`n-${n}`);
+  const chunks = [1, 2, 3].map((n) => b.chunk({ id: `wk-${n}` }));
+  let looks = 0;
+  b.part.decide(b.now, () => ++looks > 1);
+  assert.deepEqual(
+    chunks.map((c) => c.entries.size),
+    [1, 0, 0],
+  );
+  b.decide();
+  assert.deepEqual(
+    chunks.map((c) => c.entries.size),
+    [1, 1, 1],
+  );
+});
+
+test('a notice stops replicas and lets checkpoints be saved in time', () => {
+  const cases: [string, Partial<JobSpec>, number, string[]][] = [
+    ['a replica moves at once', { service: true, rank: 'prod' }, 60, ['halt wk-1/0 1']],
+    ['a checkpoint waits for the last moment', { checkpoint: 30, save: 4 }, 60, []],
+    ['and is saved then', { checkpoint: 30, save: 4 }, 9, ['halt wk-1/0 1']],
+    ['without one the task may still be done', {}, 9, []],
+  ];
+  for (const [name, changes, warning, orders] of cases) {
+    const b = new Bench();
+    const machine = b.machine();
+    const chunk = b.chunk(changes);
+    b.decide();
+    b.store(chunk);
+    b.report(machine, [{}]);
+    b.report(machine, [{}], { warning });
+    assert.deepEqual(b.verbs(machine), orders, name);
+    assert.ok(!machine.usable(b.now), name);
+  }
+});
--- /dev/null
+++ b/test/protocol.test.ts
@@ -0,0 +1,173 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseJob } from '../src/protocol/job.js';
+import { decodeAnswer, decodeRequest, encodeAnswer, encodeRequest } from '../src/protocol/peer.js';
+import { defaultTuning, parseSettings, parseTuning } from '../src/protocol/settings.js';
+import { parseReport } from '../src/protocol/worker.js';
+import { submission } from './support/cluster.js';
+
+const text = (changes: Record<string, unknown>): string =>
+  JSON.stringify(submission('wk-000001', changes));
+
+const jobs: [string, string, RegExp | null][] = [
+  ['complete', text({}), null],
+  ['an unknown field', text({ Colour: 'red' }), null],
+  ['the largest job', text({ Pieces: 100_000 }), null],
+  [
+    'optional fields left out',
+    text({ Flavours: undefined, Yard: undefined, DueS: undefined }),
+    null,
+  ],
+  ['a duplicate field: the last one counts', text({}).replace('{', '{"Pieces":"x",'), null],
+  ['not JSON', '{"Uid":', /not JSON/],
+  ['empty', '', /not JSON/],
+  ['not an object', '[]', /body|Uid/],
+  ['null', 'null', /body|Invalid/],
+  ['no id', text({ Uid: undefined }), /Uid/],
+  ['an id that would leave its key', text({ Uid: 'wk-1/../token' }), /Uid/],
+  ['another id form', text({ Uid: 'job-1' }), /Uid/],
+  ['no tasks', text({ Pieces: 0 }), /Pieces/],
+  ['too many tasks', text({ Pieces: 100_001 }), /Pieces/],
+  ['a broken count', text({ Pieces: 1.5 }), /Pieces/],
+  ['a count as text', text({ Pieces: '3' }), /Pieces/],
+  ['no processors', text({ Cores: 0 }), /Cores/],
+  ['negative memory', text({ MemoryGb: -1 }), /MemoryGb/],
+  ['an unknown shape', text({ Shape: 'ensemble' }), /Shape/],
+  ['an unknown rank', text({ Rank: 'vip' }), /Rank/],
+  ['a flag as text', text({ Apart: 'no' }), /Apart/],
+  ['types that are no list', text({ Flavours: 'm8' }), /Flavours/],
+  ['a missing flag', text({ Loaners: undefined }), /Loaners/],
+];
+
+test('submissions are checked field by field', () => {
+  for (const [name, body, error] of jobs) {
+    const parsed = parseJob(body);
+    if (error === null) assert.ok('job' in parsed, `${name}: ${JSON.stringify(parsed)}`);
+    else assert.match('error' in parsed ? parsed.error : 'accepted', error, name);
+  }
+});
+
+const settings = `
+label = "drone-0"
+site = "a"
+client_listen = "127.0.0.1:1"
+back = "127.0.0.1:2"
+unheard_of = 1
+[services]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[settings]
+zones = ["a"]
+[[settings.teams]]
+name = "crew"
+[settings.workers]
+report_s = 3.0
+lease_s = 18.0
+cancel_s = 43.0
+[settings.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 32.0
+txn_ops = 16
+[settings.cloud]
+rps = 8.0
+list_lag_s = 8.0
+[settings.limits]
+cores = 0.4
+ram_mb = 178.0
+fd_limit = 1800
+`;
+
+test('settings: unknown ones are ignored, bad ones are named', () => {
+  const parsed = parseSettings(settings);
+  assert.equal(parsed.lease, 18);
+  assert.deepEqual(parsed.teams[0], { name: 'crew', cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 });
+  const bad: [string, string, RegExp][] = [
+    ['lease_s = 18.0', 'lease_s = "long"', /settings\.workers\.lease_s/],
+    ['lease_s = 18.0', '', /settings\.workers\.lease_s/],
+    ['label = "drone-0"', 'label = ""', /label/],
+    ['back = "127.0.0.1:2"', 'back = "nowhere"', /back: not an address/],
+    ['zones = ["a"]', 'zones = []', /settings\.zones/],
+    ['label = "drone-0"', 'label = ', /not TOML/],
+  ];
+  for (const [from, to, message] of bad) {
+    assert.throws(() => parseSettings(settings.replace(from, to)), message, to);
+  }
+});
+
+test('properties: defaults, changes and errors', () => {
+  assert.deepEqual(parseTuning('# nothing\n'), defaultTuning);
+  const changed = parseTuning('migration.threshold = 20\nmigration.enabled: false\nother=1\n');
+  assert.deepEqual([changed.threshold, changed.migrate], [20, false]);
+  for (const line of ['migration.factor = much', 'placement.sample = 0', 'migration.enabled = 1']) {
+    assert.throws(() => parseTuning(line), /properties: /, line);
+  }
+});
+
+test('reports: what is no report gives null, unknown states still hold room', () => {
+  assert.equal(parseReport({ Drone: 'n-1' }), null);
+  assert.equal(parseReport(null), null);
+  const report = parseReport({
+    Drone: 'n-1',
+    Address: '127.0.0.1:9',
+    Flavour: 'm8',
+    Yard: 'a',
+    Loaners: false,
+    Shift: 1,
+    Tick: 2,
+    Baton: 3,
+    Pieces: [{ Piece: 'wk-1/0', Try: 1, Status: 'odd' }],
+  });
+  assert.equal(report?.tasks[0]?.state, 'running');
+  assert.equal(report?.warning, null);
+});
+
+test('what peers tell each other survives the way', () => {
+  const requests = [
+    { Ask: { spec: '{}', zone: null, tasks: 3 } },
+    { Ask: { spec: '{}', zone: 'a', tasks: 3 } },
+    { Relay: { method: 'GET', target: '/v1/jobs/wk-1', body: '' } },
+    {
+      Gossip: {
+        from: 'drone-1',
+        served: true,
+        hosts: [{ part: 'drone-1', token: 7, utilisation: 0.5, waiting: 2 }],
+        demands: [
+          {
+            part: 'drone-1',
+            cpus: 1,
+            gpus: 0,
+            memory: 2,
+            types: ['m8'],
+            zone: null,
+            spot: true,
+            rank: 'normal',
+            service: false,
+            image: 'i',
+            imageGb: 1,
+            count: 4,
+            run: 9,
+          },
+        ],
+        spare: ['n-1'],
+        lost: [],
+        hungry: ['crew'],
+      },
+    },
+  ];
+  for (const request of requests) {
+    assert.deepEqual(JSON.parse(JSON.stringify(decodeRequest(encodeRequest(request)))), request);
+  }
+  const answers = [
+    { Relayed: { status: 503, body: '{}', retryAfter: 2 } },
+    { Relayed: { status: 200, body: '{}', retryAfter: null } },
+    { Estimates: { of: [{ part: 'p', wait: Infinity, turnaround: 1, utilisation: 0 }] } },
+    { Noted: {} },
+  ];
+  for (const answer of answers) {
+    assert.deepEqual(
+      JSON.parse(JSON.stringify(decodeAnswer(encodeAnswer(answer)))),
+      JSON.parse(JSON.stringify(answer)),
+    );
+  }
+});
--- /dev/null
+++ b/test/scheduling.test.ts
@@ -0,0 +1,293 @@
+/** The pure parts of scheduling, with numbers worked out by hand. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { seededRandom } from '../src/base/random.js';
+import { chunkRanges, chunkSize, mayCut, zonesFor } from '../src/coordination/chunks.js';
+import { Arrivals, RunTimes } from '../src/coordination/estimate.js';
+import { choosePart, turnaround } from '../src/coordination/migration.js';
+import { allows, bestFit, sampleHosts, victimsFor } from '../src/coordination/placement.js';
+import { reshare } from '../src/coordination/quotas.js';
+import { mergePlans, planRentals } from '../src/coordination/renting.js';
+import { replay, type ReplayHost } from '../src/coordination/replay.js';
+import type { JobRecord } from '../src/storage/records.js';
+import { fromRanges, toRanges } from '../src/storage/records.js';
+import { spec } from './support/spec.js';
+
+const room = (cpus: number, memory = 64): { cpus: number; gpus: number; memory: number } => ({
+  cpus,
+  gpus: 0,
+  memory,
+});
+
+const host = (free: number, running: [number, number][] = [], ready = 0): ReplayHost => ({
+  type: 'm8',
+  zone: 'a',
+  spot: false,
+  free: room(free),
+  ready,
+  running: running.map(([ends, cpus]) => ({ ends, need: room(cpus, 0) })),
+});
+
+test('the wait comes from replaying the queue', () => {
+  const job = spec({ cpus: 4 });
+  const item = (count: number, run: number): Parameters<typeof replay>[2] => ({
+    spec: job,
+    zone: null,
+    count,
+    run,
+  });
+  const cases: [string, ReplayHost[], ReturnType<typeof item>[], number, number][] = [
+    ['room now', [host(8)], [], 2, 0],
+    ['the second task waits for the first of what runs', [host(4, [[7, 4]])], [], 2, 7],
+    ['behind one that waits: 7 s, then its 10 s', [host(0, [[7, 4]])], [item(1, 10)], 1, 17],
+    ['two machines, the earlier end counts', [host(0, [[9, 4]]), host(0, [[5, 4]])], [], 1, 5],
+    ['a machine that boots', [host(8, [], 30)], [], 1, 30],
+    ['its own tasks follow each other: 3 waves of 20 s', [host(4)], [], 3, 40],
+    ['too large for any machine', [host(2)], [], 1, Infinity],
+    ['no machines', [], [], 1, Infinity],
+  ];
+  for (const [name, hosts, queue, count, wait] of cases) {
+    assert.equal(replay(hosts, queue, item(count, 20)).wait, wait, name);
+  }
+});
+
+test('later work fills what earlier work leaves in the replay', () => {
+  const large = { spec: spec({ cpus: 8 }), zone: null, count: 1, run: 10 };
+  const small = { spec: spec({ cpus: 2 }), zone: null, count: 1, run: 1 };
+  assert.equal(replay([host(4, [[6, 4]])], [large], small).wait, 0);
+});
+
+test('turnaround and the factor gate, by the formula of the paper', () => {
+  // max(wait, fetch) + run; output transfer is nothing.
+  assert.equal(turnaround(12, 5, 30), 42);
+  assert.equal(turnaround(3, 5, 30), 35);
+  const at = (part: string, t: number, utilisation = 0.5): Parameters<typeof choosePart>[0] => ({
+    part,
+    wait: 0,
+    turnaround: t,
+    utilisation,
+  });
+  const options = { factor: 1.4, tolerance: 0.01 };
+  const cases: [string, number, ReturnType<typeof at>[], string][] = [
+    ['nobody answers', 100, [], 'home'],
+    ['42 is within 1.4 times 30', 42, [at('b', 30)], 'home'],
+    ['43 is not', 43, [at('b', 30)], 'b'],
+    ['the smallest wins', 100, [at('b', 40), at('c', 30)], 'c'],
+    [
+      '30.2 is within 1 % of 30: the less used wins',
+      100,
+      [at('b', 30, 0.9), at('c', 30.2, 0.1)],
+      'c',
+    ],
+    ['30.4 is not', 100, [at('b', 30, 0.9), at('c', 30.4, 0.1)], 'b'],
+    ['no part can hold it', Infinity, [at('b', Infinity)], 'home'],
+    ['home cannot hold it', Infinity, [at('b', 500)], 'b'],
+  ];
+  for (const [name, home, answers, part] of cases) {
+    assert.equal(choosePart(at('home', home), answers, options), part, name);
+  }
+});
+
+test('chunks cover all tasks once, and a spread job has at most half in a zone', () => {
+  for (const tasks of [1, 2, 3, 5, 9, 100]) {
+    for (const size of [1, 2, 3, 50, 200]) {
+      for (const zones of [[], ['a'], ['a', 'b']]) {
+        const ranges = chunkRanges(tasks, size, zones);
+        const seen = ranges.flatMap((r) =>
+          Array.from({ length: r.to - r.from }, (_, i) => r.from + i),
+        );
+        assert.deepEqual(seen, [...Array(tasks).keys()]);
+        assert.ok(ranges.every((r) => r.to - r.from <= size));
+        if (zones.length < 2) continue;
+        for (const zone of zones) {
+          const there = ranges.filter((r) => r.zone === zone);
+          const count = there.reduce((n, r) => n + r.to - r.from, 0);
+          assert.ok(count <= Math.ceil(tasks / 2), `${count} of ${tasks} in ${zone}`);
+        }
+      }
+    }
+  }
+});
+
+test('zones that jobs are held to', () => {
+  const cases: [Parameters<typeof spec>[0], string[], string[]][] = [
+    [{}, ['a', 'b'], []],
+    [{ spread: true }, ['b', 'a'], ['b', 'a']],
+    [{ oneZone: true }, ['b', 'a'], ['b']],
+    [{ spread: true, zone: 'a' }, ['b', 'a'], ['a', 'a']],
+    [{ spread: true, oneZone: true }, ['b', 'a'], ['b', 'b']],
+    [{ spread: true }, ['a'], ['a', 'a']],
+  ];
+  for (const [changes, byRoom, expected] of cases) {
+    assert.deepEqual(zonesFor(spec(changes), byRoom), expected, JSON.stringify(changes));
+  }
+});
+
+test('the second half of a spread job in one zone waits for the first', () => {
+  const record = (finished: number[]): JobRecord => ({
+    spec: spec({ tasks: 5, spread: true }),
+    home: 'p',
+    state: 'open',
+    tasks: 5,
+    at: 0,
+    size: 2,
+    zones: ['a', 'a'],
+    cut: 0,
+    finished,
+  });
+  // Halves of 3 and 2 tasks in chunks of 2: chunks 0 and 1 are the first half.
+  assert.deepEqual(
+    [0, 1, 2].map((k) => mayCut(record([0]), k)),
+    [true, true, false],
+  );
+  assert.ok(mayCut(record([0, 1]), 2));
+});
+
+test('chunks fit a part and a record', () => {
+  assert.equal(chunkSize(spec({ cpus: 4 }), 128, 32768), 32);
+  assert.equal(chunkSize(spec({ cpus: 1 }), 100_000, 16384), 136);
+  assert.equal(chunkSize(spec({ cpus: 4 }), 0, 32768), 8);
+});
+
+test('done tasks are kept as ranges', () => {
+  const ranges = toRanges([0, 1, 2, 5, 7, 8]);
+  assert.deepEqual(ranges, [0, 3, 5, 6, 7, 9]);
+  assert.deepEqual([...fromRanges(ranges)], [0, 1, 2, 5, 7, 8]);
+});
+
+test('what a job allows', () => {
+  const machine = { type: 'm8', zone: 'a', spot: true };
+  const cases: [Parameters<typeof spec>[0], string | null, boolean][] = [
+    [{ spot: true }, null, true],
+    [{ spot: false }, null, false],
+    [{ spot: true, types: ['g8'] }, null, false],
+    [{ spot: true, zone: 'b' }, null, false],
+    [{ spot: true }, 'b', false],
+    [{ spot: true, types: ['m8'], zone: 'a' }, 'a', true],
+  ];
+  for (const [changes, zone, expected] of cases) {
+    assert.equal(allows(spec(changes), zone, machine), expected, JSON.stringify([changes, zone]));
+  }
+});
+
+test('best fit: the image first, then the least left over; slow machines last', () => {
+  const machine = (name: string, cpus: number, image: boolean, slowness = 1) => ({
+    name,
+    type: 'm8',
+    zone: 'a',
+    spot: false,
+    free: room(cpus),
+    slowness,
+    hasImage: () => image,
+  });
+  const pick = (...hosts: ReturnType<typeof machine>[]): string | undefined =>
+    bestFit(hosts, spec({ cpus: 2 }))?.name;
+  assert.equal(pick(machine('a', 8, true), machine('b', 4, true)), 'b');
+  assert.equal(pick(machine('a', 8, true), machine('b', 4, false)), 'a');
+  assert.equal(pick(machine('a', 8, true, 3), machine('b', 8, false)), 'b');
+  assert.equal(pick(), undefined);
+  const many = Array.from({ length: 20 }, (_, i) => machine(`m${i}`, 8, i === 13));
+  const sampled = sampleHosts(many, 'img', 3, seededRandom(1));
+  assert.equal(sampled.length, 4);
+  assert.ok(sampled.some((h) => h.name === 'm13'));
+});
+
+test('only lower ranks make room, the cheapest first', () => {
+  const running = [
+    { rank: 1, need: room(4, 1), loss: 20 },
+    { rank: 1, need: room(4, 1), loss: 5 },
+    { rank: 0, need: room(2, 1), loss: 90 },
+    { rank: 3, need: room(8, 1), loss: 0 },
+  ];
+  const losses = (cpus: number, rank: number): number[] | undefined =>
+    victimsFor(room(0), room(cpus, 0), running, rank)?.map((v) => v.loss);
+  assert.deepEqual(losses(2, 3), [90]);
+  assert.deepEqual(losses(4, 3), [90, 5]);
+  assert.deepEqual(losses(2, 1), [90]);
+  assert.equal(losses(4, 1), undefined);
+  assert.equal(losses(11, 3), undefined);
+});
+
+test('run times are corrected by the median of what was seen', () => {
+  const times = new RunTimes();
+  for (const actual of [20, 21, 20, 19]) times.note('c', 10, actual);
+  assert.equal(times.expected('c', 10), 10, 'four say too little');
+  times.note('c', 10, 400);
+  assert.ok(Math.abs(times.expected('c', 10) - 20) < 2);
+  assert.equal(times.expected('other', 10), 10);
+});
+
+test('arrivals: a steady stream gives its rate, and silence forgets it', () => {
+  const arrivals = new Arrivals(100);
+  for (let t = 0; t < 1000; t++) arrivals.note(50, t);
+  assert.ok(Math.abs(arrivals.rate(1000) - 50) < 2);
+  assert.ok(arrivals.rate(1500) < 1);
+});
+
+test('shares of a limit never add up to more than it, whoever asks for how much', () => {
+  const random = seededRandom(3);
+  const limit = { cpus: 40, gpus: Infinity };
+  let shares: Parameters<typeof reshare>[0] = {};
+  const used: Record<string, number> = { a: 0, b: 0, c: 0 };
+  for (let step = 0; step < 500; step++) {
+    const part = ['a', 'b', 'c'][Math.floor(random() * 3)];
+    const share = shares[part]?.cpus ?? 0;
+    used[part] = Math.floor(random() * (share + 1));
+    const want = { cpus: Math.floor(random() * 60), gpus: 0 };
+    shares = reshare(shares, part, { cpus: used[part], gpus: 0 }, want, limit);
+    const sum = Object.values(shares).reduce((n, s) => n + s.cpus, 0);
+    assert.ok(sum <= 40, `${sum}`);
+    assert.ok((shares[part]?.cpus ?? 0) >= used[part]);
+  }
+});
+
+const type = (name: string, cpus: number, price: number, spotPrice: number, boot: number) => ({
+  name,
+  cpus,
+  gpus: 0,
+  memory: cpus * 4,
+  fetchRate: 1,
+  cache: 50,
+  price,
+  spotPrice,
+  boot,
+  zones: ['a', 'b'],
+});
+
+test('renting: the cheapest kind for the work, within what a job allows', () => {
+  const refused = new Set<string>();
+  const context = {
+    types: [type('small', 4, 0.2, 0.08, 50), type('large', 32, 1.9, 0.7, 15)],
+    refused: (t: string, zone: string, spot: boolean) => refused.has(`${t}/${zone}/${spot}`),
+    partFor: () => 'p',
+    zoneOf: () => 'a',
+    patience: 60,
+    serviceHorizon: 600,
+  };
+  const demand = {
+    part: 'p',
+    cpus: 4,
+    gpus: 0,
+    memory: 4,
+    types: null,
+    zone: null,
+    spot: true,
+    rank: 'normal',
+    service: true,
+    image: 'i',
+    imageGb: 1,
+    count: 1,
+    run: 0,
+  };
+  const kinds = (d: typeof demand): string[] =>
+    planRentals([d], context).map((p) => `${p.count} ${p.type}/${p.zone}/${p.spot}`);
+  assert.deepEqual(kinds(demand), ['1 small/a/true']);
+  assert.deepEqual(kinds({ ...demand, spot: false, count: 8 }), ['8 small/a/false']);
+  assert.deepEqual(kinds({ ...demand, zone: 'b' as unknown as null }), ['1 small/b/true']);
+  assert.deepEqual(kinds({ ...demand, cpus: 5 }), ['1 large/a/true']);
+  assert.deepEqual(kinds({ ...demand, cpus: 64 }), []);
+  refused.add('small/a/true');
+  assert.deepEqual(kinds(demand), ['1 small/b/true']);
+  const merged = mergePlans(planRentals([demand, { ...demand, count: 2 }], context));
+  assert.equal(merged.length, 1);
+});
--- /dev/null
+++ b/test/support/cluster.ts
@@ -0,0 +1,195 @@
+/** A few controllers in this process, on loopback, with the stand-ins around them. */
+import { systemClock } from '../../src/base/clock.js';
+import { setLogLevel } from '../../src/base/log.js';
+import { seededRandom } from '../../src/base/random.js';
+import { Controller } from '../../src/coordination/controller.js';
+import { Gateway } from '../../src/coordination/gateway.js';
+import { defaultTuning, parseSettings } from '../../src/protocol/settings.js';
+import { HttpClient, type Response } from '../../src/transport/httpClient.js';
+import { HttpServer } from '../../src/transport/httpServer.js';
+import { PeerServer } from '../../src/transport/peerLink.js';
+import { CloudStandIn } from './fleet.js';
+import { StateStandIn } from './state.js';
+
+setLogLevel(process.env['LOG_LEVEL'] ?? 'error');
+
+interface Node {
+  label: string;
+  controller: Controller;
+  server: HttpServer;
+  peers: PeerServer;
+  address: string;
+}
+
+export interface ClusterOptions {
+  nodes: number;
+  teams?: string;
+  runs: (task: string) => number;
+  zones?: string[];
+}
+
+const limits = { bodyLimit: 65536, maxConnections: 200, maxInFlight: 100, requestTimeout: 5 };
+
+export class Cluster {
+  readonly state = new StateStandIn();
+  readonly nodes = new Map<string, Node>();
+  readonly cloud: CloudStandIn;
+  private readonly http = new HttpClient(200, 1);
+  private backs = new Map<string, number>();
+  private fronts = new Map<string, number>();
+  private cloudAddress = '';
+  private readonly report = 0.4;
+  private readonly lease = 8;
+
+  constructor(private readonly options: ClusterOptions) {
+    const addresses = (): Map<string, string> =>
+      new Map([...this.fronts].map(([label, port]) => [label, `127.0.0.1:${port}`]));
+    this.cloud = new CloudStandIn(
+      { report: this.report, lease: this.lease, runs: options.runs },
+      addresses,
+      this.zones,
+    );
+  }
+
+  get zones(): string[] {
+    return this.options.zones ?? ['a'];
+  }
+
+  private labels(): string[] {
+    return Array.from({ length: this.options.nodes }, (_, i) => `drone-${i}`);
+  }
+
+  async start(): Promise<void> {
+    this.cloudAddress = await this.cloud.listen();
+    // Ports are taken first, so that every node can be told of the others.
+    for (const label of this.labels()) {
+      const probe = new PeerServer(() => Promise.resolve(Buffer.alloc(0)));
+      this.backs.set(label, await probe.listen({ host: '127.0.0.1', port: 0 }));
+      probe.close();
+      const front = new HttpServer(() => Promise.resolve({ status: 503, body: {} }), limits);
+      this.fronts.set(label, await front.listen({ host: '127.0.0.1', port: 0 }));
+      front.close();
+    }
+    for (const label of this.labels()) await this.boot(label);
+  }
+
+  async boot(label: string): Promise<void> {
+    const zone = (at: string): string => this.zones[this.labels().indexOf(at) % this.zones.length];
+    const front = `127.0.0.1:${this.fronts.get(label)}`;
+    const back = `127.0.0.1:${this.backs.get(label)}`;
+    const peers = this.labels()
+      .filter((l) => l !== label)
+      .map((l) => ({ label: l, zone: zone(l), port: this.backs.get(l) }));
+    const settings = parseSettings(`
+label = "${label}"
+site = "${zone(label)}"
+client_listen = "${front}"
+back = "${back}"
+${peers
+  .map(
+    (p) => `[[peers]]\nlabel = "${p.label}"\nsite = "${p.zone}"\nendpoint = "127.0.0.1:${p.port}"`,
+  )
+  .join('\n')}
+[services]
+cloud = "${this.cloudAddress}"
+state = "${await this.state.listenFor(label)}"
+[settings]
+zones = [${this.zones.map((z) => `"${z}"`).join(', ')}]
+skew_ms = 100.0
+${this.options.teams ?? '[[settings.teams]]\nname = "crew"'}
+[settings.workers]
+report_s = ${this.report}
+lease_s = ${this.lease}
+cancel_s = 5.0
+[settings.state]
+rps = 2000.0
+write_rps = 1000.0
+value_kb = 32.0
+txn_ops = 16
+[settings.cloud]
+rps = 50.0
+list_lag_s = 1.0
+[settings.limits]
+cores = 1.0
+ram_mb = 200.0
+fd_limit = 1000
+`);
+    const run = `${label}${Math.floor(systemClock.now() * 1e6).toString(36)}`;
+    const http = new HttpClient(100, 1);
+    const tuning = { ...defaultTuning, peerTimeout: 0.3 };
+    const random = seededRandom(7);
+    const controller = new Controller(settings, tuning, systemClock, random, http, run);
+    const gateway = new Gateway(controller);
+    const server = new HttpServer((r) => gateway.handle(r), limits);
+    const peerServer = new PeerServer((body) => gateway.peer(body));
+    await peerServer.listen({ host: '127.0.0.1', port: this.backs.get(label) ?? 0 });
+    await server.listen({ host: '127.0.0.1', port: this.fronts.get(label) ?? 0 });
+    controller.start();
+    this.nodes.set(label, { label, controller, server, peers: peerServer, address: front });
+  }
+
+  /** Ends a node as a crash would: it says nothing more to anybody. */
+  crash(label: string): void {
+    const node = this.nodes.get(label);
+    node?.controller.stop();
+    node?.server.close();
+    node?.peers.close();
+    this.nodes.delete(label);
+  }
+
+  close(): void {
+    for (const label of [...this.nodes.keys()]) this.crash(label);
+    this.cloud.close();
+    this.state.close();
+  }
+
+  call(label: string, method: string, path: string, body?: unknown): Promise<Response> {
+    const node = this.nodes.get(label);
+    if (node === undefined) throw new Error(`${label} is down`);
+    return this.http.call(node.address, method, path, body, 6);
+  }
+}
+
+/** Waits for a condition; how long it takes says nothing, only whether it comes. */
+export async function until(
+  what: string,
+  test: () => boolean | Promise<boolean>,
+  seconds = 20,
+): Promise<void> {
+  const ends = performance.now() + seconds * 1000;
+  while (performance.now() < ends) {
+    try {
+      if (await test()) return;
+    } catch {
+      // A node that is down or not yet up: try again.
+    }
+    await new Promise((resolve) => setTimeout(resolve, 25));
+  }
+  throw new Error(`never came: ${what}`);
+}
+
+export function submission(id: string, changes: Record<string, unknown> = {}): unknown {
+  return {
+    Uid: id,
+    Jobclass: 'batch',
+    Owner: 'crew',
+    Shape: 'sweep',
+    Rank: 'normal',
+    Pieces: 3,
+    Cores: 2,
+    Accelerators: 0,
+    MemoryGb: 4,
+    Flavours: null,
+    Yard: null,
+    SamePlace: false,
+    Apart: false,
+    Loaners: true,
+    Bundle: 'img',
+    PullGb: 0.1,
+    ExpectS: 1,
+    SnapshotS: 0,
+    FlushS: 0,
+    DueS: null,
+    ...changes,
+  };
+}
--- /dev/null
+++ b/test/support/spec.ts
@@ -0,0 +1,25 @@
+import type { JobSpec } from '../../src/protocol/job.js';
+
+export const spec = (changes: Partial<JobSpec> = {}): JobSpec => ({
+  id: 'wk-1',
+  jobClass: 'batch',
+  team: 'crew',
+  service: false,
+  rank: 'normal',
+  tasks: 4,
+  cpus: 2,
+  gpus: 0,
+  memory: 4,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: true,
+  image: 'img',
+  imageGb: 1,
+  expect: 20,
+  checkpoint: 0,
+  save: 0,
+  due: null,
+  ...changes,
+});
--- /dev/null
+++ b/test/support/state.ts
@@ -0,0 +1,188 @@
+/** A stand-in for the state service: as much of PROTOCOL as the tests use. */
+import { HttpServer, type Reply } from '../../src/transport/httpServer.js';
+import type { HttpMessage } from '../../src/transport/httpParser.js';
+
+interface Row {
+  value: unknown;
+  stamp: number;
+  hold: number | null;
+}
+interface Event {
+  key: string;
+  value: unknown;
+  stamp: number;
+  removed: boolean;
+}
+interface TxnBody {
+  When?: { K: string; Stamp: number }[];
+  Then?: { Put?: string; Remove?: string; Value?: unknown; Hold?: number }[];
+}
+
+const never = new Promise<Reply>(() => undefined);
+
+export class StateStandIn {
+  epoch = 1;
+  readonly rows = new Map<string, Row>();
+  private readonly log: Event[] = [];
+  private readonly holds = new Map<number, { ttl: number; ends: number }>();
+  private nextHold = 1;
+  private waiters: (() => void)[] = [];
+  private readonly servers: HttpServer[] = [];
+  /** Clients that get 503; '*' means everybody. */
+  readonly refused = new Set<string>();
+  /** Transactions for which this says yes are kept back and get no answer. */
+  swallow: ((body: TxnBody) => boolean) | null = null;
+  readonly late: TxnBody[] = [];
+  writes = 0;
+
+  /** One listener for each client, so that a single one can be refused. */
+  async listenFor(client: string): Promise<string> {
+    const server = new HttpServer((request) => this.answer(client, request), {
+      bodyLimit: 1 << 20,
+      maxConnections: 1000,
+      maxInFlight: 1000,
+      requestTimeout: 60,
+    });
+    this.servers.push(server);
+    return `127.0.0.1:${await server.listen({ host: '127.0.0.1', port: 0 })}`;
+  }
+
+  close(): void {
+    for (const server of this.servers) server.close();
+    this.wake();
+  }
+
+  private expire(): void {
+    const now = performance.now();
+    if (this.refused.has('*')) {
+      for (const hold of this.holds.values()) hold.ends = now + hold.ttl;
+      return;
+    }
+    for (const [id, hold] of [...this.holds]) if (hold.ends < now) this.end(id);
+  }
+
+  end(id: number): void {
+    this.holds.delete(id);
+    for (const [key, row] of [...this.rows]) {
+      if (row.hold === id) this.change(key, null, null, ++this.epoch, true);
+    }
+    this.wake();
+  }
+
+  private change(
+    key: string,
+    value: unknown,
+    hold: number | null,
+    stamp: number,
+    removed: boolean,
+  ): void {
+    this.writes++;
+    if (removed) this.rows.delete(key);
+    else this.rows.set(key, { value, stamp, hold });
+    this.log.push({ key, value, stamp, removed });
+  }
+
+  private wake(): void {
+    const waiters = this.waiters;
+    this.waiters = [];
+    for (const waiter of waiters) waiter();
+  }
+
+  /** Applies a transaction as the service would, also one that was kept back. */
+  apply(body: TxnBody): Reply {
+    this.expire();
+    const failed = (body.When ?? [])
+      .filter((c) => (this.rows.get(c.K)?.stamp ?? 0) !== c.Stamp)
+      .map((c) => c.K);
+    if (failed.length > 0) return { status: 409, body: { failed, Epoch: this.epoch } };
+    for (const op of body.Then ?? []) {
+      if (op.Hold !== undefined && !this.holds.has(op.Hold)) {
+        return { status: 400, body: { error: 'no such lease' } };
+      }
+    }
+    if ((body.Then ?? []).length === 0) return { status: 200, body: { Epoch: this.epoch } };
+    const stamp = ++this.epoch;
+    for (const op of body.Then ?? []) {
+      if (op.Put !== undefined) this.change(op.Put, op.Value, op.Hold ?? null, stamp, false);
+      else if (op.Remove !== undefined && this.rows.has(op.Remove)) {
+        this.change(op.Remove, null, null, stamp, true);
+      }
+    }
+    this.wake();
+    return { status: 200, body: { Epoch: stamp } };
+  }
+
+  private async answer(client: string, request: HttpMessage): Promise<Reply> {
+    const url = new URL(request.target, 'http://state');
+    if (url.pathname === '/changes') return this.watch(client, url);
+    if (this.refused.has(client) || this.refused.has('*')) return { status: 503, body: {} };
+    this.expire();
+    if (url.pathname === '/multi') {
+      const body = JSON.parse(request.body) as TxnBody;
+      if (this.swallow?.(body) === true) {
+        this.late.push(body);
+        return never;
+      }
+      return this.apply(body);
+    }
+    if (url.pathname === '/grants') {
+      const ttl = (JSON.parse(request.body) as { TtlMs: number }).TtlMs;
+      const id = this.nextHold++;
+      this.holds.set(id, { ttl, ends: performance.now() + ttl });
+      setTimeout(() => {
+        this.expire();
+      }, ttl + 20).unref();
+      return { status: 200, body: { Hold: id } };
+    }
+    const extend = /^\/grants\/(\d+)\/extend$/.exec(url.pathname);
+    if (extend !== null) {
+      const hold = this.holds.get(Number(extend[1]));
+      if (hold === undefined) return { status: 404, body: {} };
+      hold.ends = performance.now() + hold.ttl;
+      setTimeout(() => {
+        this.expire();
+      }, hold.ttl + 20).unref();
+      return { status: 200, body: {} };
+    }
+    if (url.pathname === '/kv') return this.range(url);
+    const key = url.pathname.slice('/kv/'.length);
+    const row = this.rows.get(key);
+    if (row === undefined) return { status: 404, body: { Epoch: this.epoch } };
+    return { status: 200, body: { K: key, Value: row.value, Stamp: row.stamp } };
+  }
+
+  private range(url: URL): Reply {
+    const prefix = url.searchParams.get('Under') ?? '';
+    const after = url.searchParams.get('From') ?? '';
+    const page = Number(url.searchParams.get('Page'));
+    const names = [...this.rows.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
+    const rows = names.slice(0, page).map((k) => {
+      const row = this.rows.get(k);
+      return { K: k, Value: row?.value, Stamp: row?.stamp };
+    });
+    return { status: 200, body: { Rows: rows, More: names.length > page, Epoch: this.epoch } };
+  }
+
+  private async watch(client: string, url: URL): Promise<Reply> {
+    const prefix = url.searchParams.get('Under') ?? '';
+    const from = Number(url.searchParams.get('From'));
+    const ends = performance.now() + Number(url.searchParams.get('HoldMs'));
+    for (;;) {
+      const refused = this.refused.has(client) || this.refused.has('*');
+      const events = this.log.filter((e) => e.stamp > from && e.key.startsWith(prefix));
+      const left = ends - performance.now();
+      if (!refused && (events.length > 0 || left <= 0)) {
+        const changes = events.map((e) =>
+          e.removed
+            ? { Remove: e.key, Stamp: e.stamp }
+            : { Put: e.key, Value: e.value, Stamp: e.stamp },
+        );
+        return { status: 200, body: { Epoch: this.epoch, Log: changes } };
+      }
+      await new Promise<void>((resolve) => {
+        this.waiters.push(resolve);
+        setTimeout(resolve, Math.max(20, Math.min(100, left))).unref();
+      });
+    }
+  }
+}
--- /dev/null
+++ b/test/support/users.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict';
+import { Cluster, until, type ClusterOptions } from './cluster.js';
+
+export interface Answer {
+  Status: string;
+  done: number;
+  running: number;
+  Reason?: string;
+}
+
+export async function withCluster(
+  options: ClusterOptions,
+  body: (cluster: Cluster) => Promise<void>,
+): Promise<void> {
+  const cluster = new Cluster(options);
+  try {
+    await cluster.start();
+    await until('all parts have owners', () => {
+      const held = [...cluster.state.rows.keys()].filter((k) => k.startsWith('b/own/'));
+      return held.length === options.nodes + 1;
+    });
+    await until('all are ready', async () => {
+      for (const label of cluster.nodes.keys()) {
+        if ((await cluster.call(label, 'GET', '/ready')).status !== 200) return false;
+      }
+      return true;
+    });
+    await body(cluster);
+    assert.deepEqual(cluster.cloud.twice, [], 'a task ran on two machines at once');
+  } finally {
+    cluster.close();
+  }
+}
+
+export const status = async (cluster: Cluster, label: string, id: string): Promise<Answer> =>
+  (await cluster.call(label, 'GET', `/v1/jobs/${id}`)).body as Answer;
+
+export const accept = (cluster: Cluster, label: string, body: unknown): Promise<void> =>
+  until('the job is accepted', async () => {
+    const answer = await cluster.call(label, 'POST', '/v1/jobs', body);
+    return answer.status === 201 || answer.status === 200;
+  });
+
+export const service = {
+  Shape: 'daemon',
+  Rank: 'prod',
+  Pieces: 2,
+  Loaners: false,
+  ExpectS: 0,
+};
