--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -401,6 +401,8 @@
     });
     // In doubt from now on: without an answer it may be carried out minutes later.
     for (const entry of started) entry.doubt = Math.max(token, entry.doubt ?? 0);
+    for (const order of orders)
+      log.debug(`${order.verb} ${order.task} ${order.attempt} at ${machine.name}`);
     machine.inFlight = true;
     try {
       const body = ordersRequest(token, machine.session, orders);
@@ -439,6 +441,7 @@
     if (!this.ownership.valid) return;
     for (const host of this.hosted.values()) {
       host.part.sweep(now);
+      if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
       this.settleDoubts(host, now);
       for (const machine of host.part.machines.values()) {
         if (machine.up) host.part.pokes.add(machine);
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -51,7 +51,7 @@
   constructor(
     readonly name: string,
     readonly record: MachineRecord,
-    readonly shape: MachineType | undefined,
+    private readonly types: () => Map<string, MachineType>,
     now: number,
   ) {
     this.renewed = now;
@@ -61,6 +61,14 @@
 
   readonly created: number;
 
+  /**
+   * Looked up each time: after a restart machines are loaded before the cloud has told its types, and
+   * a machine that kept "unknown" would never be given work again.
+   */
+  get shape(): MachineType | undefined {
+    return this.types().get(this.record.type);
+  }
+
   get type(): string {
     return this.record.type;
   }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -4,6 +4,7 @@
  */
 import type { Random } from '../base/random.js';
 import { DRIFT } from '../base/clock.js';
+import { log } from '../base/log.js';
 import type { MachineType } from '../protocol/cloud.js';
 import type { Demand } from '../protocol/peer.js';
 import { rankOrder, type JobSpec } from '../protocol/job.js';
@@ -62,7 +63,7 @@
   addMachine(name: string, record: MachineRecord, now: number, renewed = now): Machine {
     const known = this.machines.get(name);
     if (known !== undefined) return known;
-    const machine = new Machine(name, record, this.types().get(record.type), now);
+    const machine = new Machine(name, record, this.types, now);
     machine.renewed = renewed;
     this.machines.set(name, machine);
     return machine;
@@ -281,6 +282,18 @@
     }
   }
 
+  /** One line for the log. */
+  summary(now: number): string {
+    const machines = [...this.machines.values()];
+    const free = machines.filter((m) => m.usable(now)).reduce((n, m) => n + m.free.cpus, 0);
+    const count = (test: (m: Machine) => boolean): number => machines.filter(test).length;
+    return (
+      `part ${this.label}: ${machines.length} machines, ${count((m) => !m.up)} not up, ` +
+      `${count((m) => m.leaving)} leaving, ${count((m) => m.goneBy !== null)} noticed, ` +
+      `${count((m) => m.shunnedUntil > now)} shunned, ${free} CPUs free, ${this.waiting} tasks wait`
+    );
+  }
+
   // ---- Chunks ----
 
   addChunk(chunk: Chunk, now: number): void {
@@ -472,6 +485,11 @@
     };
     chunk.entries.set(task, entry);
     machine.entries.set(chunk.taskName(task), { chunk, entry });
+    log.debug(
+      `${this.label} places ${chunk.taskName(task)} (${chunk.spec.jobClass}) on ${machine.name}, ` +
+        `image ${machine.hasImage(chunk.spec.image) ? 'there' : 'missing'}, ` +
+        `after ${(now - chunk.queuedAt).toFixed(1)} s`,
+    );
     this.changed(chunk, now);
   }
 
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -29,10 +29,11 @@
   now = 100;
   tick = 0;
   session = 1;
+  types = new Map([['m8', m8]]);
   readonly part = new Part(
     'p',
     { lease: 18, report: 3, sample: 8, zones: ['a'], patience: 30, headroom: 1.2, window: 100 },
-    () => new Map([['m8', m8]]),
+    () => this.types,
     new RunTimes(),
     seededRandom(1),
   );
@@ -364,3 +365,15 @@
     assert.ok(!machine.usable(b.now), name);
   }
 });
+
+test('machines loaded before the types are known get work once they are', () => {
+  const b = new Bench();
+  b.types = new Map();
+  b.machine();
+  const chunk = b.chunk();
+  b.decide();
+  assert.equal(chunk.entries.size, 0);
+  b.types = new Map([['m8', m8]]);
+  b.decide();
+  assert.equal(chunk.entries.size, 1);
+});
