--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -441,6 +441,7 @@
     if (!this.ownership.valid) return;
     for (const host of this.hosted.values()) {
       host.part.sweep(now);
+      host.part.consolidate(now);
       if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
       this.settleDoubts(host, now);
       for (const machine of host.part.machines.values()) {
@@ -476,29 +477,10 @@
 
   // ---- Machines for the provisioner ----
 
-  /** Machines that have been idle long enough to be returned. */
+  /** Machines that may be returned. */
   localSpare(): string[] {
     const now = this.clock.now();
-    const spare: string[] = [];
-    for (const host of this.hosted.values()) {
-      const waiting = host.part.waiting > 0;
-      let surplus = host.part.surplus(now);
-      for (const machine of host.part.machines.values()) {
-        if (machine.entries.size > 0 || !machine.up) continue;
-        if (machine.leaving) {
-          spare.push(machine.name);
-          continue;
-        }
-        const patience = (machine.shape?.boot ?? 60) * this.tuning.idleRatio;
-        if (waiting || now - machine.idleSince < patience) continue;
-        // What arrives on the average is kept room for; a machine that may hold only that stays.
-        if (surplus < machine.size.cpus) continue;
-        surplus -= machine.size.cpus;
-        machine.leaving = true;
-        spare.push(machine.name);
-      }
-    }
-    return spare;
+    return [...this.hosted.values()].flatMap((h) => h.part.spare(now, this.tuning.idleRatio));
   }
 
   /**
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -42,9 +42,12 @@
   /** Chunks whose tasks are all done or, cancelled, all over. */
   readonly settled = new Set<Chunk>();
   private resumeAfter: string | null = null;
+  private drainedAt = -Infinity;
   /** Teams that were kept waiting by their share of the limit in the last round. */
   readonly hungry = new Set<string>();
   private readonly arrivals: Arrivals;
+  private readonly liveArrivals: Arrivals;
+  private lastLive: Chunk | null = null;
 
   constructor(
     readonly label: string,
@@ -55,6 +58,7 @@
     private readonly allowance: Allowance = () => null,
   ) {
     this.arrivals = new Arrivals(options.window);
+    this.liveArrivals = new Arrivals(options.window);
   }
 
   // ---- Machines ----
@@ -330,7 +334,11 @@
   }
 
   private noteArrival(chunk: Chunk, sign: number, now: number): void {
-    if (chunk.spec.service) return;
+    if (chunk.spec.service) {
+      this.liveArrivals.note(sign * chunk.pending * chunk.spec.cpus, now);
+      this.lastLive = chunk;
+      return;
+    }
     this.arrivals.note(sign * chunk.pending * chunk.spec.cpus * this.expectedRun(chunk.spec), now);
   }
 
@@ -668,11 +676,130 @@
     );
   }
 
+  /** Processors on ordinary machines that live services have not taken, those on their way included. */
+  private liveRoom(): number {
+    let cpus = 0;
+    for (const machine of this.machines.values()) {
+      if (machine.spot || machine.lost || machine.leaving || machine.draining) continue;
+      cpus += machine.size.cpus;
+      for (const { chunk } of machine.entries.values()) {
+        if (chunk.spec.service) cpus -= chunk.spec.cpus;
+      }
+    }
+    return cpus;
+  }
+
+  /** Room for the services that will arrive while a machine boots, and for one more. */
+  private liveReserve(now: number): number {
+    if (this.lastLive === null) return 0;
+    const boots = [...this.types().values()].map((t) => t.boot);
+    const { spec, size } = this.lastLive;
+    return this.liveArrivals.rate(now) * Math.min(...boots) + size * spec.cpus;
+  }
+
+  private mayGo(machine: Machine, now: number): boolean {
+    if (this.surplus(now) < machine.size.cpus) return false;
+    return machine.spot || this.liveRoom() - machine.size.cpus >= this.liveReserve(now);
+  }
+
+  /**
+   * Machines to be returned: idle for as long as a new one would take to boot, and not needed for
+   * what arrives on the average. The dearest go first.
+   */
+  spare(now: number, idleRatio: number): string[] {
+    const idle = [...this.machines.values()].filter((m) => m.entries.size === 0 && m.up);
+    const price = (m: Machine): number =>
+      ((m.spot ? m.shape?.spotPrice : m.shape?.price) ?? 0) / Math.max(1, m.size.cpus);
+    for (const machine of idle.sort((a, b) => price(b) - price(a))) {
+      if (machine.leaving || this.waiting > 0) continue;
+      const patience = machine.draining ? 0 : (machine.shape?.boot ?? 60) * idleRatio;
+      if (now - machine.idleSince < patience || !this.mayGo(machine, now)) continue;
+      machine.leaving = true;
+    }
+    return idle.filter((m) => m.leaving).map((m) => m.name);
+  }
+
+  /**
+   * Empties an ordinary machine whose replicas fit on others that hold their images: a move costs a
+   * replica well under a second, the machine its price for as long as the service lives. One replica
+   * moves at a time.
+   */
+  consolidate(now: number): void {
+    const machines = [...this.machines.values()];
+    const draining = machines.find((m) => m.draining);
+    if (draining !== undefined) {
+      const replicas = [...draining.entries.values()].filter((p) => p.chunk.spec.service);
+      const moving = replicas.some((p) => p.entry.stop !== null) || this.liveWaits();
+      if (moving) return;
+      const next = replicas.find((p) => this.canMove(p, draining, now));
+      if (next !== undefined) this.stop(draining, next.entry, 0);
+      // Nothing more can move: it goes on as before.
+      else if (replicas.length > 0) draining.draining = false;
+      return;
+    }
+    if (this.waiting > 0 || now - this.drainedAt < this.options.report * 2) return;
+    const live = (m: Machine): number =>
+      [...m.entries.values()].reduce(
+        (n, p) => n + (p.chunk.spec.service ? p.chunk.spec.cpus : 0),
+        0,
+      );
+    const candidates = machines
+      .filter((m) => !m.spot && m.usable(now) && live(m) > 0 && this.mayGo(m, now))
+      .sort((a, b) => live(a) / a.size.cpus - live(b) / b.size.cpus);
+    const room = this.liveRoom();
+    for (const machine of candidates) {
+      const replicas = [...machine.entries.values()].filter((p) => p.chunk.spec.service);
+      if (room - (machine.size.cpus - live(machine)) - live(machine) < this.liveReserve(now))
+        continue;
+      if (!replicas.every((p) => this.canMove(p, machine, now))) continue;
+      machine.draining = true;
+      this.drainedAt = now;
+      return;
+    }
+  }
+
+  private liveWaits(): boolean {
+    for (const chunk of this.chunks.values())
+      if (chunk.spec.service && chunk.pending > 0) return true;
+    return false;
+  }
+
+  /** Another machine has the image and room beside its live services. */
+  private canMove({ chunk, entry }: Placed, from: Machine, now: number): boolean {
+    // A start that is soon followed by a stop was of no use to anybody.
+    const settled = this.options.lease * 2;
+    if (entry.runningSince === null || now - entry.runningSince < settled) return false;
+    for (const machine of this.machines.values()) {
+      if (machine === from || machine.spot || machine.draining || !machine.usable(now)) continue;
+      if (!allows(chunk.spec, chunk.zone, machine) || !machine.hasImage(chunk.spec.image)) continue;
+      const room = { ...machine.free };
+      for (const other of machine.entries.values()) {
+        if (other.chunk.rank >= chunk.rank) continue;
+        room.cpus += other.chunk.spec.cpus;
+        room.gpus += other.chunk.spec.gpus;
+        room.memory += other.chunk.spec.memory;
+      }
+      if (holds(room, chunk.spec)) return true;
+    }
+    return false;
+  }
+
   /** Processors beyond what is needed. */
   surplus(now: number): number {
     return this.batchCpus(now) - this.batchNeed(now);
   }
 
+  /** Room that should stand ready for live services and does not. */
+  private headroom(now: number): Demand | null {
+    const missing = this.liveReserve(now) - this.liveRoom();
+    if (this.lastLive === null || missing <= 0) return null;
+    const { spec, zone } = this.lastLive;
+    const { cpus, gpus, memory, types, rank, image, imageGb } = spec;
+    const shape = { cpus, gpus, memory, types, zone: zone ?? spec.zone, spot: false, rank };
+    const count = Math.ceil(missing / cpus);
+    return { ...shape, part: this.label, service: true, image, imageGb, count, run: 0 };
+  }
+
   /** Work that neither machines that are up nor those on their way can hold in good time. */
   demands(now: number): Demand[] {
     const rooms: { machine: Machine; room: Room }[] = [];
@@ -709,6 +836,8 @@
       const demand = { part: this.label, cpus, gpus, memory, types, zone, spot, rank, service };
       demands.push({ ...demand, image, imageGb, count, run });
     }
+    const headroom = this.headroom(now);
+    if (headroom !== null && !demands.some((d) => d.service)) demands.push(headroom);
     return demands;
   }
 }
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -230,10 +230,10 @@
         const machines = Object.fromEntries(names.map((n) => [n, { part, type, zone, spot, at }]));
         const result = await this.write(machines, rental);
         if (result.kind === 'conflict') await this.forget(rental, machines);
-        if (names.length < count) this.refuse(kind);
+        if (names.length < count) this.refuse(kind, part);
         else this.refusals.delete(kind);
       } else if (answer.status === 503 && JSON.stringify(answer.body).includes('no capacity')) {
-        this.refuse(kind);
+        this.refuse(kind, part);
         await this.forget(rental, {});
       } else if (answer.status === 400) {
         log.error(`the cloud calls a rental of ${kind} malformed`);
@@ -263,12 +263,14 @@
     if (result.kind === 'applied') this.node.replica.noteRemoved(rental.key, result.stamp);
   }
 
-  private refuse(kind: string): void {
+  private refuse(kind: string, part: string): void {
     const before = this.refusals.get(kind);
     const { report } = this.node.settings;
     const pause = Math.min(report * 10, (before?.pause ?? report) * 2);
     this.refusals.set(kind, { until: this.node.clock.now() + pause, pause });
     log.info(`no capacity: ${kind}`);
+    // The next best kind is asked for as soon as the part's demand is fresh again.
+    this.holdOff.set(part, this.node.clock.now() + report / 5);
   }
 
   // ---- Returning ----
