--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -441,7 +441,6 @@
     if (!this.ownership.valid) return;
     for (const host of this.hosted.values()) {
       host.part.sweep(now);
-      host.part.consolidate(now);
       if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
       this.settleDoubts(host, now);
       for (const machine of host.part.machines.values()) {
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -41,8 +41,6 @@
   shunnedUntil = 0;
   /** Offered back to the cloud: nothing is placed here any more. */
   leaving = false;
-  /** Its replicas are being moved to others, so that it can be returned. */
-  draining = false;
   /** Given up as lost; release is asked for. */
   lost = false;
   idleSince: number;
@@ -106,9 +104,7 @@
   }
 
   usable(now: number): boolean {
-    return (
-      this.up && !this.leaving && !this.draining && this.goneBy === null && this.shunnedUntil <= now
-    );
+    return this.up && !this.leaving && this.goneBy === null && this.shunnedUntil <= now;
   }
 
   hasImage(image: string): boolean {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -42,7 +42,6 @@
   /** Chunks whose tasks are all done or, cancelled, all over. */
   readonly settled = new Set<Chunk>();
   private resumeAfter: string | null = null;
-  private drainedAt = -Infinity;
   /** Teams that were kept waiting by their share of the limit in the last round. */
   readonly hungry = new Set<string>();
   private readonly arrivals: Arrivals;
@@ -680,7 +679,7 @@
   private liveRoom(): number {
     let cpus = 0;
     for (const machine of this.machines.values()) {
-      if (machine.spot || machine.lost || machine.leaving || machine.draining) continue;
+      if (machine.spot || machine.lost || machine.leaving) continue;
       cpus += machine.size.cpus;
       for (const { chunk } of machine.entries.values()) {
         if (chunk.spec.service) cpus -= chunk.spec.cpus;
@@ -712,78 +711,13 @@
       ((m.spot ? m.shape?.spotPrice : m.shape?.price) ?? 0) / Math.max(1, m.size.cpus);
     for (const machine of idle.sort((a, b) => price(b) - price(a))) {
       if (machine.leaving || this.waiting > 0) continue;
-      const patience = machine.draining ? 0 : (machine.shape?.boot ?? 60) * idleRatio;
+      const patience = (machine.shape?.boot ?? 60) * idleRatio;
       if (now - machine.idleSince < patience || !this.mayGo(machine, now)) continue;
       machine.leaving = true;
     }
     return idle.filter((m) => m.leaving).map((m) => m.name);
   }
 
-  /**
-   * Empties an ordinary machine whose replicas fit on others that hold their images: a move costs a
-   * replica well under a second, the machine its price for as long as the service lives. One replica
-   * moves at a time.
-   */
-  consolidate(now: number): void {
-    const machines = [...this.machines.values()];
-    const draining = machines.find((m) => m.draining);
-    if (draining !== undefined) {
-      const replicas = [...draining.entries.values()].filter((p) => p.chunk.spec.service);
-      const moving = replicas.some((p) => p.entry.stop !== null) || this.liveWaits();
-      if (moving) return;
-      const next = replicas.find((p) => this.canMove(p, draining, now));
-      if (next !== undefined) this.stop(draining, next.entry, 0);
-      // Nothing more can move: it goes on as before.
-      else if (replicas.length > 0) draining.draining = false;
-      return;
-    }
-    if (this.waiting > 0 || now - this.drainedAt < this.options.report * 2) return;
-    const live = (m: Machine): number =>
-      [...m.entries.values()].reduce(
-        (n, p) => n + (p.chunk.spec.service ? p.chunk.spec.cpus : 0),
-        0,
-      );
-    const candidates = machines
-      .filter((m) => !m.spot && m.usable(now) && live(m) > 0 && this.mayGo(m, now))
-      .sort((a, b) => live(a) / a.size.cpus - live(b) / b.size.cpus);
-    const room = this.liveRoom();
-    for (const machine of candidates) {
-      const replicas = [...machine.entries.values()].filter((p) => p.chunk.spec.service);
-      if (room - (machine.size.cpus - live(machine)) - live(machine) < this.liveReserve(now))
-        continue;
-      if (!replicas.every((p) => this.canMove(p, machine, now))) continue;
-      machine.draining = true;
-      this.drainedAt = now;
-      return;
-    }
-  }
-
-  private liveWaits(): boolean {
-    for (const chunk of this.chunks.values())
-      if (chunk.spec.service && chunk.pending > 0) return true;
-    return false;
-  }
-
-  /** Another machine has the image and room beside its live services. */
-  private canMove({ chunk, entry }: Placed, from: Machine, now: number): boolean {
-    // A start that is soon followed by a stop was of no use to anybody.
-    const settled = this.options.lease * 2;
-    if (entry.runningSince === null || now - entry.runningSince < settled) return false;
-    for (const machine of this.machines.values()) {
-      if (machine === from || machine.spot || machine.draining || !machine.usable(now)) continue;
-      if (!allows(chunk.spec, chunk.zone, machine) || !machine.hasImage(chunk.spec.image)) continue;
-      const room = { ...machine.free };
-      for (const other of machine.entries.values()) {
-        if (other.chunk.rank >= chunk.rank) continue;
-        room.cpus += other.chunk.spec.cpus;
-        room.gpus += other.chunk.spec.gpus;
-        room.memory += other.chunk.spec.memory;
-      }
-      if (holds(room, chunk.spec)) return true;
-    }
-    return false;
-  }
-
   /** Processors beyond what is needed. */
   surplus(now: number): number {
     return this.batchCpus(now) - this.batchNeed(now);
