--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -123,7 +123,7 @@
   private get pace(): { patience: number; headroom: number; window: number } {
     const promised = this.settings.objectives.filter((o) => o.kind === 'finished');
     const patience = Math.min(this.settings.lease * 4, ...promised.map((o) => o.within));
-    return { patience: patience / 2, headroom: 1.2, window: patience * 2 };
+    return { patience: patience / 2, headroom: 1, window: patience };
   }
 
   /** How long after its own lease a node goes on answering its workers, so that an outage of the state
