--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,5 +1,5 @@
 /** One node: what it hosts, and the loops that bring what is in line with what is wanted. */
-import { DRIFT, sleep, type Clock } from '../base/clock.js';
+import { sleep, type Clock } from '../base/clock.js';
 import { describe, log } from '../base/log.js';
 import type { Random } from '../base/random.js';
 import type { Settings, Tuning } from '../protocol/settings.js';
@@ -436,15 +436,41 @@
     }
   }
 
+  /** Asks a machine whose report is overdue: a hanging one is told from one that can't reach us. */
+  private async probe(host: Hosted, machine: Machine): Promise<void> {
+    if (machine.probing || machine.address === '') return;
+    machine.probing = true;
+    const { address } = machine;
+    const timeout = this.settings.report / 3;
+    try {
+      const answer = await this.http.call(address, 'GET', workerPaths.inspect, undefined, timeout);
+      const report = parseReport(answer.body);
+      if (report !== null && host.alive && machine.address === address) {
+        machine.missed = 0;
+        host.part.apply(machine, report, this.clock.now(), false);
+      }
+    } catch {
+      machine.missed++;
+    } finally {
+      machine.probing = false;
+    }
+  }
+
   private sweep(): void {
     const now = this.clock.now();
+    const { report } = this.settings;
     if (!this.ownership.valid) return;
     for (const host of this.hosted.values()) {
       host.part.sweep(now);
       if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
       this.settleDoubts(host, now);
       for (const machine of host.part.machines.values()) {
-        if (machine.up) host.part.pokes.add(machine);
+        if (!machine.up || machine.heard === null) continue;
+        host.part.pokes.add(machine);
+        // Where live services run, silence is noticed within a second or two; elsewhere when a report
+        // is overdue.
+        const patience = machine.live > 0 ? 0.3 : 1.3;
+        if (now - machine.heard > report * patience) void this.probe(host, machine);
       }
     }
     this.kick();
@@ -507,8 +533,11 @@
           continue;
         }
         all++;
-        const limit = this.settings.report * (1.25 + DRIFT) * 2.5;
-        if (now - machine.heard > limit) silent.push(machine.name);
+        const silence = now - machine.heard;
+        const { report } = this.settings;
+        if (silence > report * 3 || (silence > report * 0.8 && machine.missed >= 2)) {
+          silent.push(machine.name);
+        }
       }
       if (silent.length <= Math.max(1, all / 2)) lost.push(...silent);
     }
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -45,6 +45,9 @@
   lost = false;
   idleSince: number;
   inFlight = false;
+  /** Questions in a row that it has not answered. */
+  missed = 0;
+  probing = false;
   /** Since when a start sent here is without an answer. */
   doubtSince: number | null = null;
 
@@ -103,6 +106,13 @@
     return room;
   }
 
+  /** Processors that live services have here. */
+  get live(): number {
+    let cpus = 0;
+    for (const { chunk } of this.entries.values()) if (chunk.spec.service) cpus += chunk.spec.cpus;
+    return cpus;
+  }
+
   usable(now: number): boolean {
     return this.up && !this.leaving && this.goneBy === null && this.shunnedUntil <= now;
   }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -91,6 +91,7 @@
     machine.seenToken = Math.max(machine.seenToken, report.token);
     machine.heard = now;
     machine.lost = false;
+    machine.missed = 0;
     machine.goneBy = report.warning === null ? null : now + report.warning;
     machine.tasks = new Map(report.tasks.map((t) => [t.task, t]));
     if (newSession) machine.leftovers.clear();
@@ -653,10 +654,7 @@
     for (const machine of this.machines.values()) {
       if (machine.lost || machine.leaving || machine.goneBy !== null) continue;
       if (machine.up && machine.shunnedUntil > now) continue;
-      cpus += machine.size.cpus;
-      for (const { chunk } of machine.entries.values()) {
-        if (chunk.spec.service) cpus -= chunk.spec.cpus;
-      }
+      cpus += machine.size.cpus - machine.live;
     }
     return cpus;
   }
@@ -680,20 +678,21 @@
     let cpus = 0;
     for (const machine of this.machines.values()) {
       if (machine.spot || machine.lost || machine.leaving) continue;
-      cpus += machine.size.cpus;
-      for (const { chunk } of machine.entries.values()) {
-        if (chunk.spec.service) cpus -= chunk.spec.cpus;
-      }
+      cpus += machine.size.cpus - machine.live;
     }
     return cpus;
   }
 
-  /** Room for the services that will arrive while a machine boots, and for one more. */
+  /**
+   * Room for the services that will arrive while a machine boots, and for one more; or for those of
+   * the fullest machine, should it be lost. Batch work may use it meanwhile.
+   */
   private liveReserve(now: number): number {
     if (this.lastLive === null) return 0;
     const boots = [...this.types().values()].map((t) => t.boot);
     const { spec, size } = this.lastLive;
-    return this.liveArrivals.rate(now) * Math.min(...boots) + size * spec.cpus;
+    const arriving = this.liveArrivals.rate(now) * Math.min(...boots) + size * spec.cpus;
+    return Math.max(arriving, ...[...this.machines.values()].map((m) => m.live));
   }
 
   private mayGo(machine: Machine, now: number): boolean {
