--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -46,6 +46,8 @@
   private readonly quotas: Quotas;
   private readonly provisioner: Provisioner;
   private kicked = false;
+  /** Stored chunks without a counterpart here, seen once. */
+  private readonly strays = new Set<string>();
   private stopped = false;
   private lastGossip = -Infinity;
 
@@ -147,6 +149,7 @@
     });
     void this.every(this.settings.report / 3, () => {
       this.commits.review();
+      this.adoptStrayChunks();
       this.sender.review();
       this.sweep();
       void this.quotas.balance();
@@ -223,6 +226,7 @@
       token: h.token,
       utilisation: h.part.utilisation,
       waiting: h.part.waiting,
+      liveRoom: h.part.liveRoom(),
     }));
     const reports = [...this.hosted.values()].map((h) => h.part);
     this.peers.gossip(
@@ -239,6 +243,19 @@
     );
   }
 
+  /** Room for live services in a zone's parts, by our own count and the peers' last word. */
+  liveRoomIn(zone: string | undefined, except?: string): number {
+    const counts = (part: string): boolean => part !== except && this.zoneOf.get(part) === zone;
+    let cpus = 0;
+    for (const { part } of this.hosted.values()) if (counts(part.label)) cpus += part.liveRoom();
+    for (const gossip of this.peers.gossips()) {
+      for (const host of gossip.hosts) {
+        if (counts(host.part) && !this.hosted.has(host.part)) cpus += host.liveRoom;
+      }
+    }
+    return cpus;
+  }
+
   localDemands(): ReturnType<Part['demands']> {
     const now = this.clock.now();
     return [...this.hosted.values()].flatMap((h) => h.part.demands(now));
@@ -260,6 +277,7 @@
       this.runTimes,
       this.random,
       (team) => this.quotas.allowance(label, team),
+      () => this.liveRoomIn(this.zoneOf.get(label), label),
     );
     const host: Hosted = {
       part,
@@ -334,6 +352,45 @@
     }
   }
 
+  /**
+   * Stored chunks of our parts that we hold nothing of. It happens when two nodes try to store the same
+   * job, since its user came back before the first had its answer: the chunk that the other sends here
+   * meets our own of the same name, and ours goes when the store refuses it.
+   */
+  private adoptStrayChunks(): void {
+    if (!this.ownership.valid) return;
+    for (const host of this.hosted.values()) {
+      const prefix = keys.runs(host.part.label);
+      for (const [key] of this.replica.under(prefix)) {
+        if (host.part.chunks.has(key.slice(prefix.length))) this.strays.delete(key);
+        else if (this.strays.has(key)) void this.adoptChunk(host, key);
+        else this.strays.add(key);
+      }
+    }
+  }
+
+  private async adoptChunk(host: Hosted, key: string): Promise<void> {
+    this.strays.delete(key);
+    try {
+      const item = await this.state.get(key);
+      const [, , , id = '', index = ''] = key.split('/');
+      if (!host.alive || host.part.chunks.has(`${id}/${index}`)) return;
+      if (item === null) {
+        this.replica.noteRemoved(key, Infinity);
+        return;
+      }
+      log.info(`taking up ${id}/${index}, which was stored for ${host.part.label}`);
+      const now = this.clock.now();
+      const record = item.value as ChunkRecord;
+      const chunk = host.part.loadChunk(Number(index), record, item.stamp, host.token, now);
+      const job = this.replica.get(keys.job(id))?.value as JobRecord | undefined;
+      if (job?.state === 'cancelled') host.part.cancel(chunk, now);
+      this.kick();
+    } catch (error) {
+      log.debug(`stored chunk: ${describe(error)}`);
+    }
+  }
+
   /** A chunk that a peer sent here. */
   private takeIn(host: Hosted, index: number, change: Change): void {
     const record = change.value as ChunkRecord;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -55,6 +55,8 @@
     private readonly runTimes: RunTimes,
     private readonly random: Random,
     private readonly allowance: Allowance = () => null,
+    /** Room for live services in the zone's other parts. */
+    private readonly neighbours: () => number = () => 0,
   ) {
     this.arrivals = new Arrivals(options.window);
     this.liveArrivals = new Arrivals(options.window);
@@ -674,7 +676,7 @@
   }
 
   /** Processors on ordinary machines that live services have not taken, those on their way included. */
-  private liveRoom(): number {
+  liveRoom(): number {
     let cpus = 0;
     for (const machine of this.machines.values()) {
       if (machine.spot || machine.lost || machine.leaving) continue;
@@ -692,7 +694,8 @@
     const boots = [...this.types().values()].map((t) => t.boot);
     const { spec, size } = this.lastLive;
     const arriving = this.liveArrivals.rate(now) * Math.min(...boots) + size * spec.cpus;
-    return Math.max(arriving, ...[...this.machines.values()].map((m) => m.live));
+    const fullest = Math.max(0, ...[...this.machines.values()].map((m) => m.live));
+    return Math.max(arriving, fullest - this.neighbours());
   }
 
   private mayGo(machine: Machine, now: number): boolean {
@@ -739,12 +742,29 @@
     for (const machine of this.machines.values()) {
       if (machine.lost || machine.leaving || machine.goneBy !== null) continue;
       if (machine.up && machine.shunnedUntil > now) continue;
-      rooms.push({ machine, room: machine.up ? machine.free : { ...machine.size } });
+      rooms.push({ machine, room: { ...machine.size } });
     }
+    // In the order of the queue: what is placed takes its room before lower ranks do, so work that
+    // would be stopped for a waiting service does not make it ask for a machine.
+    const placed = rooms.flatMap(({ machine, room }) =>
+      [...machine.entries.values()].map((p) => ({ chunk: p.chunk, room })),
+    );
+    placed.sort((a, b) => b.chunk.rank - a.chunk.rank);
+    let settled = 0;
+    const settleDownTo = (rank: number): void => {
+      for (; settled < placed.length; settled++) {
+        const next = placed[settled];
+        if (next === undefined || next.chunk.rank < rank) return;
+        next.room.cpus -= next.chunk.spec.cpus;
+        next.room.gpus -= next.chunk.spec.gpus;
+        next.room.memory -= next.chunk.spec.memory;
+      }
+    };
     const demands: Demand[] = [];
     let deficit = Math.max(0, this.batchNeed(now) - this.batchCpus(now));
     for (const chunk of this.queue()) {
       if (chunk.failures > 2) continue;
+      settleDownTo(chunk.rank);
       let count = chunk.pending;
       let suited = 0;
       for (const { machine, room } of rooms) {
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -99,16 +99,14 @@
         if (allows(spec, null, host)) found.set(zone, 0);
       }
     }
-    for (const host of node.hosted.values()) {
-      for (const machine of host.part.machines.values()) {
-        const before = found.get(machine.zone);
-        if (before !== undefined) found.set(machine.zone, before + machine.free.cpus);
-      }
-    }
-    // The own zone first where there is nothing to choose between them.
-    const own = (zone: string): number => (zone === node.settings.zone ? 1 : 0);
-    return [...found.keys()].sort(
-      (a, b) => own(b) - own(a) || (found.get(b) ?? 0) - (found.get(a) ?? 0),
+    for (const zone of found.keys()) found.set(zone, node.liveRoomIn(zone));
+    // Where there is nothing to choose between zones, jobs take turns by their ids.
+    const turn = [...spec.id].reduce((n, c) => (n * 31 + c.charCodeAt(0)) % 65521, 7);
+    const zones = [...found.keys()].sort();
+    const first = zones[turn % Math.max(1, zones.length)];
+    return zones.sort(
+      (a, b) =>
+        (found.get(b) ?? 0) - (found.get(a) ?? 0) || Number(b === first) - Number(a === first),
     );
   }
 
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -24,7 +24,14 @@
   from: string;
   /** True while the sender's lease at the state service is valid by its own clock. */
   served: boolean;
-  hosts: { part: string; token: number; utilisation: number; waiting: number }[];
+  hosts: {
+    part: string;
+    token: number;
+    utilisation: number;
+    waiting: number;
+    /** Processors on ordinary machines that live services have not taken. */
+    liveRoom: number;
+  }[];
   demands: Demand[];
   /** Machines that may be returned. */
   spare: string[];
@@ -76,6 +83,7 @@
         field('token', 'long'),
         field('utilisation', 'double'),
         field('waiting', 'int'),
+        field('liveRoom', 'double'),
       ]),
     ),
   ),
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -131,7 +131,7 @@
       Gossip: {
         from: 'drone-1',
         served: true,
-        hosts: [{ part: 'drone-1', token: 7, utilisation: 0.5, waiting: 2 }],
+        hosts: [{ part: 'drone-1', token: 7, utilisation: 0.5, waiting: 2, liveRoom: 8 }],
         demands: [
           {
             part: 'drone-1',
