--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -661,18 +661,21 @@
     return cpus;
   }
 
-  /** Processors that batch work needs: what arrives on the average, and what has piled up. */
-  private batchNeed(now: number): number {
-    let backlog = 0;
+  /** Batch work that has piled up, in processor seconds. */
+  private backlog(): number {
+    let work = 0;
     for (const chunk of this.chunks.values()) {
       if (chunk.spec.service || chunk.cancelled) continue;
       const run = this.expectedRun(chunk.spec);
-      backlog += (chunk.pending * run + chunk.entries.size * run * 0.5) * chunk.spec.cpus;
+      work += (chunk.pending * run + chunk.entries.size * run * 0.5) * chunk.spec.cpus;
     }
-    return Math.max(
-      this.arrivals.rate(now) * this.options.headroom,
-      backlog / this.options.patience,
-    );
+    return work;
+  }
+
+  /** Processors that batch work needs: what arrives on the average, and what has piled up. */
+  private batchNeed(now: number): number {
+    const arriving = this.arrivals.rate(now) * this.options.headroom;
+    return Math.max(arriving, this.backlog() / this.options.patience);
   }
 
   /** Processors on ordinary machines that live services have not taken, those on their way included. */
@@ -733,7 +736,8 @@
     const { cpus, gpus, memory, types, rank, image, imageGb } = spec;
     const shape = { cpus, gpus, memory, types, zone: zone ?? spec.zone, spot: false, rank };
     const count = Math.ceil(missing / cpus);
-    return { ...shape, part: this.label, service: true, image, imageGb, count, run: 0 };
+    const rest = { service: true, image, imageGb, count, urgent: false, run: 0 };
+    return { ...shape, part: this.label, ...rest };
   }
 
   /** Work that neither machines that are up nor those on their way can hold in good time. */
@@ -761,7 +765,9 @@
       }
     };
     const demands: Demand[] = [];
-    let deficit = Math.max(0, this.batchNeed(now) - this.batchCpus(now));
+    const have = this.batchCpus(now);
+    let deficit = Math.max(0, this.batchNeed(now) - have);
+    const urgent = this.backlog() > have * this.options.patience * 2;
     for (const chunk of this.queue()) {
       if (chunk.failures > 2) continue;
       settleDownTo(chunk.rank);
@@ -787,7 +793,7 @@
       const zone = chunk.zone ?? chunk.spec.zone;
       const run = service ? 0 : this.expectedRun(chunk.spec);
       const demand = { part: this.label, cpus, gpus, memory, types, zone, spot, rank, service };
-      demands.push({ ...demand, image, imageGb, count, run });
+      demands.push({ ...demand, image, imageGb, count, urgent, run });
     }
     const headroom = this.headroom(now);
     if (headroom !== null && !demands.some((d) => d.service)) demands.push(headroom);
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -16,6 +16,8 @@
   free: Room;
   /** Time per unit of work against the usual; 1 is usual, 2 is half as fast. */
   slowness: number;
+  /** Processors that live services have there. */
+  live: number;
   hasImage(image: string): boolean;
 }
 
@@ -68,9 +70,11 @@
   for (const host of hosts) {
     const left = host.free.cpus - spec.cpus + (host.free.memory - spec.memory) / 1e3;
     const spotFirst = spec.spot && !host.spot ? 1e3 : 0;
+    // Live services keep apart: the loss of one machine should take few of them.
+    const apart = spec.service ? 10 * host.live : 0;
     const imageFirst = host.hasImage(spec.image) ? 0 : 1e4;
     const slow = host.slowness > 1.5 ? 1e6 * host.slowness : 0;
-    const score = left + spotFirst + imageFirst + slow;
+    const score = left + spotFirst + apart + imageFirst + slow;
     if (score < bestScore) {
       best = host;
       bestScore = score;
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -48,7 +48,8 @@
     if (fits < 1) continue;
     for (const zone of type.zones) {
       if (demand.zone !== null && demand.zone !== zone) continue;
-      for (const spot of demand.spot ? [true] : [false]) {
+      const ordinary = !demand.spot || demand.service || demand.urgent;
+      for (const spot of [true, false].filter((s) => (s ? demand.spot : ordinary))) {
         if (context.refused(type.name, zone, spot)) continue;
         const price = spot ? type.spotPrice : type.price;
         const used = Math.min(fits, demand.count);
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -16,6 +16,8 @@
   image: string;
   imageGb: number;
   count: number;
+  /** Batch work that cannot be through in time on what there is: dear machines may be rented for it. */
+  urgent: boolean;
   /** Expected run time of one task, corrected. */
   run: number;
 }
@@ -103,6 +105,7 @@
         field('image', 'string'),
         field('imageGb', 'double'),
         field('count', 'int'),
+        field('urgent', 'boolean'),
         field('run', 'double'),
       ]),
     ),
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -146,6 +146,7 @@
             image: 'i',
             imageGb: 1,
             count: 4,
+            urgent: false,
             run: 9,
           },
         ],
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -178,6 +178,7 @@
     spot: false,
     free: room(cpus),
     slowness,
+    live: 0,
     hasImage: () => image,
   });
   const pick = (...hosts: ReturnType<typeof machine>[]): string | undefined =>
@@ -277,6 +278,7 @@
     image: 'i',
     imageGb: 1,
     count: 1,
+    urgent: false,
     run: 0,
   };
   const kinds = (d: typeof demand): string[] =>
