A silent machine is lost only while others answer

Found by the workers' reports ending without a trace. Also: no cloud calls while the state service is silent; after a hand-back the part's own node goes first. Tests: part.test, lost machines.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -497,6 +497,7 @@
   private async probe(host: Hosted, machine: Machine): Promise<void> {
     if (machine.probing || machine.address === '') return;
     machine.probing = true;
+    const sent = this.clock.now();
     const { address } = machine;
     const timeout = this.settings.report / 3;
     try {
@@ -504,10 +505,12 @@
       const report = parseReport(answer.body);
       if (report !== null && host.alive && machine.address === address) {
         machine.missed = 0;
+        machine.missedSince = null;
         host.part.apply(machine, report, this.clock.now(), false);
       }
     } catch {
       machine.missed++;
+      machine.missedSince ??= sent;
     } finally {
       machine.probing = false;
     }
@@ -521,12 +524,14 @@
       host.part.sweep(now);
       if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
       this.settleDoubts(host, now);
+      const doubtful = [...host.part.machines.values()].some((m) => m.missed > 0);
       for (const machine of host.part.machines.values()) {
         if (!machine.up || machine.heard === null) continue;
         host.part.pokes.add(machine);
         // Where live services run, silence is noticed within a second or two; elsewhere when a report
         // is overdue.
-        const patience = machine.live > 0 ? 0.3 : 1.3;
+        // When one does not answer, all are asked: others that answer show that the fault is not ours.
+        const patience = machine.live > 0 || doubtful ? 0.3 : 1.3;
         if (now - machine.heard > report * patience) void this.probe(host, machine);
       }
     }
@@ -565,39 +570,13 @@
     return [...this.hosted.values()].flatMap((h) => h.part.spare(now, this.tuning.idleRatio));
   }
 
-  /**
-   * Machines so long silent that they count as lost. Ending them is the quickest proof that their
-   * tasks are over. When most of a part is silent at once, the fault is more likely ours.
-   */
   localLost(): string[] {
     const now = this.clock.now();
-    const lost: string[] = [];
-    for (const host of this.hosted.values()) {
-      const silent: string[] = [];
-      let all = 0;
-      for (const machine of host.part.machines.values()) {
-        if (machine.heard === null) {
-          // Most are up within 1.5 times the boot time; one that isn't may never come, and is charged.
-          const age = this.clock.wall() - machine.record.at;
-          const boot = machine.shape?.boot ?? this.settings.lease;
-          // After a takeover every worker first has to find us.
-          const watched = now - machine.created;
-          const { report } = this.settings;
-          // A machine that has tasks was up once: it is settled by its lease, not by its boot time.
-          const never = machine.entries.size === 0;
-          if (never && age > boot * 1.6 + report * 2 && watched > report * 5)
-            lost.push(machine.name);
-          continue;
-        }
-        all++;
-        const silence = now - machine.heard;
-        const { report } = this.settings;
-        if (silence > report * 3 || (silence > report * 0.8 && machine.missed >= 2)) {
-          silent.push(machine.name);
-        }
-      }
-      if (silent.length <= Math.max(1, all / 2)) lost.push(...silent);
-    }
-    return lost;
+    const boot = (machine: Machine): number => machine.shape?.boot ?? this.settings.lease;
+    // Without a word from the state service the network may have left us, and everybody seems lost.
+    if (now - this.state.lastServed > this.stateTtl / 2) return [];
+    return [...this.hosted.values()].flatMap((h) =>
+      h.part.lostMachines(now, boot, this.clock.wall()),
+    );
   }
 }
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -47,6 +47,8 @@
   inFlight = false;
   /** Questions in a row that it has not answered. */
   missed = 0;
+  /** When the first of them was sent. */
+  missedSince: number | null = null;
   probing = false;
   /** Since when a start sent here is without an answer. */
   doubtSince: number | null = null;
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -125,6 +125,8 @@
     const { label } = this.options;
     const stored = this.replica.get(keys.owner(part))?.value as OwnerRecord | undefined;
     if (this.held.has(part)) {
+      // Its key will be absent anew after a hand-back, and its own node goes first then.
+      this.absentSince.delete(part);
       if (part !== label && part !== PROVISIONER && this.events.wantsBack(part)) {
         this.exclusive(part, () => this.handBack(part));
       }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -94,6 +94,7 @@
     machine.heard = now;
     machine.lost = false;
     machine.missed = 0;
+    machine.missedSince = null;
     machine.goneBy = report.warning === null ? null : now + report.warning;
     machine.tasks = new Map(report.tasks.map((t) => [t.task, t]));
     if (newSession) machine.leftovers.clear();
@@ -292,14 +293,52 @@
   summary(now: number): string {
     const machines = [...this.machines.values()];
     const free = machines.filter((m) => m.usable(now)).reduce((n, m) => n + m.free.cpus, 0);
+    const silent = machines
+      .flatMap((m) => (m.up ? [] : [m.name]))
+      .slice(0, 5)
+      .join(' ');
     const count = (test: (m: Machine) => boolean): number => machines.filter(test).length;
     return (
-      `part ${this.label}: ${machines.length} machines, ${count((m) => !m.up)} not up, ` +
+      `part ${this.label}: ${machines.length} machines, ${count((m) => !m.up)} not up (${silent}), ` +
       `${count((m) => m.leaving)} leaving, ${count((m) => m.goneBy !== null)} noticed, ` +
       `${count((m) => m.shunnedUntil > now)} shunned, ${free} CPUs free, ${this.waiting} tasks wait`
     );
   }
 
+  /**
+   * Machines so long silent that they count as lost. Ending them is the quickest proof that their
+   * tasks are over. When no other machine has answered since, the fault is more likely ours: a node
+   * that lost its network once asked for the release of healthy machines, and the request was carried
+   * out when the cut was over.
+   */
+  lostMachines(now: number, bootOf: (machine: Machine) => number, wall: number): string[] {
+    const { report } = this.options;
+    const lost: string[] = [];
+    for (const machine of this.machines.values()) {
+      if (machine.heard === null) {
+        // Most are up within 1.5 times the boot time; one that isn't may never come, and is charged.
+        // After a takeover every worker first has to find us; one that has tasks was up before.
+        const age = wall - machine.record.at;
+        const overdue = age > bootOf(machine) * 1.6 + report * 2;
+        const watched = now - machine.created > report * 5;
+        if (overdue && watched && machine.entries.size === 0) lost.push(machine.name);
+        continue;
+      }
+      const since = machine.missedSince;
+      if (since === null || machine.missed < 2 || now - machine.heard < report * 0.8) continue;
+      let silent = 0;
+      let heard = 0;
+      for (const other of this.machines.values()) {
+        if (other === machine || !other.up) continue;
+        if (other.heard !== null && other.heard > since) heard++;
+        else if (other.missed > 0) silent++;
+      }
+      const alone = heard === 0 && silent === 0 && now - machine.heard > report * 3;
+      if (heard > silent || alone) lost.push(machine.name);
+    }
+    return lost;
+  }
+
   // ---- Chunks ----
 
   addChunk(chunk: Chunk, now: number): void {
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -62,6 +62,8 @@
   private step(): void {
     const now = this.node.clock.now();
     if (now < this.downUntil) return;
+    // What is sent into a cut may be carried out when it is over, and nobody wants it any more then.
+    if (now - this.node.state.lastServed > this.node.stateTtl / 2) return;
     if (!this.listing && now - this.lastList > this.node.settings.listLag * 0.75) void this.list();
     for (const [key, { value, stamp }] of this.node.replica.under('b/rental/')) {
       const ask = key.slice('b/rental/'.length);
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -17,6 +17,15 @@
   constructor(private readonly node: Controller) {}
 
   async hello(body: string, relayed: boolean): Promise<Reply> {
+    const reply = await this.decide(body, relayed);
+    if (reply.status !== 200) {
+      const name = /"Drone": ?"([^"]*)"/.exec(body)?.[1] ?? '?';
+      log.debug(`report of ${name}: ${reply.status} ${JSON.stringify(reply.body)}`);
+    }
+    return reply;
+  }
+
+  private async decide(body: string, relayed: boolean): Promise<Reply> {
     let report: Report | null = null;
     try {
       report = parseReport(JSON.parse(body));
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -377,3 +377,39 @@
   b.decide();
   assert.equal(chunk.entries.size, 1);
 });
+
+test('a silent machine is lost only while others answer', () => {
+  const cases: [string, 'answers' | 'silent' | 'none', number, string[]][] = [
+    ['the others answer', 'answers', 4, ['n-1']],
+    ['nobody answers: the fault is ours', 'silent', 4, []],
+    ['there is no other: only after three reports', 'none', 4, []],
+    ['there is no other, and it is long silent', 'none', 10, ['n-1']],
+  ];
+  for (const [name, others, seconds, lost] of cases) {
+    const b = new Bench();
+    const machine = b.machine('n-1');
+    const rest = others === 'none' ? [] : ['n-2', 'n-3'].map((n) => b.machine(n));
+    b.now += 1;
+    for (const m of [machine, ...(others === 'silent' ? rest : [])]) {
+      m.missed = 2;
+      m.missedSince = b.now;
+    }
+    b.now += 1;
+    if (others === 'answers') for (const m of rest) b.report(m, []);
+    b.now += seconds - 2;
+    assert.deepEqual(
+      b.part.lostMachines(b.now, () => 30, 1000),
+      lost,
+      name,
+    );
+  }
+});
+
+test('machines that never come up are given back, but not right after a takeover', () => {
+  const b = new Bench();
+  b.machine('n-1', false);
+  const boot = (): number => 30;
+  assert.deepEqual(b.part.lostMachines(b.now + 5, boot, 1000), [], 'its worker may be on its way');
+  assert.deepEqual(b.part.lostMachines(b.now + 20, boot, 50), [], 'it may still boot');
+  assert.deepEqual(b.part.lostMachines(b.now + 20, boot, 60), ['n-1']);
+});
