Guarantees: a team gets its room back from what others borrowed

Work of any rank that another team runs beyond its guarantee is stopped for work within a guarantee, counting what the peers report.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -24,7 +24,7 @@
 import type { Hosted } from './hosted.js';
 import type { Machine } from './machine.js';
 import { Ownership, PROVISIONER, type Held } from './ownership.js';
-import { Part } from './part.js';
+import { Part, type Amount } from './part.js';
 import { Peers } from './peers.js';
 import { Provisioner } from './provisioner.js';
 import { Quotas } from './quotas.js';
@@ -237,12 +237,32 @@
         demands: this.ownership.valid ? this.localDemands() : [],
         spare: this.ownership.valid ? this.localSpare() : [],
         lost: this.ownership.valid ? this.localLost() : [],
+        used: this.settings.teams
+          .filter((t) => t.cpus > 0 || t.gpus > 0)
+          .map(({ name: team }) => {
+            const amounts = reports.map((p) => p.usedBy(team));
+            const cpus = amounts.reduce((n, a) => n + a.cpus, 0);
+            return { team, cpus, gpus: amounts.reduce((n, a) => n + a.gpus, 0) };
+          }),
         hungry: [...new Set(reports.flatMap((p) => [...p.hungry]))],
       },
       this.settings.report / 2,
     );
   }
 
+  private usedElsewhere(team: string, except: string): Amount {
+    const used = { cpus: 0, gpus: 0 };
+    const add = (amount: Amount): void => {
+      used.cpus += amount.cpus;
+      used.gpus += amount.gpus;
+    };
+    for (const { part } of this.hosted.values()) if (part.label !== except) add(part.usedBy(team));
+    for (const { used: entries } of this.peers.gossips()) {
+      for (const entry of entries) if (entry.team === team) add(entry);
+    }
+    return used;
+  }
+
   /** Room for live services in a zone's parts, by our own count and the peers' last word. */
   liveRoomIn(zone: string | undefined, except?: string): number {
     const counts = (part: string): boolean => part !== except && this.zoneOf.get(part) === zone;
@@ -276,8 +296,15 @@
       () => this.types,
       this.runTimes,
       this.random,
-      (team) => this.quotas.allowance(label, team),
-      () => this.liveRoomIn(this.zoneOf.get(label), label),
+      {
+        allowance: (team) => this.quotas.allowance(label, team),
+        guarantee: (name) => {
+          const team = this.settings.teams.find((t) => t.name === name);
+          return { cpus: team?.cpus ?? 0, gpus: team?.gpus ?? 0 };
+        },
+        elsewhere: (team) => this.usedElsewhere(team, label),
+        neighbours: () => this.liveRoomIn(this.zoneOf.get(label), label),
+      },
     );
     const host: Hosted = {
       part,
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -29,8 +29,31 @@
   window: number;
 }
 
-/** How much of a team's limit this part may use; null: no limit. */
-export type Allowance = (team: string) => { cpus: number; gpus: number } | null;
+export interface Amount {
+  cpus: number;
+  gpus: number;
+}
+
+/** What a part has to know of the rest of the service. */
+export interface Surroundings {
+  /** How much of a team's limit this part may use; null: no limit. */
+  allowance(team: string): Amount | null;
+  /** What a team is guaranteed; 0: nothing. */
+  guarantee(team: string): Amount;
+  /** What a team's tasks take at the other parts, as last heard. */
+  elsewhere(team: string): Amount;
+  /** Room for live services in the zone's other parts. */
+  neighbours(): number;
+}
+
+const nothing = (): Amount => ({ cpus: 0, gpus: 0 });
+
+export const alone: Surroundings = {
+  allowance: () => null,
+  guarantee: nothing,
+  elsewhere: nothing,
+  neighbours: () => 0,
+};
 
 export class Part {
   readonly machines = new Map<string, Machine>();
@@ -54,9 +77,7 @@
     private readonly types: () => Map<string, MachineType>,
     private readonly runTimes: RunTimes,
     private readonly random: Random,
-    private readonly allowance: Allowance = () => null,
-    /** Room for live services in the zone's other parts. */
-    private readonly neighbours: () => number = () => 0,
+    private readonly around: Surroundings = alone,
   ) {
     this.arrivals = new Arrivals(options.window);
     this.liveArrivals = new Arrivals(options.window);
@@ -428,7 +449,11 @@
 
   private queue(): Chunk[] {
     const waiting = [...this.chunks.values()].filter((c) => c.pending > 0);
-    return waiting.sort(byOrder);
+    const entitled = new Set(waiting.filter((c) => this.isEntitled(c.spec)));
+    return waiting.sort(
+      (a, b) =>
+        b.rank - a.rank || Number(entitled.has(b)) - Number(entitled.has(a)) || byOrder(a, b),
+    );
   }
 
   get waiting(): number {
@@ -480,7 +505,7 @@
         continue;
       }
       chunk.blockedSince ??= now;
-      if (chunk.rank > 0) this.preempt(chunk, now);
+      if (chunk.rank > 0 || this.isEntitled(chunk.spec)) this.preempt(chunk, now);
       reserved ??= this.shadow(chunk, now);
     }
   }
@@ -543,7 +568,7 @@
   }
 
   private withinAllowance(spec: JobSpec): boolean {
-    const allowance = this.allowance(spec.team);
+    const allowance = this.around.allowance(spec.team);
     if (allowance === null) return true;
     const used = this.usedBy(spec.team);
     return (
@@ -552,6 +577,30 @@
     );
   }
 
+  private total(team: string): Amount {
+    const here = this.usedBy(team);
+    const there = this.around.elsewhere(team);
+    return { cpus: here.cpus + there.cpus, gpus: here.gpus + there.gpus };
+  }
+
+  /** One more task of it stays within its team's guarantee. */
+  private isEntitled(spec: JobSpec): boolean {
+    const guarantee = this.around.guarantee(spec.team);
+    if (guarantee.cpus === 0 && guarantee.gpus === 0) return false;
+    const used = this.total(spec.team);
+    return (
+      used.cpus + spec.cpus <= guarantee.cpus + 1e-6 &&
+      used.gpus + spec.gpus <= guarantee.gpus + 1e-6
+    );
+  }
+
+  /** What a team runs beyond its guarantee. */
+  private borrowed(team: string): Amount {
+    const guarantee = this.around.guarantee(team);
+    const used = this.total(team);
+    return { cpus: used.cpus - guarantee.cpus, gpus: used.gpus - guarantee.gpus };
+  }
+
   /** What a team's tasks take here, those that may still run included. */
   usedBy(team: string): { cpus: number; gpus: number } {
     const used = { cpus: 0, gpus: 0 };
@@ -597,7 +646,7 @@
     let making = 0;
     for (const machine of this.machines.values()) {
       for (const { chunk: other, entry } of machine.entries.values()) {
-        if (entry.stop !== null && !other.cancelled && other.rank < chunk.rank) making++;
+        if (entry.stop !== null && !other.cancelled && other.spec.id !== chunk.spec.id) making++;
       }
     }
     // One task's room at a time for each that waits; more would stop work for nothing.
@@ -605,12 +654,8 @@
       let best: { machine: Machine; victims: Victims; loss: number } | null = null;
       for (const machine of this.machines.values()) {
         if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) continue;
-        const victims = victimsFor(
-          machine.free,
-          chunk.spec,
-          this.stoppable(machine, now),
-          chunk.rank,
-        );
+        const running = this.stoppable(machine, chunk, now);
+        const victims = victimsFor(machine.free, chunk.spec, running, chunk.rank);
         if (victims === null || victims.length === 0) continue;
         const fetch = machine.hasImage(chunk.spec.image) ? 0 : 1e6;
         const loss = victims.reduce((sum, v) => sum + v.loss, fetch);
@@ -624,14 +669,28 @@
     }
   }
 
-  private stoppable(machine: Machine, now: number): Victims {
+  private stoppable(machine: Machine, claimant: Chunk, now: number): Victims {
     const list: Victims = [];
+    const entitled = this.isEntitled(claimant.spec);
+    const borrowed = new Map<string, Amount>();
     for (const placed of machine.entries.values()) {
       const { chunk, entry } = placed;
       if (entry.stop !== null) continue;
       const ran = entry.runningSince === null ? 0 : now - entry.runningSince;
       const loss = chunk.spec.checkpoint > 0 ? Math.min(ran, chunk.spec.save) : ran;
-      list.push({ rank: chunk.rank, need: chunk.spec, loss, placed });
+      let { rank } = chunk;
+      if (entitled && chunk.spec.team !== claimant.spec.team) {
+        // Work of any rank that another team runs beyond its own guarantee gives way.
+        const { team, cpus, gpus } = chunk.spec;
+        const over = borrowed.get(team) ?? this.borrowed(team);
+        borrowed.set(team, over);
+        if (over.cpus >= cpus && over.gpus >= gpus) {
+          over.cpus -= cpus;
+          over.gpus -= gpus;
+          rank = -1;
+        }
+      }
+      list.push({ rank, need: chunk.spec, loss, placed });
     }
     return list;
   }
@@ -737,7 +796,7 @@
     const { spec, size } = this.lastLive;
     const arriving = this.liveArrivals.rate(now) * Math.min(...boots) + size * spec.cpus;
     const fullest = Math.max(0, ...[...this.machines.values()].map((m) => m.live));
-    return Math.max(arriving, fullest - this.neighbours());
+    return Math.max(arriving, fullest - this.around.neighbours());
   }
 
   private mayGo(machine: Machine, now: number): boolean {
--- a/src/coordination/quotas.ts
+++ b/src/coordination/quotas.ts
@@ -6,11 +6,7 @@
 import type { Team } from '../protocol/settings.js';
 import { keys, type QuotaRecord } from '../storage/records.js';
 import type { Controller } from './controller.js';
-
-export interface Amount {
-  cpus: number;
-  gpus: number;
-}
+import type { Amount } from './part.js';
 
 const LIMITS = ['cpus', 'gpus'] as const;
 
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -39,6 +39,8 @@
   spare: string[];
   /** Machines that are silent and should be ended, so that their tasks are known to be over. */
   lost: string[];
+  /** What teams' tasks take at the sender's parts. */
+  used: { team: string; cpus: number; gpus: number }[];
   /** Teams whose share of the limit is too small for what waits here. */
   hungry: string[];
 }
@@ -112,6 +114,12 @@
   ),
   field('spare', list('string')),
   field('lost', list('string')),
+  field(
+    'used',
+    list(
+      record('Used', [field('team', 'string'), field('cpus', 'double'), field('gpus', 'double')]),
+    ),
+  ),
   field('hungry', list('string')),
 ]);
 const ask = record('Ask', [
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -5,7 +5,7 @@
 import { Chunk } from '../src/coordination/chunk.js';
 import { RunTimes } from '../src/coordination/estimate.js';
 import type { Machine } from '../src/coordination/machine.js';
-import { Part } from '../src/coordination/part.js';
+import { alone, Part, type Surroundings } from '../src/coordination/part.js';
 import type { MachineType } from '../src/protocol/cloud.js';
 import type { JobSpec } from '../src/protocol/job.js';
 import type { Report, TaskReport } from '../src/protocol/worker.js';
@@ -30,13 +30,18 @@
   tick = 0;
   session = 1;
   types = new Map([['m8', m8]]);
-  readonly part = new Part(
-    'p',
-    { lease: 18, report: 3, sample: 8, zones: ['a'], patience: 30, headroom: 1.2, window: 100 },
-    () => this.types,
-    new RunTimes(),
-    seededRandom(1),
-  );
+  readonly part: Part;
+
+  constructor(around: Surroundings = alone) {
+    this.part = new Part(
+      'p',
+      { lease: 18, report: 3, sample: 8, zones: ['a'], patience: 30, headroom: 1.2, window: 100 },
+      () => this.types,
+      new RunTimes(),
+      seededRandom(1),
+      around,
+    );
+  }
 
   machine(name = 'n-1', report = true): Machine {
     const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0 };
@@ -413,3 +418,36 @@
   assert.deepEqual(b.part.lostMachines(b.now + 20, boot, 50), [], 'it may still boot');
   assert.deepEqual(b.part.lostMachines(b.now + 20, boot, 60), ['n-1']);
 });
+
+test('a team gets its guarantee back from those who borrowed it, whatever their rank', () => {
+  const cases: [string, number, number, string[]][] = [
+    ['within its guarantee, the others beyond theirs', 4, 0, ['halt wk-1/1 2']],
+    ['beyond its own guarantee', 1, 0, []],
+    ['the others within theirs', 4, 8, []],
+    ['its guarantee is used elsewhere', 2, 0, []],
+  ];
+  for (const [name, mine, theirs, orders] of cases) {
+    const guarantee = (team: string): { cpus: number; gpus: number } => ({
+      cpus: team === 'small' ? mine : theirs,
+      gpus: 0,
+    });
+    const elsewhere = (team: string): { cpus: number; gpus: number } => ({
+      cpus: team === 'small' && mine === 2 ? 2 : 0,
+      gpus: 0,
+    });
+    const b = new Bench({ ...alone, guarantee, elsewhere });
+    const machine = b.machine();
+    const large = b.chunk({ id: 'wk-1', team: 'large', rank: 'high', cpus: 4, tasks: 2 });
+    b.decide();
+    b.store(large);
+    b.report(machine, [{ task: 'wk-1/0', attempt: 1 }]);
+    b.now += 5;
+    b.report(machine, [
+      { task: 'wk-1/0', attempt: 1 },
+      { task: 'wk-1/1', attempt: 2 },
+    ]);
+    b.chunk({ id: 'wk-2', team: 'small', rank: 'idle' });
+    b.decide();
+    assert.deepEqual(b.verbs(machine), orders, name);
+  }
+});
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -152,6 +152,7 @@
         ],
         spare: ['n-1'],
         lost: [],
+        used: [{ team: 'crew', cpus: 4, gpus: 0 }],
         hungry: ['crew'],
       },
     },
