Replicas go where their image is; machine types are kept in the store

Tests: part.test (image). Also a controller that restarts while the cloud is down accepts jobs by the last known types.

--- a/src/coordination/chunk.ts
+++ b/src/coordination/chunk.ts
@@ -46,6 +46,8 @@
   moves = 0;
   /** Steady time of the last question to the peers. */
   askedAt = -Infinity;
+  /** Since when lower-ranked work has been making room for it where its image is. */
+  clearingSince: number | null = null;
   /** Since when there was room nowhere; null when all is placed. */
   blockedSince: number | null = null;
   private cursor: number;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -357,7 +357,10 @@
   private onChange(change: Change): void {
     const [, kind, name = '', id = '', index = ''] = change.key.split('/');
     const now = this.clock.now();
-    if (kind === 'machine') this.onMachine(name, change);
+    if (change.key === keys.types && this.types.size === 0) {
+      // Restarted while the cloud is down: what it told before will do.
+      this.types = new Map((change.value as MachineType[]).map((t) => [t.name, t]));
+    } else if (kind === 'machine') this.onMachine(name, change);
     else if (kind === 'job' && !change.removed) {
       const record = change.value as JobRecord;
       if (record.state === 'open') return;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -499,6 +499,7 @@
         return;
       }
       if (chunk.notBefore > now) continue;
+      if (chunk.spec.service && this.clearsForImage(chunk, now)) continue;
       const blocked = this.placeChunk(chunk, reserved, now);
       if (!blocked) {
         chunk.blockedSince = null;
@@ -510,6 +511,33 @@
     }
   }
 
+  /**
+   * A replica that would wait for its image where there is room, while a machine that has the image is
+   * full of lower-ranked work: that work makes room, and the replica waits the moment it takes.
+   */
+  private clearsForImage(chunk: Chunk, now: number): boolean {
+    if (chunk.pending === 0) return false;
+    const { spec } = chunk;
+    const patience = this.options.report / 6;
+    if (chunk.clearingSince !== null && now - chunk.clearingSince > patience) return false;
+    const stoppable: { machine: Machine; victims: Victims; loss: number }[] = [];
+    for (const machine of this.machines.values()) {
+      if (!machine.usable(now) || !allows(spec, chunk.zone, machine)) continue;
+      if (!machine.hasImage(spec.image) || machine.slowness > 1.5) continue;
+      if (holds(machine.free, spec)) return false;
+      const running = this.stoppable(machine, chunk, now);
+      const victims = victimsFor(machine.free, spec, running, chunk.rank);
+      if (victims === null || victims.some((v) => v.placed.chunk.spec.checkpoint > 0)) continue;
+      stoppable.push({ machine, victims, loss: victims.reduce((n, v) => n + v.loss, 0) });
+    }
+    if (chunk.clearingSince !== null) return true;
+    const best = stoppable.sort((a, b) => a.loss - b.loss)[0];
+    if (best === undefined || best.victims.length === 0) return false;
+    chunk.clearingSince = now;
+    for (const { placed } of best.victims) this.stop(best.machine, placed.entry, 0);
+    return true;
+  }
+
   /** Gives true when tasks of it are left without room. */
   private placeChunk(
     chunk: Chunk,
@@ -737,12 +765,24 @@
     return this.runTimes.expected(spec.jobClass, spec.expect);
   }
 
+  /** Room for work of this rank: what is free, and what lower ranks would give up. */
+  private roomFor(machine: Machine, spec: JobSpec): Room {
+    const room = { ...machine.free };
+    for (const { chunk } of machine.entries.values()) {
+      if (chunk.rank >= rankOrder[spec.rank]) continue;
+      room.cpus += chunk.spec.cpus;
+      room.gpus += chunk.spec.gpus;
+      room.memory += chunk.spec.memory;
+    }
+    return room;
+  }
+
   /** Seconds to fetch an image here: nothing when a machine with room already has it. */
   fetchFor(spec: JobSpec, zone: string | null): number {
     let best = Infinity;
     for (const machine of this.machines.values()) {
       if (machine.shape === undefined || !allows(spec, zone, machine)) continue;
-      const warm = machine.hasImage(spec.image) && holds(machine.free, spec);
+      const warm = machine.hasImage(spec.image) && holds(this.roomFor(machine, spec), spec);
       best = Math.min(best, warm ? 0 : spec.imageGb / Math.max(1e-3, machine.shape.fetchRate));
     }
     return Number.isFinite(best) ? best : 0;
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -23,6 +23,7 @@
   private readonly renting = new Set<string>();
   private lastList = -Infinity;
   private listing = false;
+  private storingTypes = false;
   private holdOff = new Map<string, number>();
   private downUntil = 0;
 
@@ -64,6 +65,7 @@
     if (now < this.downUntil) return;
     // What is sent into a cut may be carried out when it is over, and nobody wants it any more then.
     if (now - this.node.state.lastServed > this.node.stateTtl / 2) return;
+    void this.storeTypes();
     if (!this.listing && now - this.lastList > this.node.settings.listLag * 0.75) void this.list();
     for (const [key, { value, stamp }] of this.node.replica.under('b/rental/')) {
       const ask = key.slice('b/rental/'.length);
@@ -73,6 +75,25 @@
     this.rentForDemands(now);
   }
 
+  /** Keeps the machine types for nodes that start while the cloud's interface is down. */
+  private async storeTypes(): Promise<void> {
+    const owner = this.owner();
+    const stored = this.node.replica.get(keys.types);
+    const known = (stored?.value ?? []) as cloud.MachineType[];
+    const types = [...this.node.types.values()];
+    const names = (list: cloud.MachineType[]): string => list.map((t) => t.name).join(' ');
+    if (owner === null || this.storingTypes || names(known) === names(types)) return;
+    this.storingTypes = true;
+    try {
+      const when = [owner, { key: keys.types, stamp: stored?.stamp ?? 0 }];
+      const puts = [{ key: keys.types, value: types }];
+      const result = await this.node.state.txn({ when, puts, removes: [] });
+      if (result.kind === 'applied') this.node.replica.note(keys.types, types, result.stamp);
+    } finally {
+      this.storingTypes = false;
+    }
+  }
+
   private async call(method: string, target: string, body?: unknown): Promise<Response> {
     await this.budget.take(1, method === 'POST');
     // Its answers may take a second or two when it is busy.
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -2,6 +2,7 @@
  * What is kept in the state service. All keys share one prefix, so that one watch follows them all.
  *
  *   b/token              the counter that tokens come from
+ *   b/types              the machine types, as the cloud last told them
  *   b/own/PART           who owns a part (held by the owner's lease)
  *   b/job/ID             a job: its description, home part and state
  *   b/run/PART/ID/K      chunk K of a job, at the part that runs it
@@ -15,6 +16,7 @@
 
 export const keys = {
   token: 'b/token',
+  types: 'b/types',
   owner: (part: string): string => `b/own/${part}`,
   job: (id: string): string => `b/job/${id}`,
   run: (part: string, id: string, chunk: number): string => `b/run/${part}/${id}/${chunk}`,
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -451,3 +451,25 @@
     assert.deepEqual(b.verbs(machine), orders, name);
   }
 });
+
+test('a replica goes where its image is, and batch work makes room for it there', () => {
+  const b = new Bench();
+  const warm = b.machine('n-1');
+  warm.noteImage('live', 1);
+  const batch = b.chunk({ id: 'wk-1', cpus: 8 });
+  b.decide();
+  b.store(batch);
+  b.report(warm, [{}]);
+  const cold = b.machine('n-2');
+  const live = b.chunk({ id: 'wk-2', rank: 'prod', service: true, image: 'live' });
+  b.decide();
+  assert.equal(live.entries.size, 0);
+  assert.deepEqual(b.verbs(warm), ['halt wk-1/0 1']);
+  b.report(warm, [{ state: 'ended', cause: 'halted' }]);
+  b.decide();
+  assert.equal(live.entries.get(0)?.machine, 'n-1');
+  const other = b.chunk({ id: 'wk-3', rank: 'prod', service: true, image: 'unheard of' });
+  b.decide();
+  assert.equal(other.entries.size, 1, 'nobody has its image: any machine will do');
+  assert.ok(cold.up);
+});
