--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -264,8 +264,8 @@
   }
 
   /** Room for live services in a zone's parts, by our own count and the peers' last word. */
-  liveRoomIn(zone: string | undefined, except?: string): number {
-    const counts = (part: string): boolean => part !== except && this.zoneOf.get(part) === zone;
+  liveRoomIn(zone: string): number {
+    const counts = (part: string): boolean => this.zoneOf.get(part) === zone;
     let cpus = 0;
     for (const { part } of this.hosted.values()) if (counts(part.label)) cpus += part.liveRoom();
     for (const gossip of this.peers.gossips()) {
@@ -303,7 +303,6 @@
           return { cpus: team?.cpus ?? 0, gpus: team?.gpus ?? 0 };
         },
         elsewhere: (team) => this.usedElsewhere(team, label),
-        neighbours: () => this.liveRoomIn(this.zoneOf.get(label), label),
       },
     );
     const host: Hosted = {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -42,8 +42,6 @@
   guarantee(team: string): Amount;
   /** What a team's tasks take at the other parts, as last heard. */
   elsewhere(team: string): Amount;
-  /** Room for live services in the zone's other parts. */
-  neighbours(): number;
 }
 
 const nothing = (): Amount => ({ cpus: 0, gpus: 0 });
@@ -52,7 +50,6 @@
   allowance: () => null,
   guarantee: nothing,
   elsewhere: nothing,
-  neighbours: () => 0,
 };
 
 export class Part {
@@ -826,17 +823,12 @@
     return cpus;
   }
 
-  /**
-   * Room for the services that will arrive while a machine boots, and for one more; or for those of
-   * the fullest machine, should it be lost. Batch work may use it meanwhile.
-   */
+  /** Room for the services that will arrive while a machine boots, and for one more. */
   private liveReserve(now: number): number {
     if (this.lastLive === null) return 0;
     const boots = [...this.types().values()].map((t) => t.boot);
     const { spec, size } = this.lastLive;
-    const arriving = this.liveArrivals.rate(now) * Math.min(...boots) + size * spec.cpus;
-    const fullest = Math.max(0, ...[...this.machines.values()].map((m) => m.live));
-    return Math.max(arriving, fullest - this.around.neighbours());
+    return this.liveArrivals.rate(now) * Math.min(...boots) + size * spec.cpus;
   }
 
   private mayGo(machine: Machine, now: number): boolean {
