--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -897,7 +897,7 @@
     const demands: Demand[] = [];
     const have = this.batchCpus(now);
     let deficit = Math.max(0, this.batchNeed(now) - have);
-    const urgent = this.backlog() > have * this.options.patience * 2;
+    const urgent = this.backlog() > have * this.options.patience * 6;
     for (const chunk of this.queue()) {
       if (chunk.failures > 2) continue;
       settleDownTo(chunk.rank);
