--- a/src/coordination/gateway.ts
+++ b/src/coordination/gateway.ts
@@ -1,6 +1,7 @@
 /** Routes requests, whether they come from users, workers or peers. */
 import { paths, helloPath } from '../protocol/routes.js';
 import { decodeRequest, encodeAnswer, type PeerAnswer, type Relay } from '../protocol/peer.js';
+import { log } from '../base/log.js';
 import { decodeSpec } from '../protocol/peer.js';
 import type { HttpMessage } from '../transport/httpParser.js';
 import type { Reply } from '../transport/httpServer.js';
@@ -41,7 +42,15 @@
     }
     if (path === paths.jobs) {
       if (method !== 'POST') return { status: 405, body: { error: 'use POST' } };
-      return this.users.submit(body, relayed);
+      const began = this.node.clock.now();
+      const reply = await this.users.submit(body, relayed);
+      const took = this.node.clock.now() - began;
+      if (reply.status >= 400 || took > 0.5) {
+        log.debug(
+          `submission: ${reply.status} after ${took.toFixed(2)} s ${JSON.stringify(reply.body)}`,
+        );
+      }
+      return reply;
     }
     const job = paths.job.exec(path);
     if (job?.[1] === undefined) return NOT_FOUND;
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -101,7 +101,10 @@
     }
   }
 
-  /** Asks all peers at once; those that are silent for `timeout` are ignored. */
+  /**
+   * Asks all peers at once; those that are silent for `timeout` are ignored, and so are, without a
+   * question, those whose gossip has stopped: else each submission during a cut waits for the timeout.
+   */
   async ask(
     spec: JobSpec,
     zone: string | null,
@@ -109,7 +112,10 @@
     timeout: number,
   ): Promise<(Estimate & { node: string })[]> {
     const body = encodeRequest({ Ask: { spec: encodeSpec(spec), zone, tasks } });
-    const calls = [...this.peers.values()].map(async (peer) => {
+    const talking = [...this.peers.values()].filter(
+      (p) => this.clock.now() - p.heard <= Math.min(timeout, this.fresh * 0.4),
+    );
+    const calls = talking.map(async (peer) => {
       try {
         const answer = decodeAnswer(await peer.client.call(body, timeout));
         if (!('Estimates' in answer)) return [];
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -118,7 +118,6 @@
     if (before !== null) return this.known(spec.id);
     if (reason !== null) return { status: 422, body: { error: reason } };
     const { node } = this;
-    const now = node.clock.now();
     const { valueBytes, stateWriteRate } = node.settings;
     const record: JobRecord = {
       spec,
@@ -133,21 +132,18 @@
     };
     const ranges = chunkRanges(spec.tasks, record.size, record.zones);
     const most = Math.min(4, node.settings.txnOps - 2, Math.floor(stateWriteRate / 4));
-    const first: { range: Range; part: string; chunk: Chunk }[] = [];
-    for (const range of ranges.slice(0, Math.max(2, most))) {
-      if (!mayCut(record, first.length)) break;
-      const part = await node.sender.choose(
-        home,
-        spec,
-        range.zone ?? spec.zone,
-        range.to - range.from,
-      );
-      const { label } = home.part;
-      const { from, to, zone } = range;
-      const chunk = new Chunk(spec, first.length, label, record.at, from, to, zone, now);
-      if (part !== label) chunk.moves = 1;
-      first.push({ range, part, chunk });
-    }
+    const now = node.clock.now();
+    const { label } = home.part;
+    const atOnce = ranges.slice(0, Math.max(2, most)).filter((_, k) => mayCut(record, k));
+    const first = await Promise.all(
+      atOnce.map(async (range, index) => {
+        const { from, to, zone } = range;
+        const part = await node.sender.choose(home, spec, zone ?? spec.zone, to - from);
+        const chunk = new Chunk(spec, index, label, record.at, from, to, zone, now);
+        if (part !== label) chunk.moves = 1;
+        return { range, part, chunk };
+      }),
+    );
     record.cut = first.length;
     return this.storeJob(home, record, first);
   }
