--- a/src/coordination/chunks.ts
+++ b/src/coordination/chunks.ts
@@ -44,6 +44,7 @@
 
 /** Zones that a job is held to from the start; empty when any will do. */
 export function zonesFor(spec: JobSpec, byRoom: string[]): string[] {
+  if (spec.gang && !spec.oneZone && !spec.spread) return [];
   const allowed = spec.zone === null ? byRoom : byRoom.filter((z) => z === spec.zone);
   const first = allowed[0];
   if (first === undefined) return [];
@@ -55,6 +56,8 @@
 
 /** Tasks a chunk: what a part of this size can run at once, within bounds of a record's size. */
 export function chunkSize(spec: JobSpec, partCpus: number, valueBytes: number): number {
+  // A gang starts whole, so one part must hold it whole.
+  if (spec.gang) return spec.tasks;
   const fits = Math.floor(partCpus / spec.cpus);
   // An entry of a running task is some 60 bytes; half the record is left for the rest.
   const most = Math.max(8, Math.floor(valueBytes / 2 / 60));
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -289,6 +289,13 @@
     machine.entries.delete(chunk.taskName(entry.task));
     if (machine.entries.size === 0) machine.idleSince = now;
     this.changed(chunk, now);
+    // One of a gang is over before its time: the others can do nothing without it, and start anew with it.
+    if (!chunk.spec.gang || chunk.cancelled || chunk.done.has(entry.task)) return;
+    for (const other of chunk.entries.values()) {
+      const { checkpoint, save } = chunk.spec;
+      const on = this.machines.get(other.machine);
+      if (on !== undefined) this.stop(on, other, checkpoint > 0 ? save : 0);
+    }
   }
 
   private changed(chunk: Chunk, now: number): void {
@@ -497,7 +504,9 @@
       }
       if (chunk.notBefore > now) continue;
       if (chunk.spec.service && this.clearsForImage(chunk, now)) continue;
+      const before = chunk.entries.size;
       const blocked = this.placeChunk(chunk, reserved, now);
+      if (chunk.spec.gang && chunk.entries.size > before) chunk.next++;
       if (!blocked) {
         chunk.blockedSince = null;
         continue;
@@ -542,6 +551,7 @@
     now: number,
   ): boolean {
     const run = this.runTimes.expected(chunk.spec.jobClass, chunk.spec.expect);
+    if (chunk.spec.gang && !this.gangFits(chunk, now)) return true;
     while (chunk.pending > 0) {
       if (!this.withinAllowance(chunk.spec)) {
         this.hungry.add(chunk.spec.team);
@@ -554,7 +564,7 @@
         if (!holds(machine.free, chunk.spec)) continue;
         // Backfilling must not delay the first that waits.
         const delays = chunk.spec.service || now + run > (reserved?.at ?? Infinity);
-        if (machine === reserved?.machine && delays) continue;
+        if (machine === reserved?.machine && delays && !chunk.spec.gang) continue;
         hosts.push(machine);
       }
       const sampled = sampleHosts(hosts, chunk.spec.image, this.options.sample, this.random);
@@ -567,10 +577,39 @@
     return false;
   }
 
+  /** A gang starts whole: nothing of it is left running, and there is room for all that is not done. */
+  private gangFits(chunk: Chunk, now: number): boolean {
+    if (chunk.entries.size > 0) return false;
+    const { spec } = chunk;
+    const allowance = this.around.allowance(spec.team);
+    const used = this.usedBy(spec.team);
+    if (allowance !== null) {
+      const short =
+        used.cpus + chunk.pending * spec.cpus > allowance.cpus + 1e-6 ||
+        used.gpus + chunk.pending * spec.gpus > allowance.gpus + 1e-6;
+      if (short) this.hungry.add(spec.team);
+      if (short) return false;
+    }
+    let left = chunk.pending;
+    for (const machine of this.machines.values()) {
+      if (!machine.usable(now) || !allows(spec, chunk.zone, machine)) continue;
+      if (chunk.failedOn.has(machine.name) && chunk.failedOn.size < this.machines.size) continue;
+      const room = { ...machine.free };
+      while (left > 0 && holds(room, spec)) {
+        left--;
+        room.cpus -= spec.cpus;
+        room.gpus -= spec.gpus;
+        room.memory -= spec.memory;
+      }
+    }
+    return left === 0;
+  }
+
   private place(chunk: Chunk, task: number, machine: Machine, now: number): void {
     const entry: Entry = {
       task,
-      attempt: chunk.next++,
+      // The tasks of a gang know each other by a common attempt.
+      attempt: chunk.spec.gang ? chunk.next : chunk.next++,
       machine: machine.name,
       session: machine.session,
       version: chunk.version + 1,
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -82,6 +82,13 @@
     if (spec.cpus * factor > limit.cpus || spec.gpus * factor > limit.gpus) {
       return `needs more than the limit of team ${spec.team}`;
     }
+    if (spec.gang && (spec.cpus * spec.tasks > limit.cpus || spec.gpus * spec.tasks > limit.gpus)) {
+      return `all of the gang together need more than the limit of team ${spec.team}`;
+    }
+    // Its record holds an entry for each task that runs.
+    if (spec.gang && spec.tasks * 120 > node.settings.valueBytes) {
+      return 'a gang of this size cannot be recorded';
+    }
     if (spec.zone !== null && !node.settings.zones.includes(spec.zone)) {
       return `unknown zone ${spec.zone}`;
     }
--- a/src/protocol/job.ts
+++ b/src/protocol/job.ts
@@ -10,6 +10,8 @@
   jobClass: string;
   team: string;
   service: boolean;
+  /** All tasks start together, or none. */
+  gang: boolean;
   rank: Rank;
   tasks: number;
   cpus: number;
@@ -40,7 +42,7 @@
   Uid: v.pipe(v.string(), v.regex(idPattern)),
   Jobclass: name,
   Owner: name,
-  Shape: v.picklist(['sweep', 'daemon']),
+  Shape: v.picklist(['sweep', 'daemon', 'ensemble']),
   Rank: v.picklist(['prod', 'high', 'normal', 'idle']),
   Pieces: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
   Cores: positive,
@@ -80,6 +82,7 @@
       jobClass: w.Jobclass,
       team: w.Owner,
       service: w.Shape === 'daemon',
+      gang: w.Shape === 'ensemble',
       rank: w.Rank,
       tasks: w.Pieces,
       cpus: w.Cores,
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -473,3 +473,30 @@
   assert.equal(other.entries.size, 1, 'nobody has its image: any machine will do');
   assert.ok(cold.up);
 });
+
+test('a gang starts whole, and goes back whole when one of it is lost', () => {
+  const b = new Bench();
+  const first = b.machine('n-1');
+  const gang = b.chunk({ gang: true, tasks: 6, cpus: 2 });
+  b.decide();
+  assert.equal(gang.entries.size, 0, 'four of six fit');
+  const second = b.machine('n-2');
+  b.decide();
+  assert.equal(gang.entries.size, 6);
+  const attempts = new Set([...gang.entries.values()].map((e) => e.attempt));
+  assert.equal(attempts.size, 1, 'its tasks know each other by a common attempt');
+  b.store(gang);
+  const on = (m: Machine): Partial<TaskReport>[] =>
+    [...gang.entries.values()]
+      .filter((e) => e.machine === m.name)
+      .map((e) => ({ task: `wk-1/${e.task}`, attempt: e.attempt }));
+  b.report(first, on(first));
+  b.report(second, on(second));
+  const [lost, ...rest] = on(first);
+  b.report(first, [{ ...lost, state: 'ended', cause: 'error' }, ...rest]);
+  const halts = [...b.verbs(first), ...b.verbs(second)].filter((v) => v.startsWith('halt'));
+  assert.equal(halts.length, 5);
+  b.now += 100;
+  b.decide();
+  assert.equal(gang.entries.size, 5, 'nothing starts before all are over');
+});
--- a/test/support/spec.ts
+++ b/test/support/spec.ts
@@ -5,6 +5,7 @@
   jobClass: 'batch',
   team: 'crew',
   service: false,
+  gang: false,
   rank: 'normal',
   tasks: 4,
   cpus: 2,
