--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -556,7 +556,12 @@
       this.settleDoubts(host, now);
       const doubtful = [...host.part.machines.values()].some((m) => m.missed > 0);
       for (const machine of host.part.machines.values()) {
-        if (!machine.up || machine.heard === null) continue;
+        if (machine.heard === null) {
+          // Stored by an earlier owner: asked directly, since its worker may never come.
+          if (machine.address !== '') void this.probe(host, machine);
+          continue;
+        }
+        if (!machine.up) continue;
         host.part.pokes.add(machine);
         // Where live services run, silence is noticed within a second or two; elsewhere when a report
         // is overdue.
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -55,11 +55,12 @@
 
   constructor(
     readonly name: string,
-    readonly record: MachineRecord,
+    public record: MachineRecord,
     private readonly types: () => Map<string, MachineType>,
     now: number,
   ) {
     this.renewed = now;
+    this.address = record.address ?? '';
     this.idleSince = now;
     this.created = now;
   }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -340,7 +340,8 @@
     const { report } = this.options;
     const lost: string[] = [];
     for (const machine of this.machines.values()) {
-      if (machine.heard === null) {
+      const since = machine.missedSince;
+      if (machine.heard === null && since === null) {
         // Most are up within 1.5 times the boot time; one that isn't may never come, and is charged.
         // After a takeover every worker first has to find us; one that has tasks was up before.
         const age = wall - machine.record.at;
@@ -349,16 +350,16 @@
         if (overdue && watched && machine.entries.size === 0) lost.push(machine.name);
         continue;
       }
-      const since = machine.missedSince;
-      if (since === null || machine.missed < 2 || now - machine.heard < report * 0.8) continue;
+      const last = machine.heard ?? machine.created;
+      if (since === null || machine.missed < 2 || now - last < report * 0.8) continue;
       let silent = 0;
       let heard = 0;
       for (const other of this.machines.values()) {
-        if (other === machine || !other.up) continue;
+        if (other === machine || other.lost) continue;
         if (other.heard !== null && other.heard > since) heard++;
         else if (other.missed > 0) silent++;
       }
-      const alone = heard === 0 && silent === 0 && now - machine.heard > report * 3;
+      const alone = heard === 0 && silent === 0 && now - last > report * 3;
       if (heard > silent || alone) lost.push(machine.name);
     }
     return lost;
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -5,6 +5,7 @@
 import type { Reply } from '../transport/httpServer.js';
 import type { Controller } from './controller.js';
 import type { Hosted } from './hosted.js';
+import type { Machine } from './machine.js';
 import { choosePartFor } from './provisioner.js';
 
 const elsewhere = (owner: string | null): Reply => ({ status: 421, body: redirectAnswer(owner) });
@@ -73,10 +74,38 @@
       if (placed !== undefined) placed.entry.riding = true;
     }
     if (newer) machine.renewed = now;
-    if (newer) node.kick();
+    if (newer) {
+      void this.keepAddress(host, machine);
+      node.kick();
+    }
     return { status: 200, body: helloAnswer(host.token, orders) };
   }
 
+  /** Stores a machine's address, once. */
+  private async keepAddress(host: Hosted, machine: Machine): Promise<void> {
+    const { node } = this;
+    const { name, address } = machine;
+    const key = keys.machine(name);
+    const stored = node.replica.get(key);
+    if (stored === undefined || !node.ownership.valid || this.registering.has(name)) return;
+    const record = stored.value as MachineRecord;
+    if (record.address === address || record.part !== host.part.label) return;
+    this.registering.add(name);
+    try {
+      const value: MachineRecord = { ...record, address };
+      const when = [{ key, stamp: stored.stamp }];
+      const result = await node.commits.write(host, { when, puts: [{ key, value }], removes: [] });
+      if (result.kind === 'applied') {
+        machine.record = value;
+        node.replica.note(key, value, result.stamp);
+      }
+    } catch (error) {
+      log.debug(`address of ${name}: ${describe(error)}`);
+    } finally {
+      this.registering.delete(name);
+    }
+  }
+
   private async sendOn(part: string, report: Report, body: string): Promise<Reply> {
     const { node } = this;
     const now = node.clock.now();
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -79,6 +79,8 @@
   spot: boolean;
   /** Time of day at which it was rented, or first heard of. */
   at: number;
+  /** Once it has reported: a restarted owner can ask it before it has found its way back. */
+  address?: string;
 }
 
 export interface RentalRecord {
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -500,3 +500,20 @@
   b.decide();
   assert.equal(gang.entries.size, 5, 'nothing starts before all are over');
 });
+
+test('after a restart a silent machine is lost too, but not when all are silent', () => {
+  const setUp = (othersAnswer: boolean): string[] => {
+    const b = new Bench();
+    const machine = b.machine('n-1', false);
+    const rest = ['n-2', 'n-3'].map((n) => b.machine(n, false));
+    for (const m of othersAnswer ? [machine] : [machine, ...rest]) {
+      m.missed = 3;
+      m.missedSince = b.now;
+    }
+    b.now += 12;
+    if (othersAnswer) for (const m of rest) b.report(m, []);
+    return b.part.lostMachines(b.now, () => 30, 100);
+  };
+  assert.deepEqual(setUp(true), ['n-1']);
+  assert.deepEqual(setUp(false), [], 'the fault is ours');
+});
