--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -551,8 +551,7 @@
     if (!this.ownership.valid) return;
     for (const host of this.hosted.values()) {
       host.part.sweep(now);
-      void 0;
-      if (log.getLevel() < 0) log.debug(host.part.summary(now));
+      if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
       this.settleDoubts(host, now);
       const doubtful = [...host.part.machines.values()].some((m) => m.missed > 0);
       for (const machine of host.part.machines.values()) {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -340,6 +340,8 @@
     const { report } = this.options;
     const lost: string[] = [];
     for (const machine of this.machines.values()) {
+      // Its last owner may be alive and answer it: that we can't reach it says nothing of the machine.
+      if (machine.heard === null && machine.renewed > now) continue;
       const since = machine.missedSince;
       if (machine.heard === null && since === null) {
         // Most are up within 1.5 times the boot time; one that isn't may never come, and is charged.
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -517,3 +517,22 @@
   assert.deepEqual(setUp(true), ['n-1']);
   assert.deepEqual(setUp(false), [], 'the fault is ours');
 });
+
+test('a machine that its last owner may still answer is not lost for being out of our reach', () => {
+  const b = new Bench();
+  const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0, address: '127.0.0.1:1' };
+  const adopted = b.part.addMachine('n-1', record, b.now, b.now + 36);
+  const other = b.machine('n-2', false);
+  adopted.missed = 3;
+  adopted.missedSince = b.now;
+  b.now += 12;
+  b.report(other, []);
+  assert.deepEqual(
+    b.part.lostMachines(b.now, () => 30, 100),
+    [],
+  );
+  assert.deepEqual(
+    b.part.lostMachines(b.now + 30, () => 30, 100),
+    ['n-1'],
+  );
+});
