Tests: listeners keep their ports for a cluster's life

A port that was probed and given up was taken by a test file that ran beside (seen once on a clean checkout): now none is given up.

--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -16,8 +16,7 @@
 interface Node {
   label: string;
   controller: Controller;
-  server: HttpServer;
-  peers: PeerServer;
+  gateway: Gateway;
   address: string;
 }
 
@@ -38,6 +37,7 @@
   private backs = new Map<string, number>();
   private fronts = new Map<string, number>();
   private cloudAddress = '';
+  private readonly listeners: { close(): void }[] = [];
   private readonly report = 0.4;
   private readonly lease = 8;
 
@@ -61,14 +61,20 @@
 
   async start(): Promise<void> {
     this.cloudAddress = await this.cloud.listen();
-    // Ports are taken first, so that every node can be told of the others.
+    // Listeners stay for the cluster's life, also while their node is down: a port that is given up may
+    // be taken by a test that runs beside this one.
     for (const label of this.labels()) {
-      const probe = new PeerServer(() => Promise.resolve(Buffer.alloc(0)));
-      this.backs.set(label, await probe.listen({ host: '127.0.0.1', port: 0 }));
-      probe.close();
-      const front = new HttpServer(() => Promise.resolve({ status: 503, body: {} }), limits);
+      const peers = new PeerServer((body) => {
+        const gateway = this.nodes.get(label)?.gateway;
+        return gateway?.peer(body) ?? Promise.reject(new Error('down'));
+      });
+      this.backs.set(label, await peers.listen({ host: '127.0.0.1', port: 0 }));
+      const front = new HttpServer((request) => {
+        const gateway = this.nodes.get(label)?.gateway;
+        return gateway?.handle(request) ?? Promise.resolve({ status: 503, body: {} });
+      }, limits);
       this.fronts.set(label, await front.listen({ host: '127.0.0.1', port: 0 }));
-      front.close();
+      this.listeners.push(peers, front);
     }
     for (const label of this.labels()) await this.boot(label);
   }
@@ -120,25 +126,20 @@
     const random = seededRandom(7);
     const controller = new Controller(settings, tuning, systemClock, random, http, run);
     const gateway = new Gateway(controller);
-    const server = new HttpServer((r) => gateway.handle(r), limits);
-    const peerServer = new PeerServer((body) => gateway.peer(body));
-    await peerServer.listen({ host: '127.0.0.1', port: this.backs.get(label) ?? 0 });
-    await server.listen({ host: '127.0.0.1', port: this.fronts.get(label) ?? 0 });
     controller.start();
-    this.nodes.set(label, { label, controller, server, peers: peerServer, address: front });
+    this.nodes.set(label, { label, controller, gateway, address: front });
   }
 
   /** Ends a node as a crash would: it says nothing more to anybody. */
   crash(label: string): void {
     const node = this.nodes.get(label);
     node?.controller.stop();
-    node?.server.close();
-    node?.peers.close();
     this.nodes.delete(label);
   }
 
   close(): void {
     for (const label of [...this.nodes.keys()]) this.crash(label);
+    for (const listener of this.listeners) listener.close();
     this.cloud.close();
     this.state.close();
   }
