--- a/src/coordination/chunk.ts
+++ b/src/coordination/chunk.ts
@@ -50,6 +50,8 @@
   clearingSince: number | null = null;
   /** Since when there was room nowhere; null when all is placed. */
   blockedSince: number | null = null;
+  readonly id: string;
+  readonly rank: number;
   private cursor: number;
 
   constructor(
@@ -66,6 +68,8 @@
     this.next = 1;
     this.cursor = from;
     this.queuedAt = now;
+    this.id = `${spec.id}/${index}`;
+    this.rank = rankOrder[spec.rank];
   }
 
   static load(index: number, record: ChunkRecord, stamp: number, now: number): Chunk {
@@ -79,12 +83,6 @@
     return chunk;
   }
 
-  get id(): string {
-    return `${this.spec.id}/${this.index}`;
-  }
-  get rank(): number {
-    return rankOrder[this.spec.rank];
-  }
   get size(): number {
     return this.to - this.from;
   }
--- a/src/coordination/chunks.ts
+++ b/src/coordination/chunks.ts
@@ -54,12 +54,22 @@
   return [];
 }
 
-/** Tasks a chunk: what a part of this size can run at once, within bounds of a record's size. */
-export function chunkSize(spec: JobSpec, partCpus: number, valueBytes: number): number {
+/**
+ * Tasks a chunk: what a part of this size can run at once, within bounds of a record's size. Each chunk
+ * costs changes at the state service, so a job has no more chunks than two for each part, and a part
+ * that has no machines yet gets it whole: they are rented for it.
+ */
+export function chunkSize(
+  spec: JobSpec,
+  partCpus: number,
+  valueBytes: number,
+  parts: number,
+): number {
   // A gang starts whole, so one part must hold it whole.
   if (spec.gang) return spec.tasks;
-  const fits = Math.floor(partCpus / spec.cpus);
+  const fits = partCpus > 0 ? Math.floor(partCpus / spec.cpus) : spec.tasks;
+  const least = Math.max(8, Math.ceil(spec.tasks / (2 * parts)));
   // An entry of a running task is some 60 bytes; half the record is left for the rest.
   const most = Math.max(8, Math.floor(valueBytes / 2 / 60));
-  return Math.max(1, Math.min(Math.max(fits, 8), most));
+  return Math.max(1, Math.min(Math.max(fits, least), most));
 }
--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -6,6 +6,7 @@
 import { sleep, type Clock } from '../base/clock.js';
 import { describe, log } from '../base/log.js';
 import { TXN_BYTES, type Txn } from '../protocol/state.js';
+import type { Urgency } from '../storage/budget.js';
 import { keys, type ChunkRecord, type JobRecord } from '../storage/records.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient, TxnResult } from '../storage/stateClient.js';
@@ -74,33 +75,40 @@
 
   private flushDirty(host: Hosted): void {
     const now = this.clock.now();
+    // Ends can wait while users and starts are queueing for the state service's changes: a crash
+    // meanwhile loses nothing that the workers do not still report.
+    const busy = this.client.writeDelay('later') > this.options.linger / 2;
     for (;;) {
       if (host.writing >= 3) return;
       const batch: Chunk[] = [];
       let bytes = 0;
+      let urgent = false;
       for (const chunk of host.part.dirty) {
         if (chunk.flushing || chunk.dropped || chunk.stamp === 0) continue;
-        if (!this.isDue(chunk, now)) continue;
+        const starts = this.hasStarts(chunk);
+        const patience = this.options.linger * (busy ? 4 : 1);
+        if (!starts && chunk.dirtySince !== null && now - chunk.dirtySince < patience) continue;
         const size = JSON.stringify(chunk.record()).length + 200;
         if (batch.length > 0 && bytes + size > TXN_BYTES) break;
         bytes += size;
+        urgent ||= starts;
         batch.push(chunk);
         if (batch.length >= Math.max(1, this.options.txnOps - 1)) break;
       }
       if (batch.length === 0) return;
-      void this.flush(host, batch);
+      void this.flush(host, batch, urgent ? 'urgent' : 'later');
     }
   }
 
   /** Placements go at once, since starts wait for them; ends may gather for a moment. */
-  private isDue(chunk: Chunk, now: number): boolean {
+  private hasStarts(chunk: Chunk): boolean {
     for (const entry of chunk.entries.values()) {
       if (entry.version > chunk.stored && entry.stop === null) return true;
     }
-    return chunk.dirtySince === null || now - chunk.dirtySince >= this.options.linger;
+    return false;
   }
 
-  private async flush(host: Hosted, batch: Chunk[]): Promise<void> {
+  private async flush(host: Hosted, batch: Chunk[], urgency: Urgency): Promise<void> {
     host.writing++;
     for (const chunk of batch) chunk.flushing = true;
     try {
@@ -108,11 +116,8 @@
       const versions = alive.map((c) => c.version);
       const puts = alive.map((c) => ({ key: this.runKey(host, c), value: c.record() }));
       for (const chunk of alive) chunk.dirtySince = null;
-      const result = await this.write(host, {
-        when: alive.map((c) => ({ key: this.runKey(host, c), stamp: c.stamp })),
-        puts,
-        removes: [],
-      });
+      const when = alive.map((c) => ({ key: this.runKey(host, c), stamp: c.stamp }));
+      const result = await this.write(host, { when, puts, removes: [] }, urgency);
       if (result.kind === 'applied') {
         alive.forEach((chunk, i) => {
           chunk.stamp = result.stamp;
@@ -170,7 +175,7 @@
       void this.finishLocal(host, chunk, home, job);
     } else if (chunk.stored < chunk.version) {
       // Its home is elsewhere and learns from the record that it is complete.
-      void this.flush(host, [chunk]);
+      void this.flush(host, [chunk], 'urgent');
     }
   }
 
@@ -302,7 +307,7 @@
         puts: [{ key, value: next }, ...puts],
         removes,
       },
-      true,
+      'urgent',
     );
     if (result.kind === 'applied') {
       this.applyJob(home, job, next, result.stamp);
@@ -391,9 +396,9 @@
   }
 
   /** Every write of a part goes through here: under its ownership, and only while that is valid. */
-  async write(host: Hosted, txn: Txn, urgent = false): Promise<TxnResult> {
+  async write(host: Hosted, txn: Txn, urgency: Urgency = 'later'): Promise<TxnResult> {
     if (!host.alive || !this.host.valid()) return { kind: 'refused' };
     const owner = { key: keys.owner(host.part.label), stamp: host.stamp };
-    return this.client.txn({ ...txn, when: [owner, ...txn.when] }, urgent);
+    return this.client.txn({ ...txn, when: [owner, ...txn.when] }, urgency);
   }
 }
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -10,10 +10,11 @@
   keys,
   ROOT,
   type ChunkRecord,
+  type GroupRecord,
   type JobRecord,
-  type MachineRecord,
   type OwnerRecord,
 } from '../storage/records.js';
+import { Fleet } from '../storage/fleet.js';
 import { Replica } from '../storage/replica.js';
 import { StateClient } from '../storage/stateClient.js';
 import { CallFailed, HttpClient } from '../transport/httpClient.js';
@@ -30,9 +31,22 @@
 import { Quotas } from './quotas.js';
 import { Sender } from './sender.js';
 
+/** How long changes are gathered for one round of decisions, as a ratio to the time between reports. */
+const GATHER = 1 / 200;
+
+/** Machines that one core may ask in a second without noticing it. */
+const PROBES_PER_CORE = 60;
+
+/** Connections of this node's own making. */
+export interface Links {
+  services: HttpClient;
+  machines: HttpClient;
+}
+
 export class Controller {
   readonly hosted = new Map<string, Hosted>();
   readonly replica: Replica;
+  readonly fleet = new Fleet();
   readonly state: StateClient;
   readonly ownership: Ownership;
   readonly commits: Commits;
@@ -50,19 +64,20 @@
   private readonly strays = new Set<string>();
   private stopped = false;
   private lastGossip = -Infinity;
+  private gossiped = 0;
 
   constructor(
     readonly settings: Settings,
     readonly tuning: Tuning,
     readonly clock: Clock,
     readonly random: Random,
-    readonly http: HttpClient,
-    process: string,
+    readonly links: Links,
+    private readonly process: string,
   ) {
     this.parts = [settings.label, ...settings.peers.map((p) => p.label)].sort();
     this.zoneOf.set(settings.label, settings.zone);
     for (const peer of settings.peers) this.zoneOf.set(peer.label, peer.zone);
-    this.state = new StateClient(http, clock, {
+    this.state = new StateClient(links.services, clock, {
       endpoint: settings.stateEndpoint,
       rate: settings.stateRate,
       writeRate: settings.stateWriteRate,
@@ -104,11 +119,12 @@
           this.pokeFor(host, chunks);
         },
       },
-      { txnOps: settings.txnOps, linger: settings.report / 4, retry: settings.report / 15 },
+      { txnOps: settings.txnOps, linger: settings.report / 2, retry: settings.report / 15 },
     );
     this.peers = new Peers(
       clock,
       settings.report,
+      settings.skew,
       settings.peers.map((p) => ({ ...p, client: new PeerClient(p.endpoint, 256) })),
     );
     this.sender = new Sender(this);
@@ -134,9 +150,19 @@
     return this.settings.lease * 2;
   }
 
-  /** Can take requests: its records are loaded and it knows the machine types. */
+  /** Can take requests: its records are loaded, it knows the machine types and it can ask somebody. */
   get ready(): boolean {
-    return this.replica.loaded && this.types.size > 0;
+    return this.replica.loaded && this.types.size > 0 && !this.isolated;
+  }
+
+  /**
+   * Neither the state service nor any peer is in reach: users are better off at another node. In an
+   * outage for all, peers still talk, and everybody stays ready for its end.
+   */
+  get isolated(): boolean {
+    return (
+      this.settings.peers.length > 0 && !this.ownership.valid && this.peers.gossips().length === 0
+    );
   }
 
   start(): void {
@@ -182,7 +208,13 @@
     while (!this.stopped) {
       try {
         const { cloudEndpoint } = this.settings;
-        const answer = await this.http.call(cloudEndpoint, 'GET', cloudPaths.types, undefined, 4);
+        const answer = await this.links.services.call(
+          cloudEndpoint,
+          'GET',
+          cloudPaths.types,
+          undefined,
+          4,
+        );
         const types = answer.status === 200 ? parseTypes(answer.body) : null;
         if (types !== null) this.types = new Map(types.map((t) => [t.name, t]));
       } catch (error) {
@@ -196,10 +228,13 @@
   kick(): void {
     if (this.kicked) return;
     this.kicked = true;
-    setTimeout(() => {
-      this.kicked = false;
-      this.round();
-    }, 2);
+    setTimeout(
+      () => {
+        this.kicked = false;
+        this.round();
+      },
+      this.settings.report * GATHER * 1000,
+    );
   }
 
   private round(): void {
@@ -221,6 +256,7 @@
     const now = this.clock.now();
     if (now - this.lastGossip < this.settings.report / 8) return;
     this.lastGossip = now;
+    this.state.share(this.peers.needs());
     const hosts = [...this.hosted.values()].map((h) => ({
       part: h.part.label,
       token: h.token,
@@ -232,6 +268,10 @@
     this.peers.gossip(
       {
         from: this.settings.label,
+        process: this.process,
+        sequence: ++this.gossiped,
+        at: this.clock.wall(),
+        need: this.state.need,
         served: this.ownership.valid,
         hosts,
         demands: this.ownership.valid ? this.localDemands() : [],
@@ -316,11 +356,7 @@
     };
     // Another node may go on answering its workers for its grace; ourselves, before a restart, not.
     const renewed = held.adopted ? now + this.grace : now;
-    for (const [key, { value }] of this.replica.under('b/machine/')) {
-      const record = value as MachineRecord;
-      if (record.part === label)
-        part.addMachine(key.slice('b/machine/'.length), record, now, renewed);
-    }
+    for (const [name, record] of this.fleet.of(label)) part.addMachine(name, record, now, renewed);
     for (const [key, { value, stamp }] of this.replica.under(keys.runs(label))) {
       const index = Number(key.slice(key.lastIndexOf('/') + 1));
       part.loadChunk(index, value as ChunkRecord, stamp, held.token, now);
@@ -359,7 +395,7 @@
     if (change.key === keys.types && this.types.size === 0) {
       // Restarted while the cloud is down: what it told before will do.
       this.types = new Map((change.value as MachineType[]).map((t) => [t.name, t]));
-    } else if (kind === 'machine') this.onMachine(name, change);
+    } else if (kind === 'fleet') this.onGroup(name, change);
     else if (kind === 'job' && !change.removed) {
       const record = change.value as JobRecord;
       if (record.state === 'open') return;
@@ -432,14 +468,15 @@
     this.kick();
   }
 
-  private onMachine(name: string, change: Change): void {
+  private onGroup(group: string, change: Change): void {
     const now = this.clock.now();
+    const { present, gone } = this.fleet.note(group, change.value as GroupRecord | null);
     for (const host of this.hosted.values()) {
-      const record = change.value as MachineRecord | null;
-      if (change.removed || record?.part !== host.part.label) {
-        // The record goes only after the cloud has said that the machine is gone.
-        host.part.removeMachine(name, now);
-      } else host.part.addMachine(name, record, now);
+      // The record goes only after the cloud has said that the machine is gone.
+      for (const name of gone) host.part.removeMachine(name, now);
+      for (const [name, record] of present) {
+        if (record.part === host.part.label) host.part.addMachine(name, record, now);
+      }
     }
     this.kick();
   }
@@ -471,6 +508,8 @@
       for (const machine of host.part.pokes) {
         if (machine.inFlight || machine.address === '') continue;
         host.part.pokes.delete(machine);
+        // Questions go on until it answers one; orders meanwhile would only hold sockets.
+        if (machine.deaf) continue;
         void this.command(host, machine);
       }
     }
@@ -493,14 +532,20 @@
     try {
       const body = ordersRequest(token, machine.session, orders);
       const target = workerPaths.orders;
-      const answer = await this.http.call(machine.address, 'POST', target, body, report / 2);
+      const answer = await this.links.machines.call(
+        machine.address,
+        'POST',
+        target,
+        body,
+        report / 2,
+      );
       // Carried out (200) or certainly not (409).
       if (answer.status === 200 || answer.status === 409) {
         for (const entry of started) if (entry.doubt === token) entry.doubt = null;
       }
       const parsed = parseReport(answer.body);
       if (parsed !== null && host.alive) {
-        host.part.apply(machine, parsed, this.clock.now(), false);
+        host.part.apply(machine, parsed, this.clock.now(), 'answer');
         this.kick();
       }
     } catch (error) {
@@ -523,19 +568,24 @@
   }
 
   /** Asks a machine whose report is overdue: a hanging one is told from one that can't reach us. */
-  private async probe(host: Hosted, machine: Machine): Promise<void> {
+  async probe(host: Hosted, machine: Machine): Promise<void> {
     if (machine.probing || machine.address === '') return;
     machine.probing = true;
     const sent = this.clock.now();
     const { address } = machine;
     const timeout = this.settings.report / 3;
     try {
-      const answer = await this.http.call(address, 'GET', workerPaths.inspect, undefined, timeout);
+      const answer = await this.links.machines.call(
+        address,
+        'GET',
+        workerPaths.inspect,
+        undefined,
+        timeout,
+      );
       const report = parseReport(answer.body);
       if (report !== null && host.alive && machine.address === address) {
-        machine.missed = 0;
-        machine.missedSince = null;
-        host.part.apply(machine, report, this.clock.now(), false);
+        machine.noteReached(this.clock.now());
+        host.part.apply(machine, report, this.clock.now(), 'answer');
       }
     } catch {
       machine.missed++;
@@ -553,9 +603,12 @@
       host.part.sweep(now);
       if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
       this.settleDoubts(host, now);
+      // Questions to many machines would take the processor from users: so many a second at the most.
+      const affordable = (PROBES_PER_CORE * this.settings.cores) / this.hosted.size;
+      const watchful = Math.min(1.3, Math.max(0.3, host.part.machines.size / affordable / report));
       const doubtful = [...host.part.machines.values()].some((m) => m.missed > 0);
       for (const machine of host.part.machines.values()) {
-        if (machine.heard === null) {
+        if (machine.reached === null) {
           // Stored by an earlier owner: asked directly, since its worker may never come.
           if (machine.address !== '') void this.probe(host, machine);
           continue;
@@ -565,8 +618,8 @@
         // Where live services run, silence is noticed within a second or two; elsewhere when a report
         // is overdue.
         // When one does not answer, all are asked: others that answer show that the fault is not ours.
-        const patience = machine.live > 0 || doubtful ? 0.3 : 1.3;
-        if (now - machine.heard > report * patience) void this.probe(host, machine);
+        const patience = machine.live > 0 || doubtful ? watchful : 1.3;
+        if (now - machine.reached > report * patience) void this.probe(host, machine);
       }
     }
     this.kick();
@@ -578,7 +631,8 @@
     let stuck = false;
     for (const machine of host.part.machines.values()) {
       if (machine.doubtSince === null) continue;
-      const heard = machine.heard !== null && now - machine.heard < report * 2;
+      // One that our answers do not reach would not see the new token either.
+      const heard = machine.reached !== null && now - machine.reached < report * 2;
       if (heard && now - machine.doubtSince > report) stuck = true;
       machine.doubtSince = heard && now - machine.doubtSince > report ? null : machine.doubtSince;
     }
--- a/src/coordination/gateway.ts
+++ b/src/coordination/gateway.ts
@@ -21,8 +21,11 @@
     this.workers = new Workers(node);
   }
 
-  handle(request: HttpMessage): Promise<Reply> {
+  handle(request: HttpMessage, follows: boolean): Promise<Reply> {
     const path = request.target.split('?')[0] ?? '';
+    if (path === helloPath && request.method === 'POST') {
+      return this.workers.hello(request.body, { relayed: false, follows });
+    }
     return this.route(request.method, path, request.body, false);
   }
 
@@ -32,7 +35,9 @@
     body: string,
     relayed: boolean,
   ): Promise<Reply> {
-    if (path === helloPath && method === 'POST') return this.workers.hello(body, relayed);
+    if (path === helloPath && method === 'POST') {
+      return this.workers.hello(body, { relayed, follows: false });
+    }
     if (path === paths.ready) {
       if (this.node.ready) return { status: 200, body: {} };
       return { status: 503, body: { error: 'starting' }, retryAfter: 1 };
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -25,12 +25,19 @@
   seenToken = 0;
   /** Steady time of the last report; null before the first one. */
   heard: number | null = null;
+  /**
+   * Steady time of the last proof that something of ours arrived there. Being heard is not being
+   * reachable: a report may be a late copy, or come from a machine that gets no answer.
+   */
+  reached: number | null = null;
   /** Until when, at most, its worker's lease may have been renewed by an answer: ours or another's. */
   renewed: number;
   /** Steady time at which the cloud will take it; null without a notice. */
   goneBy: number | null = null;
-  tasks = new Map<string, TaskReport>();
-  readonly entries = new Map<string, Placed>();
+  private reported = new Map<string, TaskReport>();
+  private readonly placed = new Map<string, Placed>();
+  /** What `free` and `live` were last worked out from; placement asks for them far more often than they change. */
+  private room: { shape: MachineType | undefined; free: Room; live: number } | null = null;
   readonly leftovers = new Map<string, Leftover>();
   /** Images seen here, oldest use first. */
   private readonly images = new Map<string, number>();
@@ -55,7 +62,7 @@
 
   constructor(
     readonly name: string,
-    public record: MachineRecord,
+    private record: MachineRecord,
     private readonly types: () => Map<string, MachineType>,
     now: number,
   ) {
@@ -67,6 +74,17 @@
 
   readonly created: number;
 
+  /** Time of day at which it was rented, or first heard of. */
+  get rentedAt(): number {
+    return this.record.at;
+  }
+
+  /** Its record has changed: an address has come. */
+  learn(record: MachineRecord): void {
+    this.record = record;
+    if (this.address === '') this.address = record.address ?? '';
+  }
+
   /**
    * Looked up each time: after a restart machines are loaded before the cloud has told its types, and
    * a machine that kept "unknown" would never be given work again.
@@ -85,39 +103,86 @@
     return this.record.spot;
   }
   get up(): boolean {
-    return this.heard !== null && !this.lost;
+    return this.reached !== null && !this.lost;
+  }
+  /** It reports, perhaps, but does not answer: its lease is running out, and it gets no work. */
+  get deaf(): boolean {
+    return this.missed >= 2;
   }
 
   get size(): Room {
     return this.shape ?? NOTHING;
   }
 
+  /** The attempts of ours that are, or may be, here. */
+  get entries(): ReadonlyMap<string, Placed> {
+    return this.placed;
+  }
+
+  put(placed: Placed): void {
+    this.placed.set(placed.chunk.taskName(placed.entry.task), placed);
+    this.room = null;
+  }
+
+  drop(task: string): void {
+    this.placed.delete(task);
+    this.room = null;
+  }
+
+  /** All tasks that the worker last reported. */
+  get tasks(): ReadonlyMap<string, TaskReport> {
+    return this.reported;
+  }
+
+  noteTasks(tasks: TaskReport[]): void {
+    this.reported = new Map(tasks.map((t) => [t.task, t]));
+    this.room = null;
+  }
+
   /** Room left beside everything that is or may still be here. */
-  get free(): Room {
-    const room = { ...this.size };
-    for (const { chunk } of this.entries.values()) {
-      room.cpus -= chunk.spec.cpus;
-      room.gpus -= chunk.spec.gpus;
-      room.memory -= chunk.spec.memory;
+  get free(): Readonly<Room> {
+    return this.occupancy.free;
+  }
+
+  /** Processors that live services have here. */
+  get live(): number {
+    return this.occupancy.live;
+  }
+
+  private get occupancy(): { free: Room; live: number } {
+    const { shape } = this;
+    if (this.room !== null && this.room.shape === shape) return this.room;
+    let free = { ...this.size };
+    let live = 0;
+    for (const { chunk } of this.placed.values()) {
+      free.cpus -= chunk.spec.cpus;
+      free.gpus -= chunk.spec.gpus;
+      free.memory -= chunk.spec.memory;
+      if (chunk.spec.service) live += chunk.spec.cpus;
     }
     // A stranger (an attempt we know nothing of) takes room that we can't measure.
-    for (const [task, report] of this.tasks) {
-      if (report.state !== 'ended' && this.entries.get(task)?.entry.attempt !== report.attempt) {
-        return NOTHING;
+    for (const [task, report] of this.reported) {
+      if (report.state !== 'ended' && this.placed.get(task)?.entry.attempt !== report.attempt) {
+        free = NOTHING;
+        break;
       }
     }
-    return room;
+    this.room = { shape, free, live };
+    return this.room;
   }
 
-  /** Processors that live services have here. */
-  get live(): number {
-    let cpus = 0;
-    for (const { chunk } of this.entries.values()) if (chunk.spec.service) cpus += chunk.spec.cpus;
-    return cpus;
+  /** Something of ours has arrived there: it is trusted, whatever was thought of it. */
+  noteReached(now: number): void {
+    this.reached = now;
+    this.lost = false;
+    this.missed = 0;
+    this.missedSince = null;
   }
 
   usable(now: number): boolean {
-    return this.up && !this.leaving && this.goneBy === null && this.shunnedUntil <= now;
+    return (
+      this.up && !this.deaf && !this.leaving && this.goneBy === null && this.shunnedUntil <= now
+    );
   }
 
   hasImage(image: string): boolean {
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -220,7 +220,7 @@
         ],
         removes: [],
       },
-      true,
+      'first',
     );
     let stamp = result.kind === 'applied' ? result.stamp : 0;
     if (result.kind === 'unknown' || result.kind === 'conflict') {
@@ -244,7 +244,7 @@
     const key = keys.owner(part);
     for (let tries = 0; tries < 5; tries++) {
       const when = [{ key, stamp: held.stamp }];
-      const result = await this.client.txn({ when, puts: [], removes: [key] }, true);
+      const result = await this.client.txn({ when, puts: [], removes: [key] }, 'first');
       if (result.kind === 'applied') this.replica.noteRemoved(key, result.stamp);
       if (result.kind === 'applied' || result.kind === 'conflict') return;
       await sleep(this.options.ttl / 10);
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -13,7 +13,16 @@
 import { Chunk, type Entry } from './chunk.js';
 import { Arrivals, type RunTimes } from './estimate.js';
 import { Machine, type Placed } from './machine.js';
-import { allows, bestFit, holds, sampleHosts, victimsFor, type Room } from './placement.js';
+import { Heap } from './heap.js';
+import {
+  allows,
+  bestFit,
+  holds,
+  sampleHosts,
+  shapeOf,
+  victimsFor,
+  type Room,
+} from './placement.js';
 import { replay, type ReplayHost, type ReplayItem } from './replay.js';
 
 export interface PartOptions {
@@ -85,7 +94,10 @@
   /** `renewed`: until when another owner may have renewed the worker's lease. */
   addMachine(name: string, record: MachineRecord, now: number, renewed = now): Machine {
     const known = this.machines.get(name);
-    if (known !== undefined) return known;
+    if (known !== undefined) {
+      known.learn(record);
+      return known;
+    }
     const machine = new Machine(name, record, this.types, now);
     machine.renewed = renewed;
     this.machines.set(name, machine);
@@ -102,19 +114,19 @@
   }
 
   /** Takes a worker's report. Gives false when it is older than what is known. */
-  apply(machine: Machine, report: Report, now: number, isHello: boolean): boolean {
+  apply(machine: Machine, report: Report, now: number, from: Source): boolean {
     if (!machine.isNewer(report)) return false;
+    const isHello = from !== 'answer';
     const newSession = report.session > machine.session && machine.heard !== null;
-    machine.address = report.address;
+    // The first that is known stays: a late copy must not send orders elsewhere.
+    if (machine.address === '') machine.address = report.address;
     machine.session = report.session;
     machine.tick = report.tick;
     machine.seenToken = Math.max(machine.seenToken, report.token);
     machine.heard = now;
-    machine.lost = false;
-    machine.missed = 0;
-    machine.missedSince = null;
+    if (from !== 'report') machine.noteReached(now);
     machine.goneBy = report.warning === null ? null : now + report.warning;
-    machine.tasks = new Map(report.tasks.map((t) => [t.task, t]));
+    machine.noteTasks(report.tasks);
     if (newSession) machine.leftovers.clear();
     for (const [task, leftover] of machine.leftovers) {
       const still = machine.tasks.get(task);
@@ -286,7 +298,7 @@
   /** Ends an entry whose attempt is known to be over. */
   private release(machine: Machine, { chunk, entry }: Placed, now: number): void {
     chunk.entries.delete(entry.task);
-    machine.entries.delete(chunk.taskName(entry.task));
+    machine.drop(chunk.taskName(entry.task));
     if (machine.entries.size === 0) machine.idleSince = now;
     this.changed(chunk, now);
     // One of a gang is over before its time: the others can do nothing without it, and start anew with it.
@@ -341,24 +353,24 @@
     const lost: string[] = [];
     for (const machine of this.machines.values()) {
       // Its last owner may be alive and answer it: that we can't reach it says nothing of the machine.
-      if (machine.heard === null && machine.renewed > now) continue;
+      if (machine.reached === null && machine.renewed > now) continue;
       const since = machine.missedSince;
-      if (machine.heard === null && since === null) {
+      if (machine.reached === null && since === null) {
         // Most are up within 1.5 times the boot time; one that isn't may never come, and is charged.
         // After a takeover every worker first has to find us; one that has tasks was up before.
-        const age = wall - machine.record.at;
+        const age = wall - machine.rentedAt;
         const overdue = age > bootOf(machine) * 1.6 + report * 2;
         const watched = now - machine.created > report * 5;
         if (overdue && watched && machine.entries.size === 0) lost.push(machine.name);
         continue;
       }
-      const last = machine.heard ?? machine.created;
+      const last = machine.reached ?? machine.created;
       if (since === null || machine.missed < 2 || now - last < report * 0.8) continue;
       let silent = 0;
       let heard = 0;
       for (const other of this.machines.values()) {
         if (other === machine || other.lost) continue;
-        if (other.heard !== null && other.heard > since) heard++;
+        if (other.reached !== null && other.reached > since) heard++;
         else if (other.missed > 0) silent++;
       }
       const alone = heard === 0 && silent === 0 && now - last > report * 3;
@@ -395,7 +407,7 @@
         stop: null,
       };
       chunk.entries.set(e.task, entry);
-      machine.entries.set(chunk.taskName(e.task), { chunk, entry });
+      machine.put({ chunk, entry });
     }
     if (chunk.entries.size < record.entries.length) this.dirty.add(chunk);
     this.addChunk(chunk, now);
@@ -432,7 +444,7 @@
     this.dirty.delete(chunk);
     this.settled.delete(chunk);
     for (const entry of chunk.entries.values()) {
-      this.machines.get(entry.machine)?.entries.delete(chunk.taskName(entry.task));
+      this.machines.get(entry.machine)?.drop(chunk.taskName(entry.task));
     }
   }
 
@@ -495,7 +507,8 @@
     this.hungry.clear();
     const start = queue.findIndex((c) => c.id === this.resumeAfter);
     this.resumeAfter = null;
-    let reserved: { machine: Machine; at: number } | null = null;
+    const round: Round = { reserved: null, full: new Set(), hopeless: new Set() };
+    const blocked: Chunk[] = [];
     for (let i = 0; i < queue.length; i++) {
       const chunk = queue[i];
       if (chunk === undefined) continue;
@@ -503,21 +516,27 @@
       if (chunk.rank < rankOrder.prod && start > 0 && i < start) continue;
       if (outOfTime()) {
         this.resumeAfter = chunk.id;
-        return;
+        break;
       }
       if (chunk.notBefore > now) continue;
       if (chunk.spec.service && this.clearsForImage(chunk, now)) continue;
       const before = chunk.entries.size;
-      const blocked = this.placeChunk(chunk, reserved, now);
+      const waits = this.placeChunk(chunk, round, now);
       if (chunk.spec.gang && chunk.entries.size > before) chunk.next++;
-      if (!blocked) {
+      if (!waits) {
         chunk.blockedSince = null;
         continue;
       }
       chunk.blockedSince ??= now;
-      if (chunk.rank > 0 || this.isEntitled(chunk.spec)) this.preempt(chunk, now);
-      reserved ??= this.shadow(chunk, now);
+      blocked.push(chunk);
+      const shape = shapeOf(chunk.spec, chunk.zone);
+      if (round.reserved === null && !round.hopeless.has(shape)) {
+        round.reserved = this.shadow(chunk, now);
+        if (round.reserved === null) round.hopeless.add(shape);
+      }
     }
+    const claimants = blocked.filter((c) => c.rank > 0 || this.isEntitled(c.spec));
+    if (claimants.length > 0) this.preempt(claimants, now, outOfTime);
   }
 
   /**
@@ -548,34 +567,43 @@
   }
 
   /** Gives true when tasks of it are left without room. */
-  private placeChunk(
-    chunk: Chunk,
-    reserved: { machine: Machine; at: number } | null,
-    now: number,
-  ): boolean {
-    const run = this.runTimes.expected(chunk.spec.jobClass, chunk.spec.expect);
-    if (chunk.spec.gang && !this.gangFits(chunk, now)) return true;
+  private placeChunk(chunk: Chunk, round: Round, now: number): boolean {
+    const { spec } = chunk;
+    const run = this.runTimes.expected(spec.jobClass, spec.expect);
+    if (spec.gang && !this.gangFits(chunk, now)) return true;
+    // Backfilling must not delay the first that waits.
+    const delays = spec.service || now + run > (round.reserved?.at ?? Infinity);
+    const kept = delays && !spec.gang ? round.reserved?.machine : undefined;
+    // Rooms only shrink within a round: what found none leaves none for others of its shape.
+    const shape = shapeOf(spec, chunk.zone);
+    const behind = `${shape} behind`;
+    const choosy = chunk.failedOn.size > 0 && chunk.failedOn.size < this.machines.size;
+    if (round.full.has(shape) || (kept !== undefined && round.full.has(behind))) return true;
+    let hosts: Machine[] | null = null;
     while (chunk.pending > 0) {
-      if (!this.withinAllowance(chunk.spec)) {
-        this.hungry.add(chunk.spec.team);
+      if (!this.withinAllowance(spec)) {
+        this.hungry.add(spec.team);
         return true;
       }
-      const hosts: Machine[] = [];
-      for (const machine of this.machines.values()) {
-        if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) continue;
-        if (chunk.failedOn.has(machine.name) && chunk.failedOn.size < this.machines.size) continue;
-        if (!holds(machine.free, chunk.spec)) continue;
-        // Backfilling must not delay the first that waits.
-        const delays = chunk.spec.service || now + run > (reserved?.at ?? Infinity);
-        if (machine === reserved?.machine && delays && !chunk.spec.gang) continue;
-        hosts.push(machine);
+      if (hosts === null) {
+        hosts = [];
+        for (const machine of this.machines.values()) {
+          if (machine === kept || !holds(machine.free, spec) || !machine.usable(now)) continue;
+          if (!allows(spec, chunk.zone, machine)) continue;
+          if (choosy && chunk.failedOn.has(machine.name)) continue;
+          hosts.push(machine);
+        }
+      }
+      const sampled = sampleHosts(hosts, spec.image, this.options.sample, this.random);
+      const machine = bestFit(sampled, spec);
+      if (machine === null) {
+        if (!choosy) round.full.add(kept === undefined ? shape : behind);
+        return true;
       }
-      const sampled = sampleHosts(hosts, chunk.spec.image, this.options.sample, this.random);
-      const machine = bestFit(sampled, chunk.spec);
-      if (machine === null) return true;
       const task = chunk.nextPending();
       if (task === null) return false;
       this.place(chunk, task, machine, now);
+      if (!holds(machine.free, spec)) hosts.splice(hosts.indexOf(machine), 1);
     }
     return false;
   }
@@ -625,7 +653,7 @@
       stop: null,
     };
     chunk.entries.set(task, entry);
-    machine.entries.set(chunk.taskName(task), { chunk, entry });
+    machine.put({ chunk, entry });
     log.debug(
       `${this.label} places ${chunk.taskName(task)} (${chunk.spec.jobClass}) on ${machine.name}, ` +
         `image ${machine.hasImage(chunk.spec.image) ? 'there' : 'missing'}, ` +
@@ -708,34 +736,60 @@
     return Math.max(now, (entry.runningSince ?? now) + run);
   }
 
-  /** Stops lower-ranked work on the machine where that costs least. */
-  private preempt(chunk: Chunk, now: number): void {
+  /** Stops lower-ranked work on the machines where that costs least. */
+  private preempt(claimants: Chunk[], now: number, outOfTime: () => boolean): void {
     let making = 0;
     for (const machine of this.machines.values()) {
-      for (const { chunk: other, entry } of machine.entries.values()) {
-        if (entry.stop !== null && !other.cancelled && other.spec.id !== chunk.spec.id) making++;
+      for (const { chunk, entry } of machine.entries.values()) {
+        if (entry.stop !== null && !chunk.cancelled) making++;
       }
     }
-    // One task's room at a time for each that waits; more would stop work for nothing.
-    for (let left = chunk.pending - making; left > 0; left--) {
-      let best: { machine: Machine; victims: Victims; loss: number } | null = null;
-      for (const machine of this.machines.values()) {
-        if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) continue;
-        const running = this.stoppable(machine, chunk, now);
-        const victims = victimsFor(machine.free, chunk.spec, running, chunk.rank);
-        if (victims === null || victims.length === 0) continue;
-        const fetch = machine.hasImage(chunk.spec.image) ? 0 : 1e6;
-        const loss = victims.reduce((sum, v) => sum + v.loss, fetch);
-        if (loss < (best?.loss ?? Infinity)) best = { machine, victims, loss };
+    const offers = new Map<string, Heap<Offer>>();
+    for (const chunk of claimants) {
+      // One task's room at a time for each that waits; more would stop work for nothing.
+      const left = Math.max(0, chunk.pending - making);
+      making = Math.max(0, making - chunk.pending);
+      if (left === 0) continue;
+      if (outOfTime()) return;
+      const key = [shapeOf(chunk.spec, chunk.zone), chunk.rank, chunk.spec.team, chunk.spec.image];
+      const shape = key.join(' ');
+      let heap = offers.get(shape);
+      if (heap === undefined) {
+        heap = new Heap<Offer>((a, b) => a.loss - b.loss);
+        for (const machine of this.machines.values()) this.offer(heap, machine, chunk, now);
+        offers.set(shape, heap);
       }
-      if (best === null) return;
-      for (const { placed } of best.victims) {
-        const { checkpoint, save } = placed.chunk.spec;
-        this.stop(best.machine, placed.entry, checkpoint > 0 ? save : 0);
+      for (let n = 0; n < left; n++) {
+        const best = heap.pop();
+        if (best === undefined) break;
+        // Another shape may have been given some of it meanwhile.
+        if (best.victims.some((v) => v.placed.entry.stop !== null)) {
+          this.offer(heap, best.machine, chunk, now);
+          n--;
+          continue;
+        }
+        for (const { placed } of best.victims) {
+          const { checkpoint, save } = placed.chunk.spec;
+          this.stop(best.machine, placed.entry, checkpoint > 0 ? save : 0);
+        }
+        this.offer(heap, best.machine, chunk, now);
       }
     }
   }
 
+  private offer(heap: Heap<Offer>, machine: Machine, chunk: Chunk, now: number): void {
+    if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) return;
+    const victims = victimsFor(
+      machine.free,
+      chunk.spec,
+      this.stoppable(machine, chunk, now),
+      chunk.rank,
+    );
+    if (victims === null || victims.length === 0) return;
+    const fetch = machine.hasImage(chunk.spec.image) ? 0 : 1e6;
+    heap.push({ machine, victims, loss: victims.reduce((sum, v) => sum + v.loss, fetch) });
+  }
+
   private stoppable(machine: Machine, claimant: Chunk, now: number): Victims {
     const list: Victims = [];
     const entitled = this.isEntitled(claimant.spec);
@@ -767,6 +821,15 @@
   /** The wait that a candidate would see here, by replaying the queue. */
   waitFor(candidate: ReplayItem, now: number, self?: Chunk): number {
     const rank = rankOrder[candidate.spec.rank];
+    const queue = this.queue()
+      .filter((c) => c !== self && c.rank >= rank && (self === undefined || ahead(c, self)))
+      .map((c) => ({
+        spec: c.spec,
+        zone: c.zone,
+        count: c.pending,
+        run: c.spec.service ? Infinity : this.expectedRun(c.spec),
+      }));
+    if (queue.length === 0 && this.hasRoomNow(candidate, now)) return 0;
     const hosts: ReplayHost[] = [];
     for (const machine of this.machines.values()) {
       const { type, zone, spot } = machine;
@@ -789,17 +852,27 @@
       }
       hosts.push({ type, zone, spot, free, ready, running });
     }
-    const queue = this.queue()
-      .filter((c) => c !== self && c.rank >= rank && (self === undefined || ahead(c, self)))
-      .map((c) => ({
-        spec: c.spec,
-        zone: c.zone,
-        count: c.pending,
-        run: c.spec.service ? Infinity : this.expectedRun(c.spec),
-      }));
     return replay(hosts, queue, candidate).wait;
   }
 
+  /** The short cut of the replay: nothing is ahead and there is room for all of it. */
+  private hasRoomNow({ spec, zone, count }: ReplayItem, now: number): boolean {
+    let left = count;
+    for (const machine of this.machines.values()) {
+      const { free } = machine;
+      if (!holds(free, spec) || !machine.usable(now) || !allows(spec, zone, machine)) continue;
+      const by = (have: number, need: number): number =>
+        need > 0 ? Math.floor(have / need + 1e-9) : Infinity;
+      left -= Math.min(
+        by(free.cpus, spec.cpus),
+        by(free.gpus, spec.gpus),
+        by(free.memory, spec.memory),
+      );
+      if (left <= 0) return true;
+    }
+    return false;
+  }
+
   expectedRun(spec: JobSpec): number {
     return this.runTimes.expected(spec.jobClass, spec.expect);
   }
@@ -831,7 +904,7 @@
   private batchCpus(now: number): number {
     let cpus = 0;
     for (const machine of this.machines.values()) {
-      if (machine.lost || machine.leaving || machine.goneBy !== null) continue;
+      if (machine.lost || machine.deaf || machine.leaving || machine.goneBy !== null) continue;
       if (machine.up && machine.shunnedUntil > now) continue;
       cpus += machine.size.cpus - machine.live;
     }
@@ -859,7 +932,7 @@
   liveRoom(): number {
     let cpus = 0;
     for (const machine of this.machines.values()) {
-      if (machine.spot || machine.lost || machine.leaving) continue;
+      if (machine.spot || machine.lost || machine.deaf || machine.leaving) continue;
       cpus += machine.size.cpus - machine.live;
     }
     return cpus;
@@ -916,7 +989,7 @@
   demands(now: number): Demand[] {
     const rooms: { machine: Machine; room: Room }[] = [];
     for (const machine of this.machines.values()) {
-      if (machine.lost || machine.leaving || machine.goneBy !== null) continue;
+      if (machine.lost || machine.deaf || machine.leaving || machine.goneBy !== null) continue;
       if (machine.up && machine.shunnedUntil > now) continue;
       rooms.push({ machine, room: { ...machine.size } });
     }
@@ -936,16 +1009,20 @@
         next.room.memory -= next.chunk.spec.memory;
       }
     };
-    const demands: Demand[] = [];
+    const demands = new Map<string, Demand>();
+    const full = new Set<string>();
     const have = this.batchCpus(now);
     let deficit = Math.max(0, this.batchNeed(now) - have);
     const urgent = this.backlog() > have * this.options.patience * 6;
     for (const chunk of this.queue()) {
       if (chunk.failures > 2) continue;
       settleDownTo(chunk.rank);
-      let count = chunk.pending;
-      let suited = 0;
-      for (const { machine, room } of rooms) {
+      const shape = shapeOf(chunk.spec, chunk.zone);
+      const suits = full.has(shape);
+      let { pending: count } = chunk;
+      let suited = suits ? 1 : 0;
+      for (const { machine, room } of suits ? [] : rooms) {
+        if (count === 0) break;
         if (!allows(chunk.spec, chunk.zone, machine)) continue;
         if (holds(machine.size, chunk.spec)) suited++;
         while (count > 0 && holds(room, chunk.spec)) {
@@ -955,6 +1032,7 @@
           room.memory -= chunk.spec.memory;
         }
       }
+      if (count > 0 && suited > 0) full.add(shape);
       if (!chunk.spec.service && suited > 0) {
         // Short work is through before a machine is up: only what is missing in the long run.
         count = Math.min(count, Math.ceil(deficit / chunk.spec.cpus));
@@ -964,12 +1042,22 @@
       const { cpus, gpus, memory, types, spot, rank, service, image, imageGb } = chunk.spec;
       const zone = chunk.zone ?? chunk.spec.zone;
       const run = service ? 0 : this.expectedRun(chunk.spec);
+      // One demand for all chunks that the same machines suit: thousands of tasks may wait.
+      const key = `${shape} ${rank} ${String(service)}`;
+      const known = demands.get(key);
+      if (known !== undefined) {
+        known.run = (known.run * known.count + run * count) / (known.count + count);
+        known.imageGb = (known.imageGb * known.count + imageGb * count) / (known.count + count);
+        known.count += count;
+        continue;
+      }
       const demand = { part: this.label, cpus, gpus, memory, types, zone, spot, rank, service };
-      demands.push({ ...demand, image, imageGb, count, urgent, run });
+      demands.set(key, { ...demand, image, imageGb, count, urgent, run });
     }
+    const list = [...demands.values()];
     const headroom = this.headroom(now);
-    if (headroom !== null && !demands.some((d) => d.service)) demands.push(headroom);
-    return demands;
+    if (headroom !== null && !list.some((d) => d.service)) list.push(headroom);
+    return list;
   }
 }
 
@@ -979,4 +1067,25 @@
 
 const ahead = (a: Chunk, b: Chunk): boolean => byOrder(a, b) < 0;
 
+/**
+ * Where a report comes from: a worker's own, which may be late or get no answer; one that follows an
+ * answer of ours on the same connection; the answer to a question or command of ours.
+ */
+export type Source = 'report' | 'follow' | 'answer';
+
+interface Round {
+  /** The machine that is kept for the first that waits, and from when on it will have room. */
+  reserved: { machine: Machine; at: number } | null;
+  /** Shapes of work for which no machine has room. */
+  full: Set<string>;
+  /** Shapes of work that no machine will ever have room for. */
+  hopeless: Set<string>;
+}
+
+interface Offer {
+  machine: Machine;
+  victims: Victims;
+  loss: number;
+}
+
 type Victims = { rank: number; need: Room; loss: number; placed: Placed }[];
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -29,6 +29,8 @@
     private readonly clock: Clock,
     /** Gossip older than this says nothing. */
     private readonly fresh: number,
+    /** How far apart two nodes' times of day may be. */
+    private readonly skew: number,
     peers: { label: string; zone: string; client: PeerClient }[],
   ) {
     for (const p of peers) {
@@ -48,6 +50,16 @@
     const peer = this.peers.get(gossip.from);
     if (peer === undefined) return;
     const now = this.clock.now();
+    // A cut holds messages back and delivers them late, from earlier starts of the peer as well: what
+    // they say of machines to return, of tokens and of teams is long past.
+    const before = peer.gossip;
+    const stale = this.clock.wall() - gossip.at > this.fresh + 2 * this.skew;
+    const behind =
+      before !== null &&
+      (before.process === gossip.process
+        ? gossip.sequence <= before.sequence
+        : gossip.at < before.at - 2 * this.skew);
+    if (stale || behind) return;
     if (!gossip.served || now - peer.heard > this.fresh) peer.servedSince = null;
     if (gossip.served) peer.servedSince ??= now;
     peer.gossip = gossip;
@@ -78,6 +90,11 @@
     );
   }
 
+  /** What the others ask of the state service. */
+  needs(): Gossip['need'][] {
+    return this.gossips().map((g) => g.need);
+  }
+
   demands(): Demand[] {
     return this.gossips().flatMap((g) => g.demands);
   }
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -42,6 +42,19 @@
   );
 }
 
+/** What two jobs must have in common to fit the same machines; kept per job, since it is asked for often. */
+const shapes = new WeakMap<JobSpec, string>();
+
+export function shapeOf(spec: JobSpec, zone: string | null): string {
+  let shape = shapes.get(spec);
+  if (shape === undefined) {
+    const { cpus, gpus, memory, types, spot } = spec;
+    shape = [cpus, gpus, memory, types?.join(',') ?? '*', spec.zone ?? '*', spot].join(' ');
+    shapes.set(spec, shape);
+  }
+  return zone === null ? shape : `${shape} ${zone}`;
+}
+
 /** Samples a few of the machines that have room; those that hold the image are always looked at. */
 export function sampleHosts<T extends Host>(
   hosts: T[],
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -2,8 +2,10 @@
 import { sleep } from '../base/clock.js';
 import { describe, log } from '../base/log.js';
 import * as cloud from '../protocol/cloud.js';
-import { keys, type MachineRecord, type RentalRecord } from '../storage/records.js';
-import { Budget, type TxnResult } from '../storage/stateClient.js';
+import { TXN_BYTES } from '../protocol/state.js';
+import { keys, type GroupRecord } from '../storage/records.js';
+import { Budget, type Urgency } from '../storage/budget.js';
+import type { TxnResult } from '../storage/stateClient.js';
 import type { Response } from '../transport/httpClient.js';
 import type { Controller } from './controller.js';
 import { PROVISIONER } from './ownership.js';
@@ -21,6 +23,11 @@
   private readonly released = new Map<string, number>();
   private readonly releasing = new Set<string>();
   private readonly renting = new Set<string>();
+  /** Machines whose group is being stored, by its name: no stray. */
+  private readonly claims = new Map<string, string[]>();
+  private readonly storing = new Set<string>();
+  /** Rentals on their way, and those whose machines the parts may not have counted yet, by their names. */
+  private readonly coming = new Map<string, { plan: RentPlan; until: number }>();
   private lastList = -Infinity;
   private listing = false;
   private storingTypes = false;
@@ -37,6 +44,8 @@
 
   elected(): void {
     this.active = true;
+    this.claims.clear();
+    this.coming.clear();
     this.lastList = -Infinity;
     log.info('this node rents and returns the machines');
   }
@@ -67,9 +76,16 @@
     if (now - this.node.state.lastServed > this.node.stateTtl / 2) return;
     void this.storeTypes();
     if (!this.listing && now - this.lastList > this.node.settings.listLag * 0.75) void this.list();
-    for (const [key, { value, stamp }] of this.node.replica.under('b/rental/')) {
-      const ask = key.slice('b/rental/'.length);
-      if (!this.renting.has(ask)) void this.rent(ask, value as RentalRecord, stamp);
+    for (const [ask, { until }] of this.coming) if (until <= now) this.coming.delete(ask);
+    const open = new Set<string>();
+    for (const [ask, group] of this.node.fleet.entries()) {
+      if (group.asked === undefined) continue;
+      open.add(ask);
+      if (!this.renting.has(ask)) void this.rent(ask, group);
+    }
+    for (const ask of this.claims.keys()) {
+      const busy = open.has(ask) || this.renting.has(ask) || this.storing.has(ask);
+      if (!busy) this.claims.delete(ask);
     }
     this.release(now);
     this.rentForDemands(now);
@@ -95,9 +111,9 @@
   }
 
   private async call(method: string, target: string, body?: unknown): Promise<Response> {
-    await this.budget.take(1, method === 'POST');
+    await this.budget.take(1, method === 'POST' ? 'urgent' : 'later');
     // Its answers may take a second or two when it is busy.
-    const answer = await this.node.http.call(
+    const answer = await this.node.links.services.call(
       this.node.settings.cloudEndpoint,
       method,
       target,
@@ -125,6 +141,7 @@
       }
       this.listed = found;
       await this.adoptStrays(found);
+      await this.keepAddresses(found);
     } catch (error) {
       log.debug(`machine list: ${describe(error)}`);
     } finally {
@@ -135,59 +152,143 @@
 
   /** Machines that nobody expected (late rentals, those up from the start) get a part. */
   private async adoptStrays(found: Map<string, cloud.ListedMachine>): Promise<void> {
-    const now = this.node.clock.now();
+    const { node } = this;
+    const now = node.clock.now();
+    const claimed = new Set([...this.claims.values()].flat());
     for (const name of this.strays.keys()) if (!found.has(name)) this.strays.delete(name);
+    // The list may be older than a release by a provisioner before us; with no record of any machine
+    // there has been none.
+    const patience = node.fleet.size === 0 ? 0 : node.settings.listLag;
+    const groups = new Map<string, GroupRecord>();
+    const taken = new Map<string, number>();
     for (const [name, machine] of found) {
-      if (this.node.replica.get(keys.machine(name)) !== undefined) continue;
+      if (node.fleet.get(name) !== undefined || claimed.has(name)) continue;
       if (this.released.has(name)) continue;
       const since = this.strays.get(name) ?? now;
       this.strays.set(name, since);
-      // Its record may be on its way.
-      if (now - since < this.node.settings.listLag * 0.5) continue;
+      if (now - since < patience) continue;
       const { type, zone, spot } = machine;
-      const part = this.partFor(zone, '');
-      const at = this.node.clock.wall() - machine.age;
-      await this.write({ [name]: { part, type, zone, spot, at } }, null);
-      this.strays.delete(name);
+      const address = addressOf(machine);
+      const part = choosePartFor(node, zone, '', taken);
+      taken.set(part, (taken.get(part) ?? 0) + (node.types.get(type)?.cpus ?? 1));
+      const key = [part, type, zone, String(spot)].join(' ');
+      const group = groups.get(key) ?? { part, type, zone, spot, machines: {} };
+      groups.set(key, group);
+      group.machines[name] = {
+        at: node.clock.wall() - machine.age,
+        ...(address === '' ? {} : { address }),
+      };
     }
+    await Promise.all([...groups.values()].flatMap(split).map((group) => this.store(group)));
   }
 
-  /** The part of this zone that has asked, or else the one with the fewest machines. */
-  private partFor(zone: string, wanted: string): string {
-    return choosePartFor(this.node, zone, wanted);
+  /** Stores machines that no rental of ours brought, under a name that is used once. */
+  private async store(group: GroupRecord): Promise<void> {
+    const { node } = this;
+    const ask = this.nextAsk();
+    const held = node.ownership.get(PROVISIONER);
+    this.storing.add(ask);
+    this.claims.set(ask, Object.keys(group.machines));
+    // Its machines are stored in no other group before this one's fate is known: a machine that were
+    // in two groups would have two owners.
+    while (!this.stopped && node.ownership.get(PROVISIONER) === held) {
+      const owner = this.owner();
+      if (owner === null) {
+        await sleep(node.settings.report / 6);
+        continue;
+      }
+      const key = keys.group(ask);
+      const when = [owner, { key, stamp: 0 }];
+      const txn = { when, puts: [{ key, value: group }], removes: [] };
+      const result = await node.state.txn(txn, 'first');
+      if (result.kind === 'applied') node.replica.note(key, group, result.stamp);
+      else if (result.kind === 'conflict') {
+        const item = await node.state.get(key).catch(() => undefined);
+        if (item !== undefined && item !== null) node.replica.note(key, item.value, item.stamp);
+        // Neither our key nor our ownership is as we thought: a new provisioner will find them.
+        if (item === null) await node.ownership.doubt(PROVISIONER).catch(() => undefined);
+        if (item === undefined) continue;
+      } else {
+        await sleep(node.settings.report / 6);
+        continue;
+      }
+      break;
+    }
+    this.storing.delete(ask);
   }
 
-  private owner(): { key: string; stamp: number } | null {
-    const held = this.node.ownership.get(PROVISIONER);
-    if (held === undefined || !this.node.ownership.valid) return null;
-    return { key: keys.owner(PROVISIONER), stamp: held.stamp };
+  /** Addresses go into the groups' records once all of a group are known, or what has come in time. */
+  private async keepAddresses(found: Map<string, cloud.ListedMachine>): Promise<void> {
+    const { node } = this;
+    const wall = node.clock.wall();
+    let changes = 0;
+    for (const [ask, group] of [...node.fleet.entries()]) {
+      let missing = 0;
+      let news = 0;
+      let oldest = wall;
+      for (const [name, machine] of Object.entries(group.machines)) {
+        if (machine.address !== undefined) continue;
+        oldest = Math.min(oldest, machine.at);
+        if (addressOf(found.get(name)) === '') missing++;
+        else news++;
+      }
+      const late = wall - oldest > node.settings.listLag * 4;
+      if (news === 0 || (missing > 0 && !late)) continue;
+      // Bookkeeping: what users and starts wait for goes first.
+      if (++changes > Math.max(1, node.settings.stateWriteRate / 10)) return;
+      const machines = Object.fromEntries(
+        Object.entries(group.machines).map(([name, machine]) => {
+          const address = machine.address ?? addressOf(found.get(name));
+          return [name, address === '' ? machine : { ...machine, address }];
+        }),
+      );
+      await this.replace(ask, { ...group, machines });
+    }
+  }
+
+  /** Changes groups in one transaction; null removes one. */
+  private async replace(
+    ask: string,
+    group: GroupRecord | null,
+    urgency: Urgency = 'later',
+  ): Promise<TxnResult> {
+    return this.replaceAll(new Map([[ask, group]]), urgency);
   }
 
-  /** Stores machines' parts, and removes the rental they came from. */
-  private async write(
-    machines: Record<string, MachineRecord>,
-    rental: { key: string; stamp: number } | null,
+  private async replaceAll(
+    groups: Map<string, GroupRecord | null>,
+    urgency: Urgency,
   ): Promise<TxnResult> {
+    const { replica, state } = this.node;
     const owner = this.owner();
     if (owner === null) return { kind: 'refused' };
-    const names = Object.keys(machines);
-    const puts = names.map((n) => ({ key: keys.machine(n), value: machines[n] }));
-    const result = await this.node.state.txn({
-      when: [
-        owner,
-        ...names.map((n) => ({ key: keys.machine(n), stamp: 0 })),
-        ...(rental === null ? [] : [rental]),
-      ],
-      puts,
-      removes: rental === null ? [] : [rental.key],
-    });
+    const when = [owner];
+    const puts: { key: string; value: unknown }[] = [];
+    const removes: string[] = [];
+    for (const [ask, group] of groups) {
+      const key = keys.group(ask);
+      when.push({ key, stamp: replica.get(key)?.stamp ?? 0 });
+      if (group === null) removes.push(key);
+      else puts.push({ key, value: group });
+    }
+    const result = await state.txn({ when, puts, removes }, urgency);
     if (result.kind === 'applied') {
-      for (const put of puts) this.node.replica.note(put.key, put.value, result.stamp);
-      if (rental !== null) this.node.replica.noteRemoved(rental.key, result.stamp);
+      for (const put of puts) replica.note(put.key, put.value, result.stamp);
+      for (const key of removes) replica.noteRemoved(key, result.stamp);
     }
     return result;
   }
 
+  private owner(): { key: string; stamp: number } | null {
+    const held = this.node.ownership.get(PROVISIONER);
+    if (held === undefined || !this.node.ownership.valid) return null;
+    return { key: keys.owner(PROVISIONER), stamp: held.stamp };
+  }
+
+  private nextAsk(): string {
+    return `${this.node.settings.label}-${this.process}-${++this.sequence}`;
+  }
+
   // ---- Renting ----
 
   private rentForDemands(now: number): void {
@@ -201,66 +302,67 @@
       types: [...types.values()],
       refused: (type, zone, spot) =>
         (this.refusals.get(`${type}/${zone}/${String(spot)}`)?.until ?? 0) > now,
-      partFor: (zone, wanted) => this.partFor(zone, wanted),
+      partFor: (zone, wanted) => choosePartFor(this.node, zone, wanted),
       zoneOf: (part) => this.node.zoneOf.get(part),
+      coming: [...this.coming.values()].map((c) => c.plan),
       patience: within.length > 0 ? Math.min(...within) : settings.lease * 2,
       serviceHorizon: 600,
     });
     for (const plan of mergePlans(plans)) {
-      // Until the machines' records have reached the part, its demand tells of them once more.
-      this.holdOff.set(plan.part, now + settings.report * 0.7);
-      void this.intend(plan, now);
+      // A large rental is several requests, side by side: hundreds of machines may be missing.
+      for (let left = plan.count; left > 0; left -= cloud.RENT_LIMIT) {
+        void this.intend({ ...plan, count: Math.min(left, cloud.RENT_LIMIT) });
+      }
     }
-    for (const demand of demands) this.holdOff.set(demand.part, now + settings.report * 0.7);
   }
 
   /** The intention is stored before the request is sent; its name is never used again. */
-  private async intend(plan: RentPlan, now: number): Promise<void> {
+  private async intend(plan: RentPlan): Promise<void> {
     const owner = this.owner();
     if (owner === null) return;
-    const { txnOps } = this.node.settings;
-    const count = Math.min(plan.count, cloud.RENT_LIMIT, txnOps - 2);
-    const ask = `${this.node.settings.label}-${this.process}-${++this.sequence}`;
-    const record: RentalRecord = { ...plan, count, at: this.node.clock.wall() };
-    const key = keys.rental(ask);
+    const ask = this.nextAsk();
+    const { part, type, zone, spot, count } = plan;
+    const group: GroupRecord = { part, type, zone, spot, machines: {}, asked: count };
+    const key = keys.group(ask);
     this.renting.add(ask);
-    this.holdOff.set(plan.part, now + this.node.settings.report);
+    this.coming.set(ask, { plan, until: Infinity });
+    this.holdOff.set(part, this.node.clock.now() + this.node.settings.report / 2);
     try {
       const when = [owner, { key, stamp: 0 }];
-      const txn = { when, puts: [{ key, value: record }], removes: [] };
-      const result = await this.node.state.txn(txn, true);
-      if (result.kind === 'applied') this.node.replica.note(key, record, result.stamp);
+      const txn = { when, puts: [{ key, value: group }], removes: [] };
+      const result = await this.node.state.txn(txn, 'first');
+      if (result.kind === 'applied') this.node.replica.note(key, group, result.stamp);
     } finally {
       this.renting.delete(ask);
     }
-    const stored = this.node.replica.get(key);
-    if (stored !== undefined) await this.rent(ask, record, stored.stamp);
+    if (this.node.replica.get(key) !== undefined) await this.rent(ask, group);
+    else this.coming.delete(ask);
   }
 
-  private async rent(ask: string, record: RentalRecord, stamp: number): Promise<void> {
+  private async rent(ask: string, group: GroupRecord): Promise<void> {
     if (this.renting.has(ask)) return;
     this.renting.add(ask);
-    const { type, zone, spot, count, part } = record;
+    const { type, zone, spot, part, asked: count = 0 } = group;
     const kind = `${type}/${zone}/${String(spot)}`;
-    const rental = { key: keys.rental(ask), stamp };
     try {
       const body = cloud.rentalRequest({ ask, type, zone, spot, count });
       const answer = await this.call('POST', cloud.paths.rentals, body);
       if (answer.status === 200) {
         const names = cloud.parseRented(answer.body) ?? [];
+        // Until the group is stored, a list that shows them must not make strays of them.
+        this.claims.set(ask, names);
         log.info(`rented ${names.length} of ${count} ${kind} for ${part}: ${names.join(' ')}`);
         const at = this.node.clock.wall();
-        const machines = Object.fromEntries(names.map((n) => [n, { part, type, zone, spot, at }]));
-        const result = await this.write(machines, rental);
-        if (result.kind === 'conflict') await this.forget(rental, machines);
+        const machines = Object.fromEntries(names.map((n) => [n, { at }]));
+        await this.conclude(ask, { part, type, zone, spot, machines });
         if (names.length < count) this.refuse(kind, part);
         else this.refusals.delete(kind);
       } else if (answer.status === 503 && JSON.stringify(answer.body).includes('no capacity')) {
         this.refuse(kind, part);
-        await this.forget(rental, {});
+        await this.conclude(ask, null);
       } else if (answer.status === 400) {
         log.error(`the cloud calls a rental of ${kind} malformed`);
-        await this.forget(rental, {});
+        await this.conclude(ask, null);
       } else this.downUntil = this.node.clock.now() + 1;
     } catch (error) {
       log.debug(`rental: ${describe(error)}`);
@@ -269,21 +371,21 @@
     }
   }
 
-  /** Drops an intention; machines of it that are not stored yet come in as strays. */
-  private async forget(
-    rental: { key: string; stamp: number },
-    machines: Record<string, MachineRecord>,
-  ): Promise<void> {
-    for (const [name, record] of Object.entries(machines))
-      await this.write({ [name]: record }, null);
-    const owner = this.owner();
-    if (owner === null) return;
-    const result = await this.node.state.txn({
-      when: [owner, rental],
-      puts: [],
-      removes: [rental.key],
-    });
-    if (result.kind === 'applied') this.node.replica.noteRemoved(rental.key, result.stamp);
+  /** Puts a rental's machines in its intention's place; without an answer, the next step asks again. */
+  private async conclude(ask: string, group: GroupRecord | null): Promise<void> {
+    const known = this.coming.get(ask);
+    const count = Object.keys(group?.machines ?? {}).length;
+    if (known !== undefined && count === 0) this.coming.delete(ask);
+    else if (known !== undefined) {
+      known.plan.count = count;
+      // Until the part has the record and has told its new demand.
+      known.until = this.node.clock.now() + this.node.settings.report * 0.7;
+    }
+    const result = await this.replace(ask, count === 0 ? null : group, 'first');
+    if (result.kind !== 'conflict') return;
+    // A copy of it that got no answer may have been applied.
+    await this.reread(ask);
+    await this.node.ownership.doubt(PROVISIONER);
   }
 
   private refuse(kind: string, part: string): void {
@@ -336,38 +438,81 @@
 
   /** The cloud has said that they are gone: what ran there is over. */
   private async removeRecords(names: string[]): Promise<void> {
-    let left = names;
-    for (let tries = 0; left.length > 0 && tries < 20; tries++) {
-      const owner = this.owner();
-      if (owner === null) return;
-      const stored = left.flatMap((name) => {
-        const item = this.node.replica.get(keys.machine(name));
-        return item === undefined ? [] : [{ key: keys.machine(name), stamp: item.stamp }];
-      });
-      const batch = stored.slice(0, this.node.settings.txnOps);
-      if (batch.length === 0) return;
-      const removes = batch.map((b) => b.key);
-      const result = await this.node.state.txn({ when: [owner, ...batch], puts: [], removes });
-      if (result.kind === 'applied') {
-        for (const key of removes) this.node.replica.noteRemoved(key, result.stamp);
-      } else await sleep(0.3);
-      left = left.filter((n) => this.node.replica.get(keys.machine(n)) !== undefined);
+    const { fleet, settings } = this.node;
+    for (let tries = 0; tries < 20; tries++) {
+      const groups = new Map<string, GroupRecord | null>();
+      let bytes = 0;
+      for (const name of names) {
+        const ask = fleet.groupOf(name);
+        if (ask === undefined) continue;
+        const stored = this.node.replica.get(keys.group(ask))?.value as GroupRecord | undefined;
+        const before = groups.get(ask) ?? stored;
+        if (before === undefined) continue;
+        if (!groups.has(ask)) {
+          bytes += JSON.stringify(before).length;
+          if (groups.size >= settings.txnOps || bytes > TXN_BYTES) break;
+        }
+        const machines = Object.fromEntries(
+          Object.entries(before.machines).filter(([n]) => n !== name),
+        );
+        groups.set(ask, { ...before, machines });
+      }
+      if (groups.size === 0) return;
+      for (const [ask, group] of groups) {
+        if (group !== null && Object.keys(group.machines).length === 0) groups.set(ask, null);
+      }
+      const result = await this.replaceAll(groups, 'urgent');
+      if (result.kind === 'refused' && this.owner() === null) return;
+      if (result.kind === 'conflict') {
+        // An earlier copy was applied, or the watch is late: look again.
+        for (const ask of groups.keys()) await this.reread(ask);
+        await this.node.ownership.doubt(PROVISIONER);
+      }
+      if (result.kind !== 'applied') await sleep(settings.report / 12);
     }
   }
+
+  private async reread(ask: string): Promise<void> {
+    const key = keys.group(ask);
+    const item = await this.node.state.get(key);
+    if (item === null) this.node.replica.noteRemoved(key, Infinity);
+    else this.node.replica.note(key, item.value, item.stamp);
+  }
+}
+
+/** Where a machine that is up can be asked; one that boots would seem to be silent. */
+const addressOf = (machine: cloud.ListedMachine | undefined): string =>
+  machine?.status === 'running' ? machine.address : '';
+
+/** A group's record and its copies in a transaction stay well below the limits of both. */
+function split(group: GroupRecord): GroupRecord[] {
+  const machines = Object.entries(group.machines);
+  const parts: GroupRecord[] = [];
+  for (let at = 0; at < machines.length; at += cloud.RENT_LIMIT) {
+    const some = machines.slice(at, at + cloud.RENT_LIMIT);
+    parts.push({ ...group, machines: Object.fromEntries(some) });
+  }
+  return parts;
 }
 
 /** Machines go to a part of their own zone, so that a cut between zones leaves parts whole. */
-export function choosePartFor(node: Controller, zone: string, wanted: string): string {
+export function choosePartFor(
+  node: Controller,
+  zone: string,
+  wanted: string,
+  taken: ReadonlyMap<string, number> = new Map<string, number>(),
+): string {
   const inZone = node.parts.filter((p) => node.zoneOf.get(p) === zone);
   const candidates = inZone.length > 0 ? inZone : node.parts;
   if (candidates.includes(wanted)) return wanted;
-  const counts = new Map(candidates.map((p) => [p, 0]));
-  for (const [, { value }] of node.replica.under('b/machine/')) {
-    const { part, type } = value as MachineRecord;
-    const before = counts.get(part);
-    if (before !== undefined) counts.set(part, before + (node.types.get(type)?.cpus ?? 1));
-  }
   let best = candidates[0] ?? node.settings.label;
-  for (const [part, cpus] of counts) if (cpus < (counts.get(best) ?? 0)) best = part;
+  let least = Infinity;
+  for (const part of candidates) {
+    let cpus = taken.get(part) ?? 0;
+    for (const [type, count] of node.fleet.countsOf(part)) {
+      cpus += count * (node.types.get(type)?.cpus ?? 1);
+    }
+    if (cpus < least) [best, least] = [part, cpus];
+  }
   return best;
 }
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -18,6 +18,8 @@
   partFor(zone: string, wanted: string): string;
   /** Zone that the demanding part is in. */
   zoneOf(part: string): string | undefined;
+  /** Rentals whose machines the demands do not count yet. */
+  coming: RentPlan[];
   /** Seconds in which batch work should be through. */
   patience: number;
   /** How long a live service's machine is expected to be kept. */
@@ -78,48 +80,65 @@
   return [...merged.values()];
 }
 
+/** Short tasks can follow each other on one machine and still be through in time. */
+function wavesOf(demand: Demand, type: MachineType, context: RentContext): number {
+  if (demand.service) return 1;
+  const spareTime = context.patience - type.boot;
+  return Math.max(1, Math.min(3, Math.floor(spareTime / Math.max(1, demand.run))));
+}
+
 /** Machines that hold what waits, each kind at the lowest price for the work; largest rank first. */
 export function planRentals(demands: Demand[], context: RentContext): RentPlan[] {
   const plans: RentPlan[] = [];
-  const spare = new Map<RentPlan, { offer: Offer; cpus: number; memory: number; gpus: number }>();
+  /** Room left on machines that are being rented for others. */
+  const spare = new Map<RentPlan, { cpus: number; memory: number; gpus: number }>();
+  const types = new Map(context.types.map((t) => [t.name, t]));
+  for (const plan of context.coming) {
+    const type = types.get(plan.type);
+    if (type === undefined) continue;
+    const { cpus, memory, gpus } = type;
+    const { count } = plan;
+    spare.set(plan, { cpus: cpus * count, memory: memory * count, gpus: gpus * count });
+  }
   const sorted = [...demands].sort((a, b) => RANKS.indexOf(a.rank) - RANKS.indexOf(b.rank));
   for (const demand of sorted) {
     let count = demand.count;
-    // Room left on machines that are being rented for others.
     for (const [plan, room] of spare) {
+      const type = types.get(plan.type);
       const fitsThere =
         (demand.types === null || demand.types.includes(plan.type)) &&
         (demand.zone === null || demand.zone === plan.zone) &&
         (demand.spot || !plan.spot) &&
         plan.part === context.partFor(plan.zone, demand.part);
-      while (fitsThere && count > 0 && room.cpus >= demand.cpus && room.memory >= demand.memory) {
-        if (room.gpus < demand.gpus) break;
-        count--;
-        room.cpus -= demand.cpus;
-        room.memory -= demand.memory;
-        room.gpus -= demand.gpus;
-      }
+      if (!fitsThere || type === undefined || perMachine(type, demand) < 1) continue;
+      const waves = wavesOf(demand, type, context);
+      const by = (have: number, need: number): number =>
+        need > 0 ? Math.floor((have * waves) / need + 1e-9) : Infinity;
+      const tasks = Math.min(
+        count,
+        by(room.cpus, demand.cpus),
+        by(room.memory, demand.memory),
+        by(room.gpus, demand.gpus),
+      );
+      count -= tasks;
+      room.cpus -= (tasks * demand.cpus) / waves;
+      room.memory -= (tasks * demand.memory) / waves;
+      room.gpus -= (tasks * demand.gpus) / waves;
     }
     if (count === 0) continue;
     const best = offers({ ...demand, count }, context)[0];
     if (best === undefined) continue;
-    // Short tasks can follow each other on one machine and still be through in time.
-    const spareTime = context.patience - best.type.boot;
-    const waves = demand.service
-      ? 1
-      : Math.max(1, Math.min(3, Math.floor(spareTime / Math.max(1, demand.run))));
-    const machines = Math.ceil(count / (best.fits * waves));
     const { type, zone, spot, fits } = best;
+    const machines = Math.ceil(count / (fits * wavesOf(demand, type, context)));
     const part = context.partFor(zone, demand.part);
     const plan = { part, type: type.name, zone, spot, count: machines };
     plans.push(plan);
     const left = Math.max(0, machines * fits - count);
-    const room = {
+    spare.set(plan, {
       cpus: left * demand.cpus,
       memory: left * demand.memory,
       gpus: left * demand.gpus,
-    };
-    spare.set(plan, { offer: best, ...room });
+    });
   }
   return plans;
 }
--- a/src/coordination/sender.ts
+++ b/src/coordination/sender.ts
@@ -35,6 +35,12 @@
   ): Promise<string> {
     const { node } = this;
     const { tuning } = node;
+    // A user waits for this answer. A peer that is slow to estimate is left out; once the job is stored
+    // here the peers are asked again, with the full patience.
+    const patience =
+      queued === undefined
+        ? Math.min(tuning.peerTimeout, node.settings.report / 40)
+        : tuning.peerTimeout;
     const run = home.part.expectedRun(spec);
     const wait = home.part.waitFor({ spec, zone, count, run }, node.clock.now(), queued);
     const fetch = home.part.fetchFor(spec, zone);
@@ -46,7 +52,7 @@
       turnaround: turnaround(wait, fetch, run),
       utilisation: home.part.utilisation,
     };
-    const answers = await node.peers.ask(spec, zone, count, tuning.peerTimeout);
+    const answers = await node.peers.ask(spec, zone, count, patience);
     const others = this.estimates(spec, zone, count).filter((e) => e.part !== estimate.part);
     const part = choosePart(estimate, [...answers, ...others], tuning);
     const known = node.replica.get(keys.owner(part)) !== undefined;
@@ -84,6 +90,8 @@
     const { node } = this;
     if (!node.ownership.valid || !node.tuning.migrate) return;
     const now = node.clock.now();
+    // A move costs changes at the state service, which users and starts wait for.
+    if (node.state.writeDelay('later') > node.settings.report / 4) return;
     for (const host of node.hosted.values()) {
       let started = 0;
       for (const chunk of host.part.chunks.values()) {
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -27,6 +27,11 @@
   retryAfter,
 });
 
+const cutOff = (): Reply => later('this node is cut off from the others and the state service', 2);
+
+/** Seconds in which a user is answered; PROTOCOL has them give up after five. */
+const PATIENCE = 4;
+
 export class Users {
   private readonly accepting = new Map<string, Promise<Reply>>();
 
@@ -41,6 +46,7 @@
     const running = this.accepting.get(job.id);
     if (running !== undefined) return running;
     const { node } = this;
+    if (node.isolated) return cutOff();
     if (!node.ownership.valid) {
       if (!relayed) {
         const answer = await this.relayAny({ method: 'POST', target: '/v1/jobs', body });
@@ -53,8 +59,9 @@
     const host = node.hosted.get(node.settings.label) ?? [...node.hosted.values()][0];
     if (host === undefined) return later('this node is starting');
     // More waits for the state service than it can take in the time that a user waits.
-    if (node.state.backlog > node.settings.stateWriteRate * 2) {
-      return later('too many requests just now', 2);
+    const delay = node.state.writeDelay('urgent');
+    if (delay > PATIENCE / 2) {
+      return later('too many requests just now', Math.ceil(delay - PATIENCE / 4));
     }
     const promise = this.accept(host, job);
     this.accepting.set(job.id, promise);
@@ -132,7 +139,7 @@
       state: 'open',
       tasks: spec.tasks,
       at: node.clock.wall(),
-      size: chunkSize(spec, home.part.cpus, valueBytes),
+      size: chunkSize(spec, home.part.cpus, valueBytes, node.parts.length),
       zones: zonesFor(spec, this.zones(spec)),
       cut: 0,
       finished: [],
@@ -174,7 +181,7 @@
       host.part.addChunk(chunk, now);
       host.part.decide(now, () => false);
     }
-    const deadline = now + 4;
+    const deadline = now + PATIENCE;
     const key = keys.job(spec.id);
     let mayBeStored = false;
     const attempt = async (): Promise<Reply | null> => {
@@ -189,7 +196,7 @@
         value: f.chunk.record(),
       }));
       const puts = [{ key, value: record }, ...runs];
-      const result = await node.commits.write(home, { when, puts, removes: [] }, true);
+      const result = await node.commits.write(home, { when, puts, removes: [] }, 'urgent');
       let stamp = result.kind === 'applied' ? result.stamp : 0;
       if (result.kind === 'unknown') mayBeStored = true;
       if (result.kind === 'conflict') {
@@ -322,6 +329,8 @@
         }
       }
     }
+    // Nobody could be asked, and a user waits two seconds only.
+    if (node.isolated) return { view: null, unavailable: true };
     const record = await this.stored(id);
     if (record === null) return { view: null, unavailable: false };
     if (record !== undefined) {
@@ -329,7 +338,7 @@
     }
     if (mayRelay) {
       const request = { method: 'GET', target: `/v1/jobs/${id}`, body: '' };
-      const relay = await this.relayAny(request, 0.7);
+      const relay = await this.relayAny(request, PATIENCE / 5);
       if (relay !== null && (relay.status === 200 || relay.status === 404)) {
         return { view: null, unavailable: false, relay };
       }
@@ -381,6 +390,8 @@
     const { node } = this;
     if (!idPattern.test(id)) return { status: 404, body: { error: 'no such job' } };
     let record = node.replica.get(keys.job(id))?.value as JobRecord | undefined | null;
+    if (record && record.state !== 'open') return over(id, record.state);
+    if (node.isolated) return cutOff();
     if (record === undefined) record = await this.stored(id);
     if (record === null) return { status: 404, body: { error: 'no such job' } };
     if (record !== undefined && record.state !== 'open') return over(id, record.state);
@@ -391,7 +402,7 @@
     const host = node.hosted.get(record.home);
     const job = host?.jobs.get(id);
     if (host !== undefined && job !== undefined && node.ownership.valid) {
-      const state = await node.commits.cancel(host, job, node.clock.now() + 4);
+      const state = await node.commits.cancel(host, job, node.clock.now() + PATIENCE);
       if (state !== null && state !== 'open') return over(id, state);
       return later('the cancellation could not be stored');
     }
@@ -405,13 +416,19 @@
 
   // ---- Passing on ----
 
-  /** Asks nodes that the state service serves, one after the other. */
+  /** Asks nodes that the state service serves, one after the other, while the user still waits. */
   private async relayAny(
     request: { method: string; target: string; body: string },
-    timeout = 4,
+    patience = PATIENCE,
   ): Promise<Reply | null> {
-    for (const label of this.node.peers.served()) {
-      const answer = await this.node.peers.relay(label, request, timeout);
+    const { clock, peers } = this.node;
+    const deadline = clock.now() + patience;
+    const labels = peers.served();
+    for (const [i, label] of labels.entries()) {
+      // A silent peer must leave time for the next.
+      const left = (deadline - clock.now()) / Math.min(2, labels.length - i);
+      if (left <= 0) break;
+      const answer = await peers.relay(label, request, left);
       if (answer !== null && answer.status !== 503) return fromRelay(answer);
     }
     return null;
--- a/src/main.ts
+++ b/src/main.ts
@@ -37,10 +37,14 @@
   const run = `${Math.round(systemClock.wall() * 1000).toString(36)}${process.pid.toString(36)}`;
   const random = seededRandom(Math.floor(systemClock.wall() * 1000) % 0x7fffffff);
   const { maxSockets } = settings;
-  const http = new HttpClient(Math.floor(maxSockets / 6), settings.report * 4);
-  const node = new Controller(settings, tuning, systemClock, random, http, run);
+  // Apart, so that machines which hang cannot use up what the state service is reached by.
+  const links = {
+    services: new HttpClient(Math.floor(maxSockets / 24), settings.report * 4),
+    machines: new HttpClient(Math.floor(maxSockets / 6), settings.report * 4),
+  };
+  const node = new Controller(settings, tuning, systemClock, random, links, run);
   const gateway = new Gateway(node);
-  const server = new HttpServer((request) => gateway.handle(request), {
+  const server = new HttpServer((request, follows) => gateway.handle(request, follows), {
     bodyLimit: BODY_LIMIT,
     maxConnections: Math.floor(maxSockets * 0.7),
     maxInFlight: Math.floor(maxSockets / 10),
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -24,6 +24,14 @@
 
 export interface Gossip {
   from: string;
+  /** Tells one start of the sender from the next. */
+  process: string;
+  /** Rises with each message of a process. */
+  sequence: number;
+  /** Time of day at which it was sent: a cut may hold it back for minutes. */
+  at: number;
+  /** What the sender asks of the state service, a second. */
+  need: { requests: number; writes: number };
   /** True while the sender's lease at the state service is valid by its own clock. */
   served: boolean;
   hosts: {
@@ -78,6 +86,10 @@
 
 const gossip = record('Gossip', [
   field('from', 'string'),
+  field('process', 'string'),
+  field('sequence', 'long'),
+  field('at', 'double'),
+  field('need', record('Need', [field('requests', 'double'), field('writes', 'double')])),
   field('served', 'boolean'),
   field(
     'hosts',
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -90,6 +90,7 @@
   cloudRate: number;
   listLag: number;
   maxSockets: number;
+  cores: number;
 }
 
 export function parseSettings(text: string): Settings {
@@ -139,6 +140,7 @@
     cloudRate: s.cloud.rps,
     listLag: s.cloud.list_lag_s,
     maxSockets: s.limits.fd_limit,
+    cores: s.limits.cores,
   };
 }
 
--- /dev/null
+++ b/src/storage/budget.ts
@@ -0,0 +1,128 @@
+/** What a node may ask of a service that limits its rate, and how nodes share that. */
+import type { Clock } from '../base/clock.js';
+
+/** Seconds over which need is averaged. */
+const MEMORY = 3;
+
+/**
+ * Who goes first. `first`: what keeps the service itself going (ownership, machines that are paid for);
+ * `urgent`: what a user or a start waits for; `later`: bookkeeping.
+ */
+export type Urgency = 'first' | 'urgent' | 'later';
+
+const ORDER: Record<Urgency, number> = { first: 0, urgent: 1, later: 2 };
+
+/** A bucket of tokens, refilled at a rate; callers wait their turn. */
+export class Budget {
+  private level: number;
+  private filled: number;
+  /** Cost asked for lately, a second; forgets over a few seconds. */
+  private asked = 0;
+  private askedAt: number;
+  private readonly queue: { cost: number; order: number; go: () => void }[] = [];
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(
+    private readonly clock: Clock,
+    private rate: number,
+    private burst: number,
+  ) {
+    this.level = burst;
+    this.filled = clock.now();
+    this.askedAt = this.filled;
+  }
+
+  /** Cost a second that is being asked for, what waits included. */
+  get need(): number {
+    this.forget();
+    let waiting = 0;
+    for (const { cost } of this.queue) waiting += cost;
+    return this.asked + waiting / MEMORY;
+  }
+
+  /** Bursts of a second's worth are allowed, so the burst follows the rate. */
+  setRate(rate: number): void {
+    this.refill();
+    this.rate = rate;
+    this.burst = rate;
+    this.level = Math.min(this.level, rate);
+  }
+
+  private forget(): void {
+    const now = this.clock.now();
+    this.asked *= Math.exp(-(now - this.askedAt) / MEMORY);
+    this.askedAt = now;
+  }
+
+  get waiting(): number {
+    return this.queue.length;
+  }
+
+  /** Seconds until something of this urgency would get its turn. */
+  delay(urgency: Urgency): number {
+    this.refill();
+    let ahead = 0;
+    for (const { cost, order } of this.queue) if (order <= ORDER[urgency]) ahead += cost;
+    return Math.max(0, (ahead - this.level) / this.rate);
+  }
+
+  take(cost: number, urgency: Urgency): Promise<void> {
+    this.forget();
+    this.asked += cost / MEMORY;
+    return new Promise((go) => {
+      const order = ORDER[urgency];
+      const entry = { cost, order, go };
+      const at = this.queue.findIndex((e) => e.order > order);
+      if (at >= 0) this.queue.splice(at, 0, entry);
+      else this.queue.push(entry);
+      this.drain();
+    });
+  }
+
+  /** The other side says that the rate was passed: the others use more than we thought. */
+  punish(): void {
+    this.refill();
+    this.level = Math.min(this.level, 0);
+  }
+
+  private refill(): void {
+    const now = this.clock.now();
+    this.level = Math.min(this.burst, this.level + (now - this.filled) * this.rate);
+    this.filled = now;
+  }
+
+  private drain(): void {
+    this.refill();
+    for (;;) {
+      const head = this.queue[0];
+      if (head === undefined) return;
+      // A request larger than the burst goes when the bucket is full, and leaves a debt.
+      const need = Math.min(head.cost, this.burst);
+      if (this.level + 1e-9 < need) {
+        this.timer ??= setTimeout(
+          () => {
+            this.timer = null;
+            this.drain();
+          },
+          Math.ceil(((need - this.level) / this.rate) * 1000) + 1,
+        );
+        return;
+      }
+      this.queue.shift();
+      this.level -= head.cost;
+      head.go();
+    }
+  }
+}
+
+/**
+ * This node's part of a rate that all share. What the others leave is ours; one that needs more than
+ * its even share counts with no more than that, and so does one that has not been heard. Never less
+ * than half of the even share: what the others said may be old.
+ */
+export function shareOf(total: number, sharers: number, needs: number[]): number {
+  const even = total / sharers;
+  let left = total;
+  for (let i = 0; i < sharers - 1; i++) left -= Math.min(even, needs[i] ?? even);
+  return Math.max(even / 2, left);
+}
--- /dev/null
+++ b/src/storage/fleet.ts
@@ -0,0 +1,81 @@
+/**
+ * The machines, by name. They are stored in groups, one for each rental: with a record a machine, the
+ * state service's changes would be used up by bookkeeping while a thousand of them come up.
+ */
+import type { GroupRecord, MachineRecord } from './records.js';
+
+interface Known {
+  group: string;
+  record: MachineRecord;
+}
+
+export interface FleetChange {
+  present: [string, MachineRecord][];
+  gone: string[];
+}
+
+export class Fleet {
+  private readonly machines = new Map<string, Known>();
+  private readonly groups = new Map<string, GroupRecord>();
+  /** Machines of each type, by part. */
+  private readonly counts = new Map<string, Map<string, number>>();
+
+  get size(): number {
+    return this.machines.size;
+  }
+
+  get(name: string): MachineRecord | undefined {
+    return this.machines.get(name)?.record;
+  }
+
+  groupOf(name: string): string | undefined {
+    return this.machines.get(name)?.group;
+  }
+
+  *of(part: string): IterableIterator<[string, MachineRecord]> {
+    for (const [name, { record }] of this.machines) if (record.part === part) yield [name, record];
+  }
+
+  entries(): IterableIterator<[string, GroupRecord]> {
+    return this.groups.entries();
+  }
+
+  /** How many machines of each type a part has. */
+  countsOf(part: string): ReadonlyMap<string, number> {
+    return this.counts.get(part) ?? new Map<string, number>();
+  }
+
+  /** Follows one group's record; null: it has been removed. */
+  note(group: string, value: GroupRecord | null): FleetChange {
+    const before = this.groups.get(group);
+    const change: FleetChange = { present: [], gone: [] };
+    if (value === null) this.groups.delete(group);
+    else this.groups.set(group, value);
+    for (const name of Object.keys(before?.machines ?? {})) {
+      // A machine is in one group only; a late word of another group does not take it away.
+      if (value?.machines[name] !== undefined || this.groupOf(name) !== group) continue;
+      const known = this.machines.get(name);
+      if (known !== undefined) this.count(known.record, -1);
+      this.machines.delete(name);
+      change.gone.push(name);
+    }
+    if (value === null) return change;
+    const { part, type, zone, spot } = value;
+    for (const [name, machine] of Object.entries(value.machines)) {
+      const known = this.machines.get(name);
+      if (known !== undefined && known.group !== group) continue;
+      if (known !== undefined) this.count(known.record, -1);
+      const record: MachineRecord = { part, type, zone, spot, ...machine };
+      this.count(record, 1);
+      this.machines.set(name, { group, record });
+      change.present.push([name, record]);
+    }
+    return change;
+  }
+
+  private count({ part, type }: MachineRecord, by: number): void {
+    const types = this.counts.get(part) ?? new Map<string, number>();
+    this.counts.set(part, types);
+    types.set(type, (types.get(type) ?? 0) + by);
+  }
+}
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -6,8 +6,7 @@
  *   b/own/PART           who owns a part (held by the owner's lease)
  *   b/job/ID             a job: its description, home part and state
  *   b/run/PART/ID/K      chunk K of a job, at the part that runs it
- *   b/machine/NAME       the part that a machine belongs to
- *   b/rental/ASK         a rental that was or will be sent
+ *   b/fleet/ASK          a rental that was or will be sent, then its machines, and their part
  *   b/quota/TEAM         how a team's limit is shared out to the parts
  */
 import type { JobSpec } from '../protocol/job.js';
@@ -21,8 +20,7 @@
   job: (id: string): string => `b/job/${id}`,
   run: (part: string, id: string, chunk: number): string => `b/run/${part}/${id}/${chunk}`,
   runs: (part: string): string => `b/run/${part}/`,
-  machine: (name: string): string => `b/machine/${name}`,
-  rental: (ask: string): string => `b/rental/${ask}`,
+  group: (ask: string): string => `b/fleet/${ask}`,
   quota: (team: string): string => `b/quota/${team}`,
 };
 
@@ -72,6 +70,7 @@
   moves: number;
 }
 
+/** One machine, as its group's record tells of it. */
 export interface MachineRecord {
   part: string;
   type: string;
@@ -79,17 +78,19 @@
   spot: boolean;
   /** Time of day at which it was rented, or first heard of. */
   at: number;
-  /** Once it has reported: a restarted owner can ask it before it has found its way back. */
+  /** Once the cloud has listed it: a restarted owner can ask it before it has found its way back. */
   address?: string;
 }
 
-export interface RentalRecord {
+/** Machines of one kind and part that came together. */
+export interface GroupRecord {
   part: string;
   type: string;
   zone: string;
   spot: boolean;
-  count: number;
-  at: number;
+  machines: Record<string, { at: number; address?: string }>;
+  /** How many are being asked for; absent once the cloud has answered. */
+  asked?: number;
 }
 
 export type QuotaRecord = Record<string, { cpus: number; gpus: number }>;
--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -13,7 +13,8 @@
  * things; what must be certain is read, or made a condition of a transaction.
  */
 export class Replica {
-  private readonly items = new Map<string, Stored>();
+  /** By kind (`b/job/`, `b/run/`, …): final jobs are kept for good, and nobody should walk past them. */
+  private readonly kinds = new Map<string, Map<string, Stored>>();
   private epoch = -1;
   private stopped = false;
   loaded = false;
@@ -26,25 +27,39 @@
   ) {}
 
   get(key: string): Stored | undefined {
-    return this.items.get(key);
+    return this.kinds.get(kindOf(key))?.get(key);
   }
 
+  /** All of one kind, or those of it that begin with `prefix`. */
   *under(prefix: string): IterableIterator<[string, Stored]> {
-    for (const entry of this.items) if (entry[0].startsWith(prefix)) yield entry;
+    const kind = kindOf(prefix);
+    const items = this.kinds.get(kind);
+    if (items === undefined) return;
+    if (kind === prefix) yield* items;
+    else for (const entry of items) if (entry[0].startsWith(prefix)) yield entry;
+  }
+
+  private of(key: string): Map<string, Stored> {
+    const kind = kindOf(key);
+    let items = this.kinds.get(kind);
+    if (items === undefined) this.kinds.set(kind, (items = new Map()));
+    return items;
   }
 
   /** Notes a change that we made or read ourselves, ahead of the watch. */
   note(key: string, value: unknown, stamp: number): void {
-    const known = this.items.get(key);
+    const items = this.of(key);
+    const known = items.get(key);
     if (known !== undefined && known.stamp >= stamp) return;
-    this.items.set(key, { value, stamp });
+    items.set(key, { value, stamp });
     this.changed({ key, value, stamp, removed: false });
   }
 
   noteRemoved(key: string, stamp: number): void {
-    const known = this.items.get(key);
+    const items = this.of(key);
+    const known = items.get(key);
     if (known === undefined || known.stamp > stamp) return;
-    this.items.delete(key);
+    items.delete(key);
     this.changed({ key, value: null, stamp, removed: true });
   }
 
@@ -55,8 +70,10 @@
       present.add(item.key);
       this.note(item.key, item.value, item.stamp);
     }
-    for (const [key, stored] of [...this.items]) {
-      if (!present.has(key) && stored.stamp <= epoch) this.noteRemoved(key, epoch);
+    for (const items of this.kinds.values()) {
+      for (const [key, stored] of [...items]) {
+        if (!present.has(key) && stored.stamp <= epoch) this.noteRemoved(key, epoch);
+      }
     }
     this.epoch = epoch;
     this.loaded = true;
@@ -89,3 +106,9 @@
     this.stopped = true;
   }
 }
+
+/** The first two segments of a key, with their slashes; a key without a second slash is its own kind. */
+function kindOf(key: string): string {
+  const end = key.indexOf('/', key.indexOf('/') + 1);
+  return end < 0 ? key : key.slice(0, end + 1);
+}
--- a/src/storage/stateClient.ts
+++ b/src/storage/stateClient.ts
@@ -2,6 +2,7 @@
 import { sleep } from '../base/clock.js';
 import { CallFailed, type HttpClient, type Response } from '../transport/httpClient.js';
 import * as wire from '../protocol/state.js';
+import { Budget, shareOf, type Urgency } from './budget.js';
 
 /** The state service could not be asked, or refused: nothing is known to have been carried out. */
 export class Unavailable extends Error {}
@@ -15,72 +16,6 @@
   /** A put named a lease that has ended. */
   | { kind: 'no-lease' };
 
-/** A bucket of tokens, refilled at a rate; callers wait their turn, urgent ones first. */
-export class Budget {
-  private level: number;
-  private filled: number;
-  private readonly queue: { cost: number; urgent: boolean; go: () => void }[] = [];
-  private timer: NodeJS.Timeout | null = null;
-
-  constructor(
-    private readonly clock: Clock,
-    private readonly rate: number,
-    private readonly burst: number,
-  ) {
-    this.level = burst;
-    this.filled = clock.now();
-  }
-
-  get waiting(): number {
-    return this.queue.length;
-  }
-
-  take(cost: number, urgent: boolean): Promise<void> {
-    return new Promise((go) => {
-      const entry = { cost, urgent, go };
-      const at = urgent ? this.queue.findIndex((e) => !e.urgent) : -1;
-      if (at >= 0) this.queue.splice(at, 0, entry);
-      else this.queue.push(entry);
-      this.drain();
-    });
-  }
-
-  /** The other side says that the rate was passed: the others use more than we thought. */
-  punish(): void {
-    this.refill();
-    this.level = Math.min(this.level, 0);
-  }
-
-  private refill(): void {
-    const now = this.clock.now();
-    this.level = Math.min(this.burst, this.level + (now - this.filled) * this.rate);
-    this.filled = now;
-  }
-
-  private drain(): void {
-    this.refill();
-    for (;;) {
-      const head = this.queue[0];
-      if (head === undefined) return;
-      // A request larger than the burst goes when the bucket is full, and leaves a debt.
-      const need = Math.min(head.cost, this.burst);
-      if (this.level + 1e-9 < need) {
-        this.timer ??= setTimeout(
-          () => {
-            this.timer = null;
-            this.drain();
-          },
-          Math.ceil(((need - this.level) / this.rate) * 1000) + 1,
-        );
-        return;
-      }
-      this.queue.shift();
-      this.level -= head.cost;
-      head.go();
-    }
-  }
-}
-
 export interface StateClientOptions {
   endpoint: string;
   rate: number;
@@ -90,6 +25,9 @@
   timeout: number;
 }
 
+/** What is left of the limits for what the others' word, being old, does not tell of. */
+const CAUTION = 0.92;
+
 export class StateClient {
   private readonly requests: Budget;
   private readonly writes: Budget;
@@ -103,10 +41,28 @@
     private readonly clock: Clock,
     private readonly options: StateClientOptions,
   ) {
-    // Each node may use a little more than its even share, since seldom all are busy at once.
-    const share = Math.min(1, 1.35 / options.sharers);
-    this.requests = new Budget(clock, options.rate * share, options.rate * share);
-    this.writes = new Budget(clock, options.writeRate * share, options.writeRate * share);
+    const { rate, writeRate, sharers } = options;
+    this.requests = new Budget(clock, rate / sharers, rate / sharers);
+    this.writes = new Budget(clock, writeRate / sharers, writeRate / sharers);
+  }
+
+  /** What this node asks of the service, a second. */
+  get need(): { requests: number; writes: number } {
+    return { requests: this.requests.need, writes: this.writes.need };
+  }
+
+  /** Takes what the others leave; `needs` are those that have been heard of lately. */
+  share(needs: { requests: number; writes: number }[]): void {
+    const { rate, writeRate, sharers } = this.options;
+    const requests = needs.map((n) => n.requests);
+    const writes = needs.map((n) => n.writes);
+    this.requests.setRate(shareOf(rate * CAUTION, sharers, requests));
+    this.writes.setRate(shareOf(writeRate * CAUTION, sharers, writes));
+  }
+
+  /** Seconds that a change of this urgency would wait for its turn. */
+  writeDelay(urgency: Urgency): number {
+    return this.writes.delay(urgency);
   }
 
   /** Requests and changes that wait for their turn. */
@@ -143,7 +99,7 @@
     timeout?: number,
   ): Promise<Response> {
     for (let tries = 0; ; tries++) {
-      await this.requests.take(1, method === 'POST');
+      await this.requests.take(1, method === 'POST' ? 'first' : 'urgent');
       let response: Response;
       try {
         response = await this.call(method, target, body, timeout);
@@ -183,10 +139,10 @@
     }
   }
 
-  async txn(txn: wire.Txn, urgent = false): Promise<TxnResult> {
+  async txn(txn: wire.Txn, urgency: Urgency = 'later'): Promise<TxnResult> {
     const cost = txn.puts.length + txn.removes.length;
-    if (cost > 0) await this.writes.take(cost, urgent);
-    await this.requests.take(1, urgent);
+    if (cost > 0) await this.writes.take(cost, urgency);
+    await this.requests.take(1, urgency);
     let response: Response;
     try {
       response = await this.call('POST', wire.paths.txn, wire.txnRequest(txn));
--- a/src/transport/httpClient.ts
+++ b/src/transport/httpClient.ts
@@ -11,6 +11,7 @@
 interface Idle {
   socket: net.Socket;
   timer: NodeJS.Timeout;
+  drop: () => void;
 }
 
 /**
@@ -32,6 +33,8 @@
 export class HttpClient {
   private readonly idle = new Map<string, Idle[]>();
   private open = 0;
+  /** Closing, and no longer counted as open. */
+  private readonly evicted = new Set<net.Socket>();
 
   constructor(
     private readonly maxOpen: number,
@@ -69,7 +72,7 @@
       for (const event of ['data', 'error', 'end']) kept.socket.removeAllListeners(event);
       if (!kept.socket.destroyed) return this.send(endpoint, kept.socket, text, timeout, true);
     }
-    if (this.open >= this.maxOpen) {
+    if (this.open >= this.maxOpen && !this.evict()) {
       return Promise.reject(new CallFailed('too many open connections', true));
     }
     const address = parseAddress(endpoint);
@@ -77,11 +80,27 @@
     const socket = net.connect({ ...address, noDelay: true });
     this.open++;
     socket.once('close', () => {
-      this.open--;
+      if (!this.evicted.delete(socket)) this.open--;
     });
     return this.send(endpoint, socket, text, timeout, false);
   }
 
+  /**
+   * Closes the connection that has been idle for longest. Without it, connections kept to hundreds of
+   * machines would leave none for the next.
+   */
+  private evict(): boolean {
+    for (const pool of this.idle.values()) {
+      const oldest = pool[0];
+      if (oldest === undefined) continue;
+      this.evicted.add(oldest.socket);
+      this.open--;
+      oldest.drop();
+      return true;
+    }
+    return false;
+  }
+
   private send(
     endpoint: string,
     socket: net.Socket,
@@ -142,12 +161,9 @@
 
   private keep(endpoint: string, socket: net.Socket): void {
     const pool = this.idle.get(endpoint) ?? [];
+    // Set anew, so that the hosts stand in the order of their last use.
+    this.idle.delete(endpoint);
     this.idle.set(endpoint, pool);
-    const entry: Idle = {
-      socket,
-      timer: setTimeout(() => socket.destroy(), this.idleSeconds * 1000),
-    };
-    entry.timer.unref();
     const drop = (): void => {
       clearTimeout(entry.timer);
       const at = pool.indexOf(entry);
@@ -155,6 +171,8 @@
       if (pool.length === 0 && this.idle.get(endpoint) === pool) this.idle.delete(endpoint);
       socket.destroy();
     };
+    const entry: Idle = { socket, timer: setTimeout(drop, this.idleSeconds * 1000), drop };
+    entry.timer.unref();
     socket.on('error', drop);
     socket.on('end', drop);
     socket.on('data', drop);
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -9,7 +9,11 @@
   retryAfter?: number;
 }
 
-export type Handler = (request: HttpMessage) => Promise<Reply>;
+/**
+ * `follows`: an earlier request on this connection was answered, and its sender went on using it. Such a
+ * sender has had the answer; of one that only ever sends first requests, nothing is known.
+ */
+export type Handler = (request: HttpMessage, follows: boolean) => Promise<Reply>;
 
 const REASONS: Record<number, string> = {
   200: 'OK',
@@ -80,6 +84,7 @@
     const parser = new HttpParser('request', this.options.bodyLimit);
     const waiting: HttpMessage[] = [];
     let busy = false;
+    let answered = 0;
     this.sockets.add(socket);
     socket.on('close', () => this.sockets.delete(socket));
     let closing = false;
@@ -92,7 +97,7 @@
       const request = waiting.shift();
       if (request === undefined || busy) return;
       busy = true;
-      void this.answer(request).then((reply) => {
+      void this.answer(request, answered++ > 0).then((reply) => {
         busy = false;
         if (socket.destroyed) return;
         const close = closing || !request.keepAlive;
@@ -117,13 +122,13 @@
     socket.on('end', () => socket.end());
   }
 
-  private async answer(request: HttpMessage): Promise<Reply> {
+  private async answer(request: HttpMessage, follows: boolean): Promise<Reply> {
     if (this.inFlight >= this.options.maxInFlight) {
       return { status: 503, body: { error: 'overloaded' }, retryAfter: 1 };
     }
     this.inFlight++;
     try {
-      return await this.handler(request);
+      return await this.handler(request, follows);
     } catch (error) {
       const reason = error instanceof Error ? error.message : 'internal error';
       return { status: 503, body: { error: reason }, retryAfter: 1 };
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -131,6 +131,10 @@
     {
       Gossip: {
         from: 'drone-1',
+        process: 'p1',
+        sequence: 3,
+        at: 1000.5,
+        need: { requests: 4, writes: 2.5 },
         served: true,
         hosts: [{ part: 'drone-1', token: 7, utilisation: 0.5, waiting: 2, liveRoom: 8 }],
         demands: [
