--- /dev/null
+++ b/src/coordination/accepting.ts
@@ -0,0 +1,241 @@
+/**
+ * Stores submitted jobs. Those that come while others wait for their turn go into one transaction, and
+ * so do the chunks that they send to the same peer: a burst of jobs must not use up the changes that the
+ * state service allows.
+ */
+import { sleep, type Clock } from '../base/clock.js';
+import { describe, log } from '../base/log.js';
+import { acceptedAnswer } from '../protocol/job.js';
+import type { Txn } from '../protocol/state.js';
+import { keys, type JobRecord, type ShelfRecord } from '../storage/records.js';
+import type { Replica } from '../storage/replica.js';
+import type { StateClient, TxnResult } from '../storage/stateClient.js';
+import type { Reply } from '../transport/httpServer.js';
+import type { Chunk } from './chunk.js';
+import type { Hosted } from './hosted.js';
+
+export interface Submission {
+  id: string;
+  record: JobRecord;
+  first: { part: string; chunk: Chunk }[];
+}
+
+interface Waiting extends Submission {
+  home: Hosted;
+  deadline: number;
+  settle: (reply: Reply) => void;
+}
+
+/** Jobs whose transaction is on its way, and whether a copy of it got no answer. */
+interface Batch {
+  home: Hosted;
+  jobs: Waiting[];
+  parcels: Map<string, { part: string; value: ShelfRecord }>;
+  mayBeStored: boolean;
+}
+
+/** What is needed of a node. */
+export interface AcceptingNode {
+  process: string;
+  parts: string[];
+  settings: { txnOps: number };
+  clock: Clock;
+  state: Pick<StateClient, 'turn' | 'charge' | 'get' | 'writeDelay' | 'writeRate'>;
+  replica: Pick<Replica, 'get' | 'note'>;
+  ownership: { readonly valid: boolean; doubt(part: string): Promise<void> };
+  commits: { write(host: Hosted, txn: Txn, urgency: 'paid'): Promise<TxnResult> };
+  kick(): void;
+}
+
+const TRANSACTIONS = 3;
+const RETRY = 0.15;
+
+const later = (reason: string, retryAfter: number): Reply => ({
+  status: 503,
+  body: { error: reason },
+  retryAfter,
+});
+
+export class Accepting {
+  private readonly queue: Waiting[] = [];
+  private running = 0;
+  private parcels = 0;
+
+  constructor(
+    private readonly node: AcceptingNode,
+    /** What a job is answered that somebody else has stored. */
+    private readonly known: (id: string) => Promise<Reply>,
+  ) {}
+
+  /** Seconds until a job that came now would be stored. */
+  get delay(): number {
+    const { state } = this.node;
+    return state.writeDelay('urgent') + this.queue.length / state.writeRate;
+  }
+
+  /** Resolves with the user's answer within `patience` seconds. */
+  accept(home: Hosted, submission: Submission, patience: number): Promise<Reply> {
+    const { clock } = this.node;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        const at = this.queue.indexOf(waiting);
+        if (at >= 0) this.queue.splice(at, 1);
+        const reason =
+          at >= 0
+            ? 'the state service could not store the job'
+            : 'the state service has not confirmed the job yet';
+        resolve(later(reason, 2));
+      }, patience * 1000);
+      const settle = (reply: Reply): void => {
+        clearTimeout(timer);
+        resolve(reply);
+      };
+      const waiting = { ...submission, home, deadline: clock.now() + patience, settle };
+      this.queue.push(waiting);
+      void this.pump();
+    });
+  }
+
+  private async pump(): Promise<void> {
+    if (this.running >= TRANSACTIONS) return;
+    this.running++;
+    try {
+      while (this.queue.length > 0) {
+        await this.node.state.turn(1, 'urgent');
+        const batch = this.gather();
+        if (batch === null) break;
+        this.node.state.charge(batch.jobs.length + batch.parcels.size - 1);
+        await this.store(batch);
+      }
+    } finally {
+      this.running--;
+    }
+  }
+
+  /** The first of the queue, and what else goes with it. */
+  private gather(): Batch | null {
+    const home = this.queue[0]?.home;
+    if (home === undefined) return null;
+    const { settings, parts } = this.node;
+    const most = Math.max(1, settings.txnOps - (parts.length - 1));
+    const jobs: Waiting[] = [];
+    for (let i = 0; i < this.queue.length && jobs.length < most; i++) {
+      const next = this.queue[i];
+      if (next?.home !== home) continue;
+      jobs.push(next);
+      this.queue.splice(i--, 1);
+    }
+    return this.pack({ home, jobs, parcels: new Map(), mayBeStored: false });
+  }
+
+  /** Puts the chunks that go to each peer on one shelf, under a name that is used once. */
+  private pack(batch: Batch): Batch {
+    batch.parcels.clear();
+    const byPart = new Map<string, ShelfRecord>();
+    for (const { first } of batch.jobs) {
+      for (const { part, chunk } of first) {
+        if (part === batch.home.part.label) continue;
+        const shelf = byPart.get(part) ?? { chunks: {} };
+        byPart.set(part, shelf);
+        shelf.chunks[chunk.id] = chunk.record();
+      }
+    }
+    for (const [part, value] of byPart) {
+      const name = `${this.node.process}-a${++this.parcels}`;
+      batch.parcels.set(keys.run(part, name), { part, value });
+    }
+    return batch;
+  }
+
+  /** Until it is known whether the batch is stored; users may have been told to ask again by then. */
+  private async store(batch: Batch): Promise<void> {
+    const { node } = this;
+    const { home } = batch;
+    while (batch.jobs.length > 0) {
+      if (!home.alive || (!node.ownership.valid && !batch.mayBeStored)) {
+        this.answer(batch, () => later('this node lost its part', 1));
+        return;
+      }
+      try {
+        if (await this.attempt(batch)) return;
+      } catch (error) {
+        log.debug(`accept: ${describe(error)}`);
+      }
+      await sleep(RETRY);
+      if (!batch.mayBeStored) {
+        const now = node.clock.now();
+        batch.jobs = batch.jobs.filter((job) => job.deadline > now);
+        // Anew: a parcel that still held chunks of a job which was given up would have them run, and once
+        // more when its user has come back.
+        this.pack(batch);
+      }
+    }
+  }
+
+  private answer(batch: Batch, reply: (job: Waiting) => Reply): void {
+    for (const job of batch.jobs) job.settle(reply(job));
+    batch.jobs = [];
+  }
+
+  /** True once the batch is settled. */
+  private async attempt(batch: Batch): Promise<boolean> {
+    const { node } = this;
+    const { home, jobs, parcels } = batch;
+    const when: Txn['when'] = jobs.map((job) => ({ key: keys.job(job.id), stamp: 0 }));
+    for (const part of new Set([...parcels.values()].map((p) => p.part))) {
+      when.push({ key: keys.owner(part), stamp: node.replica.get(keys.owner(part))?.stamp ?? 0 });
+    }
+    for (const key of parcels.keys()) when.push({ key, stamp: 0 });
+    const puts = [
+      ...jobs.map((job) => ({ key: keys.job(job.id), value: job.record as unknown })),
+      ...[...parcels].map(([key, { value }]) => ({ key, value })),
+    ];
+    const result = await node.commits.write(home, { when, puts, removes: [] }, 'paid');
+    if (result.kind === 'applied') {
+      this.stored(batch, result.stamp);
+      return true;
+    }
+    if (result.kind === 'unknown') batch.mayBeStored = true;
+    if (result.kind !== 'conflict') return false;
+    const found = await Promise.all(jobs.map((job) => node.state.get(keys.job(job.id))));
+    const ours = jobs.some((job, i) => {
+      const stored = found[i]?.value as JobRecord | undefined;
+      return batch.mayBeStored && stored?.at === job.record.at && stored.home === job.record.home;
+    });
+    if (ours) {
+      // A copy without an answer was applied, and that holds for all of it.
+      this.stored(batch, found.find((item) => item !== null)?.stamp ?? 0);
+      return true;
+    }
+    const taken = jobs.filter((_, i) => found[i] !== null);
+    if (taken.length === 0) {
+      await node.ownership.doubt(home.part.label);
+      if (batch.mayBeStored && home.alive) return false;
+      this.answer(batch, () => later('a peer has changed; try again', 1));
+      return true;
+    }
+    // Jobs' records are kept for good, so no earlier copy of this batch can be applied any more.
+    for (const job of taken) void this.known(job.id).then(job.settle);
+    batch.jobs = jobs.filter((job) => !taken.includes(job));
+    batch.mayBeStored = false;
+    this.pack(batch);
+    return batch.jobs.length === 0;
+  }
+
+  private stored(batch: Batch, stamp: number): void {
+    const { node } = this;
+    const { home } = batch;
+    for (const { id, record, first } of batch.jobs) {
+      if (home.alive) {
+        home.jobs.set(id, { id, record, stamp, busy: false });
+        for (const { part, chunk } of first) {
+          if (part === home.part.label) home.part.accept(chunk, node.clock.now());
+        }
+      }
+      node.replica.note(keys.job(id), record, stamp);
+    }
+    for (const [key, { value }] of batch.parcels) node.replica.note(key, value, stamp);
+    node.kick();
+    this.answer(batch, ({ id }) => ({ status: 201, body: acceptedAnswer(id, 'queued') }));
+  }
+}
--- a/src/coordination/chunk.ts
+++ b/src/coordination/chunk.ts
@@ -1,5 +1,6 @@
 import { rankOrder, type JobSpec } from '../protocol/job.js';
 import type { TaskState } from '../protocol/worker.js';
+import type { Shelf } from './shelf.js';
 import { fromRanges, toRanges, type ChunkRecord } from '../storage/records.js';
 
 /** One attempt of one task that is, or may be, on a machine. */
@@ -31,9 +32,12 @@
   /** Rises with each change; `stored` is the version that the state service has. */
   version = 1;
   stored = 0;
-  /** The record's stamp; 0 while it is not there yet. */
-  stamp = 0;
-  flushing = false;
+  /** Its job is stored: it may be stored too, and started after that. */
+  accepted = false;
+  /** Where it is stored, or is about to be. */
+  shelf: Shelf | null = null;
+  /** A move to another part got no answer: until its shelf is written again it may have gone. */
+  leaving = false;
   dirtySince: number | null = null;
   cancelled = false;
   /** Set once its record is gone from this part. */
@@ -53,6 +57,7 @@
   readonly id: string;
   readonly rank: number;
   private cursor: number;
+  private bytes: number | null = null;
 
   constructor(
     readonly spec: JobSpec,
@@ -72,12 +77,12 @@
     this.rank = rankOrder[spec.rank];
   }
 
-  static load(index: number, record: ChunkRecord, stamp: number, now: number): Chunk {
+  static load(index: number, record: ChunkRecord, now: number): Chunk {
     const { spec, home, at, from, to, zone } = record;
     const chunk = new Chunk(spec, index, home, at, from, to, zone, now);
     chunk.next = record.next;
     chunk.moves = record.moves;
-    chunk.stamp = stamp;
+    chunk.accepted = true;
     chunk.stored = chunk.version;
     for (const task of fromRanges(record.done)) chunk.done.add(task);
     return chunk;
@@ -98,6 +103,19 @@
     return count;
   }
 
+  /** Bytes of its description in a record. */
+  get specBytes(): number {
+    this.bytes ??= JSON.stringify(this.spec).length;
+    return this.bytes;
+  }
+
+  /** Stored as it is here, with nothing of it on any machine or on its way. */
+  get movable(): boolean {
+    const { shelf } = this;
+    const settled = shelf !== null && !shelf.busy && shelf.stamp > 0 && this.stored > 0;
+    return settled && this.accepted && !this.leaving && !this.cancelled && this.entries.size === 0;
+  }
+
   taskName(task: number): string {
     return `${this.spec.id}/${task}`;
   }
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -9,27 +9,30 @@
 import {
   keys,
   ROOT,
-  type ChunkRecord,
   type GroupRecord,
   type JobRecord,
   type OwnerRecord,
+  type ShelfRecord,
 } from '../storage/records.js';
 import { Fleet } from '../storage/fleet.js';
 import { Replica } from '../storage/replica.js';
+import { Shelves } from '../storage/shelves.js';
 import { StateClient } from '../storage/stateClient.js';
 import { CallFailed, HttpClient } from '../transport/httpClient.js';
 import { PeerClient } from '../transport/peerLink.js';
-import type { Chunk } from './chunk.js';
+import { Chunk } from './chunk.js';
+import { chunkRanges } from './chunks.js';
 import { Commits } from './commits.js';
 import { RunTimes } from './estimate.js';
 import type { Hosted } from './hosted.js';
 import type { Machine } from './machine.js';
 import { Ownership, PROVISIONER, type Held } from './ownership.js';
-import { Part, type Amount } from './part.js';
+import { Part, type Amount, type Starved } from './part.js';
 import { Peers } from './peers.js';
 import { Provisioner } from './provisioner.js';
 import { Quotas } from './quotas.js';
 import { Sender } from './sender.js';
+import { Shelf } from './shelf.js';
 
 /** How long changes are gathered for one round of decisions, as a ratio to the time between reports. */
 const GATHER = 1 / 200;
@@ -47,6 +50,7 @@
   readonly hosted = new Map<string, Hosted>();
   readonly replica: Replica;
   readonly fleet = new Fleet();
+  readonly shelves = new Shelves();
   readonly state: StateClient;
   readonly ownership: Ownership;
   readonly commits: Commits;
@@ -72,7 +76,7 @@
     readonly clock: Clock,
     readonly random: Random,
     readonly links: Links,
-    private readonly process: string,
+    readonly process: string,
   ) {
     this.parts = [settings.label, ...settings.peers.map((p) => p.label)].sort();
     this.zoneOf.set(settings.label, settings.zone);
@@ -110,6 +114,7 @@
     this.commits = new Commits(
       this.state,
       this.replica,
+      this.shelves,
       clock,
       {
         hosted: this.hosted,
@@ -119,7 +124,13 @@
           this.pokeFor(host, chunks);
         },
       },
-      { txnOps: settings.txnOps, linger: settings.report / 2, retry: settings.report / 15 },
+      {
+        txnOps: settings.txnOps,
+        valueBytes: settings.valueBytes,
+        linger: settings.report / 2,
+        retry: settings.report / 15,
+        process,
+      },
     );
     this.peers = new Peers(
       clock,
@@ -175,7 +186,7 @@
     });
     void this.every(this.settings.report / 3, () => {
       this.commits.review();
-      this.adoptStrayChunks();
+      this.adoptStrayShelves();
       this.sender.review();
       this.sweep();
       void this.quotas.balance();
@@ -285,6 +296,7 @@
             return { team, cpus, gpus: amounts.reduce((n, a) => n + a.gpus, 0) };
           }),
         hungry: [...new Set(reports.flatMap((p) => [...p.hungry]))],
+        starving: reports.flatMap((p) => [...p.starving.values()]),
       },
       this.settings.report / 2,
     );
@@ -303,6 +315,22 @@
     return used;
   }
 
+  /** The first in the queue's order, of all parts but one. */
+  private starvedElsewhere(team: string, except: string): Starved | null {
+    const here = [...this.hosted.values()].flatMap(({ part }) =>
+      part.label === except ? [] : [...part.starving.values()],
+    );
+    const all = [...here, ...this.peers.gossips().flatMap((g) => g.starving)];
+    let first: Starved | null = null;
+    for (const one of all) {
+      if (one.team !== team) continue;
+      const ahead =
+        first === null || one.rank > first.rank || (one.rank === first.rank && one.at < first.at);
+      if (ahead) first = one;
+    }
+    return first;
+  }
+
   /** Room for live services in a zone's parts, by our own count and the peers' last word. */
   liveRoomIn(zone: string): number {
     const counts = (part: string): boolean => this.zoneOf.get(part) === zone;
@@ -343,6 +371,7 @@
           return { cpus: team?.cpus ?? 0, gpus: team?.gpus ?? 0 };
         },
         elsewhere: (team) => this.usedElsewhere(team, label),
+        starved: (team) => this.starvedElsewhere(team, label),
       },
     );
     const host: Hosted = {
@@ -351,6 +380,8 @@
       stamp: held.stamp,
       alive: true,
       jobs: new Map(),
+      shelves: new Map(),
+      gatherUntil: 0,
       writing: 0,
       raisedAt: now,
     };
@@ -358,25 +389,53 @@
     const renewed = held.adopted ? now + this.grace : now;
     for (const [name, record] of this.fleet.of(label)) part.addMachine(name, record, now, renewed);
     for (const [key, { value, stamp }] of this.replica.under(keys.runs(label))) {
-      const index = Number(key.slice(key.lastIndexOf('/') + 1));
-      part.loadChunk(index, value as ChunkRecord, stamp, held.token, now);
+      this.loadShelf(host, key.slice(keys.runs(label).length), value as ShelfRecord, stamp);
     }
     for (const [key, { value, stamp }] of this.replica.under('b/job/')) {
       const record = value as JobRecord;
       const id = key.slice('b/job/'.length);
-      if (record.state === 'open' && record.home === label) {
-        host.jobs.set(id, { id, record, stamp, busy: false });
-      }
-    }
-    for (const chunk of [...part.chunks.values()]) {
-      const job = this.replica.get(keys.job(chunk.spec.id))?.value as JobRecord | undefined;
-      if (job?.state === 'cancelled') part.cancel(chunk, now);
+      if (record.state !== 'open' || record.home !== label) continue;
+      host.jobs.set(id, { id, record, stamp, busy: false });
+      this.loadUnstored(host, record, now);
     }
     part.seedArrivals(now);
     this.hosted.set(label, host);
     this.kick();
   }
 
+  /** Takes up one shelf of a part, but for chunks that are over; those go with its next change. */
+  private loadShelf(host: Hosted, name: string, value: ShelfRecord, stamp: number): void {
+    const now = this.clock.now();
+    const shelf = new Shelf(name, stamp);
+    host.shelves.set(name, shelf);
+    for (const [id, record] of Object.entries(value.chunks)) {
+      const index = Number(id.slice(id.lastIndexOf('/') + 1));
+      const job = this.replica.get(keys.job(record.spec.id))?.value as JobRecord | undefined;
+      const over = job?.state === 'done' || job?.finished.includes(index) === true;
+      if (over || host.part.chunks.has(id)) {
+        shelf.stale = true;
+        continue;
+      }
+      const chunk = host.part.loadChunk(index, record, host.token, now);
+      shelf.add(chunk);
+      if (job?.state === 'cancelled') host.part.cancel(chunk, now);
+    }
+  }
+
+  /** Chunks of a home job that nobody has stored yet: nothing of them was started. */
+  private loadUnstored(host: Hosted, record: JobRecord, now: number): void {
+    const { spec, size, zones, cut, finished, away, at, home } = record;
+    if (spec === null) return;
+    const ranges = chunkRanges(spec.tasks, size, zones);
+    for (let k = 0; k < cut; k++) {
+      const range = ranges[k];
+      const elsewhere = finished.includes(k) || away.includes(k);
+      if (range === undefined || elsewhere || host.part.chunks.has(`${spec.id}/${k}`)) continue;
+      const { from, to, zone } = range;
+      host.part.accept(new Chunk(spec, k, home, at, from, to, zone, now), now);
+    }
+  }
+
   private lose(label: string): void {
     if (label === PROVISIONER) {
       this.provisioner.retired();
@@ -390,84 +449,71 @@
 
   /** Follows the stored records. */
   private onChange(change: Change): void {
-    const [, kind, name = '', id = '', index = ''] = change.key.split('/');
-    const now = this.clock.now();
+    const [, kind, name = '', shelf = ''] = change.key.split('/');
     if (change.key === keys.types && this.types.size === 0) {
       // Restarted while the cloud is down: what it told before will do.
       this.types = new Map((change.value as MachineType[]).map((t) => [t.name, t]));
     } else if (kind === 'fleet') this.onGroup(name, change);
-    else if (kind === 'job' && !change.removed) {
-      const record = change.value as JobRecord;
-      if (record.state === 'open') return;
-      for (const host of this.hosted.values()) {
-        for (const chunk of host.part.chunksOf(name)) {
-          if (record.state === 'cancelled') host.part.cancel(chunk, now);
-        }
-      }
-      this.kick();
-    } else if (kind === 'run') {
+    else if (kind === 'job' && !change.removed) this.onJob(name, change.value as JobRecord);
+    else if (kind === 'run') {
+      const value = change.value as ShelfRecord | null;
+      this.shelves.note(name, shelf, value);
       const host = this.hosted.get(name);
-      if (host === undefined) return;
-      const known = host.part.chunks.get(`${id}/${index}`);
-      if (change.removed) {
-        if (known !== undefined && known.stamp > 0 && known.complete) host.part.dropChunk(known);
-      } else if (known === undefined && (change.value as ChunkRecord).moves > 0) {
-        this.takeIn(host, Number(index), change);
+      if (host === undefined || value === null || host.shelves.has(shelf)) return;
+      // Only what was just sent here: nothing of it can have been started by this part's owners.
+      const chunks = Object.values(value.chunks);
+      if (!chunks.every((c) => c.moves > 0 && c.entries.length === 0)) return;
+      this.loadShelf(host, shelf, value, change.stamp);
+      this.kick();
+    }
+  }
+
+  private onJob(id: string, record: JobRecord): void {
+    const now = this.clock.now();
+    if (record.state === 'open' && record.finished.length === 0) return;
+    for (const host of this.hosted.values()) {
+      for (const chunk of host.part.chunksOf(id)) {
+        if (record.state === 'cancelled') host.part.cancel(chunk, now);
+        // Its home has counted it as over.
+        else if (record.state === 'done' || record.finished.includes(chunk.index)) {
+          if (chunk.complete || chunk.entries.size === 0) host.part.dropChunk(chunk);
+        }
       }
     }
+    this.kick();
   }
 
-  /**
-   * Stored chunks of our parts that we hold nothing of. It happens when two nodes try to store the same
-   * job, since its user came back before the first had its answer: the chunk that the other sends here
-   * meets our own of the same name, and ours goes when the store refuses it.
-   */
-  private adoptStrayChunks(): void {
+  /** Shelves of our parts that we hold nothing of: a change that the watch has missed. */
+  private adoptStrayShelves(): void {
     if (!this.ownership.valid) return;
     for (const host of this.hosted.values()) {
       const prefix = keys.runs(host.part.label);
       for (const [key] of this.replica.under(prefix)) {
-        if (host.part.chunks.has(key.slice(prefix.length))) this.strays.delete(key);
-        else if (this.strays.has(key)) void this.adoptChunk(host, key);
+        const name = key.slice(prefix.length);
+        if (host.shelves.has(name)) this.strays.delete(key);
+        else if (this.strays.has(key)) void this.adoptShelf(host, key, name);
         else this.strays.add(key);
       }
     }
   }
 
-  private async adoptChunk(host: Hosted, key: string): Promise<void> {
+  private async adoptShelf(host: Hosted, key: string, name: string): Promise<void> {
     this.strays.delete(key);
     try {
       const item = await this.state.get(key);
-      const [, , , id = '', index = ''] = key.split('/');
-      if (!host.alive || host.part.chunks.has(`${id}/${index}`)) return;
+      if (!host.alive || host.shelves.has(name)) return;
       if (item === null) {
         this.replica.noteRemoved(key, Infinity);
         return;
       }
-      log.info(`taking up ${id}/${index}, which was stored for ${host.part.label}`);
-      const now = this.clock.now();
-      const record = item.value as ChunkRecord;
-      const chunk = host.part.loadChunk(Number(index), record, item.stamp, host.token, now);
-      const job = this.replica.get(keys.job(id))?.value as JobRecord | undefined;
-      if (job?.state === 'cancelled') host.part.cancel(chunk, now);
+      log.info(`taking up what ${key} holds`);
+      this.loadShelf(host, name, item.value as ShelfRecord, item.stamp);
       this.kick();
     } catch (error) {
-      log.debug(`stored chunk: ${describe(error)}`);
+      log.debug(`stored shelf: ${describe(error)}`);
     }
   }
 
-  /** A chunk that a peer sent here. */
-  private takeIn(host: Hosted, index: number, change: Change): void {
-    const record = change.value as ChunkRecord;
-    // Only what was just sent: nothing of it can have been started by this part's owners.
-    if (record.entries.length > 0) return;
-    const now = this.clock.now();
-    const chunk = host.part.loadChunk(index, record, change.stamp, host.token, now);
-    const job = this.replica.get(keys.job(chunk.spec.id))?.value as JobRecord | undefined;
-    if (job?.state === 'cancelled') host.part.cancel(chunk, now);
-    this.kick();
-  }
-
   private onGroup(group: string, change: Change): void {
     const now = this.clock.now();
     const { present, gone } = this.fleet.note(group, change.value as GroupRecord | null);
--- a/src/coordination/hosted.ts
+++ b/src/coordination/hosted.ts
@@ -1,5 +1,6 @@
 import type { JobRecord } from '../storage/records.js';
 import type { Part } from './part.js';
+import type { Shelf } from './shelf.js';
 
 /** A job whose home is a part that we host. */
 export interface HomeJob {
@@ -18,6 +19,10 @@
   /** False once the part is lost: nothing is written or started for it any more. */
   alive: boolean;
   jobs: Map<string, HomeJob>;
+  /** The part's stored chunks, by their shelves' names. */
+  shelves: Map<string, Shelf>;
+  /** Until when starts of batch work are gathered, so that they do not use up the changes of users. */
+  gatherUntil: number;
   /** Transactions on their way. */
   writing: number;
   raisedAt: number;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -51,6 +51,16 @@
   guarantee(team: string): Amount;
   /** What a team's tasks take at the other parts, as last heard. */
   elsewhere(team: string): Amount;
+  /** The first of a team's jobs that waits too long for the team's limit at another part. */
+  starved(team: string): Starved | null;
+}
+
+/** A job that has long been kept waiting by its team's limit. */
+export interface Starved {
+  team: string;
+  /** Time of day of its submission, and its rank: the order of the queue. */
+  at: number;
+  rank: number;
 }
 
 const nothing = (): Amount => ({ cpus: 0, gpus: 0 });
@@ -59,6 +69,7 @@
   allowance: () => null,
   guarantee: nothing,
   elsewhere: nothing,
+  starved: () => null,
 };
 
 export class Part {
@@ -73,6 +84,8 @@
   private resumeAfter: string | null = null;
   /** Teams that were kept waiting by their share of the limit in the last round. */
   readonly hungry = new Set<string>();
+  /** The first of each team that its limit has kept waiting for long. */
+  readonly starving = new Map<string, Starved>();
   private readonly arrivals: Arrivals;
   private readonly liveArrivals: Arrivals;
   private lastLive: Chunk | null = null;
@@ -387,9 +400,17 @@
     if (chunk.complete) this.settled.add(chunk);
   }
 
+  /** Takes in a chunk whose job is stored, and which is not yet itself. */
+  accept(chunk: Chunk, now: number): void {
+    chunk.accepted = true;
+    this.addChunk(chunk, now);
+    this.dirty.add(chunk);
+    chunk.dirtySince ??= now;
+  }
+
   /** Takes up a stored chunk, with all that its last owner may have started. */
-  loadChunk(index: number, record: ChunkRecord, stamp: number, token: number, now: number): Chunk {
-    const chunk = Chunk.load(index, record, stamp, now);
+  loadChunk(index: number, record: ChunkRecord, token: number, now: number): Chunk {
+    const chunk = Chunk.load(index, record, now);
     for (const e of record.entries) {
       const machine = this.machines.get(e.machine);
       // Its machine's record is deleted only after the machine is gone.
@@ -440,6 +461,7 @@
 
   dropChunk(chunk: Chunk): void {
     chunk.dropped = true;
+    chunk.shelf?.remove(chunk);
     this.chunks.delete(chunk.id);
     this.dirty.delete(chunk);
     this.settled.delete(chunk);
@@ -507,7 +529,13 @@
     this.hungry.clear();
     const start = queue.findIndex((c) => c.id === this.resumeAfter);
     this.resumeAfter = null;
-    const round: Round = { reserved: null, full: new Set(), hopeless: new Set() };
+    this.starving.clear();
+    const round: Round = {
+      reserved: null,
+      full: new Set(),
+      hopeless: new Set(),
+      capped: new Set(),
+    };
     const blocked: Chunk[] = [];
     for (let i = 0; i < queue.length; i++) {
       const chunk = queue[i];
@@ -528,6 +556,8 @@
         continue;
       }
       chunk.blockedSince ??= now;
+      // Room would be kept in vain for one that its team's limit holds up.
+      if (round.capped.has(chunk.spec.team)) continue;
       blocked.push(chunk);
       const shape = shapeOf(chunk.spec, chunk.zone);
       if (round.reserved === null && !round.hopeless.has(shape)) {
@@ -570,7 +600,8 @@
   private placeChunk(chunk: Chunk, round: Round, now: number): boolean {
     const { spec } = chunk;
     const run = this.runTimes.expected(spec.jobClass, spec.expect);
-    if (spec.gang && !this.gangFits(chunk, now)) return true;
+    if (this.mustYield(chunk, round)) return true;
+    if (spec.gang && !this.gangFits(chunk, round, now)) return true;
     // Backfilling must not delay the first that waits.
     const delays = spec.service || now + run > (round.reserved?.at ?? Infinity);
     const kept = delays && !spec.gang ? round.reserved?.machine : undefined;
@@ -582,7 +613,7 @@
     let hosts: Machine[] | null = null;
     while (chunk.pending > 0) {
       if (!this.withinAllowance(spec)) {
-        this.hungry.add(spec.team);
+        this.noteCapped(chunk, round, now);
         return true;
       }
       if (hosts === null) {
@@ -608,8 +639,33 @@
     return false;
   }
 
+  /**
+   * At its limit a team's work goes on strictly in order: small tasks that took up each bit of the limit
+   * as it came free would keep a large one waiting for good, here or at another part.
+   */
+  private mustYield(chunk: Chunk, round: Round): boolean {
+    const { team } = chunk.spec;
+    if (chunk.pending === 0) return false;
+    if (round.capped.has(team)) return true;
+    const first = this.around.starved(team);
+    if (first === null || chunk.rank > first.rank) return false;
+    if (chunk.rank === first.rank && chunk.at <= first.at) return false;
+    round.capped.add(team);
+    return true;
+  }
+
+  private noteCapped(chunk: Chunk, round: Round, now: number): void {
+    const { team } = chunk.spec;
+    this.hungry.add(team);
+    round.capped.add(team);
+    const since = chunk.blockedSince ?? now;
+    if (now - since > this.options.report * 2) {
+      this.starving.set(team, { team, at: chunk.at, rank: chunk.rank });
+    }
+  }
+
   /** A gang starts whole: nothing of it is left running, and there is room for all that is not done. */
-  private gangFits(chunk: Chunk, now: number): boolean {
+  private gangFits(chunk: Chunk, round: Round, now: number): boolean {
     if (chunk.entries.size > 0) return false;
     const { spec } = chunk;
     const allowance = this.around.allowance(spec.team);
@@ -618,7 +674,7 @@
       const short =
         used.cpus + chunk.pending * spec.cpus > allowance.cpus + 1e-6 ||
         used.gpus + chunk.pending * spec.gpus > allowance.gpus + 1e-6;
-      if (short) this.hungry.add(spec.team);
+      if (short) this.noteCapped(chunk, round, now);
       if (short) return false;
     }
     let left = chunk.pending;
@@ -1052,7 +1108,7 @@
         continue;
       }
       const demand = { part: this.label, cpus, gpus, memory, types, zone, spot, rank, service };
-      demands.set(key, { ...demand, image, imageGb, count, urgent, run });
+      demands.set(key, { ...demand, image, imageGb, count, urgent: urgent || service, run });
     }
     const list = [...demands.values()];
     const headroom = this.headroom(now);
@@ -1080,6 +1136,8 @@
   full: Set<string>;
   /** Shapes of work that no machine will ever have room for. */
   hopeless: Set<string>;
+  /** Teams whose limit holds up the first of their work. */
+  capped: Set<string>;
 }
 
 interface Offer {
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -130,7 +130,7 @@
   ): Promise<(Estimate & { node: string })[]> {
     const body = encodeRequest({ Ask: { spec: encodeSpec(spec), zone, tasks } });
     const talking = [...this.peers.values()].filter(
-      (p) => this.clock.now() - p.heard <= Math.min(timeout, this.fresh * 0.4),
+      (p) => this.clock.now() - p.heard <= this.fresh * 0.4,
     );
     const calls = talking.map(async (peer) => {
       try {
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -307,6 +307,7 @@
       coming: [...this.coming.values()].map((c) => c.plan),
       patience: within.length > 0 ? Math.min(...within) : settings.lease * 2,
       serviceHorizon: 600,
+      promptHorizon: settings.lease * 2,
     });
     for (const plan of mergePlans(plans)) {
       // A large rental is several requests, side by side: hundreds of machines may be missing.
@@ -314,6 +315,10 @@
         void this.intend({ ...plan, count: Math.min(left, cloud.RENT_LIMIT) });
       }
     }
+    for (const { part } of demands) {
+      const held = this.holdOff.get(part) ?? 0;
+      this.holdOff.set(part, Math.max(held, now + settings.report * 0.7));
+    }
   }
 
   /** The intention is stored before the request is sent; its name is never used again. */
@@ -326,7 +331,8 @@
     const key = keys.group(ask);
     this.renting.add(ask);
     this.coming.set(ask, { plan, until: Infinity });
-    this.holdOff.set(part, this.node.clock.now() + this.node.settings.report / 2);
+    // Demands that come up one by one are gathered: together they fill larger, cheaper machines.
+    this.holdOff.set(part, this.node.clock.now() + this.node.settings.report);
     try {
       const when = [owner, { key, stamp: 0 }];
       const txn = { when, puts: [{ key, value: group }], removes: [] };
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -24,6 +24,8 @@
   patience: number;
   /** How long a live service's machine is expected to be kept. */
   serviceHorizon: number;
+  /** The same for replicas that wait for it: the shorter, the more a quick boot is worth. */
+  promptHorizon: number;
 }
 
 const RANKS = ['prod', 'high', 'normal', 'idle'];
@@ -42,6 +44,11 @@
   return Math.min(by(type.cpus, d.cpus), by(type.gpus, d.gpus), by(type.memory, d.memory));
 };
 
+function horizonOf(demand: Demand, context: RentContext): number {
+  if (!demand.service) return Math.max(demand.run * 2, 60);
+  return demand.urgent ? context.promptHorizon : context.serviceHorizon;
+}
+
 function offers(demand: Demand, context: RentContext): Offer[] {
   const found: Offer[] = [];
   for (const type of context.types) {
@@ -57,7 +64,7 @@
         const used = Math.min(fits, demand.count);
         // What else comes along may use the rest; count half of it as wasted.
         const share = price * (0.5 / fits + 0.5 / used);
-        const horizon = demand.service ? context.serviceHorizon : Math.max(demand.run * 2, 60);
+        const horizon = horizonOf(demand, context);
         const fetch = demand.imageGb / Math.max(1e-3, type.fetchRate);
         const away = zone === (context.zoneOf(demand.part) ?? zone) ? 1 : 1.05;
         const score = share * ((horizon + type.boot + fetch) / horizon) * away;
--- a/src/coordination/sender.ts
+++ b/src/coordination/sender.ts
@@ -97,9 +97,7 @@
       for (const chunk of host.part.chunks.values()) {
         const pause = this.threshold(chunk.spec);
         if (chunk.blockedSince === null || now - chunk.blockedSince < pause) continue;
-        if (chunk.entries.size > 0 || chunk.flushing || chunk.stamp === 0) continue;
-        if (chunk.cancelled || now - chunk.askedAt < Math.max(pause, node.settings.report))
-          continue;
+        if (!chunk.movable || now - chunk.askedAt < Math.max(pause, node.settings.report)) continue;
         if (this.asking.has(chunk)) continue;
         chunk.askedAt = now;
         void this.sendOn(host, chunk);
@@ -116,7 +114,7 @@
       const zone = chunk.zone ?? chunk.spec.zone;
       const part = await this.choose(host, chunk.spec, zone, chunk.pending, chunk);
       if (part === host.part.label || !host.alive || chunk.dropped) return;
-      if (chunk.entries.size > 0 || chunk.flushing || chunk.cancelled) return;
+      if (!chunk.movable) return;
       log.info(`sending ${chunk.id} from ${host.part.label} to ${part}`);
       await node.commits.move(host, chunk, part);
     } catch (error) {
--- /dev/null
+++ b/src/coordination/shelving.ts
@@ -0,0 +1,294 @@
+/**
+ * Keeps the stored chunks in line with what the parts know. Each transaction is conditional on the
+ * part's ownership key and on the shelf it changes; a shelf's record is made from memory when its turn
+ * comes, so that it holds all that has changed meanwhile.
+ */
+import { sleep, type Clock } from '../base/clock.js';
+import { describe, log } from '../base/log.js';
+import { TXN_BYTES, type Txn } from '../protocol/state.js';
+import type { Urgency } from '../storage/budget.js';
+import { keys, type ShelfRecord } from '../storage/records.js';
+import type { Replica } from '../storage/replica.js';
+import type { StateClient, TxnResult } from '../storage/stateClient.js';
+import type { Chunk } from './chunk.js';
+import type { Hosted } from './hosted.js';
+import { potentialOf, Shelf } from './shelf.js';
+
+export interface ShelvingHost {
+  valid(): boolean;
+  /** An ownership key was not as we thought. */
+  doubt(part: string): Promise<void>;
+  /** Chunks were stored: their starts may go out. */
+  stored(host: Hosted, chunks: Chunk[]): void;
+}
+
+/** What is needed of the state service and of our copy of the records. */
+export type Store = Pick<StateClient, 'txn' | 'get' | 'turn' | 'writeRate' | 'writeDelay'>;
+export type Copy = Pick<Replica, 'get' | 'note' | 'noteRemoved'>;
+
+export interface ShelvingOptions {
+  txnOps: number;
+  valueBytes: number;
+  /** Seconds that changes which nobody waits for are gathered. */
+  linger: number;
+  retry: number;
+  /** Tells the names of this process's shelves from all others. */
+  process: string;
+}
+
+/** Of the changes that are ours, what starts of batch work may use. */
+const GATHER_SHARE = 0.4;
+
+export class Shelving {
+  private named = 0;
+
+  constructor(
+    private readonly client: Store,
+    private readonly replica: Copy,
+    private readonly clock: Clock,
+    private readonly host: ShelvingHost,
+    private readonly options: ShelvingOptions,
+  ) {}
+
+  /** Every write of a part goes through here: under its ownership, and only while that is valid. */
+  async write(host: Hosted, txn: Txn, urgency: Urgency | 'paid' = 'later'): Promise<TxnResult> {
+    if (!host.alive || !this.host.valid()) return { kind: 'refused' };
+    const owner = { key: keys.owner(host.part.label), stamp: host.stamp };
+    return this.client.txn({ ...txn, when: [owner, ...txn.when] }, urgency);
+  }
+
+  /** Starts the storing of what is due. */
+  pass(host: Hosted): void {
+    const now = this.clock.now();
+    for (const chunk of host.part.dirty) {
+      if (chunk.accepted && chunk.shelf === null) this.shelve(host, chunk);
+    }
+    // Ends can wait while users and starts are queueing for the state service's changes: a crash
+    // meanwhile loses nothing that the workers do not still report.
+    const busy = this.client.writeDelay('later') > this.options.linger / 2;
+    const patience = this.options.linger * (busy ? 4 : 1);
+    const gathering = now < host.gatherUntil;
+    const due = new Map<Shelf, Urgency>();
+    for (const chunk of host.part.dirty) {
+      const { shelf } = chunk;
+      if (shelf === null || shelf.busy || due.get(shelf) === 'urgent') continue;
+      const ready =
+        hasStarts(chunk) || (chunk.complete && !chunk.cancelled)
+          ? chunk.spec.service || !gathering
+          : false;
+      const old = chunk.dirtySince !== null && now - chunk.dirtySince >= patience;
+      if (ready) due.set(shelf, 'urgent');
+      else if (old) due.set(shelf, 'later');
+    }
+    for (const shelf of host.shelves.values()) {
+      if (shelf.chunks.size === 0 && shelf.stale && !shelf.busy && !busy) due.set(shelf, 'later');
+    }
+    let batch: Shelf[] = [];
+    let bytes = 0;
+    let urgency: Urgency = 'later';
+    const send = (): void => {
+      if (batch.length === 0) return;
+      void this.flush(host, batch, urgency);
+      [batch, bytes, urgency] = [[], 0, 'later'];
+    };
+    for (const [shelf, how] of due) {
+      if (host.writing >= 3) break;
+      const size = shelf.bytes;
+      const full = batch.length >= Math.max(1, this.options.txnOps - 1);
+      if (full || (batch.length > 0 && bytes + size > TXN_BYTES * 0.8)) send();
+      batch.push(shelf);
+      bytes += size;
+      if (how === 'urgent') urgency = 'urgent';
+    }
+    if (host.writing < 3) send();
+  }
+
+  /** Onto the fullest shelf of its kind that is sure to hold it, or a new one. */
+  private shelve(host: Hosted, chunk: Chunk): void {
+    const room = Math.min(this.options.valueBytes, TXN_BYTES * 0.8) * 0.9;
+    const need = potentialOf(chunk);
+    let best: Shelf | null = null;
+    let most = -1;
+    for (const shelf of host.shelves.values()) {
+      if (shelf.chunks.size === 0 || shelf.busy) continue;
+      // Replicas seldom change, tasks often: apart, so that the ones are not written for the others.
+      const [first] = shelf.chunks;
+      if (first?.spec.service !== chunk.spec.service) continue;
+      const used = shelf.potential;
+      if (used + need <= room && used > most) [best, most] = [shelf, used];
+    }
+    if (best === null) {
+      best = new Shelf(`${this.options.process}-${++this.named}`, 0);
+      host.shelves.set(best.name, best);
+    }
+    best.add(chunk);
+  }
+
+  private key(host: Hosted, shelf: Shelf): string {
+    return keys.run(host.part.label, shelf.name);
+  }
+
+  private async flush(host: Hosted, shelves: Shelf[], urgency: Urgency): Promise<void> {
+    host.writing++;
+    for (const shelf of shelves) shelf.busy = true;
+    // A round of starts every so often, each with all that has come up; users have the rest.
+    const pause = shelves.length / (this.client.writeRate * GATHER_SHARE);
+    host.gatherUntil = Math.max(host.gatherUntil, this.clock.now()) + pause;
+    try {
+      await this.client.turn(shelves.length, urgency);
+      const stored = shelves.flatMap((s) =>
+        [...s.chunks].map((c) => ({ chunk: c, at: c.version })),
+      );
+      const puts: Txn['puts'] = [];
+      const removes: string[] = [];
+      for (const shelf of shelves) {
+        if (shelf.chunks.size > 0) puts.push({ key: this.key(host, shelf), value: shelf.record() });
+        else if (shelf.stamp > 0) removes.push(this.key(host, shelf));
+        shelf.stale = false;
+      }
+      for (const { chunk } of stored) chunk.dirtySince = null;
+      const when = shelves.map((s) => ({ key: this.key(host, s), stamp: s.stamp }));
+      const result = await this.write(host, { when, puts, removes }, 'paid');
+      if (result.kind === 'applied') {
+        this.applied(host, shelves, stored, puts, result.stamp);
+        return;
+      }
+      for (const { chunk } of stored) chunk.dirtySince ??= this.clock.now();
+      for (const shelf of shelves) shelf.stale = true;
+      if (result.kind === 'conflict') await this.resolve(host, shelves);
+      else await sleep(this.options.retry);
+    } catch (error) {
+      log.debug(`store: ${describe(error)}`);
+      await sleep(this.options.retry);
+    } finally {
+      for (const shelf of shelves) shelf.busy = false;
+      host.writing--;
+    }
+  }
+
+  private applied(
+    host: Hosted,
+    shelves: Shelf[],
+    stored: { chunk: Chunk; at: number }[],
+    puts: Txn['puts'],
+    stamp: number,
+  ): void {
+    for (const { chunk, at } of stored) {
+      chunk.stored = Math.max(chunk.stored, at);
+      // Written under the stamp that a move of it would have needed: that can't be applied any more.
+      chunk.leaving = false;
+      if (chunk.version === chunk.stored) host.part.dirty.delete(chunk);
+      else chunk.dirtySince ??= this.clock.now();
+    }
+    for (const put of puts) this.replica.note(put.key, put.value, stamp);
+    for (const shelf of shelves) {
+      const key = this.key(host, shelf);
+      if (puts.some((p) => p.key === key)) shelf.stamp = stamp;
+      else {
+        this.replica.noteRemoved(key, stamp);
+        shelf.stamp = 0;
+        if (shelf.chunks.size === 0) host.shelves.delete(shelf.name);
+      }
+    }
+    this.host.stored(
+      host,
+      stored.map((s) => s.chunk),
+    );
+  }
+
+  /** Copies of ours that got no answer may have been applied: take what they left. */
+  async resolve(host: Hosted, shelves: Shelf[]): Promise<void> {
+    await this.host.doubt(host.part.label);
+    for (const shelf of shelves) {
+      const item = await this.client.get(this.key(host, shelf));
+      if (!host.alive) return;
+      const stamp = item?.stamp ?? 0;
+      if (stamp === shelf.stamp) continue;
+      const record = item?.value as ShelfRecord | undefined;
+      for (const chunk of [...shelf.chunks]) {
+        if (!chunk.leaving) continue;
+        // Its move was applied after all, or never will be, since the stamp has changed.
+        if (record?.chunks[chunk.id] === undefined) host.part.sendAway(chunk, this.clock.now());
+        else chunk.leaving = false;
+      }
+      shelf.stamp = stamp;
+      if (item !== null) this.replica.note(item.key, item.value, item.stamp);
+      else this.replica.noteRemoved(this.key(host, shelf), Infinity);
+    }
+  }
+
+  /**
+   * Hands a chunk, of which nothing is on any machine, to another part, in one transaction. `extra` are
+   * changes that belong to it: its home notes that it has left.
+   */
+  async move(
+    host: Hosted,
+    chunk: Chunk,
+    to: string,
+    extra: Pick<Txn, 'when' | 'puts'>,
+  ): Promise<TxnResult> {
+    const { shelf } = chunk;
+    const owner = this.replica.get(keys.owner(to));
+    if (shelf === null || owner === undefined || !chunk.movable) return { kind: 'refused' };
+    const from = this.key(host, shelf);
+    const name = `${chunk.id.replace('/', '-')}-${chunk.moves + 1}`;
+    const key = keys.run(to, name);
+    shelf.busy = true;
+    host.writing++;
+    try {
+      await this.client.turn(2 + extra.puts.length, 'later');
+      if (chunk.entries.size > 0 || chunk.dropped || chunk.cancelled) return { kind: 'refused' };
+      const value: ShelfRecord = {
+        chunks: { [chunk.id]: { ...chunk.record(), moves: chunk.moves + 1 } },
+      };
+      const rest = shelf.record().chunks;
+      Reflect.deleteProperty(rest, chunk.id);
+      const others = [...shelf.chunks]
+        .filter((c) => c !== chunk)
+        .map((c) => ({ c, at: c.version }));
+      const alone = others.length === 0;
+      const result = await this.write(
+        host,
+        {
+          when: [
+            { key: from, stamp: shelf.stamp },
+            { key: keys.owner(to), stamp: owner.stamp },
+            { key, stamp: 0 },
+            ...extra.when,
+          ],
+          puts: [
+            { key, value },
+            ...(alone ? [] : [{ key: from, value: { chunks: rest } }]),
+            ...extra.puts,
+          ],
+          removes: alone ? [from] : [],
+        },
+        'paid',
+      );
+      if (result.kind === 'applied') {
+        host.part.sendAway(chunk, this.clock.now());
+        const puts = alone ? [] : [{ key: from, value: { chunks: rest } }];
+        const stored = others.map(({ c, at }) => ({ chunk: c, at }));
+        this.applied(host, [shelf], stored, puts, result.stamp);
+        this.replica.note(key, value, result.stamp);
+      } else if (result.kind === 'conflict') await this.resolve(host, [shelf]);
+      // Until its shelf is written again it may have gone, and nothing of it can be started.
+      else if (result.kind === 'unknown') {
+        chunk.leaving = true;
+        shelf.stale = true;
+      }
+      return result;
+    } finally {
+      shelf.busy = false;
+      host.writing--;
+    }
+  }
+}
+
+/** Placements of it are not stored yet, and their starts wait for that. */
+function hasStarts(chunk: Chunk): boolean {
+  for (const entry of chunk.entries.values()) {
+    if (entry.version > chunk.stored && entry.stop === null) return true;
+  }
+  return false;
+}
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -1,6 +1,4 @@
 /** What users ask: submissions, states, cancellations. Any node answers for any job. */
-import { sleep } from '../base/clock.js';
-import { describe, log } from '../base/log.js';
 import {
   acceptedAnswer,
   idPattern,
@@ -10,13 +8,13 @@
   type JobStatus,
   type JobView,
 } from '../protocol/job.js';
-import { keys, type ChunkRecord, type JobRecord } from '../storage/records.js';
-import type { Txn } from '../protocol/state.js';
+import { keys, type JobRecord } from '../storage/records.js';
 import type { Reply } from '../transport/httpServer.js';
+import { Accepting } from './accepting.js';
 import { Chunk } from './chunk.js';
-import { chunkRanges, chunkSize, mayCut, zonesFor, type Range } from './chunks.js';
+import { chunkRanges, chunkSize, mayCut, zonesFor } from './chunks.js';
 import type { Controller } from './controller.js';
-import type { HomeJob, Hosted } from './hosted.js';
+import type { Hosted } from './hosted.js';
 import { allows, holds } from './placement.js';
 import { limitOf } from './quotas.js';
 import { reasonFor } from './reasons.js';
@@ -35,7 +33,11 @@
 export class Users {
   private readonly accepting = new Map<string, Promise<Reply>>();
 
-  constructor(private readonly node: Controller) {}
+  private readonly storing: Accepting;
+
+  constructor(private readonly node: Controller) {
+    this.storing = new Accepting(node, (id) => this.known(id));
+  }
 
   // ---- Submitting ----
 
@@ -59,9 +61,9 @@
     const host = node.hosted.get(node.settings.label) ?? [...node.hosted.values()][0];
     if (host === undefined) return later('this node is starting');
     // More waits for the state service than it can take in the time that a user waits.
-    const delay = node.state.writeDelay('urgent');
+    const delay = this.storing.delay;
     if (delay > PATIENCE / 2) {
-      return later('too many requests just now', Math.ceil(delay - PATIENCE / 4));
+      return later('too many requests just now', Math.max(1, Math.ceil(delay - PATIENCE / 4)));
     }
     const promise = this.accept(host, job);
     this.accepting.set(job.id, promise);
@@ -143,6 +145,7 @@
       zones: zonesFor(spec, this.zones(spec)),
       cut: 0,
       finished: [],
+      away: [],
     };
     const ranges = chunkRanges(spec.tasks, record.size, record.zones);
     const most = Math.min(4, node.settings.txnOps - 2, Math.floor(stateWriteRate / 4));
@@ -155,128 +158,12 @@
         const part = await node.sender.choose(home, spec, zone ?? spec.zone, to - from);
         const chunk = new Chunk(spec, index, label, record.at, from, to, zone, now);
         if (part !== label) chunk.moves = 1;
-        return { range, part, chunk };
+        return { part, chunk };
       }),
     );
     record.cut = first.length;
-    return this.storeJob(home, record, first);
-  }
-
-  /** Stores the job with its first chunks, placements included, in one transaction. */
-  private async storeJob(
-    home: Hosted,
-    record: JobRecord,
-    first: { range: Range; part: string; chunk: Chunk }[],
-  ): Promise<Reply> {
-    const { node } = this;
-    const spec = first[0]?.chunk.spec;
-    if (spec === undefined) return later('nothing to run');
-    const local = first.filter((f) => node.hosted.has(f.part));
-    const now = node.clock.now();
-    for (const { part, chunk } of local) {
-      const host = node.hosted.get(part);
-      if (host === undefined) continue;
-      chunk.moves = 0;
-      chunk.flushing = true;
-      host.part.addChunk(chunk, now);
-      host.part.decide(now, () => false);
-    }
-    const deadline = now + PATIENCE;
-    const key = keys.job(spec.id);
-    let mayBeStored = false;
-    const attempt = async (): Promise<Reply | null> => {
-      const owners = new Set(first.map((f) => f.part).filter((p) => p !== home.part.label));
-      const when: Txn['when'] = [{ key, stamp: 0 }];
-      for (const part of owners) {
-        when.push({ key: keys.owner(part), stamp: node.replica.get(keys.owner(part))?.stamp ?? 0 });
-      }
-      const versions = first.map((f) => f.chunk.version);
-      const runs = first.map((f) => ({
-        key: keys.run(f.part, spec.id, f.chunk.index),
-        value: f.chunk.record(),
-      }));
-      const puts = [{ key, value: record }, ...runs];
-      const result = await node.commits.write(home, { when, puts, removes: [] }, 'urgent');
-      let stamp = result.kind === 'applied' ? result.stamp : 0;
-      if (result.kind === 'unknown') mayBeStored = true;
-      if (result.kind === 'conflict') {
-        const item = await node.state.get(key);
-        if (item !== null) {
-          const stored = item.value as JobRecord;
-          const ours = mayBeStored && stored.at === record.at && stored.home === record.home;
-          if (!ours) return this.known(spec.id);
-          // A copy without an answer was applied; which placements it held, the records tell.
-          stamp = item.stamp;
-          versions.fill(0);
-        } else {
-          await node.ownership.doubt(home.part.label);
-          if (!home.alive) return later('this node lost its part');
-          return mayBeStored ? null : later('a peer has changed; try again');
-        }
-      }
-      if (stamp === 0) return null;
-      this.applyAccepted(home, { id: spec.id, record, stamp, busy: false }, first, versions, stamp);
-      for (const [i, run] of runs.entries()) {
-        if (versions[i] !== 0) node.replica.note(run.key, run.value, stamp);
-      }
-      node.replica.note(key, record, stamp);
-      return { status: 201, body: acceptedAnswer(spec.id, 'queued') };
-    };
-    const undo = (): void => {
-      for (const { part, chunk } of local) node.hosted.get(part)?.part.dropChunk(chunk);
-    };
-    const persist = async (until: () => boolean): Promise<Reply | null> => {
-      while (!until()) {
-        try {
-          const reply = await attempt();
-          if (reply !== null) {
-            if (reply.status !== 201) undo();
-            return reply;
-          }
-        } catch (error) {
-          log.debug(`accept ${spec.id}: ${describe(error)}`);
-        }
-        await sleep(0.15);
-      }
-      return null;
-    };
-    const reply = await persist(
-      () => node.clock.now() > deadline || (!mayBeStored && !node.ownership.valid),
-    );
-    if (reply !== null) return reply;
-    if (!mayBeStored) {
-      undo();
-      return later('the state service could not store the job', 2);
-    }
-    // It may have been stored, or may still be: what is held for it stays until that is known.
-    void persist(() => !home.alive);
-    return later('the state service has not confirmed the job yet', 2);
-  }
-
-  private applyAccepted(
-    home: Hosted,
-    job: HomeJob,
-    first: { part: string; chunk: Chunk }[],
-    versions: number[],
-    stamp: number,
-  ): void {
-    const { node } = this;
-    if (home.alive) home.jobs.set(job.id, job);
-    first.forEach(({ part, chunk }, i) => {
-      const host = node.hosted.get(part);
-      if (host?.part.chunks.get(chunk.id) !== chunk) return;
-      chunk.stamp = stamp;
-      chunk.stored = versions[i] ?? 0;
-      chunk.flushing = false;
-      chunk.dirtySince = null;
-      if (chunk.stored === chunk.version) host.part.dirty.delete(chunk);
-      else host.part.dirty.add(chunk);
-      for (const entry of chunk.entries.values()) {
-        const machine = host.part.machines.get(entry.machine);
-        if (machine !== undefined) host.part.pokes.add(machine);
-      }
-    });
-    node.kick();
+    record.away = first.flatMap((f, k) => (f.part === label ? [] : [k]));
+    return this.storing.accept(home, { id: spec.id, record, first }, PATIENCE);
   }
 
   // ---- Reading ----
@@ -362,21 +249,20 @@
         done += range.to - range.from;
         continue;
       }
-      for (const part of node.parts) {
-        const local = node.hosted.get(part)?.part.chunks.get(`${spec.id}/${k}`);
-        const stored = node.replica.get(keys.run(part, spec.id, k))?.value as
-          ChunkRecord | undefined;
-        if (local !== undefined) {
-          done += local.done.size;
-          running += local.running;
-          chunks.push(local);
-        } else if (stored !== undefined) {
-          for (let i = 0; i + 1 < stored.done.length; i += 2) {
-            done += (stored.done[i + 1] ?? 0) - (stored.done[i] ?? 0);
-          }
-          running += stored.entries.length;
-        } else continue;
-        break;
+      const id = `${spec.id}/${k}`;
+      const local = [...node.hosted.values()]
+        .map((h) => h.part.chunks.get(id))
+        .find((c) => c !== undefined);
+      const stored = node.shelves.find(id)?.record;
+      if (local !== undefined) {
+        done += local.done.size;
+        running += local.running;
+        chunks.push(local);
+      } else if (stored !== undefined) {
+        for (let i = 0; i + 1 < stored.done.length; i += 2) {
+          done += (stored.done[i + 1] ?? 0) - (stored.done[i] ?? 0);
+        }
+        running += stored.entries.length;
       }
     }
     // Done is said only once it is stored: the last tasks may be over already.
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -16,7 +16,7 @@
   image: string;
   imageGb: number;
   count: number;
-  /** Batch work that cannot be through in time on what there is: dear machines may be rented for it. */
+  /** Replicas that wait, or batch work that cannot be through in time: dear machines may be rented. */
   urgent: boolean;
   /** Expected run time of one task, corrected. */
   run: number;
@@ -51,6 +51,8 @@
   used: { team: string; cpus: number; gpus: number }[];
   /** Teams whose share of the limit is too small for what waits here. */
   hungry: string[];
+  /** The first job of each team that its limit has kept waiting for long. */
+  starving: { team: string; at: number; rank: number }[];
 }
 
 export interface Ask {
@@ -133,6 +135,12 @@
     ),
   ),
   field('hungry', list('string')),
+  field(
+    'starving',
+    list(
+      record('Starving', [field('team', 'string'), field('at', 'double'), field('rank', 'int')]),
+    ),
+  ),
 ]);
 const ask = record('Ask', [
   field('spec', 'string'),
--- a/src/storage/budget.ts
+++ b/src/storage/budget.ts
@@ -54,6 +54,10 @@
     this.askedAt = now;
   }
 
+  get pace(): number {
+    return this.rate;
+  }
+
   get waiting(): number {
     return this.queue.length;
   }
@@ -79,6 +83,14 @@
     });
   }
 
+  /** What goes along with somebody whose turn it is; the next wait for it. */
+  charge(cost: number): void {
+    this.refill();
+    this.level -= cost;
+    this.forget();
+    this.asked += cost / MEMORY;
+  }
+
   /** The other side says that the rate was passed: the others use more than we thought. */
   punish(): void {
     this.refill();
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -5,7 +5,7 @@
  *   b/types              the machine types, as the cloud last told them
  *   b/own/PART           who owns a part (held by the owner's lease)
  *   b/job/ID             a job: its description, home part and state
- *   b/run/PART/ID/K      chunk K of a job, at the part that runs it
+ *   b/run/PART/SHELF     some chunks of jobs, at the part that runs them
  *   b/fleet/ASK          a rental that was or will be sent, then its machines, and their part
  *   b/quota/TEAM         how a team's limit is shared out to the parts
  */
@@ -18,7 +18,7 @@
   types: 'b/types',
   owner: (part: string): string => `b/own/${part}`,
   job: (id: string): string => `b/job/${id}`,
-  run: (part: string, id: string, chunk: number): string => `b/run/${part}/${id}/${chunk}`,
+  run: (part: string, shelf: string): string => `b/run/${part}/${shelf}`,
   runs: (part: string): string => `b/run/${part}/`,
   group: (ask: string): string => `b/fleet/${ask}`,
   quota: (team: string): string => `b/quota/${team}`,
@@ -45,6 +45,11 @@
   /** Chunks that have been made so far, and those of them that are done. */
   cut: number;
   finished: number[];
+  /**
+   * Chunks that have ever left the home part. Any other that is neither done nor on a shelf of the home
+   * part has not been stored yet: nothing of it was started, and its home has it.
+   */
+  away: number[];
 }
 
 export interface EntryRecord {
@@ -70,6 +75,11 @@
   moves: number;
 }
 
+/** Chunks by their ids. */
+export interface ShelfRecord {
+  chunks: Record<string, ChunkRecord>;
+}
+
 /** One machine, as its group's record tells of it. */
 export interface MachineRecord {
   part: string;
--- /dev/null
+++ b/src/storage/shelves.ts
@@ -0,0 +1,44 @@
+/**
+ * Where each chunk is stored. Chunks stand on shelves, several in one record, since the state service
+ * counts changes by records: a change of many chunks costs as much as a change of one.
+ */
+import type { ChunkRecord, ShelfRecord } from './records.js';
+
+export interface Found {
+  part: string;
+  shelf: string;
+  record: ChunkRecord;
+}
+
+export class Shelves {
+  private readonly chunks = new Map<string, Found>();
+  private readonly members = new Map<string, string[]>();
+
+  /** The chunk's stored record, by its id. */
+  find(chunk: string): Found | undefined {
+    return this.chunks.get(chunk);
+  }
+
+  entries(): IterableIterator<[string, Found]> {
+    return this.chunks.entries();
+  }
+
+  /** Follows one shelf's record; null: it has been removed. */
+  note(part: string, shelf: string, value: ShelfRecord | null): void {
+    const key = `${part}/${shelf}`;
+    for (const id of this.members.get(key) ?? []) {
+      const known = this.chunks.get(id);
+      // It may stand on another shelf by now, at this part or another.
+      const here = known?.part === part && known.shelf === shelf;
+      if (here && value?.chunks[id] === undefined) this.chunks.delete(id);
+    }
+    if (value === null) {
+      this.members.delete(key);
+      return;
+    }
+    this.members.set(key, Object.keys(value.chunks));
+    for (const [id, record] of Object.entries(value.chunks)) {
+      this.chunks.set(id, { part, shelf, record });
+    }
+  }
+}
--- a/src/storage/stateClient.ts
+++ b/src/storage/stateClient.ts
@@ -60,6 +60,11 @@
     this.writes.setRate(shareOf(writeRate * CAUTION, sharers, writes));
   }
 
+  /** Changes a second that are ours just now. */
+  get writeRate(): number {
+    return this.writes.pace;
+  }
+
   /** Seconds that a change of this urgency would wait for its turn. */
   writeDelay(urgency: Urgency): number {
     return this.writes.delay(urgency);
@@ -139,10 +144,20 @@
     }
   }
 
-  async txn(txn: wire.Txn, urgency: Urgency = 'later'): Promise<TxnResult> {
+  /** Waits for the turn of a transaction that will be made, with `paid`, from what is known then. */
+  turn(cost: number, urgency: Urgency): Promise<void> {
+    return this.writes.take(cost, urgency);
+  }
+
+  /** More changes go with a turn that was given. */
+  charge(cost: number): void {
+    this.writes.charge(cost);
+  }
+
+  async txn(txn: wire.Txn, urgency: Urgency | 'paid' = 'later'): Promise<TxnResult> {
     const cost = txn.puts.length + txn.removes.length;
-    if (cost > 0) await this.writes.take(cost, urgency);
-    await this.requests.take(1, urgency);
+    if (cost > 0 && urgency !== 'paid') await this.writes.take(cost, urgency);
+    await this.requests.take(1, urgency === 'paid' ? 'first' : urgency);
     let response: Response;
     try {
       response = await this.call('POST', wire.paths.txn, wire.txnRequest(txn));
--- /dev/null
+++ b/test/accepting.test.ts
@@ -0,0 +1,154 @@
+/** Accepting jobs: many in one transaction, each exactly once, whatever becomes of the answers. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Accepting, type AcceptingNode } from '../src/coordination/accepting.js';
+import { Chunk } from '../src/coordination/chunk.js';
+import { RunTimes } from '../src/coordination/estimate.js';
+import type { Hosted } from '../src/coordination/hosted.js';
+import { Part } from '../src/coordination/part.js';
+import { seededRandom } from '../src/base/random.js';
+import { keys, type JobRecord, type ShelfRecord } from '../src/storage/records.js';
+import type { Reply } from '../src/transport/httpServer.js';
+import { spec } from './support/spec.js';
+import { MemoryStore } from './support/store.js';
+
+class Counter {
+  now = 0;
+  readonly store = new MemoryStore();
+  readonly host: Hosted;
+  readonly accepting: Accepting;
+  readonly answers = new Map<string, Reply>();
+
+  constructor() {
+    const pace = { patience: 30, headroom: 1, window: 100 };
+    const part = new Part(
+      'p',
+      { lease: 18, report: 3, sample: 8, zones: ['a'], ...pace },
+      () => new Map(),
+      new RunTimes(),
+      seededRandom(1),
+    );
+    this.host = {
+      part,
+      token: 5,
+      stamp: 1,
+      alive: true,
+      jobs: new Map(),
+      shelves: new Map(),
+      gatherUntil: 0,
+      writing: 0,
+      raisedAt: 0,
+    };
+    this.store.rows.set(keys.owner('q'), { key: keys.owner('q'), value: {}, stamp: 2 });
+    const { rows } = this.store;
+    const node: AcceptingNode = {
+      process: 'x',
+      parts: ['p', 'q'],
+      settings: { txnOps: 16 },
+      clock: { now: () => this.now, wall: () => this.now },
+      state: this.store,
+      replica: { get: (key) => rows.get(key), note: () => undefined },
+      ownership: { valid: true, doubt: () => Promise.resolve() },
+      commits: { write: (_, txn) => this.store.txn(txn) },
+      kick: () => undefined,
+    };
+    this.accepting = new Accepting(node, (id) =>
+      Promise.resolve({ status: 200, body: { known: id } }),
+    );
+  }
+
+  /** A job of two chunks, the second for the peer. */
+  submit(id: string, patience = 4, at = this.now): Promise<void> {
+    const s = spec({ id, tasks: 4 });
+    const chunk = (k: number): Chunk => new Chunk(s, k, 'p', at, 2 * k, 2 * k + 2, null, this.now);
+    const first = [
+      { part: 'p', chunk: chunk(0) },
+      { part: 'q', chunk: chunk(1) },
+    ];
+    const record: JobRecord = {
+      spec: s,
+      home: 'p',
+      state: 'open',
+      tasks: 4,
+      at,
+      size: 2,
+      zones: [],
+      cut: 2,
+      finished: [],
+      away: [1],
+    };
+    return this.accepting.accept(this.host, { id, record, first }, patience).then((reply) => {
+      this.answers.set(id, reply);
+    });
+  }
+
+  /** How many stored shelves of the peer hold the job's second chunk. */
+  parcels(id: string): number {
+    return [...this.store.rows.values()].filter(
+      ({ key, value }) =>
+        key.startsWith('b/run/q/') && (value as ShelfRecord).chunks[`${id}/1`] !== undefined,
+    ).length;
+  }
+
+  status(id: string): number | undefined {
+    return this.answers.get(id)?.status;
+  }
+}
+
+test('jobs that come together are stored together, with one parcel for the peer', async () => {
+  const c = new Counter();
+  const ids = ['wk-1', 'wk-2', 'wk-3', 'wk-4', 'wk-5', 'wk-6'];
+  await Promise.all(ids.map((id) => c.submit(id)));
+  for (const id of ids) {
+    assert.equal(c.status(id), 201);
+    assert.equal(c.parcels(id), 1);
+    assert.ok(c.host.part.chunks.has(`${id}/0`));
+    assert.ok(!c.host.part.chunks.has(`${id}/1`));
+  }
+  assert.ok(c.store.changes < 2 * ids.length, `${c.store.changes} changes`);
+});
+
+test('no answer: the batch is asked again and stored once, early or late', async () => {
+  for (const early of [true, false]) {
+    const c = new Counter();
+    c.store.loseNext = true;
+    const submitted = c.submit('wk-1');
+    while (!c.store.lost) await new Promise((resolve) => setTimeout(resolve, 1));
+    if (early) c.store.late();
+    await submitted;
+    assert.equal(c.status('wk-1'), 201);
+    assert.equal(c.parcels('wk-1'), 1);
+    if (!early) assert.equal(c.store.late().kind, 'conflict');
+    assert.equal(c.host.jobs.size, 1);
+  }
+});
+
+test('a job that somebody else has stored does not hold up those that came with it', async () => {
+  const c = new Counter();
+  const other = { state: 'open', at: 77, home: 'q' };
+  c.store.rows.set(keys.job('wk-2'), { key: keys.job('wk-2'), value: other, stamp: 9 });
+  await Promise.all(['wk-1', 'wk-2', 'wk-3'].map((id) => c.submit(id)));
+  assert.deepEqual(
+    ['wk-1', 'wk-2', 'wk-3'].map((id) => c.status(id)),
+    [201, 200, 201],
+  );
+  assert.equal(c.parcels('wk-2'), 0, 'its chunk was sent to the peer all the same');
+  assert.equal(c.parcels('wk-3'), 1);
+});
+
+test('nothing is left of a job that was given up while its batch was refused', async () => {
+  const c = new Counter();
+  c.store.refuseNext = 1;
+  const short = c.submit('wk-1', 0.05);
+  const long = c.submit('wk-2', 4);
+  await short;
+  assert.equal(c.status('wk-1'), 503);
+  // Its user has been told to come back; the clock is past its deadline when the batch is tried again.
+  c.now += 1;
+  await long;
+  assert.equal(c.status('wk-2'), 201);
+  assert.equal(c.parcels('wk-1'), 0, 'the peer would run a job that is not stored');
+  assert.equal(c.parcels('wk-2'), 1);
+  await c.submit('wk-1');
+  assert.equal(c.parcels('wk-1'), 1);
+});
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -123,16 +123,25 @@
     assert.equal(cluster.cloud.starts.length, 3);
   }));
 
-test('a stored chunk that its owner missed is taken up', () =>
+test('a shelf that its owner missed is taken up', () =>
   withCluster({ nodes: 1, runs: brief }, async (cluster) => {
     const spec = jobSpec({ id: 'wk-000081', tasks: 2 });
     const shared = { spec, home: 'drone-0', at: 1 };
-    const job = { ...shared, state: 'open', tasks: 2, size: 8, zones: [], cut: 1, finished: [] };
+    const job = {
+      ...shared,
+      state: 'open',
+      tasks: 2,
+      size: 8,
+      zones: [],
+      cut: 1,
+      finished: [],
+      away: [],
+    };
     const chunk = { from: 0, to: 2, zone: null, next: 1, done: [], entries: [], moves: 0 };
     const answer = cluster.state.apply({
       Then: [
         { Put: 'b/job/wk-000081', Value: job },
-        { Put: 'b/run/drone-0/wk-000081/0', Value: { ...shared, ...chunk } },
+        { Put: 'b/run/drone-0/s1', Value: { chunks: { 'wk-000081/0': { ...shared, ...chunk } } } },
       ],
     });
     assert.equal(answer.status, 200);
--- a/test/outages.test.ts
+++ b/test/outages.test.ts
@@ -4,6 +4,9 @@
 import { submission, until, type Cluster } from './support/cluster.js';
 import { accept, service, status, withCluster } from './support/users.js';
 
+const pause = (seconds: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, seconds * 1000));
+
 const outages: {
   name: string;
   strike: (cluster: Cluster) => Promise<void> | void;
@@ -32,8 +35,55 @@
     name: 'the state service refuses everybody for a while',
     strike: (c) => void c.state.refused.add('*'),
     mend: async (c) => {
-      await new Promise((resolve) => setTimeout(resolve, 1200));
+      await pause(1.2);
+      c.state.refused.clear();
+    },
+  },
+  {
+    name: 'a node loses the state service and its peers, but not its workers',
+    strike: async (c) => {
+      c.state.refused.add('drone-0');
+      c.apart.add('drone-0');
+      await until('it says that it is cut off, at once and when to come back', async () => {
+        const answer = await c.call('drone-0', 'POST', '/v1/jobs', submission('wk-000025'));
+        return answer.status === 503 && answer.retryAfter !== null;
+      });
+      await until('the load balancer is told', async () => {
+        return (await c.call('drone-0', 'GET', '/ready')).status === 503;
+      });
+      await until('its part has another owner', () => {
+        const owner = c.state.rows.get('b/own/drone-0')?.value as { node: string } | undefined;
+        return owner !== undefined && owner.node !== 'drone-0';
+      });
+    },
+    mend: (c) => {
       c.state.refused.clear();
+      c.apart.clear();
+    },
+  },
+  {
+    name: 'all nodes, the state service and a cut, one after the other',
+    strike: async (c) => {
+      c.apart.add('drone-1');
+      c.state.refused.add('*');
+      for (const label of [...c.nodes.keys()]) c.crash(label);
+      for (const label of ['drone-0', 'drone-1', 'drone-2']) await c.boot(label);
+      await pause(0.5);
+    },
+    mend: async (c) => {
+      c.state.refused.clear();
+      await pause(0.5);
+      c.apart.clear();
+    },
+  },
+  {
+    name: 'crashes and restarts within a fraction of a second, again and again',
+    strike: async (c) => {
+      for (const label of ['drone-0', 'drone-1', 'drone-0', 'drone-2', 'drone-0']) {
+        c.crash(label);
+        await c.boot(label);
+        await pause(0.15);
+      }
     },
   },
 ];
@@ -65,3 +115,84 @@
       },
     ));
 }
+
+test('a machine that reports but gets no answer is ended, and its replicas go elsewhere', () =>
+  withCluster({ nodes: 2, runs: () => Infinity }, async (cluster) => {
+    await accept(cluster, 'drone-0', submission('wk-000091', { ...service, Pieces: 1 }));
+    const on = (): string | undefined =>
+      [...cluster.cloud.workers.values()].find((w) => w.tasks.includes('wk-000091/0'))?.name;
+    await until('it runs', () => on() !== undefined);
+    const first = on() ?? '';
+    const worker = cluster.cloud.workers.get(first);
+    if (worker !== undefined) worker.deaf = true;
+    await until('it runs on another machine', () => on() !== undefined && on() !== first);
+    assert.ok(cluster.cloud.released.includes(first), 'the deaf machine was not ended first');
+  }));
+
+test('late copies of reports change nothing, also after a restart and a release', () =>
+  withCluster({ nodes: 2, runs: () => Infinity }, async (cluster) => {
+    await accept(cluster, 'drone-0', submission('wk-000095', { ...service, Pieces: 3 }));
+    await until('it runs', async () => {
+      return (await status(cluster, 'drone-0', 'wk-000095')).running === 3;
+    });
+    const { cloud } = cluster;
+    const copies = [...cloud.workers.values()].flatMap((w) => w.sent);
+    const [gone] = cloud.workers.keys();
+    const tell = async (): Promise<void> => {
+      for (const copy of copies) {
+        for (const label of cluster.nodes.keys()) {
+          await cluster.call(label, 'POST', '/hello', JSON.parse(copy) as unknown);
+        }
+      }
+    };
+    for (const label of [...cluster.nodes.keys()]) cluster.crash(label);
+    for (const label of ['drone-0', 'drone-1']) await cluster.boot(label);
+    await until('they are ready', async () => {
+      for (const label of cluster.nodes.keys()) {
+        if ((await cluster.call(label, 'GET', '/ready')).status !== 200) return false;
+      }
+      return true;
+    });
+    await tell();
+    await until('it still runs', async () => {
+      return (await status(cluster, 'drone-1', 'wk-000095')).running === 3;
+    });
+    // On a busy machine a worker may be taken for a silent one and ended; else nothing is started anew.
+    if (cloud.released.length === 0) {
+      assert.equal(cloud.starts.length, 3, 'a copy had a task started anew');
+    }
+    // A machine is taken; what it said once must not bring it back.
+    const worker = cloud.workers.get(gone ?? '');
+    if (worker !== undefined) worker.hanging = true;
+    await until('it is ended', () => cloud.released.includes(gone ?? ''));
+    await until('every node knows that it has gone', () =>
+      [...cluster.nodes.values()].every((n) => n.controller.fleet.get(gone ?? '') === undefined),
+    );
+    await tell();
+    for (const node of cluster.nodes.values()) {
+      assert.equal(node.controller.fleet.get(gone ?? ''), undefined, 'the machine came back');
+    }
+    await until('all run', async () => {
+      return (await status(cluster, 'drone-1', 'wk-000095')).running === 3;
+    });
+  }));
+
+test('a report that was overtaken by an answer still keeps its machine from being given up', () =>
+  withCluster({ nodes: 1, runs: () => Infinity }, async (cluster) => {
+    await accept(cluster, 'drone-0', submission('wk-000098', { ...service, Pieces: 1 }));
+    await until('it runs', async () => {
+      return (await status(cluster, 'drone-0', 'wk-000098')).running === 1;
+    });
+    const [worker] = cluster.cloud.workers.values();
+    const part = cluster.nodes.get('drone-0')?.controller.hosted.get('drone-0')?.part;
+    const machine = part?.machines.get(worker?.name ?? '');
+    if (worker === undefined || machine === undefined) throw new Error('no machine');
+    worker.hanging = true;
+    await pause(0.5);
+    machine.renewed = 0;
+    const copy = JSON.parse(worker.sent[0] ?? '') as unknown;
+    const answer = await cluster.call('drone-0', 'POST', '/hello', copy);
+    // Its sender's lease may count from it, so the machine's tasks are not over before that.
+    assert.equal(answer.status, 200);
+    assert.ok(machine.renewed > 0);
+  }));
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -83,8 +83,7 @@
   chunk(changes: Partial<JobSpec> = {}): Chunk {
     const s = spec({ tasks: 1, ...changes });
     const chunk = new Chunk(s, 0, 'p', this.now, 0, s.tasks, null, this.now);
-    chunk.stamp = 1;
-    this.part.addChunk(chunk, this.now);
+    this.part.accept(chunk, this.now);
     return chunk;
   }
 
@@ -239,7 +238,7 @@
       entries: [{ task: 0, attempt: 1, machine: 'n-1', session: 1 }],
       moves: 0,
     };
-    const chunk = b.part.loadChunk(0, record, 9, TOKEN, b.now);
+    const chunk = b.part.loadChunk(0, record, TOKEN, b.now);
     // The entry was stored before it was sent, but whether it was sent nobody knows.
     b.report(machine, tasks, report);
     const entry = chunk.entries.get(0);
@@ -648,7 +647,6 @@
         entries: [{ task: 0, attempt: 1, machine: 'n-1', session: 1 }],
         moves: 0,
       },
-      7,
       TOKEN,
       b.now,
     );
@@ -664,3 +662,84 @@
     assert.equal(chunk.entries.get(0)?.state, 'running');
   });
 }
+
+test('a large task begins although smaller work goes on arriving', () => {
+  const b = new Bench();
+  const machines = [b.machine('n-1'), b.machine('n-2')];
+  const running = new Map<string, { machine: Machine; chunk: Chunk; ends: number }>();
+  let large: Chunk | null = null;
+  let began: number | null = null;
+  for (let step = 0; step < 120 && began === null; step++) {
+    b.now += 1;
+    // As much as the machines can do, so that room for one small task is all that ever comes free.
+    if (step < 8 || step % 5 < 2) b.chunk({ id: `wk-s${step}`, cpus: 2, expect: 20 });
+    if (step === 30) large = b.chunk({ id: 'wk-large', cpus: 8, expect: 20 });
+    for (const [task, { machine, chunk, ends }] of running) {
+      if (ends > b.now) continue;
+      running.delete(task);
+      const entry = [...chunk.entries.values()][0];
+      const rest = [...running].filter(([, r]) => r.machine === machine);
+      b.report(machine, [
+        { task, attempt: entry?.attempt ?? 1, state: 'ended', cause: 'done' },
+        ...rest.map(([t]) => ({ task: t })),
+      ]);
+    }
+    b.decide();
+    for (const machine of machines) {
+      for (const [task, { chunk }] of machine.entries) {
+        if (running.has(task)) continue;
+        running.set(task, { machine, chunk, ends: b.now + 20 });
+        if (chunk === large) began = step;
+      }
+      const here = [...running].filter(([, r]) => r.machine === machine);
+      b.report(
+        machine,
+        here.map(([task]) => ({ task })),
+      );
+    }
+  }
+  assert.ok(began !== null && began <= 30 + 30, `it began at ${began}`);
+});
+
+test('at its limit a team is served in order, here and across parts', () => {
+  let allowance = 4;
+  let starved: { team: string; at: number; rank: number } | null = null;
+  const b = new Bench({
+    ...alone,
+    allowance: () => ({ cpus: allowance, gpus: Infinity }),
+    starved: () => starved,
+  });
+  b.machine('n-1');
+  b.machine('n-2');
+  const small = b.chunk({ id: 'wk-1', cpus: 2 });
+  b.decide();
+  b.now += 1;
+  const large = b.chunk({ id: 'wk-2', cpus: 4 });
+  b.now += 1;
+  const later = b.chunk({ id: 'wk-3', cpus: 2 });
+  b.decide();
+  assert.deepEqual(
+    [small, large, later].map((c) => c.entries.size),
+    [1, 0, 0],
+  );
+  assert.equal(b.part.starving.size, 0, 'it has not waited for long');
+  b.now += 10;
+  b.decide();
+  assert.equal(b.part.starving.get('crew')?.at, large.at);
+  allowance = 8;
+  b.decide();
+  assert.deepEqual(
+    [small, large, later].map((c) => c.entries.size),
+    [1, 1, 1],
+  );
+  // Another part's job of the team has waited for longer: what is younger here lets it go first.
+  starved = { team: 'crew', at: b.now, rank: 1 };
+  b.now += 1;
+  const younger = b.chunk({ id: 'wk-4', cpus: 2 });
+  allowance = 100;
+  b.decide();
+  assert.equal(younger.entries.size, 0);
+  starved = null;
+  b.decide();
+  assert.equal(younger.entries.size, 1);
+});
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -159,6 +159,7 @@
         lost: [],
         used: [{ team: 'crew', cpus: 4, gpus: 0 }],
         hungry: ['crew'],
+        starving: [{ team: 'crew', at: 12.5, rank: 1 }],
       },
     },
   ];
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -134,6 +134,7 @@
     zones: ['a', 'a'],
     cut: 0,
     finished,
+    away: [],
   });
   // Halves of 3 and 2 tasks in chunks of 2: chunks 0 and 1 are the first half.
   assert.deepEqual(
@@ -272,6 +273,7 @@
     coming: [] as RentPlan[],
     patience: 60,
     serviceHorizon: 600,
+    promptHorizon: 60,
   };
   const demand = {
     part: 'p',
@@ -296,6 +298,8 @@
   assert.deepEqual(kinds({ ...demand, zone: 'b' as unknown as null }), ['1 small/b/true']);
   assert.deepEqual(kinds({ ...demand, cpus: 5 }), ['1 large/a/true']);
   assert.deepEqual(kinds({ ...demand, cpus: 64 }), []);
+  // Replicas that wait get what boots sooner, where it is not much dearer.
+  assert.deepEqual(kinds({ ...demand, spot: false, count: 8, urgent: true }), ['1 large/a/false']);
   // What is on its way and not counted yet is not rented once more.
   const plan = { part: 'p', type: 'large', zone: 'a', spot: true, count: 1 };
   const coming: [string, Partial<RentPlan>, number, string[]][] = [
--- /dev/null
+++ b/test/storing.test.ts
@@ -0,0 +1,264 @@
+/** What is stored and when: machines by rental, chunks on shelves, and answers that get lost. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { seededRandom } from '../src/base/random.js';
+import { Chunk } from '../src/coordination/chunk.js';
+import { RunTimes } from '../src/coordination/estimate.js';
+import type { Hosted } from '../src/coordination/hosted.js';
+import { Part } from '../src/coordination/part.js';
+import { Shelving } from '../src/coordination/shelving.js';
+import type { MachineType } from '../src/protocol/cloud.js';
+import { shareOf } from '../src/storage/budget.js';
+import { Fleet } from '../src/storage/fleet.js';
+import { keys, type GroupRecord, type ShelfRecord } from '../src/storage/records.js';
+import { Shelves } from '../src/storage/shelves.js';
+import { spec } from './support/spec.js';
+import { MemoryStore } from './support/store.js';
+
+const group = (part: string, ...names: string[]): GroupRecord => ({
+  part,
+  type: 'm8',
+  zone: 'a',
+  spot: false,
+  machines: Object.fromEntries(names.map((n) => [n, { at: 5 }])),
+});
+
+test('machines come and go with the record of their rental', () => {
+  const fleet = new Fleet();
+  const steps: [string, string, GroupRecord | null, string[], string[], number][] = [
+    ['a rental that is being asked for has none', 'r1', { ...group('p'), asked: 2 }, [], [], 0],
+    ['its machines', 'r1', group('p', 'n1', 'n2'), ['n1', 'n2'], [], 2],
+    ['another rental', 'r2', group('p', 'n3'), ['n3'], [], 3],
+    ['one is returned', 'r1', group('p', 'n2'), ['n2'], ['n1'], 2],
+    ['one that another record has is not taken over', 'r2', group('q', 'n3', 'n2'), ['n3'], [], 1],
+    ['nor taken away with that record', 'r2', null, [], ['n3'], 1],
+    ['the last', 'r1', null, [], ['n2'], 0],
+  ];
+  for (const [name, ask, record, present, gone, count] of steps) {
+    const change = fleet.note(ask, record);
+    assert.deepEqual(
+      change.present.map(([n]) => n),
+      present,
+      name,
+    );
+    assert.deepEqual(change.gone, gone, name);
+    assert.equal(fleet.countsOf('p').get('m8') ?? 0, count, name);
+  }
+});
+
+test('a chunk is found where it was stored last', () => {
+  const shelves = new Shelves();
+  const chunk = new Chunk(spec(), 0, 'p', 1, 0, 4, null, 0);
+  const record = { chunks: { 'wk-1/0': chunk.record() } };
+  shelves.note('p', 's1', record);
+  assert.equal(shelves.find('wk-1/0')?.part, 'p');
+  // It moves: the new shelf may be heard of before the old one is changed.
+  shelves.note('q', 's9', record);
+  shelves.note('p', 's1', { chunks: {} });
+  assert.equal(shelves.find('wk-1/0')?.part, 'q');
+  shelves.note('q', 's9', null);
+  assert.equal(shelves.find('wk-1/0'), undefined);
+});
+
+test('nodes share a limit by need, and together stay below it', () => {
+  const cases: [string, number[], number][] = [
+    ['the others need nothing', [0, 0], 30],
+    ['one needs a little', [4, 0], 26],
+    ['one needs more than its even share', [25, 0], 20],
+    ['both do', [25, 40], 10],
+    ['one has not been heard', [2], 18],
+    ['nobody has', [], 10],
+  ];
+  for (const [name, needs, share] of cases) assert.equal(shareOf(30, 3, needs), share, name);
+  for (const needs of [
+    [12, 3, 9],
+    [10, 10, 10],
+    [1, 2, 3],
+    [40, 50, 60],
+  ]) {
+    const used = needs.map((n, i) =>
+      Math.min(
+        n,
+        shareOf(
+          30,
+          3,
+          needs.filter((_, k) => k !== i),
+        ),
+      ),
+    );
+    assert.ok(used.reduce((a, b) => a + b) <= 30 + 1e-9, `${needs.join(' ')} pass the limit`);
+  }
+});
+
+const m8: MachineType = {
+  name: 'm8',
+  cpus: 8,
+  gpus: 0,
+  memory: 32,
+  fetchRate: 1,
+  cache: 10,
+  price: 1,
+  spotPrice: 0.4,
+  boot: 30,
+  zones: ['a'],
+};
+
+/** One part with its shelves, on a store in memory. */
+class Desk {
+  now = 100;
+  readonly store = new MemoryStore();
+  readonly host: Hosted;
+  readonly started: string[] = [];
+  private readonly shelving: Shelving;
+
+  constructor() {
+    const options = { lease: 18, report: 3, sample: 8, zones: ['a'] };
+    const pace = { patience: 30, headroom: 1, window: 100 };
+    const types = new Map([['m8', m8]]);
+    const part = new Part(
+      'p',
+      { ...options, ...pace },
+      () => types,
+      new RunTimes(),
+      seededRandom(1),
+    );
+    for (const [label, stamp] of [
+      ['p', 1],
+      ['q', 2],
+    ] as const) {
+      this.store.rows.set(keys.owner(label), { key: keys.owner(label), value: {}, stamp });
+    }
+    this.host = {
+      part,
+      token: 5,
+      stamp: 1,
+      alive: true,
+      jobs: new Map(),
+      shelves: new Map(),
+      gatherUntil: 0,
+      writing: 0,
+      raisedAt: 0,
+    };
+    const { rows } = this.store;
+    this.shelving = new Shelving(
+      this.store,
+      { get: (key) => rows.get(key), note: () => undefined, noteRemoved: () => undefined },
+      { now: () => this.now, wall: () => this.now },
+      {
+        valid: () => true,
+        doubt: () => Promise.resolve(),
+        stored: (_, chunks) => {
+          for (const chunk of chunks) {
+            for (const entry of chunk.entries.values()) {
+              const name = `${chunk.taskName(entry.task)}@${entry.machine}`;
+              if (chunk.isDurable(entry) && !this.started.includes(name)) this.started.push(name);
+            }
+          }
+        },
+      },
+      { txnOps: 16, valueBytes: 16384, linger: 2, retry: 0.001, process: 'x' },
+    );
+  }
+
+  machine(name: string): void {
+    const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0, address: 'h:1' };
+    const machine = this.host.part.addMachine(name, record, this.now);
+    const report = { machine: name, address: 'h:1', type: 'm8', zone: 'a', spot: false };
+    const rest = { session: 1, tick: 1, token: 5, warning: null, tasks: [] };
+    this.host.part.apply(machine, { ...report, ...rest }, this.now, 'answer');
+  }
+
+  job(id: string, tasks = 1): Chunk {
+    const chunk = new Chunk(spec({ id, tasks }), 0, 'p', this.now, 0, tasks, null, this.now);
+    this.host.part.accept(chunk, this.now);
+    return chunk;
+  }
+
+  /** A round: decides, stores what is due and waits until all answers are in. */
+  async round(seconds = 5): Promise<void> {
+    this.now += seconds;
+    this.host.part.decide(this.now, () => false);
+    this.shelving.pass(this.host);
+    while (this.host.writing > 0) await new Promise((r) => setTimeout(r, 1));
+  }
+
+  move(chunk: Chunk): ReturnType<Shelving['move']> {
+    return this.shelving.move(this.host, chunk, 'q', { when: [], puts: [] });
+  }
+
+  /** Parts whose stored shelves hold the chunk. */
+  where(chunk: Chunk): string[] {
+    return [...this.store.rows.values()].flatMap(({ key, value }) =>
+      key.startsWith('b/run/') && (value as ShelfRecord).chunks[chunk.id] !== undefined
+        ? [key.split('/')[2] ?? '']
+        : [],
+    );
+  }
+}
+
+test('many chunks cost one change, and one that is over goes with the next', async () => {
+  const desk = new Desk();
+  desk.machine('n-1');
+  const chunks = ['wk-1', 'wk-2', 'wk-3', 'wk-4'].map((id) => desk.job(id));
+  await desk.round();
+  assert.equal(desk.store.changes, 1);
+  assert.equal(desk.started.length, 4);
+  const [first] = chunks;
+  if (first === undefined) throw new Error('no chunks');
+  desk.host.part.dropChunk(first);
+  await desk.round();
+  assert.equal(desk.store.changes, 1, 'nobody waits for that');
+  const next = desk.job('wk-5');
+  await desk.round();
+  assert.equal(desk.store.changes, 2);
+  assert.deepEqual(desk.where(first), []);
+  assert.deepEqual(desk.where(next), ['p']);
+});
+
+test('a start waits for an answer, also when the first copy was applied without one', async () => {
+  for (const applied of [true, false]) {
+    const desk = new Desk();
+    desk.machine('n-1');
+    const chunk = desk.job('wk-1');
+    desk.store.loseNext = true;
+    await desk.round();
+    assert.deepEqual(desk.started, [], 'started without an answer');
+    if (applied) desk.store.late();
+    await desk.round();
+    await desk.round();
+    assert.deepEqual(desk.started, ['wk-1/0@n-1']);
+    assert.deepEqual(desk.where(chunk), ['p']);
+    if (!applied) assert.equal(desk.store.late().kind, 'conflict', 'a late copy was applied');
+  }
+});
+
+test('a move without an answer leaves the chunk at one part, whenever it is applied', async () => {
+  for (const early of [true, false]) {
+    const desk = new Desk();
+    const chunk = desk.job('wk-1');
+    const other = desk.job('wk-2');
+    await desk.round();
+    desk.store.loseNext = true;
+    assert.equal((await desk.move(chunk)).kind, 'unknown');
+    if (early) assert.equal(desk.store.late().kind, 'applied');
+    // Room comes up here meanwhile, and both are placed.
+    desk.machine('n-1');
+    await desk.round();
+    await desk.round();
+    if (!early) assert.equal(desk.store.late().kind, 'conflict');
+    assert.deepEqual(desk.where(chunk), [early ? 'q' : 'p']);
+    assert.deepEqual(desk.where(other), ['p']);
+    const mine = desk.started.filter((name) => name.startsWith('wk-1/'));
+    assert.equal(mine.length, early ? 0 : 1, 'started here although it had gone');
+    assert.ok(desk.started.includes('wk-2/0@n-1'));
+  }
+});
+
+test('what has started does not move', async () => {
+  const desk = new Desk();
+  desk.machine('n-1');
+  const chunk = desk.job('wk-1');
+  await desk.round();
+  assert.equal((await desk.move(chunk)).kind, 'refused');
+  assert.deepEqual(desk.where(chunk), ['p']);
+});
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -34,7 +34,10 @@
   readonly nodes = new Map<string, Node>();
   readonly cloud: CloudStandIn;
   private readonly http = new HttpClient(200, 1);
+  /** Ports for calls from one node to another, `from>to`: each way can be cut by itself. */
   private backs = new Map<string, number>();
+  /** Nodes that can neither reach the others nor be reached by them. */
+  readonly apart = new Set<string>();
   private fronts = new Map<string, number>();
   private cloudAddress = '';
   private readonly listeners: { close(): void }[] = [];
@@ -64,17 +67,24 @@
     // Listeners stay for the cluster's life, also while their node is down: a port that is given up may
     // be taken by a test that runs beside this one.
     for (const label of this.labels()) {
-      const peers = new PeerServer((body) => {
-        const gateway = this.nodes.get(label)?.gateway;
-        return gateway?.peer(body) ?? Promise.reject(new Error('down'));
-      });
-      this.backs.set(label, await peers.listen({ host: '127.0.0.1', port: 0 }));
+      for (const from of this.labels()) {
+        if (from === label) continue;
+        const peers = new PeerServer((body) => {
+          const gateway = this.nodes.get(label)?.gateway;
+          // A cut is silent.
+          if (this.apart.has(label) || this.apart.has(from)) return new Promise(() => undefined);
+          return gateway?.peer(body) ?? Promise.reject(new Error('down'));
+        });
+        const port = await peers.listen({ host: '127.0.0.1', port: 0 });
+        this.backs.set(`${from}>${label}`, port);
+        this.listeners.push(peers);
+      }
       const front = new HttpServer((request, follows) => {
         const gateway = this.nodes.get(label)?.gateway;
         return gateway?.handle(request, follows) ?? Promise.resolve({ status: 503, body: {} });
       }, limits);
       this.fronts.set(label, await front.listen({ host: '127.0.0.1', port: 0 }));
-      this.listeners.push(peers, front);
+      this.listeners.push(front);
     }
     for (const label of this.labels()) await this.boot(label);
   }
@@ -82,10 +92,10 @@
   async boot(label: string): Promise<void> {
     const zone = (at: string): string => this.zones[this.labels().indexOf(at) % this.zones.length];
     const front = `127.0.0.1:${this.fronts.get(label)}`;
-    const back = `127.0.0.1:${this.backs.get(label)}`;
+    const back = '127.0.0.1:1';
     const peers = this.labels()
       .filter((l) => l !== label)
-      .map((l) => ({ label: l, zone: zone(l), port: this.backs.get(l) }));
+      .map((l) => ({ label: l, zone: zone(l), port: this.backs.get(`${label}>${l}`) }));
     const settings = parseSettings(`
 label = "${label}"
 site = "${zone(label)}"
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -35,6 +35,10 @@
   private stopped = false;
   /** A hanging machine neither reports nor carries anything out. */
   hanging = false;
+  /** Its reports arrive, but no answer, question or order gets to it. */
+  deaf = false;
+  /** All reports that it has sent. */
+  readonly sent: string[] = [];
   private readonly server = new HttpServer((r) => this.serve(r), options);
   private address = '';
 
@@ -114,7 +118,8 @@
   }
 
   private async serve(request: HttpMessage): Promise<Reply> {
-    while (this.hanging && !this.stopped) await new Promise((r) => setTimeout(r, 20));
+    while ((this.hanging || this.deaf) && !this.stopped)
+      await new Promise((r) => setTimeout(r, 20));
     if (request.target === '/inspect') return { status: 200, body: this.report() };
     const body = JSON.parse(request.body) as { Baton: number; Shift: number; Orders: Order[] };
     if (body.Baton < this.token || body.Shift !== this.session) {
@@ -145,7 +150,10 @@
     const sent = performance.now();
     const session = this.session;
     try {
-      const answer = await http.call(address, 'POST', '/hello', this.report(), 1);
+      const report = this.report();
+      this.sent.push(JSON.stringify(report));
+      const answer = await http.call(address, 'POST', '/hello', report, 1);
+      if (this.deaf) throw new Error('no answer came');
       const body = answer.body as { Baton?: number; Orders?: Order[]; Foreman?: string };
       if (answer.status === 200 && body.Baton !== undefined && body.Baton >= this.token) {
         if (this.hanging || this.stopped || session !== this.session) return;
--- /dev/null
+++ b/test/support/store.ts
@@ -0,0 +1,66 @@
+/** The state service in memory, for tests of what writes to it: conditions hold, answers can get lost. */
+import type { Txn, Item } from '../../src/protocol/state.js';
+import type { TxnResult } from '../../src/storage/stateClient.js';
+
+export class MemoryStore {
+  readonly rows = new Map<string, Item>();
+  epoch = 0;
+  changes = 0;
+  /** The next transaction gets no answer and is kept back; `late` applies it. */
+  loseNext = false;
+  /** So many transactions are refused. */
+  refuseNext = 0;
+  private kept: Txn | null = null;
+  readonly writeRate = 1000;
+
+  writeDelay(): number {
+    return 0;
+  }
+
+  charge(): void {
+    // Changes are not limited here.
+  }
+
+  turn(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  get(key: string): Promise<Item | null> {
+    return Promise.resolve(this.rows.get(key) ?? null);
+  }
+
+  txn(txn: Txn): Promise<TxnResult> {
+    const copy = structuredClone(txn);
+    if (this.refuseNext > 0) {
+      this.refuseNext--;
+      return Promise.resolve({ kind: 'refused' });
+    }
+    if (this.loseNext) {
+      this.loseNext = false;
+      this.kept = copy;
+      return Promise.resolve({ kind: 'unknown' });
+    }
+    return Promise.resolve(this.apply(copy));
+  }
+
+  get lost(): boolean {
+    return this.kept !== null;
+  }
+
+  late(): TxnResult {
+    if (this.kept === null) throw new Error('nothing was kept back');
+    return this.apply(this.kept);
+  }
+
+  private apply(txn: Txn): TxnResult {
+    const failed = txn.when.filter((c) => (this.rows.get(c.key)?.stamp ?? 0) !== c.stamp);
+    if (failed.length > 0) return { kind: 'conflict', failed: failed.map((c) => c.key) };
+    this.epoch++;
+    for (const { key, value } of txn.puts) {
+      this.rows.set(key, { key, value, stamp: this.epoch });
+    }
+    for (const key of txn.removes) this.rows.delete(key);
+    this.changes += txn.puts.length + txn.removes.length;
+    return { kind: 'applied', stamp: this.epoch };
+  }
+}
