Few machines of a zone stay in one part; a part that yields keeps no share

Also: a part whose team's work yields to an older job elsewhere kept the share of the limit that the other waited for; a test of whole controllers hung on it.

--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -647,13 +647,31 @@
     const { team } = chunk.spec;
     if (chunk.pending === 0) return false;
     if (round.capped.has(team)) return true;
-    const first = this.around.starved(team);
-    if (first === null || chunk.rank > first.rank) return false;
-    if (chunk.rank === first.rank && chunk.at <= first.at) return false;
+    if (!this.isBehind(chunk, this.around.starved(team))) return false;
     round.capped.add(team);
     return true;
   }
 
+  private isBehind(chunk: Chunk, first: Starved | null): boolean {
+    if (first === null || chunk.rank > first.rank) return false;
+    return chunk.rank < first.rank || chunk.at > first.at;
+  }
+
+  /**
+   * What waits here of a team and may have a share of its limit. What yields to a job at another part may
+   * not: a share kept for it would be the one that the other waits for.
+   */
+  wanted(team: string): Amount {
+    const want = nothing();
+    const first = this.around.starved(team);
+    for (const chunk of this.chunks.values()) {
+      if (chunk.spec.team !== team || this.isBehind(chunk, first)) continue;
+      want.cpus += chunk.pending * chunk.spec.cpus;
+      want.gpus += chunk.pending * chunk.spec.gpus;
+    }
+    return want;
+  }
+
   private noteCapped(chunk: Chunk, round: Round, now: number): void {
     const { team } = chunk.spec;
     this.hungry.add(team);
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -160,7 +160,7 @@
     // there has been none.
     const patience = node.fleet.size === 0 ? 0 : node.settings.listLag;
     const groups = new Map<string, GroupRecord>();
-    const taken = new Map<string, number>();
+    const taken: { part: string; type: string; count: number }[] = [];
     for (const [name, machine] of found) {
       if (node.fleet.get(name) !== undefined || claimed.has(name)) continue;
       if (this.released.has(name)) continue;
@@ -169,8 +169,8 @@
       if (now - since < patience) continue;
       const { type, zone, spot } = machine;
       const address = addressOf(machine);
-      const part = choosePartFor(node, zone, '', taken);
-      taken.set(part, (taken.get(part) ?? 0) + (node.types.get(type)?.cpus ?? 1));
+      const part = choosePartFor(node, zone, '', taken, found.size - taken.length);
+      taken.push({ part, type, count: 1 });
       const key = [part, type, zone, String(spot)].join(' ');
       const group = groups.get(key) ?? { part, type, zone, spot, machines: {} };
       groups.set(key, group);
@@ -298,13 +298,14 @@
     );
     if (demands.length === 0) return;
     const within = settings.objectives.filter((o) => o.kind === 'finished').map((o) => o.within);
+    const coming = [...this.coming.values()].map((c) => c.plan);
     const plans = planRentals(demands, {
       types: [...types.values()],
       refused: (type, zone, spot) =>
         (this.refusals.get(`${type}/${zone}/${String(spot)}`)?.until ?? 0) > now,
-      partFor: (zone, wanted) => choosePartFor(this.node, zone, wanted),
+      partFor: (zone, wanted) => choosePartFor(this.node, zone, wanted, coming),
       zoneOf: (part) => this.node.zoneOf.get(part),
-      coming: [...this.coming.values()].map((c) => c.plan),
+      coming,
       patience: within.length > 0 ? Math.min(...within) : settings.lease * 2,
       serviceHorizon: 600,
       promptHorizon: settings.lease * 2,
@@ -501,24 +502,42 @@
   return parts;
 }
 
-/** Machines go to a part of their own zone, so that a cut between zones leaves parts whole. */
+/** Machines of one part, for each core of its controller, below which a zone needs no second part. */
+const POOL_PER_CORE = 150;
+
+/**
+ * Machines go to a part of their own zone, so that a cut between zones leaves parts whole. A few
+ * machines stay together in one part: split up, each part keeps room of its own for what arrives, and
+ * the zone pays for it several times.
+ */
 export function choosePartFor(
   node: Controller,
   zone: string,
   wanted: string,
-  taken: ReadonlyMap<string, number> = new Map<string, number>(),
+  /** Machines that are on their way to a part, and how many more there are that have none. */
+  coming: Iterable<{ part: string; type: string; count: number }> = [],
+  more = 0,
 ): string {
   const inZone = node.parts.filter((p) => node.zoneOf.get(p) === zone);
   const candidates = inZone.length > 0 ? inZone : node.parts;
-  if (candidates.includes(wanted)) return wanted;
-  let best = candidates[0] ?? node.settings.label;
-  let least = Infinity;
+  const cpus = new Map(candidates.map((p) => [p, 0]));
+  const machines = new Map(candidates.map((p) => [p, 0]));
+  const add = (part: string, type: string, count: number): void => {
+    if (!cpus.has(part)) return;
+    cpus.set(part, (cpus.get(part) ?? 0) + count * (node.types.get(type)?.cpus ?? 1));
+    machines.set(part, (machines.get(part) ?? 0) + count);
+  };
   for (const part of candidates) {
-    let cpus = taken.get(part) ?? 0;
-    for (const [type, count] of node.fleet.countsOf(part)) {
-      cpus += count * (node.types.get(type)?.cpus ?? 1);
-    }
-    if (cpus < least) [best, least] = [part, cpus];
+    for (const [type, count] of node.fleet.countsOf(part)) add(part, type, count);
   }
-  return best;
+  for (const { part, type, count } of coming) add(part, type, count);
+  const most = candidates.reduce((a, b) =>
+    (machines.get(b) ?? 0) > (machines.get(a) ?? 0) ? b : a,
+  );
+  const all = [...machines.values()].reduce((a, b) => a + b, more);
+  const small = all < POOL_PER_CORE * node.settings.cores;
+  if (small && (machines.get(wanted) ?? 0) === 0) return most;
+  if (candidates.includes(wanted)) return wanted;
+  if (small) return most;
+  return candidates.reduce((a, b) => ((cpus.get(b) ?? 0) < (cpus.get(a) ?? 0) ? b : a));
 }
--- a/src/coordination/quotas.ts
+++ b/src/coordination/quotas.ts
@@ -76,12 +76,7 @@
     const host = this.node.hosted.get(label);
     if (host === undefined) return;
     const { part } = host;
-    const want = { cpus: 0, gpus: 0 };
-    for (const chunk of part.chunks.values()) {
-      if (chunk.spec.team !== team.name) continue;
-      want.cpus += chunk.pending * chunk.spec.cpus;
-      want.gpus += chunk.pending * chunk.spec.gpus;
-    }
+    const want = part.wanted(team.name);
     const key = keys.quota(team.name);
     const stored = this.node.replica.get(key);
     const shares = (stored?.value ?? {}) as QuotaRecord;
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -739,6 +739,7 @@
   allowance = 100;
   b.decide();
   assert.equal(younger.entries.size, 0);
+  assert.equal(b.part.wanted('crew').cpus, 0, 'it keeps the share that the other waits for');
   starved = null;
   b.decide();
   assert.equal(younger.entries.size, 1);
