--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -476,7 +476,7 @@
         if (record.state === 'cancelled') host.part.cancel(chunk, now);
         // Its home has counted it as over.
         else if (record.state === 'done' || record.finished.includes(chunk.index)) {
-          if (chunk.complete || chunk.entries.size === 0) host.part.dropChunk(chunk);
+          host.part.overtake(chunk, now);
         }
       }
     }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -470,6 +470,15 @@
     }
   }
 
+  /**
+   * Its home has counted it as over. An adopter may have taken it up from a record that did not say so
+   * yet; what it has started of it meanwhile is of no use.
+   */
+  overtake(chunk: Chunk, now: number): void {
+    if (chunk.complete || chunk.entries.size === 0) this.dropChunk(chunk);
+    else this.cancel(chunk, now);
+  }
+
   cancel(chunk: Chunk, now: number): void {
     if (chunk.cancelled) return;
     chunk.cancelled = true;
--- a/src/main.ts
+++ b/src/main.ts
@@ -46,7 +46,7 @@
   const gateway = new Gateway(node);
   const server = new HttpServer((request, follows) => gateway.handle(request, follows), {
     bodyLimit: BODY_LIMIT,
-    maxConnections: Math.floor(maxSockets * 0.7),
+    maxConnections: Math.floor(maxSockets * 0.75),
     maxInFlight: Math.floor(maxSockets / 10),
     requestTimeout: 10,
   });
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -744,3 +744,18 @@
   b.decide();
   assert.equal(younger.entries.size, 1);
 });
+
+test('a chunk that its home has counted as over is not run again by an adopter', () => {
+  const b = new Bench();
+  const machine = b.machine();
+  const chunk = b.chunk({ tasks: 2 });
+  b.decide();
+  b.store(chunk);
+  b.report(machine, [{}]);
+  b.part.overtake(chunk, b.now);
+  assert.deepEqual(b.verbs(machine), ['halt wk-1/0 1']);
+  b.report(machine, [{ state: 'ended', cause: 'halted' }]);
+  b.decide();
+  assert.equal(chunk.entries.size, 0);
+  assert.ok(b.part.settled.has(chunk));
+});
