--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -3,6 +3,7 @@
 import { describe, log } from '../base/log.js';
 import * as cloud from '../protocol/cloud.js';
 import { TXN_BYTES } from '../protocol/state.js';
+import type { Fleet } from '../storage/fleet.js';
 import { keys, type GroupRecord } from '../storage/records.js';
 import { Budget, type Urgency } from '../storage/budget.js';
 import type { TxnResult } from '../storage/stateClient.js';
@@ -502,6 +503,16 @@
   return parts;
 }
 
+/** What is looked at to find a part for machines. */
+export interface PoolNode {
+  parts: string[];
+  zoneOf: ReadonlyMap<string, string>;
+  types: ReadonlyMap<string, { cpus: number }>;
+  fleet: Pick<Fleet, 'countsOf'>;
+  settings: { label: string; cores: number };
+  tuning: { migrate: boolean };
+}
+
 /** Machines of one part, for each core of its controller, below which a zone needs no second part. */
 const POOL_PER_CORE = 150;
 
@@ -511,7 +522,7 @@
  * the zone pays for it several times.
  */
 export function choosePartFor(
-  node: Controller,
+  node: PoolNode,
   zone: string,
   wanted: string,
   /** Machines that are on their way to a part, and how many more there are that have none. */
@@ -535,7 +546,8 @@
     (machines.get(b) ?? 0) > (machines.get(a) ?? 0) ? b : a,
   );
   const all = [...machines.values()].reduce((a, b) => a + b, more);
-  const small = all < POOL_PER_CORE * node.settings.cores;
+  // Where no job may leave its home part, each part needs machines of its own.
+  const small = node.tuning.migrate && all < POOL_PER_CORE * node.settings.cores;
   if (small && (machines.get(wanted) ?? 0) === 0) return most;
   if (candidates.includes(wanted)) return wanted;
   if (small) return most;
--- a/test/storing.test.ts
+++ b/test/storing.test.ts
@@ -6,6 +6,7 @@
 import { RunTimes } from '../src/coordination/estimate.js';
 import type { Hosted } from '../src/coordination/hosted.js';
 import { Part } from '../src/coordination/part.js';
+import { choosePartFor } from '../src/coordination/provisioner.js';
 import { Shelving } from '../src/coordination/shelving.js';
 import type { MachineType } from '../src/protocol/cloud.js';
 import { shareOf } from '../src/storage/budget.js';
@@ -262,3 +263,32 @@
   assert.equal((await desk.move(chunk)).kind, 'refused');
   assert.deepEqual(desk.where(chunk), ['p']);
 });
+
+test('a few machines of a zone stay in one part, many are shared out', () => {
+  const cases: [string, boolean, number, string, string, string][] = [
+    ['the first', true, 0, '', 'a', 'p'],
+    ['a few: with the others', true, 3, 'q', 'a', 'p'],
+    ['many: where they are wanted', true, 80, 'q', 'a', 'q'],
+    ['many, wanted by nobody: where the fewest are', true, 80, '', 'a', 'q'],
+    ['another zone: a part there', true, 3, 'q', 'b', 'r'],
+    ['no job may leave its part: where they are wanted', false, 3, 'q', 'a', 'q'],
+  ];
+  for (const [name, migrate, count, wanted, zone, part] of cases) {
+    const fleet = new Fleet();
+    const names = Array.from({ length: count }, (_, n) => `n-${n}`);
+    if (count > 0) fleet.note('r1', group('p', ...names));
+    const node = {
+      parts: ['p', 'q', 'r'],
+      zoneOf: new Map([
+        ['p', 'a'],
+        ['q', 'a'],
+        ['r', 'b'],
+      ]),
+      types: new Map([['m8', { cpus: 8 }]]),
+      fleet,
+      settings: { label: 'p', cores: 0.4 },
+      tuning: { migrate },
+    };
+    assert.equal(choosePartFor(node, zone, wanted), part, name);
+  }
+});
