--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -170,7 +170,7 @@
       if (now - since < patience) continue;
       const { type, zone, spot } = machine;
       const address = addressOf(machine);
-      const part = choosePartFor(node, zone, '', taken, found.size - taken.length);
+      const part = choosePartFor(node, zone, '', taken);
       taken.push({ part, type, count: 1 });
       const key = [part, type, zone, String(spot)].join(' ');
       const group = groups.get(key) ?? { part, type, zone, spot, machines: {} };
@@ -509,47 +509,30 @@
   zoneOf: ReadonlyMap<string, string>;
   types: ReadonlyMap<string, { cpus: number }>;
   fleet: Pick<Fleet, 'countsOf'>;
-  settings: { label: string; cores: number };
-  tuning: { migrate: boolean };
 }
 
-/** Machines of one part, for each core of its controller, below which a zone needs no second part. */
-const POOL_PER_CORE = 150;
-
 /**
- * Machines go to a part of their own zone, so that a cut between zones leaves parts whole. A few
- * machines stay together in one part: split up, each part keeps room of its own for what arrives, and
- * the zone pays for it several times.
+ * Machines go to a part of their own zone, so that a cut between zones leaves parts whole: to the one
+ * that wants them, or else to the one with the fewest processors.
  */
 export function choosePartFor(
   node: PoolNode,
   zone: string,
   wanted: string,
-  /** Machines that are on their way to a part, and how many more there are that have none. */
+  /** Machines that are on their way to a part. */
   coming: Iterable<{ part: string; type: string; count: number }> = [],
-  more = 0,
 ): string {
   const inZone = node.parts.filter((p) => node.zoneOf.get(p) === zone);
   const candidates = inZone.length > 0 ? inZone : node.parts;
+  if (candidates.includes(wanted)) return wanted;
   const cpus = new Map(candidates.map((p) => [p, 0]));
-  const machines = new Map(candidates.map((p) => [p, 0]));
   const add = (part: string, type: string, count: number): void => {
-    if (!cpus.has(part)) return;
-    cpus.set(part, (cpus.get(part) ?? 0) + count * (node.types.get(type)?.cpus ?? 1));
-    machines.set(part, (machines.get(part) ?? 0) + count);
+    const before = cpus.get(part);
+    if (before !== undefined) cpus.set(part, before + count * (node.types.get(type)?.cpus ?? 1));
   };
   for (const part of candidates) {
     for (const [type, count] of node.fleet.countsOf(part)) add(part, type, count);
   }
   for (const { part, type, count } of coming) add(part, type, count);
-  const most = candidates.reduce((a, b) =>
-    (machines.get(b) ?? 0) > (machines.get(a) ?? 0) ? b : a,
-  );
-  const all = [...machines.values()].reduce((a, b) => a + b, more);
-  // Where no job may leave its home part, each part needs machines of its own.
-  const small = node.tuning.migrate && all < POOL_PER_CORE * node.settings.cores;
-  if (small && (machines.get(wanted) ?? 0) === 0) return most;
-  if (candidates.includes(wanted)) return wanted;
-  if (small) return most;
   return candidates.reduce((a, b) => ((cpus.get(b) ?? 0) < (cpus.get(a) ?? 0) ? b : a));
 }
