Connections of gone machines are dropped; at the limit the idle one goes, not the new one

A machine that loses its power never closes its connection, so a node kept one socket for each machine that had ever reported to it, and closed new ones (users, health checks) once 0.75 of all were open. With machines that come and go by the hundred that is a matter of time. Connections idle for a lease are closed, the one idle for longest makes room, users' are not kept when few are left, and reports and health checks are answered however many users' requests are being worked on. Tests: http.test.ts.

--- a/src/coordination/gateway.ts
+++ b/src/coordination/gateway.ts
@@ -10,6 +10,10 @@
 import { Users } from './users.js';
 import { Workers } from './workers.js';
 
+/** What keeps machines and this node in service: it goes before users' requests under any load. */
+export const isEssential = ({ target }: HttpMessage): boolean =>
+  target === helloPath || target === paths.ready;
+
 const NOT_FOUND: Reply = { status: 404, body: { error: 'no such path' } };
 
 export class Gateway {
--- a/src/main.ts
+++ b/src/main.ts
@@ -5,7 +5,7 @@
 import { seededRandom } from './base/random.js';
 import { printStatus, printWhy, QueryError } from './cli.js';
 import { Controller } from './coordination/controller.js';
-import { Gateway } from './coordination/gateway.js';
+import { Gateway, isEssential } from './coordination/gateway.js';
 import {
   defaultTuning,
   parseSettings,
@@ -49,6 +49,9 @@
     maxConnections: Math.floor(maxSockets * 0.75),
     maxInFlight: Math.floor(maxSockets / 10),
     requestTimeout: 10,
+    // Workers report several times in a lease, users and health checks ask more often than that.
+    idleTimeout: settings.lease,
+    essential: isEssential,
   });
   const peers = new PeerServer((body) => gateway.peer(body));
   await peers.listen(back);
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -32,12 +32,25 @@
 
 export interface ServerOptions {
   bodyLimit: number;
-  /** Open connections at most; more are closed at once so that sockets are left for our own calls. */
+  /** Open connections at most, so that sockets are left for our own calls. */
   maxConnections: number;
   /** Requests being worked on at most; more are answered 503 with `Retry-After`. */
   maxInFlight: number;
   /** Seconds that a half-sent request may take. */
   requestTimeout: number;
+  /** Seconds that a connection may lie idle. */
+  idleTimeout: number;
+  /** What is answered however much else is being worked on. */
+  essential?: (request: HttpMessage) => boolean;
+}
+
+/** Of the connections at most, what may be open before users' are no longer kept. */
+const CROWDED = 0.85;
+
+interface Connection {
+  busy: boolean;
+  /** Closes it, unless it is being answered. */
+  drop: () => void;
 }
 
 export function formatResponse(reply: Reply, close: boolean): string {
@@ -53,7 +66,8 @@
 export class HttpServer {
   private readonly server: net.Server;
   private inFlight = 0;
-  private readonly sockets = new Set<net.Socket>();
+  /** In the order of their last requests. */
+  private readonly connections = new Map<net.Socket, Connection>();
 
   constructor(
     private readonly handler: Handler,
@@ -62,7 +76,27 @@
     this.server = net.createServer({ noDelay: true }, (socket) => {
       this.serve(socket);
     });
-    this.server.maxConnections = options.maxConnections;
+  }
+
+  /**
+   * Makes room for a new connection. Closing new ones at the limit would shut out users and health checks
+   * while connections of machines that are gone, which never say so, are kept.
+   */
+  private makeRoom(): boolean {
+    if (this.connections.size < this.options.maxConnections) return true;
+    for (const [socket, connection] of this.connections) {
+      if (connection.busy) continue;
+      this.connections.delete(socket);
+      connection.drop();
+      return true;
+    }
+    return false;
+  }
+
+  /** Before room runs out, those who can well come back on a new connection do not keep theirs. */
+  private isCrowded(request: HttpMessage): boolean {
+    const { maxConnections, essential } = this.options;
+    return this.connections.size > maxConnections * CROWDED && essential?.(request) === false;
   }
 
   listen(address: Address): Promise<number> {
@@ -77,30 +111,42 @@
 
   close(): void {
     this.server.close();
-    for (const socket of this.sockets) socket.destroy();
+    for (const socket of this.connections.keys()) socket.destroy();
   }
 
   private serve(socket: net.Socket): void {
+    if (!this.makeRoom()) {
+      socket.destroy();
+      return;
+    }
     const parser = new HttpParser('request', this.options.bodyLimit);
     const waiting: HttpMessage[] = [];
-    let busy = false;
     let answered = 0;
-    this.sockets.add(socket);
-    socket.on('close', () => this.sockets.delete(socket));
     let closing = false;
+    const connection: Connection = {
+      busy: false,
+      drop: () => {
+        closing = true;
+        socket.destroy();
+      },
+    };
+    this.connections.set(socket, connection);
+    socket.on('close', () => this.connections.delete(socket));
     socket.on('error', () => socket.destroy());
-    socket.setTimeout(this.options.requestTimeout * 1000, () => {
-      // Only a half-sent request is cut off: an idle keep-alive connection may stay.
-      if (!parser.idle && !busy) socket.destroy();
+    const { requestTimeout, idleTimeout } = this.options;
+    // A machine that loses its power does not close its connection; kept for ever, such connections
+    // would use up all sockets as machines come and go. Only a half-sent request is cut off sooner.
+    socket.setTimeout(idleTimeout * 1000, () => {
+      if (!connection.busy) connection.drop();
     });
     const next = (): void => {
       const request = waiting.shift();
-      if (request === undefined || busy) return;
-      busy = true;
+      if (request === undefined || connection.busy) return;
+      connection.busy = true;
       void this.answer(request, answered++ > 0).then((reply) => {
-        busy = false;
+        connection.busy = false;
         if (socket.destroyed) return;
-        const close = closing || !request.keepAlive;
+        const close = closing || !request.keepAlive || this.isCrowded(request);
         const text = formatResponse(reply, close);
         if (close) socket.end(text);
         else socket.write(text);
@@ -109,8 +155,11 @@
     };
     socket.on('data', (data) => {
       if (closing) return;
+      this.connections.delete(socket);
+      this.connections.set(socket, connection);
       try {
         waiting.push(...parser.push(data));
+        socket.setTimeout((parser.idle ? idleTimeout : requestTimeout) * 1000);
         next();
       } catch (error) {
         closing = true;
@@ -123,7 +172,8 @@
   }
 
   private async answer(request: HttpMessage, follows: boolean): Promise<Reply> {
-    if (this.inFlight >= this.options.maxInFlight) {
+    const { maxInFlight, essential } = this.options;
+    if (this.inFlight >= maxInFlight && essential?.(request) !== true) {
       return { status: 503, body: { error: 'overloaded' }, retryAfter: 1 };
     }
     this.inFlight++;
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -95,7 +95,7 @@
       if (request.target === '/fail') throw new Error('broken');
       return Promise.resolve({ status: 200, body: { got: request.body } });
     },
-    { bodyLimit: 10, maxConnections: 10, maxInFlight: 5, requestTimeout: 5 },
+    { bodyLimit: 10, maxConnections: 10, maxInFlight: 5, requestTimeout: 5, idleTimeout: 60 },
   );
   const port = await server.listen({ host: '127.0.0.1', port: 0 });
   try {
@@ -133,3 +133,120 @@
     unsent: true,
   });
 });
+
+interface Caller {
+  socket: net.Socket;
+  text: string;
+  closed: Promise<void>;
+}
+
+/** A connection that stays open until the server closes it. */
+function caller(port: number, request: string): Caller {
+  const socket = net.connect(port, '127.0.0.1', () => socket.write(request));
+  const made: Caller = {
+    socket,
+    text: '',
+    closed: new Promise((resolve) => socket.on('close', () => resolve())),
+  };
+  socket.on('data', (data) => (made.text += data.toString()));
+  socket.on('error', () => undefined);
+  return made;
+}
+
+const answered = async (one: Caller): Promise<void> => {
+  while (one.text === '') await new Promise((resolve) => setTimeout(resolve, 5));
+};
+
+const crowds: {
+  name: string;
+  options: { maxConnections?: number; maxInFlight?: number; idleTimeout?: number };
+  play: (port: number) => Promise<void>;
+}[] = [
+  {
+    name: 'at the limit the one that was idle for longest makes room',
+    options: { maxConnections: 2 },
+    play: async (port) => {
+      const first = caller(port, 'GET /report HTTP/1.1\r\n\r\n');
+      await answered(first);
+      const second = caller(port, 'GET /report HTTP/1.1\r\n\r\n');
+      await answered(second);
+      const third = caller(port, 'GET /ready HTTP/1.1\r\n\r\n');
+      await answered(third);
+      await first.closed;
+      assert.ok(!second.socket.closed && !third.socket.closed);
+      second.socket.destroy();
+      third.socket.destroy();
+    },
+  },
+  {
+    name: 'users do not keep their connections when few are left',
+    options: { maxConnections: 2 },
+    play: async (port) => {
+      const worker = caller(port, 'GET /report HTTP/1.1\r\n\r\n');
+      await answered(worker);
+      const user = caller(port, 'GET /user HTTP/1.1\r\n\r\n');
+      await user.closed;
+      assert.match(user.text, /^HTTP\/1.1 200 [^]*Connection: close/);
+      assert.doesNotMatch(worker.text, /Connection: close/);
+      worker.socket.destroy();
+    },
+  },
+  {
+    name: 'a connection whose other side is gone without a word is not kept for ever',
+    options: { idleTimeout: 0.05 },
+    play: async (port) => {
+      const silent = caller(port, 'GET /report HTTP/1.1\r\n\r\n');
+      await answered(silent);
+      await silent.closed;
+    },
+  },
+  {
+    name: 'under load users are told to come back, and workers are answered',
+    options: { maxInFlight: 1 },
+    play: async (port) => {
+      const slow = caller(port, 'GET /slow HTTP/1.1\r\n\r\n');
+      const user = caller(port, '');
+      const worker = caller(port, '');
+      // Both are asked once the slow one is being worked on.
+      await slowStarted;
+      user.socket.write('GET /user HTTP/1.1\r\n\r\n');
+      worker.socket.write('GET /report HTTP/1.1\r\n\r\n');
+      await Promise.all([answered(user), answered(worker)]);
+      assert.match(user.text, /^HTTP\/1.1 503 [^]*Retry-After: 1/);
+      assert.match(worker.text, /^HTTP\/1.1 200 /);
+      for (const one of [slow, user, worker]) one.socket.destroy();
+    },
+  },
+];
+
+let startSlow: () => void = () => undefined;
+const slowStarted = new Promise<void>((resolve) => (startSlow = resolve));
+
+for (const { name, options, play } of crowds) {
+  test(`many connections: ${name}`, async () => {
+    const server = new HttpServer(
+      (request) => {
+        if (request.target !== '/slow') return Promise.resolve({ status: 200, body: {} });
+        startSlow();
+        return new Promise(() => undefined);
+      },
+      {
+        ...{
+          bodyLimit: 10,
+          maxConnections: 10,
+          maxInFlight: 5,
+          requestTimeout: 5,
+          idleTimeout: 60,
+        },
+        ...options,
+        essential: ({ target }) => target === '/report' || target === '/ready',
+      },
+    );
+    const port = await server.listen({ host: '127.0.0.1', port: 0 });
+    try {
+      await play(port);
+    } finally {
+      server.close();
+    }
+  });
+}
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -27,7 +27,13 @@
   zones?: string[];
 }
 
-const limits = { bodyLimit: 65536, maxConnections: 200, maxInFlight: 100, requestTimeout: 5 };
+const limits = {
+  bodyLimit: 65536,
+  maxConnections: 200,
+  maxInFlight: 100,
+  requestTimeout: 5,
+  idleTimeout: 60,
+};
 
 export class Cluster {
   readonly state = new StateStandIn();
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -23,7 +23,13 @@
   runs: (task: string) => number;
 }
 
-const options = { bodyLimit: 1 << 20, maxConnections: 500, maxInFlight: 500, requestTimeout: 60 };
+const options = {
+  bodyLimit: 1 << 20,
+  maxConnections: 500,
+  maxInFlight: 500,
+  requestTimeout: 60,
+  idleTimeout: 60,
+};
 
 export class WorkerStandIn {
   private session = 1;
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -42,6 +42,7 @@
       maxConnections: 1000,
       maxInFlight: 1000,
       requestTimeout: 60,
+      idleTimeout: 60,
     });
     this.servers.push(server);
     return `127.0.0.1:${await server.listen({ host: '127.0.0.1', port: 0 })}`;
