--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -4,7 +4,6 @@
 import type { Random } from '../base/random.js';
 import type { Settings, Tuning } from '../protocol/settings.js';
 import { parseTypes, paths as cloudPaths, type MachineType } from '../protocol/cloud.js';
-import { ordersRequest, parseReport, paths as workerPaths } from '../protocol/worker.js';
 import type { Change } from '../protocol/state.js';
 import {
   keys,
@@ -18,7 +17,7 @@
 import { Replica } from '../storage/replica.js';
 import { Shelves } from '../storage/shelves.js';
 import { StateClient } from '../storage/stateClient.js';
-import { CallFailed, HttpClient } from '../transport/httpClient.js';
+import type { HttpClient } from '../transport/httpClient.js';
 import { PeerClient } from '../transport/peerLink.js';
 import { Chunk } from './chunk.js';
 import { chunkRanges } from './chunks.js';
@@ -26,6 +25,7 @@
 import { RunTimes } from './estimate.js';
 import type { Hosted } from './hosted.js';
 import type { Machine } from './machine.js';
+import { Orders } from './orders.js';
 import { Ownership, PROVISIONER, type Held } from './ownership.js';
 import { Part, type Amount, type Starved } from './part.js';
 import { Peers } from './peers.js';
@@ -37,9 +37,6 @@
 /** How long changes are gathered for one round of decisions, as a ratio to the time between reports. */
 const GATHER = 1 / 200;
 
-/** Machines that one core may ask in a second without noticing it. */
-const PROBES_PER_CORE = 60;
-
 /** Connections of this node's own making. */
 export interface Links {
   services: HttpClient;
@@ -61,6 +58,7 @@
   /** Which node's zone each part is in. */
   readonly zoneOf = new Map<string, string>();
   readonly sender: Sender;
+  readonly orders: Orders;
   private readonly quotas: Quotas;
   private readonly provisioner: Provisioner;
   private kicked = false;
@@ -121,7 +119,7 @@
         valid: () => this.ownership.valid,
         doubt: (part) => this.ownership.doubt(part),
         stored: (host, chunks) => {
-          this.pokeFor(host, chunks);
+          this.orders.pokeFor(host, chunks);
         },
       },
       {
@@ -139,6 +137,7 @@
       settings.peers.map((p) => ({ ...p, client: new PeerClient(p.endpoint, 256) })),
     );
     this.sender = new Sender(this);
+    this.orders = new Orders(this);
     this.quotas = new Quotas(this);
     this.provisioner = new Provisioner(this, process);
   }
@@ -188,7 +187,7 @@
       this.commits.review();
       this.adoptStrayShelves();
       this.sender.review();
-      this.sweep();
+      this.orders.sweep();
       void this.quotas.balance();
     });
   }
@@ -258,7 +257,7 @@
       }
       this.commits.pass();
     }
-    this.sendOrders();
+    this.orders.send();
     this.gossip();
   }
 
@@ -534,168 +533,6 @@
     return stored?.node ?? told?.label ?? null;
   }
 
-  // ---- Orders ----
-
-  private pokeFor(host: Hosted, chunks: Chunk[]): void {
-    for (const chunk of chunks) {
-      for (const entry of chunk.entries.values()) {
-        if (entry.seen) continue;
-        const machine = host.part.machines.get(entry.machine);
-        if (machine !== undefined) host.part.pokes.add(machine);
-      }
-    }
-    this.sendOrders();
-    this.kick();
-  }
-
-  private sendOrders(): void {
-    if (!this.ownership.valid) return;
-    for (const host of this.hosted.values()) {
-      for (const machine of host.part.pokes) {
-        if (machine.inFlight || machine.address === '') continue;
-        host.part.pokes.delete(machine);
-        // Questions go on until it answers one; orders meanwhile would only hold sockets.
-        if (machine.deaf) continue;
-        void this.command(host, machine);
-      }
-    }
-  }
-
-  private async command(host: Hosted, machine: Machine): Promise<void> {
-    const { report } = this.settings;
-    const orders = machine.orders(true, this.clock.now(), report * 1.5);
-    if (orders.length === 0) return;
-    const { token } = host;
-    const started = orders.flatMap((o) => {
-      const placed = o.verb === 'start' ? machine.entries.get(o.task) : undefined;
-      return placed === undefined ? [] : [placed.entry];
-    });
-    // In doubt from now on: without an answer it may be carried out minutes later.
-    for (const entry of started) entry.doubt = Math.max(token, entry.doubt ?? 0);
-    for (const order of orders)
-      log.debug(`${order.verb} ${order.task} ${order.attempt} at ${machine.name}`);
-    machine.inFlight = true;
-    try {
-      const body = ordersRequest(token, machine.session, orders);
-      const target = workerPaths.orders;
-      const answer = await this.links.machines.call(
-        machine.address,
-        'POST',
-        target,
-        body,
-        report / 2,
-      );
-      // Carried out (200) or certainly not (409).
-      if (answer.status === 200 || answer.status === 409) {
-        for (const entry of started) if (entry.doubt === token) entry.doubt = null;
-      }
-      const parsed = parseReport(answer.body);
-      if (parsed !== null && host.alive) {
-        host.part.apply(machine, parsed, this.clock.now(), 'answer');
-        this.kick();
-      }
-    } catch (error) {
-      if (error instanceof CallFailed && error.unsent) {
-        for (const entry of started) if (entry.doubt === token) entry.doubt = null;
-      } else if (started.length > 0) machine.doubtSince ??= this.clock.now();
-      log.debug(`orders to ${machine.name}: ${describe(error)}`);
-    } finally {
-      machine.inFlight = false;
-    }
-    if (host.alive && machine.orders(true, this.clock.now(), report * 1.5).length > 0) {
-      setTimeout(
-        () => {
-          host.part.pokes.add(machine);
-          this.kick();
-        },
-        (report / 6) * 1000,
-      );
-    }
-  }
-
-  /** Asks a machine whose report is overdue: a hanging one is told from one that can't reach us. */
-  async probe(host: Hosted, machine: Machine): Promise<void> {
-    if (machine.probing || machine.address === '') return;
-    machine.probing = true;
-    const sent = this.clock.now();
-    const { address } = machine;
-    const timeout = this.settings.report / 3;
-    try {
-      const answer = await this.links.machines.call(
-        address,
-        'GET',
-        workerPaths.inspect,
-        undefined,
-        timeout,
-      );
-      const report = parseReport(answer.body);
-      if (report !== null && host.alive && machine.address === address) {
-        machine.noteReached(this.clock.now());
-        host.part.apply(machine, report, this.clock.now(), 'answer');
-      }
-    } catch {
-      machine.missed++;
-      machine.missedSince ??= sent;
-    } finally {
-      machine.probing = false;
-    }
-  }
-
-  private sweep(): void {
-    const now = this.clock.now();
-    const { report } = this.settings;
-    if (!this.ownership.valid) return;
-    for (const host of this.hosted.values()) {
-      host.part.sweep(now);
-      if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
-      this.settleDoubts(host, now);
-      // Questions to many machines would take the processor from users: so many a second at the most.
-      const affordable = (PROBES_PER_CORE * this.settings.cores) / this.hosted.size;
-      const watchful = Math.min(1.3, Math.max(0.3, host.part.machines.size / affordable / report));
-      const doubtful = [...host.part.machines.values()].some((m) => m.missed > 0);
-      for (const machine of host.part.machines.values()) {
-        if (machine.reached === null) {
-          // Stored by an earlier owner: asked directly, since its worker may never come.
-          if (machine.address !== '') void this.probe(host, machine);
-          continue;
-        }
-        if (!machine.up) continue;
-        host.part.pokes.add(machine);
-        // Where live services run, silence is noticed within a second or two; elsewhere when a report
-        // is overdue.
-        // When one does not answer, all are asked: others that answer show that the fault is not ours.
-        const patience = machine.live > 0 || doubtful ? watchful : 1.3;
-        if (now - machine.reached > report * patience) void this.probe(host, machine);
-      }
-    }
-    this.kick();
-  }
-
-  /** A start stays in doubt until its worker has seen a higher token: get one when it drags on. */
-  private settleDoubts(host: Hosted, now: number): void {
-    const { report } = this.settings;
-    let stuck = false;
-    for (const machine of host.part.machines.values()) {
-      if (machine.doubtSince === null) continue;
-      // One that our answers do not reach would not see the new token either.
-      const heard = machine.reached !== null && now - machine.reached < report * 2;
-      if (heard && now - machine.doubtSince > report) stuck = true;
-      machine.doubtSince = heard && now - machine.doubtSince > report ? null : machine.doubtSince;
-    }
-    if (!stuck || now - host.raisedAt < report) return;
-    host.raisedAt = now;
-    void this.ownership
-      .raise(host.part.label)
-      .then((held) => {
-        if (held === null || !host.alive) return;
-        host.token = held.token;
-        host.stamp = held.stamp;
-      })
-      .catch((error: unknown) => {
-        log.debug(`raise: ${describe(error)}`);
-      });
-  }
-
   // ---- Machines for the provisioner ----
 
   /** Machines that may be returned. */
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -68,7 +68,7 @@
     if (machine === undefined) return elsewhere(null);
     const newer = host.part.apply(machine, report, now, follows ? 'follow' : 'report');
     // It may be a late copy, or our answers may not get there: a question shows that at once.
-    if (!machine.up || machine.missed > 0) void node.probe(host, machine);
+    if (!machine.up || machine.missed > 0) void node.orders.probe(host, machine);
     const valid = node.ownership.valid;
     const orders = newer && valid ? machine.orders(true, now, node.settings.report * 1.5) : [];
     for (const order of orders) {
