Silent machines hold half of the sockets for machines; one that was not asked is not missed

When a zone is cut off, questions to hundreds of machines hold a sixth of the sockets until their time is up; those beyond that failed for want of sockets, and the machines they were for counted as silent, healthy ones as well. After a stretch without the processor an answer that has arrived is now read before its time limit strikes.

--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -57,6 +57,8 @@
   /** When the first of them was sent. */
   missedSince: number | null = null;
   probing = false;
+  /** When it was last asked a question. */
+  askedAt = -Infinity;
   /** Since when a start sent here is without an answer. */
   doubtSince: number | null = null;
 
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -1,17 +1,32 @@
 /** What machines are told and asked: orders, questions to those that are silent, doubts settled. */
 import { describe, log } from '../base/log.js';
 import { ordersRequest, parseReport, paths as workerPaths } from '../protocol/worker.js';
-import { CallFailed } from '../transport/httpClient.js';
+import { CallFailed, type HttpClient } from '../transport/httpClient.js';
 import type { Chunk } from './chunk.js';
-import type { Controller } from './controller.js';
 import type { Hosted } from './hosted.js';
 import type { Machine } from './machine.js';
+import type { Ownership } from './ownership.js';
+import type { Settings } from '../protocol/settings.js';
+import type { Clock } from '../base/clock.js';
 
 /** Machines that one core may ask in a second without noticing it. */
 const PROBES_PER_CORE = 60;
 
+/** What is needed of a node. */
+export interface OrdersNode {
+  settings: Pick<Settings, 'report' | 'cores' | 'maxSockets'>;
+  clock: Pick<Clock, 'now'>;
+  links: { machines: Pick<HttpClient, 'call'> };
+  ownership: Pick<Ownership, 'valid' | 'raise'>;
+  hosted: ReadonlyMap<string, Hosted>;
+  kick(): void;
+}
+
 export class Orders {
-  constructor(private readonly node: Controller) {}
+  /** Questions on their way to machines that have left one without an answer. */
+  private toSilent = 0;
+
+  constructor(private readonly node: OrdersNode) {}
 
   pokeFor(host: Hosted, chunks: Chunk[]): void {
     for (const chunk of chunks) {
@@ -93,8 +108,14 @@
   /** Asks a machine whose report is overdue: a hanging one is told from one that can't reach us. */
   async probe(host: Hosted, machine: Machine): Promise<void> {
     if (machine.probing || machine.address === '') return;
+    const silent = machine.missed > 0;
+    // A question to a silent machine holds its socket until its time is up. When a zone is cut off they
+    // are hundreds, and those that answer still must be asked: half of the sockets are left for them.
+    if (silent && this.toSilent >= this.node.settings.maxSockets / 12) return;
     machine.probing = true;
     const sent = this.node.clock.now();
+    machine.askedAt = sent;
+    if (silent) this.toSilent++;
     const { address } = machine;
     const timeout = this.node.settings.report / 3;
     try {
@@ -110,11 +131,15 @@
         machine.noteReached(this.node.clock.now());
         host.part.apply(machine, report, this.node.clock.now(), 'answer');
       }
-    } catch {
-      machine.missed++;
-      machine.missedSince ??= sent;
+    } catch (error) {
+      // Not asked for want of sockets: healthy machines would be taken for silent ones.
+      if (!(error instanceof CallFailed && error.local)) {
+        machine.missed++;
+        machine.missedSince ??= sent;
+      }
     } finally {
       machine.probing = false;
+      if (silent) this.toSilent--;
     }
   }
 
@@ -129,8 +154,10 @@
       // Questions to many machines would take the processor from users: so many a second at the most.
       const affordable = (PROBES_PER_CORE * this.node.settings.cores) / this.node.hosted.size;
       const watchful = Math.min(1.3, Math.max(0.3, host.part.machines.size / affordable / report));
-      const doubtful = [...host.part.machines.values()].some((m) => m.missed > 0);
-      for (const machine of host.part.machines.values()) {
+      // Those that were asked longest ago go first, since not all may get their turn.
+      const machines = [...host.part.machines.values()].sort((a, b) => a.askedAt - b.askedAt);
+      const doubtful = machines.some((m) => m.missed > 0);
+      for (const machine of machines) {
         if (machine.reached === null) {
           // Stored by an earlier owner: asked directly, since its worker may never come.
           if (machine.address !== '') void this.probe(host, machine);
--- a/src/transport/httpClient.ts
+++ b/src/transport/httpClient.ts
@@ -22,6 +22,8 @@
   constructor(
     message: string,
     readonly unsent: boolean,
+    /** It was not even tried, for want of sockets here: that says nothing of the other side. */
+    readonly local = false,
   ) {
     super(message);
   }
@@ -73,7 +75,7 @@
       if (!kept.socket.destroyed) return this.send(endpoint, kept.socket, text, timeout, true);
     }
     if (this.open >= this.maxOpen && !this.evict()) {
-      return Promise.reject(new CallFailed('too many open connections', true));
+      return Promise.reject(new CallFailed('too many open connections', true, true));
     }
     const address = parseAddress(endpoint);
     if (address === null) return Promise.reject(new CallFailed(`bad address ${endpoint}`, true));
@@ -112,6 +114,7 @@
       const parser = new HttpParser('response', RESPONSE_LIMIT);
       let sent = connected;
       const settle = (): void => {
+        over = true;
         clearTimeout(timer);
         for (const event of ['data', 'error', 'end', 'connect']) socket.removeAllListeners(event);
       };
@@ -130,8 +133,13 @@
         }
         resolve(message);
       };
+      let over = false;
       const timer = setTimeout(() => {
-        fail('timed out');
+        // After a stretch in which this process did not get to run, timers fire before what has arrived
+        // meanwhile is read: an answer that is there is taken.
+        setImmediate(() => {
+          if (!over) fail('timed out');
+        });
       }, timeout * 1000);
       socket.on('data', (data) => {
         try {
--- /dev/null
+++ b/test/orders.test.ts
@@ -0,0 +1,83 @@
+/** Questions to machines: what silent ones may hold, and what says nothing of them. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { seededRandom } from '../src/base/random.js';
+import { RunTimes } from '../src/coordination/estimate.js';
+import type { Hosted } from '../src/coordination/hosted.js';
+import { Orders, type OrdersNode } from '../src/coordination/orders.js';
+import { Part } from '../src/coordination/part.js';
+import { CallFailed, type Response } from '../src/transport/httpClient.js';
+
+const SOCKETS = 120;
+
+/** A part of so many machines with live services, each last heard from long ago. */
+function fixture(count: number, call: (endpoint: string) => Promise<Response>) {
+  const options = { lease: 18, report: 4, sample: 8, zones: ['a'] };
+  const part = new Part(
+    'p',
+    { ...options, patience: 30, headroom: 1, window: 100 },
+    () => new Map(),
+    new RunTimes(),
+    seededRandom(1),
+  );
+  for (let i = 0; i < count; i++) {
+    const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0, address: `h:${i}` };
+    part.addMachine(`n-${i}`, record, 0).noteReached(0);
+  }
+  const host: Hosted = {
+    ...{ part, token: 1, stamp: 1, alive: true, jobs: new Map(), shelves: new Map() },
+    ...{ gatherUntil: 0, writing: 0, raisedAt: 0 },
+  };
+  const asked: string[] = [];
+  const node: OrdersNode = {
+    settings: { report: 4, cores: 1, maxSockets: SOCKETS },
+    clock: { now: () => 100 },
+    links: {
+      machines: {
+        call: (endpoint) => {
+          asked.push(endpoint);
+          return call(endpoint);
+        },
+      },
+    },
+    ownership: { valid: true, raise: () => Promise.resolve(null) },
+    hosted: new Map([['p', host]]),
+    kick: () => undefined,
+  };
+  return { part, orders: new Orders(node), asked };
+}
+
+test('machines that are silent hold half of the sockets for machines, and take turns', async () => {
+  const pending: ((error: Error) => void)[] = [];
+  const { part, orders, asked } = fixture(40, () => new Promise((_, no) => pending.push(no)));
+  for (const machine of part.machines.values()) machine.missed = 1;
+  const most = SOCKETS / 12;
+  orders.sweep();
+  assert.equal(asked.length, most);
+  // A healthy one is asked all the same.
+  const [healthy] = part.machines.values();
+  if (healthy === undefined) throw new Error('no machine');
+  healthy.missed = 0;
+  healthy.probing = false;
+  orders.sweep();
+  assert.equal(asked.filter((a) => a === 'h:0').length, 2);
+  for (let turn = 0; turn < 4; turn++) {
+    for (const fail of pending.splice(0)) fail(new CallFailed('timed out', false));
+    await new Promise((resolve) => setImmediate(resolve));
+    orders.sweep();
+  }
+  assert.equal(new Set(asked).size, 40, 'some were never asked');
+});
+
+for (const [name, error, missed] of [
+  ['one that timed out was missed', new CallFailed('timed out', false), 1],
+  ['one that was refused was missed', new CallFailed('refused', true), 1],
+  ['one for which no socket was left says nothing', new CallFailed('no sockets', true, true), 0],
+] as const) {
+  test(`a question without an answer: ${name}`, async () => {
+    const { part, orders } = fixture(1, () => Promise.reject(error));
+    orders.sweep();
+    await new Promise((resolve) => setImmediate(resolve));
+    assert.equal(part.machines.get('n-0')?.missed, missed);
+  });
+}
