Batch that piled up gets machines at full price once cheap ones are out

Now demands say how many of their tasks could not be through in time, and just these may have machines at full price.

--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -1084,7 +1084,7 @@
     const { cpus, gpus, memory, types, rank, image, imageGb } = spec;
     const shape = { cpus, gpus, memory, types, zone: zone ?? spec.zone, spot: false, rank };
     const count = Math.ceil(missing / cpus);
-    const rest = { service: true, image, imageGb, count, urgent: false, run: 0 };
+    const rest = { service: true, image, imageGb, count, urgent: false, pressing: 0, run: 0 };
     return { ...shape, part: this.label, ...rest };
   }
 
@@ -1115,7 +1115,8 @@
     const full = new Set<string>();
     const have = this.batchCpus(now);
     let deficit = Math.max(0, this.batchNeed(now) - have);
-    const urgent = this.backlog() > have * this.options.patience * 6;
+    // What has piled up, and not what arrives on the average, may have machines at their full price.
+    let pressing = Math.max(0, this.backlog() / this.options.patience - have);
     for (const chunk of this.queue()) {
       if (chunk.failures > 2) continue;
       settleDownTo(chunk.rank);
@@ -1141,6 +1142,8 @@
         deficit -= count * chunk.spec.cpus;
       }
       if (count <= 0) continue;
+      const dear = chunk.spec.service ? 0 : Math.min(count, Math.ceil(pressing / chunk.spec.cpus));
+      pressing = Math.max(0, pressing - dear * chunk.spec.cpus);
       const { cpus, gpus, memory, types, spot, rank, service, image, imageGb } = chunk.spec;
       const zone = chunk.zone ?? chunk.spec.zone;
       const run = service ? 0 : this.expectedRun(chunk.spec);
@@ -1151,10 +1154,11 @@
         known.run = (known.run * known.count + run * count) / (known.count + count);
         known.imageGb = (known.imageGb * known.count + imageGb * count) / (known.count + count);
         known.count += count;
+        known.pressing += dear;
         continue;
       }
       const demand = { part: this.label, cpus, gpus, memory, types, zone, spot, rank, service };
-      demands.set(key, { ...demand, image, imageGb, count, urgent: urgent || service, run });
+      demands.set(key, { ...demand, image, imageGb, count, urgent: service, pressing: dear, run });
     }
     const list = [...demands.values()];
     const headroom = this.headroom(now);
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -57,7 +57,7 @@
     if (fits < 1) continue;
     for (const zone of type.zones) {
       if (demand.zone !== null && demand.zone !== zone) continue;
-      const ordinary = !demand.spot || demand.service || demand.urgent;
+      const ordinary = !demand.spot || demand.service || demand.pressing > 0;
       for (const spot of [true, false].filter((s) => (s ? demand.spot : ordinary))) {
         if (context.refused(type.name, zone, spot)) continue;
         const price = spot ? type.spotPrice : type.price;
@@ -136,6 +136,7 @@
     const best = offers({ ...demand, count }, context)[0];
     if (best === undefined) continue;
     const { type, zone, spot, fits } = best;
+    if (demand.spot && !demand.service && !spot) count = Math.min(count, demand.pressing);
     const machines = Math.ceil(count / (fits * wavesOf(demand, type, context)));
     const part = context.partFor(zone, demand.part);
     const plan = { part, type: type.name, zone, spot, count: machines };
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -16,8 +16,10 @@
   image: string;
   imageGb: number;
   count: number;
-  /** Replicas that wait, or batch work that cannot be through in time: dear machines may be rented. */
+  /** Replicas wait for it: what boots soon is worth its price. */
   urgent: boolean;
+  /** Tasks of batch work that could not be through in time otherwise: dear machines may be rented. */
+  pressing: number;
   /** Expected run time of one task, corrected. */
   run: number;
 }
@@ -122,6 +124,7 @@
         field('imageGb', 'double'),
         field('count', 'int'),
         field('urgent', 'boolean'),
+        field('pressing', 'int'),
         field('run', 'double'),
       ]),
     ),
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -152,6 +152,7 @@
             imageGb: 1,
             count: 4,
             urgent: false,
+            pressing: 0,
             run: 9,
           },
         ],
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -289,6 +289,7 @@
     imageGb: 1,
     count: 1,
     urgent: false,
+    pressing: 0,
     run: 0,
   };
   const kinds = (d: typeof demand): string[] =>
@@ -314,6 +315,12 @@
   context.coming = [];
   refused.add('small/a/true');
   assert.deepEqual(kinds(demand), ['1 small/b/true']);
+  // Where no cheap machine is left, only what could not be through in time has machines at full price.
+  refused.add('small/b/true').add('large/a/true').add('large/b/true');
+  const batch = { ...demand, service: false, run: 30, count: 80 };
+  assert.deepEqual(kinds(batch), []);
+  assert.deepEqual(kinds({ ...batch, pressing: 8 }), ['1 large/a/false']);
+  for (const kind of ['small/b/true', 'large/a/true', 'large/b/true']) refused.delete(kind);
   const merged = mergePlans(planRentals([demand, { ...demand, count: 2 }], context));
   assert.equal(merged.length, 1);
 });
