Batches of submissions and groups of machines stay within a record's limits; releases at once

Found by reading; the stand-in now holds the limits too. Groups of machines follow from the value's limit. A transaction of fewer than three changes is an unsound setting. Lost machines go before spare ones, all slices at once; rentals side by side end with the first refusal.

--- a/src/coordination/accepting.ts
+++ b/src/coordination/accepting.ts
@@ -6,13 +6,14 @@
 import { sleep, type Clock } from '../base/clock.js';
 import { describe, log } from '../base/log.js';
 import { acceptedAnswer } from '../protocol/job.js';
-import type { Txn } from '../protocol/state.js';
+import { TXN_BYTES, type Txn } from '../protocol/state.js';
 import { keys, type JobRecord, type ShelfRecord } from '../storage/records.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient, TxnResult } from '../storage/stateClient.js';
 import type { Reply } from '../transport/httpServer.js';
 import type { Chunk } from './chunk.js';
 import type { Hosted } from './hosted.js';
+import { FRAME_BYTES } from './shelf.js';
 
 export interface Submission {
   id: string;
@@ -38,7 +39,7 @@
 export interface AcceptingNode {
   process: string;
   parts: string[];
-  settings: { txnOps: number };
+  settings: { txnOps: number; valueBytes: number };
   clock: Clock;
   state: Pick<StateClient, 'turn' | 'charge' | 'get' | 'writeDelay' | 'writeRate'>;
   replica: Pick<Replica, 'get' | 'note'>;
@@ -56,6 +57,36 @@
   retryAfter,
 });
 
+/**
+ * What a batch takes of the limits of a transaction and of each parcel's record. Beyond them the state
+ * service calls it malformed, and all of its users would be turned away together, again and again.
+ */
+class Size {
+  private all = 0;
+  private readonly parcels = new Map<string, number>();
+
+  constructor(
+    private readonly most: number,
+    private readonly mostParcel: number,
+    private readonly home: string,
+  ) {}
+
+  /** Counts one more; false when it does not fit any more. */
+  take({ record, first }: Submission): boolean {
+    this.all += JSON.stringify(record).length;
+    let fits = true;
+    for (const { part, chunk } of first) {
+      if (part === this.home) continue;
+      const bytes = chunk.specBytes + FRAME_BYTES;
+      const parcel = (this.parcels.get(part) ?? 0) + bytes;
+      this.parcels.set(part, parcel);
+      this.all += bytes;
+      fits &&= parcel <= this.mostParcel;
+    }
+    return fits && this.all <= this.most;
+  }
+}
+
 export class Accepting {
   private readonly queue: Waiting[] = [];
   private running = 0;
@@ -119,9 +150,11 @@
     const { settings, parts } = this.node;
     const most = Math.max(1, settings.txnOps - (parts.length - 1));
     const jobs: Waiting[] = [];
+    const size = new Size(TXN_BYTES * 0.8, settings.valueBytes * 0.9, home.part.label);
     for (let i = 0; i < this.queue.length && jobs.length < most; i++) {
       const next = this.queue[i];
       if (next?.home !== home) continue;
+      if (!size.take(next) && jobs.length > 0) break;
       jobs.push(next);
       this.queue.splice(i--, 1);
     }
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -84,7 +84,8 @@
     const left = host.free.cpus - spec.cpus + (host.free.memory - spec.memory) / 1e3;
     const spotFirst = spec.spot && !host.spot ? 1e3 : 0;
     // Live services keep apart: the loss of one machine should take few of them.
-    const apart = spec.service ? 10 * host.live : 0;
+    // But one more machine with a live service on it can't be returned once batch work is through.
+    const apart = spec.service ? (host.live > 0 ? 10 * host.live : 1e3) : 0;
     const imageFirst = host.hasImage(spec.image) ? 0 : 1e4;
     const slow = host.slowness > 1.5 ? 1e6 * host.slowness : 0;
     const score = left + spotFirst + apart + imageFirst + slow;
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -180,7 +180,9 @@
         ...(address === '' ? {} : { address }),
       };
     }
-    await Promise.all([...groups.values()].flatMap(split).map((group) => this.store(group)));
+    const most = groupLimit(node.settings.valueBytes);
+    const stored = [...groups.values()].flatMap((group) => split(group, most));
+    await Promise.all(stored.map((group) => this.store(group)));
   }
 
   /** Stores machines that no rental of ours brought, under a name that is used once. */
@@ -302,8 +304,7 @@
     const coming = [...this.coming.values()].map((c) => c.plan);
     const plans = planRentals(demands, {
       types: [...types.values()],
-      refused: (type, zone, spot) =>
-        (this.refusals.get(`${type}/${zone}/${String(spot)}`)?.until ?? 0) > now,
+      refused: (type, zone, spot) => this.isRefused(type, zone, spot),
       partFor: (zone, wanted) => choosePartFor(this.node, zone, wanted, coming),
       zoneOf: (part) => this.node.zoneOf.get(part),
       coming,
@@ -313,8 +314,9 @@
     });
     for (const plan of mergePlans(plans)) {
       // A large rental is several requests, side by side: hundreds of machines may be missing.
-      for (let left = plan.count; left > 0; left -= cloud.RENT_LIMIT) {
-        void this.intend({ ...plan, count: Math.min(left, cloud.RENT_LIMIT) });
+      const most = groupLimit(settings.valueBytes);
+      for (let left = plan.count; left > 0; left -= most) {
+        void this.intend({ ...plan, count: Math.min(left, most) });
       }
     }
     for (const { part } of demands) {
@@ -323,6 +325,11 @@
     }
   }
 
+  private isRefused(type: string, zone: string, spot: boolean): boolean {
+    const refusal = this.refusals.get(`${type}/${zone}/${String(spot)}`);
+    return (refusal?.until ?? 0) > this.node.clock.now();
+  }
+
   /** The intention is stored before the request is sent; its name is never used again. */
   private async intend(plan: RentPlan): Promise<void> {
     const owner = this.owner();
@@ -343,8 +350,10 @@
     } finally {
       this.renting.delete(ask);
     }
-    if (this.node.replica.get(key) !== undefined) await this.rent(ask, group);
-    else this.coming.delete(ask);
+    if (this.node.replica.get(key) === undefined) this.coming.delete(ask);
+    // Large rentals go out side by side; when the first has found none left, the others are not sent.
+    else if (this.isRefused(type, zone, spot)) await this.conclude(ask, null);
+    else await this.rent(ask, group);
   }
 
   private async rent(ask: string, group: GroupRecord): Promise<void> {
@@ -413,16 +422,21 @@
       if (now - at > this.node.settings.listLag * 10) this.released.delete(name);
     }
     const gossips = this.node.peers.gossips().filter((g) => g.served);
+    // Those whose tasks wait to be known as over go before those that are only paid for.
     const names = new Set<string>([
-      ...this.node.localSpare(),
       ...this.node.localLost(),
-      ...gossips.flatMap((g) => [...g.spare, ...g.lost]),
+      ...gossips.flatMap((g) => g.lost),
+      ...this.node.localSpare(),
+      ...gossips.flatMap((g) => g.spare),
     ]);
     for (const machine of this.listed.values()) {
       if (machine.status === 'failed') names.add(machine.name);
     }
     const due = [...names].filter((n) => !this.releasing.has(n) && !this.released.has(n));
-    if (due.length > 0) void this.releaseNow(due.slice(0, cloud.RELEASE_LIMIT));
+    // All at once: when hundreds fall silent together, replicas wait for each of them.
+    for (let at = 0; at < due.length; at += cloud.RELEASE_LIMIT) {
+      void this.releaseNow(due.slice(at, at + cloud.RELEASE_LIMIT));
+    }
   }
 
   private async releaseNow(names: string[]): Promise<void> {
@@ -492,13 +506,18 @@
 const addressOf = (machine: cloud.ListedMachine | undefined): string =>
   machine?.status === 'running' ? machine.address : '';
 
-/** A group's record and its copies in a transaction stay well below the limits of both. */
-function split(group: GroupRecord): GroupRecord[] {
+/** A machine's name, time and address in its group's record, with room for long ones. */
+const MACHINE_BYTES = 120;
+
+/** Machines that a group may have: its record, and copies of it in a transaction, stay within the limits. */
+export const groupLimit = (valueBytes: number): number =>
+  Math.max(1, Math.min(cloud.RENT_LIMIT, Math.floor((valueBytes * 0.8) / MACHINE_BYTES)));
+
+function split(group: GroupRecord, most: number): GroupRecord[] {
   const machines = Object.entries(group.machines);
   const parts: GroupRecord[] = [];
-  for (let at = 0; at < machines.length; at += cloud.RENT_LIMIT) {
-    const some = machines.slice(at, at + cloud.RENT_LIMIT);
-    parts.push({ ...group, machines: Object.fromEntries(some) });
+  for (let at = 0; at < machines.length; at += most) {
+    parts.push({ ...group, machines: Object.fromEntries(machines.slice(at, at + most)) });
   }
   return parts;
 }
--- a/src/coordination/shelf.ts
+++ b/src/coordination/shelf.ts
@@ -2,7 +2,7 @@
 import type { Chunk } from './chunk.js';
 
 /** Of a chunk's record, what its description and numbers take beside its entries. */
-const FRAME_BYTES = 260;
+export const FRAME_BYTES = 260;
 /** One task, as an entry or between two gaps of what is done. */
 export const ENTRY_BYTES = 66;
 
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -46,7 +46,13 @@
       [],
     ),
     workers: v.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
-    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: positive }),
+    state: v.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      // A chunk that moves changes two shelves and its job's record at once.
+      txn_ops: v.pipe(v.number(), v.integer(), v.minValue(3)),
+    }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     limits: v.object({ cores: positive, ram_mb: positive, fd_limit: positive }),
   }),
--- a/test/accepting.test.ts
+++ b/test/accepting.test.ts
@@ -19,7 +19,8 @@
   readonly accepting: Accepting;
   readonly answers = new Map<string, Reply>();
 
-  constructor() {
+  constructor(value = 16 * 1024) {
+    this.store.limits.value = value;
     const pace = { patience: 30, headroom: 1, window: 100 };
     const part = new Part(
       'p',
@@ -44,7 +45,7 @@
     const node: AcceptingNode = {
       process: 'x',
       parts: ['p', 'q'],
-      settings: { txnOps: 16 },
+      settings: { txnOps: 16, valueBytes: this.store.limits.value },
       clock: { now: () => this.now, wall: () => this.now },
       state: this.store,
       replica: { get: (key) => rows.get(key), note: () => undefined },
@@ -152,3 +153,13 @@
   await c.submit('wk-1');
   assert.equal(c.parcels('wk-1'), 1);
 });
+
+test('a burst for one idle peer stays within the limits of a record', async () => {
+  // Some forty chunks for the peer would make a record that the state service calls malformed, and then
+  // everybody's submissions of that moment were turned away together.
+  const c = new Counter(4096);
+  const ids = Array.from({ length: 40 }, (_, i) => `wk-${i}`);
+  await Promise.all(ids.map((id) => c.submit(id)));
+  assert.deepEqual(new Set(ids.map((id) => c.status(id))), new Set([201]));
+  for (const id of ids) assert.equal(c.parcels(id), 1);
+});
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -759,3 +759,47 @@
   assert.equal(chunk.entries.size, 0);
   assert.ok(b.part.settled.has(chunk));
 });
+
+/** Each look at a machine's size asks for its type, so the questions count the visits. */
+const rounds: { name: string; most: number; play: (part: Part, now: number) => void }[] = [
+  { name: 'a round of decisions', most: 12, play: (p, now) => p.decide(now, () => false) },
+  { name: 'what may be returned', most: 12, play: (p, now) => void p.spare(now, 1) },
+  { name: 'what is asked for', most: 12, play: (p, now) => void p.demands(now) },
+  {
+    name: 'a peer that asks for the wait',
+    most: 12,
+    play: (p, now) => {
+      const asked = spec({ tasks: 20 });
+      p.waitFor({ spec: asked, zone: null, count: 20, run: 20 }, now);
+    },
+  },
+];
+for (const { name, most, play } of rounds) {
+  for (const waiting of [0, 300]) {
+    test(`2,000 machines, ${waiting} waiting jobs: visits grow with machines plus jobs: ${name}`, () => {
+      const b = new Bench();
+      for (let i = 0; i < 2000; i++) {
+        const machine = b.machine(`n-${i}`);
+        machine.idleSince = b.now - 1000;
+      }
+      for (let i = 0; i < waiting; i++) {
+        const s = spec({ id: `wk-${i}`, tasks: 40, cpus: 4, image: `img-${i % 12}` });
+        b.part.accept(new Chunk(s, 0, 'p', b.now, 0, 40, null, b.now), b.now);
+      }
+      b.decide();
+      b.now += 1;
+      let visits = 0;
+      const types = new Map(b.types);
+      const counted = {
+        get: (key: string) => {
+          visits++;
+          return types.get(key);
+        },
+        values: () => types.values(),
+      };
+      b.types = counted as unknown as Map<string, MachineType>;
+      play(b.part, b.now);
+      assert.ok(visits <= most * (2000 + waiting), `${visits} visits`);
+    });
+  }
+}
--- a/test/support/store.ts
+++ b/test/support/store.ts
@@ -12,6 +12,8 @@
   refuseNext = 0;
   private kept: Txn | null = null;
   readonly writeRate = 1000;
+  /** Bytes of a value and of a transaction, beyond which one is malformed. */
+  limits = { value: 16 * 1024, txn: 64 * 1024 };
 
   writeDelay(): number {
     return 0;
@@ -53,6 +55,11 @@
   }
 
   private apply(txn: Txn): TxnResult {
+    const sizes = txn.puts.map((put) => JSON.stringify(put.value).length);
+    const all = sizes.reduce((a, b) => a + b, 0);
+    if (all > this.limits.txn || sizes.some((size) => size > this.limits.value)) {
+      return { kind: 'no-lease' };
+    }
     const failed = txn.when.filter((c) => (this.rows.get(c.key)?.stamp ?? 0) !== c.stamp);
     if (failed.length > 0) return { kind: 'conflict', failed: failed.map((c) => c.key) };
     this.epoch++;
