--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -272,7 +272,7 @@
       token: h.token,
       utilisation: h.part.utilisation,
       waiting: h.part.waiting,
-      liveRoom: h.part.liveRoom(),
+      liveRoom: h.part.needs.liveRoom(),
     }));
     const reports = [...this.hosted.values()].map((h) => h.part);
     this.peers.gossip(
@@ -334,7 +334,8 @@
   liveRoomIn(zone: string): number {
     const counts = (part: string): boolean => this.zoneOf.get(part) === zone;
     let cpus = 0;
-    for (const { part } of this.hosted.values()) if (counts(part.label)) cpus += part.liveRoom();
+    for (const { part } of this.hosted.values())
+      if (counts(part.label)) cpus += part.needs.liveRoom();
     for (const gossip of this.peers.gossips()) {
       for (const host of gossip.hosts) {
         if (counts(host.part) && !this.hosted.has(host.part)) cpus += host.liveRoom;
@@ -343,9 +344,9 @@
     return cpus;
   }
 
-  localDemands(): ReturnType<Part['demands']> {
+  localDemands(): ReturnType<Part['needs']['demands']> {
     const now = this.clock.now();
-    return [...this.hosted.values()].flatMap((h) => h.part.demands(now));
+    return [...this.hosted.values()].flatMap((h) => h.part.needs.demands(now));
   }
 
   // ---- Ownership ----
@@ -397,7 +398,7 @@
       host.jobs.set(id, { id, record, stamp, busy: false });
       this.loadUnstored(host, record, now);
     }
-    part.seedArrivals(now);
+    part.needs.seedArrivals(now);
     this.hosted.set(label, host);
     this.kick();
   }
@@ -538,7 +539,7 @@
   /** Machines that may be returned. */
   localSpare(): string[] {
     const now = this.clock.now();
-    return [...this.hosted.values()].flatMap((h) => h.part.spare(now, this.tuning.idleRatio));
+    return [...this.hosted.values()].flatMap((h) => h.part.needs.spare(now, this.tuning.idleRatio));
   }
 
   localLost(): string[] {
--- /dev/null
+++ b/src/coordination/needs.ts
@@ -0,0 +1,236 @@
+/** What should be rented for a part, and which of its machines may be returned: pure. */
+import type { MachineType } from '../protocol/cloud.js';
+import type { Demand } from '../protocol/peer.js';
+import type { Chunk } from './chunk.js';
+import { Arrivals } from './estimate.js';
+import type { Machine } from './machine.js';
+import type { Part } from './part.js';
+import { allows, holds, shapeOf, type Room } from './placement.js';
+
+export interface NeedsOptions {
+  /** Batch work that waits should be through in this many seconds. */
+  patience: number;
+  /** Room for arriving batch work, as a ratio to its average. */
+  headroom: number;
+  /** Seconds over which arrivals are averaged. */
+  window: number;
+}
+
+export class Needs {
+  private readonly arrivals: Arrivals;
+  private readonly liveArrivals: Arrivals;
+  private lastLive: Chunk | null = null;
+
+  constructor(
+    private readonly part: Pick<
+      Part,
+      'label' | 'machines' | 'chunks' | 'waiting' | 'queue' | 'expectedRun'
+    >,
+    private readonly options: NeedsOptions,
+    private readonly types: () => Map<string, MachineType>,
+  ) {
+    this.arrivals = new Arrivals(options.window);
+    this.liveArrivals = new Arrivals(options.window);
+  }
+
+  noteArrival(chunk: Chunk, sign: number, now: number): void {
+    if (chunk.spec.service) {
+      this.liveArrivals.note(sign * chunk.pending * chunk.spec.cpus, now);
+      this.lastLive = chunk;
+      return;
+    }
+    this.arrivals.note(
+      sign * chunk.pending * chunk.spec.cpus * this.part.expectedRun(chunk.spec),
+      now,
+    );
+  }
+
+  /** After a start the rate of arrivals is not known: what runs is the best guess. */
+  seedArrivals(now: number): void {
+    let cpus = 0;
+    for (const chunk of this.part.chunks.values()) {
+      if (!chunk.spec.service) cpus += chunk.entries.size * chunk.spec.cpus;
+    }
+    this.arrivals.seed(cpus, now);
+  }
+
+  private countsForBatch(machine: Machine, now: number): boolean {
+    if (machine.lost || machine.deaf || machine.leaving || machine.goneBy !== null) return false;
+    return !machine.up || machine.shunnedUntil <= now;
+  }
+
+  /** Processors that batch work has or may have here, those on their way included. */
+  private batchCpus(now: number): number {
+    let cpus = 0;
+    for (const machine of this.part.machines.values()) {
+      if (this.countsForBatch(machine, now)) cpus += machine.size.cpus - machine.live;
+    }
+    return cpus;
+  }
+
+  /** Batch work that has piled up, in processor seconds. */
+  private backlog(): number {
+    let work = 0;
+    for (const chunk of this.part.chunks.values()) {
+      if (chunk.spec.service || chunk.cancelled) continue;
+      const run = this.part.expectedRun(chunk.spec);
+      work += (chunk.pending * run + chunk.entries.size * run * 0.5) * chunk.spec.cpus;
+    }
+    return work;
+  }
+
+  /** Processors that batch work needs: what arrives on the average, and what has piled up. */
+  private batchNeed(now: number): number {
+    const arriving = this.arrivals.rate(now) * this.options.headroom;
+    return Math.max(arriving, this.backlog() / this.options.patience);
+  }
+
+  /** Processors on ordinary machines that live services have not taken, those on their way included. */
+  liveRoom(): number {
+    let cpus = 0;
+    for (const machine of this.part.machines.values()) {
+      if (machine.spot || machine.lost || machine.deaf || machine.leaving) continue;
+      cpus += machine.size.cpus - machine.live;
+    }
+    return cpus;
+  }
+
+  /** Room for the services that will arrive while a machine boots, and for one more. */
+  private liveReserve(now: number): number {
+    if (this.lastLive === null) return 0;
+    const boots = [...this.types().values()].map((t) => t.boot);
+    const { spec, size } = this.lastLive;
+    return this.liveArrivals.rate(now) * Math.min(...boots) + size * spec.cpus;
+  }
+
+  /**
+   * Machines to be returned: idle for as long as a new one would take to boot, and not needed for
+   * what arrives on the average. The dearest go first.
+   */
+  spare(now: number, idleRatio: number): string[] {
+    const idle = [...this.part.machines.values()].filter((m) => m.entries.size === 0 && m.up);
+    const waits = this.part.waiting > 0;
+    // Worked out once: each that goes takes its own processors out of them.
+    let surplus = this.surplus(now);
+    let liveRoom = this.liveRoom();
+    const reserve = this.liveReserve(now);
+    const price = (m: Machine): number =>
+      ((m.spot ? m.shape?.spotPrice : m.shape?.price) ?? 0) / Math.max(1, m.size.cpus);
+    for (const machine of idle.sort((a, b) => price(b) - price(a))) {
+      if (machine.leaving || waits) continue;
+      const patience = (machine.shape?.boot ?? 60) * idleRatio;
+      const { cpus } = machine.size;
+      if (now - machine.idleSince < patience || surplus < cpus) continue;
+      if (!machine.spot && liveRoom - cpus < reserve) continue;
+      if (this.countsForBatch(machine, now)) surplus -= cpus;
+      if (!machine.spot && !machine.deaf) liveRoom -= cpus;
+      machine.leaving = true;
+    }
+    return idle.filter((m) => m.leaving).map((m) => m.name);
+  }
+
+  /** Processors beyond what is needed. */
+  surplus(now: number): number {
+    return this.batchCpus(now) - this.batchNeed(now);
+  }
+
+  /** Room that should stand ready for live services and does not. */
+  private headroom(now: number): Demand | null {
+    const missing = this.liveReserve(now) - this.liveRoom();
+    if (this.lastLive === null || missing <= 0) return null;
+    const { spec, zone } = this.lastLive;
+    const { cpus, gpus, memory, types, rank, image, imageGb } = spec;
+    const shape = { cpus, gpus, memory, types, zone: zone ?? spec.zone, spot: false, rank };
+    const count = Math.ceil(missing / cpus);
+    const rest = { service: true, image, imageGb, count, urgent: false, pressing: 0, run: 0 };
+    return { ...shape, part: this.part.label, ...rest };
+  }
+
+  /** Work that neither machines that are up nor those on their way can hold in good time. */
+  demands(now: number): Demand[] {
+    const rooms: { machine: Machine; room: Room }[] = [];
+    for (const machine of this.part.machines.values()) {
+      if (!this.countsForBatch(machine, now)) continue;
+      rooms.push({ machine, room: { ...machine.size } });
+    }
+    // In the order of the queue: what is placed takes its room before lower ranks do, so work that
+    // would be stopped for a waiting service does not make it ask for a machine.
+    const placed = rooms.flatMap(({ machine, room }) =>
+      [...machine.entries.values()].map((p) => ({ chunk: p.chunk, room })),
+    );
+    placed.sort((a, b) => b.chunk.rank - a.chunk.rank);
+    let settled = 0;
+    const settleDownTo = (rank: number): void => {
+      for (; settled < placed.length; settled++) {
+        const next = placed[settled];
+        if (next === undefined || next.chunk.rank < rank) return;
+        next.room.cpus -= next.chunk.spec.cpus;
+        next.room.gpus -= next.chunk.spec.gpus;
+        next.room.memory -= next.chunk.spec.memory;
+      }
+    };
+    const demands = new Map<string, Demand>();
+    const full = new Set<string>();
+    const have = this.batchCpus(now);
+    let deficit = Math.max(0, this.batchNeed(now) - have);
+    // What has piled up, and not what arrives on the average, may have machines at their full price.
+    let pressing = Math.max(0, this.backlog() / this.options.patience - have);
+    for (const chunk of this.part.queue()) {
+      if (chunk.failures > 2) continue;
+      settleDownTo(chunk.rank);
+      const shape = shapeOf(chunk.spec, chunk.zone);
+      const suits = full.has(shape);
+      let { pending: count } = chunk;
+      let suited = suits ? 1 : 0;
+      for (const { machine, room } of suits ? [] : rooms) {
+        if (count === 0) break;
+        if (!allows(chunk.spec, chunk.zone, machine)) continue;
+        if (holds(machine.size, chunk.spec)) suited++;
+        while (count > 0 && holds(room, chunk.spec)) {
+          count--;
+          room.cpus -= chunk.spec.cpus;
+          room.gpus -= chunk.spec.gpus;
+          room.memory -= chunk.spec.memory;
+        }
+      }
+      if (count > 0 && suited > 0) full.add(shape);
+      if (!chunk.spec.service && suited > 0) {
+        // Short work is through before a machine is up: only what is missing in the long run.
+        count = Math.min(count, Math.ceil(deficit / chunk.spec.cpus));
+        deficit -= count * chunk.spec.cpus;
+      }
+      if (count <= 0) continue;
+      const dear = chunk.spec.service ? 0 : Math.min(count, Math.ceil(pressing / chunk.spec.cpus));
+      pressing = Math.max(0, pressing - dear * chunk.spec.cpus);
+      const { cpus, gpus, memory, types, spot, rank, service, image, imageGb } = chunk.spec;
+      const zone = chunk.zone ?? chunk.spec.zone;
+      const run = service ? 0 : this.part.expectedRun(chunk.spec);
+      // One demand for all chunks that the same machines suit: thousands of tasks may wait.
+      const key = `${shape} ${rank} ${String(service)}`;
+      const known = demands.get(key);
+      if (known !== undefined) {
+        known.run = (known.run * known.count + run * count) / (known.count + count);
+        known.imageGb = (known.imageGb * known.count + imageGb * count) / (known.count + count);
+        known.count += count;
+        known.pressing += dear;
+        continue;
+      }
+      const demand = {
+        part: this.part.label,
+        cpus,
+        gpus,
+        memory,
+        types,
+        zone,
+        spot,
+        rank,
+        service,
+      };
+      demands.set(key, { ...demand, image, imageGb, count, urgent: service, pressing: dear, run });
+    }
+    const list = [...demands.values()];
+    const headroom = this.headroom(now);
+    if (headroom !== null && !list.some((d) => d.service)) list.push(headroom);
+    return list;
+  }
+}
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -6,12 +6,11 @@
 import { DRIFT } from '../base/clock.js';
 import { log } from '../base/log.js';
 import type { MachineType } from '../protocol/cloud.js';
-import type { Demand } from '../protocol/peer.js';
 import { rankOrder, type JobSpec } from '../protocol/job.js';
 import type { Report, TaskReport } from '../protocol/worker.js';
 import type { ChunkRecord, MachineRecord } from '../storage/records.js';
 import { Chunk, type Entry } from './chunk.js';
-import { Arrivals, type RunTimes } from './estimate.js';
+import type { RunTimes } from './estimate.js';
 import { Machine, type Placed } from './machine.js';
 import { Heap } from './heap.js';
 import {
@@ -23,19 +22,14 @@
   victimsFor,
   type Room,
 } from './placement.js';
+import { Needs, type NeedsOptions } from './needs.js';
 import { replay, type ReplayHost, type ReplayItem } from './replay.js';
 
-export interface PartOptions {
+export interface PartOptions extends NeedsOptions {
   lease: number;
   report: number;
   sample: number;
   zones: string[];
-  /** Batch work that waits should be through in this many seconds. */
-  patience: number;
-  /** Room for arriving batch work, as a ratio to its average. */
-  headroom: number;
-  /** Seconds over which arrivals are averaged. */
-  window: number;
 }
 
 export interface Amount {
@@ -86,9 +80,8 @@
   readonly hungry = new Set<string>();
   /** The first of each team that its limit has kept waiting for long. */
   readonly starving = new Map<string, Starved>();
-  private readonly arrivals: Arrivals;
-  private readonly liveArrivals: Arrivals;
-  private lastLive: Chunk | null = null;
+  /** What should be rented for it, and what may be returned. */
+  readonly needs: Needs;
   /** What each team's tasks take here; kept up to date, since each decision asks for it. */
   private readonly used = new Map<string, Amount>();
 
@@ -100,8 +93,7 @@
     private readonly random: Random,
     private readonly around: Surroundings = alone,
   ) {
-    this.arrivals = new Arrivals(options.window);
-    this.liveArrivals = new Arrivals(options.window);
+    this.needs = new Needs(this, options, types);
   }
 
   // ---- Machines ----
@@ -398,7 +390,7 @@
 
   addChunk(chunk: Chunk, now: number): void {
     this.chunks.set(chunk.id, chunk);
-    this.noteArrival(chunk, 1, now);
+    this.needs.noteArrival(chunk, 1, now);
     if (chunk.complete) this.settled.add(chunk);
   }
 
@@ -438,30 +430,12 @@
     return chunk;
   }
 
-  private noteArrival(chunk: Chunk, sign: number, now: number): void {
-    if (chunk.spec.service) {
-      this.liveArrivals.note(sign * chunk.pending * chunk.spec.cpus, now);
-      this.lastLive = chunk;
-      return;
-    }
-    this.arrivals.note(sign * chunk.pending * chunk.spec.cpus * this.expectedRun(chunk.spec), now);
-  }
-
   /** It goes to another part, and so does the work that had arrived with it. */
   sendAway(chunk: Chunk, now: number): void {
-    this.noteArrival(chunk, -1, now);
+    this.needs.noteArrival(chunk, -1, now);
     this.dropChunk(chunk);
   }
 
-  /** After a start the rate of arrivals is not known: what runs is the best guess. */
-  seedArrivals(now: number): void {
-    let cpus = 0;
-    for (const chunk of this.chunks.values()) {
-      if (!chunk.spec.service) cpus += chunk.entries.size * chunk.spec.cpus;
-    }
-    this.arrivals.seed(cpus, now);
-  }
-
   dropChunk(chunk: Chunk): void {
     if (!chunk.dropped) this.use(chunk, -chunk.entries.size);
     chunk.dropped = true;
@@ -501,7 +475,8 @@
 
   // ---- Decisions ----
 
-  private queue(): Chunk[] {
+  /** What waits, in the order in which it is looked at. */
+  queue(): Chunk[] {
     const waiting = [...this.chunks.values()].filter((c) => c.pending > 0);
     const entitled = new Set(waiting.filter((c) => this.isEntitled(c.spec)));
     return waiting.sort(
@@ -995,176 +970,6 @@
     }
     return Number.isFinite(best) ? best : 0;
   }
-
-  private countsForBatch(machine: Machine, now: number): boolean {
-    if (machine.lost || machine.deaf || machine.leaving || machine.goneBy !== null) return false;
-    return !machine.up || machine.shunnedUntil <= now;
-  }
-
-  /** Processors that batch work has or may have here, those on their way included. */
-  private batchCpus(now: number): number {
-    let cpus = 0;
-    for (const machine of this.machines.values()) {
-      if (this.countsForBatch(machine, now)) cpus += machine.size.cpus - machine.live;
-    }
-    return cpus;
-  }
-
-  /** Batch work that has piled up, in processor seconds. */
-  private backlog(): number {
-    let work = 0;
-    for (const chunk of this.chunks.values()) {
-      if (chunk.spec.service || chunk.cancelled) continue;
-      const run = this.expectedRun(chunk.spec);
-      work += (chunk.pending * run + chunk.entries.size * run * 0.5) * chunk.spec.cpus;
-    }
-    return work;
-  }
-
-  /** Processors that batch work needs: what arrives on the average, and what has piled up. */
-  private batchNeed(now: number): number {
-    const arriving = this.arrivals.rate(now) * this.options.headroom;
-    return Math.max(arriving, this.backlog() / this.options.patience);
-  }
-
-  /** Processors on ordinary machines that live services have not taken, those on their way included. */
-  liveRoom(): number {
-    let cpus = 0;
-    for (const machine of this.machines.values()) {
-      if (machine.spot || machine.lost || machine.deaf || machine.leaving) continue;
-      cpus += machine.size.cpus - machine.live;
-    }
-    return cpus;
-  }
-
-  /** Room for the services that will arrive while a machine boots, and for one more. */
-  private liveReserve(now: number): number {
-    if (this.lastLive === null) return 0;
-    const boots = [...this.types().values()].map((t) => t.boot);
-    const { spec, size } = this.lastLive;
-    return this.liveArrivals.rate(now) * Math.min(...boots) + size * spec.cpus;
-  }
-
-  /**
-   * Machines to be returned: idle for as long as a new one would take to boot, and not needed for
-   * what arrives on the average. The dearest go first.
-   */
-  spare(now: number, idleRatio: number): string[] {
-    const idle = [...this.machines.values()].filter((m) => m.entries.size === 0 && m.up);
-    const waits = this.waiting > 0;
-    // Worked out once: each that goes takes its own processors out of them.
-    let surplus = this.surplus(now);
-    let liveRoom = this.liveRoom();
-    const reserve = this.liveReserve(now);
-    const price = (m: Machine): number =>
-      ((m.spot ? m.shape?.spotPrice : m.shape?.price) ?? 0) / Math.max(1, m.size.cpus);
-    for (const machine of idle.sort((a, b) => price(b) - price(a))) {
-      if (machine.leaving || waits) continue;
-      const patience = (machine.shape?.boot ?? 60) * idleRatio;
-      const { cpus } = machine.size;
-      if (now - machine.idleSince < patience || surplus < cpus) continue;
-      if (!machine.spot && liveRoom - cpus < reserve) continue;
-      if (this.countsForBatch(machine, now)) surplus -= cpus;
-      if (!machine.spot && !machine.deaf) liveRoom -= cpus;
-      machine.leaving = true;
-    }
-    return idle.filter((m) => m.leaving).map((m) => m.name);
-  }
-
-  /** Processors beyond what is needed. */
-  surplus(now: number): number {
-    return this.batchCpus(now) - this.batchNeed(now);
-  }
-
-  /** Room that should stand ready for live services and does not. */
-  private headroom(now: number): Demand | null {
-    const missing = this.liveReserve(now) - this.liveRoom();
-    if (this.lastLive === null || missing <= 0) return null;
-    const { spec, zone } = this.lastLive;
-    const { cpus, gpus, memory, types, rank, image, imageGb } = spec;
-    const shape = { cpus, gpus, memory, types, zone: zone ?? spec.zone, spot: false, rank };
-    const count = Math.ceil(missing / cpus);
-    const rest = { service: true, image, imageGb, count, urgent: false, pressing: 0, run: 0 };
-    return { ...shape, part: this.label, ...rest };
-  }
-
-  /** Work that neither machines that are up nor those on their way can hold in good time. */
-  demands(now: number): Demand[] {
-    const rooms: { machine: Machine; room: Room }[] = [];
-    for (const machine of this.machines.values()) {
-      if (!this.countsForBatch(machine, now)) continue;
-      rooms.push({ machine, room: { ...machine.size } });
-    }
-    // In the order of the queue: what is placed takes its room before lower ranks do, so work that
-    // would be stopped for a waiting service does not make it ask for a machine.
-    const placed = rooms.flatMap(({ machine, room }) =>
-      [...machine.entries.values()].map((p) => ({ chunk: p.chunk, room })),
-    );
-    placed.sort((a, b) => b.chunk.rank - a.chunk.rank);
-    let settled = 0;
-    const settleDownTo = (rank: number): void => {
-      for (; settled < placed.length; settled++) {
-        const next = placed[settled];
-        if (next === undefined || next.chunk.rank < rank) return;
-        next.room.cpus -= next.chunk.spec.cpus;
-        next.room.gpus -= next.chunk.spec.gpus;
-        next.room.memory -= next.chunk.spec.memory;
-      }
-    };
-    const demands = new Map<string, Demand>();
-    const full = new Set<string>();
-    const have = this.batchCpus(now);
-    let deficit = Math.max(0, this.batchNeed(now) - have);
-    // What has piled up, and not what arrives on the average, may have machines at their full price.
-    let pressing = Math.max(0, this.backlog() / this.options.patience - have);
-    for (const chunk of this.queue()) {
-      if (chunk.failures > 2) continue;
-      settleDownTo(chunk.rank);
-      const shape = shapeOf(chunk.spec, chunk.zone);
-      const suits = full.has(shape);
-      let { pending: count } = chunk;
-      let suited = suits ? 1 : 0;
-      for (const { machine, room } of suits ? [] : rooms) {
-        if (count === 0) break;
-        if (!allows(chunk.spec, chunk.zone, machine)) continue;
-        if (holds(machine.size, chunk.spec)) suited++;
-        while (count > 0 && holds(room, chunk.spec)) {
-          count--;
-          room.cpus -= chunk.spec.cpus;
-          room.gpus -= chunk.spec.gpus;
-          room.memory -= chunk.spec.memory;
-        }
-      }
-      if (count > 0 && suited > 0) full.add(shape);
-      if (!chunk.spec.service && suited > 0) {
-        // Short work is through before a machine is up: only what is missing in the long run.
-        count = Math.min(count, Math.ceil(deficit / chunk.spec.cpus));
-        deficit -= count * chunk.spec.cpus;
-      }
-      if (count <= 0) continue;
-      const dear = chunk.spec.service ? 0 : Math.min(count, Math.ceil(pressing / chunk.spec.cpus));
-      pressing = Math.max(0, pressing - dear * chunk.spec.cpus);
-      const { cpus, gpus, memory, types, spot, rank, service, image, imageGb } = chunk.spec;
-      const zone = chunk.zone ?? chunk.spec.zone;
-      const run = service ? 0 : this.expectedRun(chunk.spec);
-      // One demand for all chunks that the same machines suit: thousands of tasks may wait.
-      const key = `${shape} ${rank} ${String(service)}`;
-      const known = demands.get(key);
-      if (known !== undefined) {
-        known.run = (known.run * known.count + run * count) / (known.count + count);
-        known.imageGb = (known.imageGb * known.count + imageGb * count) / (known.count + count);
-        known.count += count;
-        known.pressing += dear;
-        continue;
-      }
-      const demand = { part: this.label, cpus, gpus, memory, types, zone, spot, rank, service };
-      demands.set(key, { ...demand, image, imageGb, count, urgent: service, pressing: dear, run });
-    }
-    const list = [...demands.values()];
-    const headroom = this.headroom(now);
-    if (headroom !== null && !list.some((d) => d.service)) list.push(headroom);
-    return list;
-  }
 }
 
 /** The order of the queue: rank before arrival. */
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -763,8 +763,8 @@
 /** Each look at a machine's size asks for its type, so the questions count the visits. */
 const rounds: { name: string; most: number; play: (part: Part, now: number) => void }[] = [
   { name: 'a round of decisions', most: 12, play: (p, now) => p.decide(now, () => false) },
-  { name: 'what may be returned', most: 12, play: (p, now) => void p.spare(now, 1) },
-  { name: 'what is asked for', most: 12, play: (p, now) => void p.demands(now) },
+  { name: 'what may be returned', most: 12, play: (p, now) => void p.needs.spare(now, 1) },
+  { name: 'what is asked for', most: 12, play: (p, now) => void p.needs.demands(now) },
   {
     name: 'a peer that asks for the wait',
     most: 12,
