--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -25,6 +25,7 @@
 import { RunTimes } from './estimate.js';
 import type { Hosted } from './hosted.js';
 import type { Machine } from './machine.js';
+import type { NeedsOptions } from './needs.js';
 import { Orders } from './orders.js';
 import { Ownership, PROVISIONER, type Held } from './ownership.js';
 import { Part, type Amount, type Starved } from './part.js';
@@ -148,10 +149,11 @@
   }
 
   /** How soon batch work should be through, and how far back its arrivals are looked at. */
-  private get pace(): { patience: number; headroom: number; window: number } {
+  private get pace(): NeedsOptions {
     const promised = this.settings.objectives.filter((o) => o.kind === 'finished');
     const patience = Math.min(this.settings.lease * 4, ...promised.map((o) => o.within));
-    return { patience: patience / 2, headroom: 1, window: patience };
+    const last = Math.max(patience, ...promised.map((o) => o.within));
+    return { patience: patience / 2, dearPatience: last / 2, headroom: 1, window: patience };
   }
 
   /** How long after its own lease a node goes on answering its workers, so that an outage of the state
--- a/src/coordination/needs.ts
+++ b/src/coordination/needs.ts
@@ -10,6 +10,8 @@
 export interface NeedsOptions {
   /** Batch work that waits should be through in this many seconds. */
   patience: number;
+  /** Beyond this many seconds machines at full price are worth it: the last of its objectives is at risk. */
+  dearPatience: number;
   /** Room for arriving batch work, as a ratio to its average. */
   headroom: number;
   /** Seconds over which arrivals are averaged. */
@@ -174,7 +176,7 @@
     const have = this.batchCpus(now);
     let deficit = Math.max(0, this.batchNeed(now) - have);
     // What has piled up, and not what arrives on the average, may have machines at their full price.
-    let pressing = Math.max(0, this.backlog() / this.options.patience - have);
+    let pressing = Math.max(0, this.backlog() / this.options.dearPatience - have);
     for (const chunk of this.part.queue()) {
       if (chunk.failures > 2) continue;
       settleDownTo(chunk.rank);
--- a/test/accepting.test.ts
+++ b/test/accepting.test.ts
@@ -21,7 +21,7 @@
 
   constructor(value = 16 * 1024) {
     this.store.limits.value = value;
-    const pace = { patience: 30, headroom: 1, window: 100 };
+    const pace = { patience: 30, dearPatience: 60, headroom: 1, window: 100 };
     const part = new Part(
       'p',
       { lease: 18, report: 3, sample: 8, zones: ['a'], ...pace },
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -15,7 +15,7 @@
   const options = { lease: 18, report: 4, sample: 8, zones: ['a'] };
   const part = new Part(
     'p',
-    { ...options, patience: 30, headroom: 1, window: 100 },
+    { ...options, patience: 30, dearPatience: 60, headroom: 1, window: 100 },
     () => new Map(),
     new RunTimes(),
     seededRandom(1),
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -35,7 +35,16 @@
   constructor(around: Surroundings = alone) {
     this.part = new Part(
       'p',
-      { lease: 18, report: 3, sample: 8, zones: ['a'], patience: 30, headroom: 1.2, window: 100 },
+      {
+        lease: 18,
+        report: 3,
+        sample: 8,
+        zones: ['a'],
+        patience: 30,
+        dearPatience: 60,
+        headroom: 1.2,
+        window: 100,
+      },
       () => this.types,
       new RunTimes(),
       seededRandom(1),
--- a/test/storing.test.ts
+++ b/test/storing.test.ts
@@ -114,7 +114,7 @@
 
   constructor() {
     const options = { lease: 18, report: 3, sample: 8, zones: ['a'] };
-    const pace = { patience: 30, headroom: 1, window: 100 };
+    const pace = { patience: 30, dearPatience: 60, headroom: 1, window: 100 };
     const types = new Map([['m8', m8]]);
     const part = new Part(
       'p',
