--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -812,3 +812,25 @@
     });
   }
 }
+
+const backlogs: { name: string; tasks: number; service?: boolean; pressing: boolean }[] = [
+  // 8 processors: 4 tasks of 20 s at once. Objectives of 60 s and 120 s, half of each for the wait.
+  { name: 'more than the first objective allows, less than the last', tasks: 12, pressing: false },
+  { name: 'the last objective is at risk', tasks: 80, pressing: true },
+  { name: 'replicas do not go by it', tasks: 80, service: true, pressing: false },
+];
+for (const { name, tasks, service = false, pressing } of backlogs) {
+  test(`machines at full price for batch work: ${name}`, () => {
+    const b = new Bench();
+    b.machine();
+    b.chunk({ tasks, service, expect: service ? 0 : 20 });
+    b.decide();
+    const demands = b.part.needs.demands(b.now);
+    assert.equal(
+      demands.some((d) => d.pressing > 0),
+      pressing,
+    );
+    // Never for more than what could not be through in time.
+    for (const d of demands) assert.ok(d.pressing < d.count || d.count === 0);
+  });
+}
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -195,6 +195,11 @@
   assert.equal(pick(machine('a', 8, true), machine('b', 4, false)), 'a');
   assert.equal(pick(machine('a', 8, true, 3), machine('b', 8, false)), 'b');
   assert.equal(pick(), undefined);
+  // Replicas: apart from each other, but not on a machine that could be returned without them.
+  const live = (name: string, cpus: number) => ({ ...machine(name, 8, true), live: cpus });
+  const replica = spec({ cpus: 2, service: true });
+  assert.equal(bestFit([live('a', 4), live('b', 2)], replica)?.name, 'b');
+  assert.equal(bestFit([live('a', 0), live('b', 6)], replica)?.name, 'b');
   const many = Array.from({ length: 20 }, (_, i) => machine(`m${i}`, 8, i === 13));
   const sampled = sampleHosts(many, 'img', 3, seededRandom(1));
   assert.equal(sampled.length, 4);
