--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -30,6 +30,7 @@
   };
   const asked: string[] = [];
   const clock = { at: 100, now: () => clock.at };
+  const ownership = { valid: true, raise: () => Promise.resolve(null) };
   const node: OrdersNode = {
     settings: { report: 4, cores: 1, maxSockets: SOCKETS },
     clock,
@@ -41,11 +42,11 @@
         },
       },
     },
-    ownership: { valid: true, raise: () => Promise.resolve(null) },
+    ownership,
     hosted: new Map([['p', host]]),
     kick: () => undefined,
   };
-  return { part, orders: new Orders(node), asked, clock };
+  return { part, orders: new Orders(node), asked, clock, ownership };
 }
 
 test('machines that are silent hold half of the sockets for machines, and take turns', async () => {
@@ -86,3 +87,12 @@
     assert.equal(part.machines.get('n-0')?.missed, missed);
   });
 }
+
+test('without a valid lease nothing is asked or ordered', () => {
+  const { part, orders, asked, ownership } = fixture(3, () => new Promise(() => undefined));
+  ownership.valid = false;
+  for (const machine of part.machines.values()) part.pokes.add(machine);
+  orders.send();
+  orders.sweep();
+  assert.deepEqual(asked, []);
+});
--- /dev/null
+++ b/test/peers.test.ts
@@ -0,0 +1,85 @@
+/** What is believed of peers, and what a node believes of itself after it stood still. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Ownership } from '../src/coordination/ownership.js';
+import { Peers } from '../src/coordination/peers.js';
+import type { Gossip } from '../src/protocol/peer.js';
+import type { Replica } from '../src/storage/replica.js';
+import type { StateClient } from '../src/storage/stateClient.js';
+import { PeerClient } from '../src/transport/peerLink.js';
+
+const REPORT = 4;
+const SKEW = 0.1;
+
+const gossip = (changes: Partial<Gossip>): Gossip => ({
+  from: 'q',
+  process: 'x1',
+  sequence: 10,
+  at: 1000,
+  need: { requests: 0, writes: 0 },
+  served: true,
+  hosts: [],
+  demands: [],
+  spare: [],
+  lost: ['n-1'],
+  used: [],
+  hungry: [],
+  starving: [],
+  ...changes,
+});
+
+const messages: { name: string; second: Partial<Gossip>; believed: boolean }[] = [
+  { name: 'the next one', second: { sequence: 11, at: 1000.5 }, believed: true },
+  { name: 'a copy', second: {}, believed: false },
+  { name: 'one that was overtaken', second: { sequence: 9, at: 999.5 }, believed: false },
+  { name: 'one held back by a cut', second: { sequence: 11, at: 990 }, believed: false },
+  { name: 'one of an earlier start', second: { process: 'x0', at: 998 }, believed: false },
+  {
+    name: 'one of a later start',
+    second: { process: 'x2', sequence: 1, at: 1001 },
+    believed: true,
+  },
+  { name: 'one of a stranger', second: { from: 'z', sequence: 11 }, believed: false },
+];
+for (const { name, second, believed } of messages) {
+  // They name machines to end, so what is long past must not be acted on.
+  test(`a message of a peer: ${name}`, () => {
+    const clock = { now: () => 50, wall: () => 1001 };
+    const client = new PeerClient('127.0.0.1:1', 1);
+    const peers = new Peers(clock, REPORT, SKEW, [{ label: 'q', zone: 'a', client }]);
+    peers.note(gossip({}));
+    peers.note(gossip({ ...second, lost: ['n-2'] }));
+    assert.deepEqual(
+      peers.gossips().flatMap((g) => g.lost),
+      [believed ? 'n-2' : 'n-1'],
+    );
+  });
+}
+
+test('a node that stood still knows at once that its lease is over', async () => {
+  // Its clocks ran on: before anything else is read or sent, what it may do is asked of the clock.
+  const clock = { at: 10, now: () => clock.at, wall: () => clock.at };
+  const client = {
+    grant: () => Promise.resolve(1),
+    extend: () => new Promise<boolean>(() => undefined),
+  };
+  const ownership = new Ownership(
+    client as unknown as StateClient,
+    { loaded: false } as Replica,
+    clock,
+    { label: 'p', process: 'x', parts: ['p'], ttl: 0.05 },
+    {
+      gained: () => undefined,
+      lost: () => undefined,
+      quiet: () => Promise.resolve(),
+      wantsBack: () => false,
+    },
+  );
+  void ownership.run();
+  while (!ownership.valid) await new Promise((resolve) => setTimeout(resolve, 1));
+  clock.at += 0.04;
+  assert.equal(ownership.valid, true);
+  clock.at += 30;
+  assert.equal(ownership.valid, false);
+  ownership.stop();
+});
