--- a/test/support/users.ts
+++ b/test/support/users.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import type { Response } from '../../src/transport/httpClient.js';
 import { Cluster, until, type ClusterOptions } from './cluster.js';
 
 export interface Answer {
@@ -48,3 +49,23 @@
   Loaners: false,
   ExpectS: 0,
 };
+
+/**
+ * The first answer that is no 503: on a busy machine a lease may lapse for a moment, and users are told to
+ * come back.
+ */
+export async function settled(
+  cluster: Cluster,
+  label: string,
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<Response> {
+  let answer: Response | undefined;
+  await until('an answer', async () => {
+    answer = await cluster.call(label, method, path, body);
+    return answer.status !== 503;
+  });
+  if (answer === undefined) throw new Error('no answer');
+  return answer;
+}
