--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -89,6 +89,8 @@
     ['label = "drone-0"', 'label = ""', /label/],
     ['back = "127.0.0.1:2"', 'back = "nowhere"', /back: not an address/],
     ['zones = ["a"]', 'zones = []', /settings\.zones/],
+    // A chunk could never be sent on.
+    ['txn_ops = 16', 'txn_ops = 2', /settings\.state\.txn_ops/],
     ['label = "drone-0"', 'label = ', /not TOML/],
   ];
   for (const [from, to, message] of bad) {
--- /dev/null
+++ b/test/sizes.test.ts
@@ -0,0 +1,59 @@
+/** Any sound settings: the service starts and serves, whatever its size and the limits around it. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { chunkRanges, chunkSize } from '../src/coordination/chunks.js';
+import { groupLimit } from '../src/coordination/provisioner.js';
+import { ENTRY_BYTES, FRAME_BYTES } from '../src/coordination/shelf.js';
+import { RENT_LIMIT } from '../src/protocol/cloud.js';
+import { submission, until } from './support/cluster.js';
+import { spec } from './support/spec.js';
+import { accept, status, withCluster } from './support/users.js';
+
+for (const [nodes, zones] of [
+  [1, ['a']],
+  [7, ['a', 'b', 'c']],
+] as [number, string[]][]) {
+  test(`${nodes} controller(s) in ${zones.length} zone(s): a spread service and an array run`, () =>
+    withCluster(
+      { nodes, zones, runs: (task) => (task.startsWith('wk-000001') ? Infinity : 0.3) },
+      async (cluster) => {
+        const last = `drone-${nodes - 1}`;
+        // In a single zone half of a spread service is all that may run.
+        const replicas = zones.length > 1 ? 4 : 2;
+        const service = { Shape: 'daemon', Rank: 'prod', Pieces: 4, Apart: true, Loaners: false };
+        await accept(cluster, 'drone-0', submission('wk-000001', { ...service, ExpectS: 0 }));
+        await accept(cluster, last, submission('wk-000002', { Pieces: 40 }));
+        await until('the array is done', async () => {
+          return (await status(cluster, 'drone-0', 'wk-000002')).Status === 'done';
+        });
+        await until('the replicas run', async () => {
+          return (await status(cluster, last, 'wk-000001')).running === replicas;
+        });
+      },
+    ));
+}
+
+for (const kilobytes of [4, 16, 32, 64]) {
+  const value = kilobytes * 1024;
+  test(`records stay within values of ${kilobytes} KiB`, () => {
+    assert.ok(groupLimit(value) >= 1 && groupLimit(value) <= RENT_LIMIT);
+    const machine = { 'n-000000000': { at: 1764637200.123, address: '10.255.255.255:65535' } };
+    assert.ok(groupLimit(value) * JSON.stringify(machine).length < value);
+    for (const parts of [1, 3, 12]) {
+      for (const cpus of [0, 8, 64, 8000]) {
+        for (const tasks of [1, 120, 5000]) {
+          const job = spec({ tasks, cpus: 4 });
+          const size = chunkSize(job, cpus, value, parts);
+          const ranges = chunkRanges(tasks, size, []);
+          assert.equal(
+            ranges.reduce((n, r) => n + r.to - r.from, 0),
+            tasks,
+          );
+          // All tasks of a chunk may run at once, each an entry of its record.
+          const bytes = JSON.stringify(job).length + FRAME_BYTES + size * ENTRY_BYTES;
+          assert.ok(bytes < value, `${size} tasks take ${bytes} bytes`);
+        }
+      }
+    }
+  });
+}
