When a cut ends, machines that have not been asked since are not released as lost

At the end of the cut most machines answered within a second; the others, last asked during the cut, were outvoted as lost and released while healthy.

--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -76,6 +76,8 @@
   /** Chunks whose tasks are all done or, cancelled, all over. */
   readonly settled = new Set<Chunk>();
   private resumeAfter: string | null = null;
+  /** When most of the machines were last silent: more likely a fault on our side than on theirs. */
+  private blindAt = -Infinity;
   /** Teams that were kept waiting by their share of the limit in the last round. */
   readonly hungry = new Set<string>();
   /** The first of each team that its limit has kept waiting for long. */
@@ -358,6 +360,14 @@
   lostMachines(now: number, bootOf: (machine: Machine) => number, wall: number): string[] {
     const { report } = this.options;
     const lost: string[] = [];
+    let asked = 0;
+    let quiet = 0;
+    for (const { reached, missed } of this.machines.values()) {
+      if (reached === null && missed === 0) continue;
+      asked++;
+      if (missed > 0) quiet++;
+    }
+    if (quiet * 2 > asked) this.blindAt = now;
     for (const machine of this.machines.values()) {
       // Its last owner may be alive and answer it: that we can't reach it says nothing of the machine.
       if (machine.reached === null && machine.renewed > now) continue;
@@ -381,7 +391,9 @@
         else if (other.missed > 0) silent++;
       }
       const alone = heard === 0 && silent === 0 && now - last > report * 3;
-      if (heard > silent || alone) lost.push(machine.name);
+      // When a cut ends most answer at once. The others have not been asked since, and were released as lost.
+      const askedSince = machine.askedAt >= this.blindAt;
+      if ((heard > silent && askedSince) || alone) lost.push(machine.name);
     }
     return lost;
   }
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -834,3 +834,23 @@
     for (const d of demands) assert.ok(d.pressing < d.count || d.count === 0);
   });
 }
+
+test('when a cut ends, those that have not been asked since are not lost', () => {
+  const b = new Bench();
+  const machines = [1, 2, 3, 4].map((n) => b.machine(`n-${n}`));
+  const lost = (): string[] => b.part.lostMachines(b.now, () => 30, 1000);
+  for (const machine of machines) {
+    machine.missed = 3;
+    machine.missedSince = machine.askedAt = b.now + 1;
+  }
+  b.now += 20;
+  assert.deepEqual(lost(), []);
+  b.now += 1;
+  for (const machine of machines.slice(1)) b.report(machine, [], {}, 'answer');
+  assert.deepEqual(lost(), [], 'it was last asked during the cut');
+  const [silent] = machines;
+  if (silent === undefined) throw new Error('no machine');
+  silent.askedAt = b.now + 1;
+  b.now += 3;
+  assert.deepEqual(lost(), ['n-1']);
+});
