--- a/src/coordination/chunk.ts
+++ b/src/coordination/chunk.ts
@@ -40,6 +40,10 @@
   leaving = false;
   dirtySince: number | null = null;
   cancelled = false;
+  /** Steady time at which its job's cancellation was announced; null: nobody wants it cancelled. */
+  withheldAt: number | null = null;
+  /** A transaction that hands it to another part is on its way. */
+  moving = false;
   /** Set once its record is gone from this part. */
   dropped = false;
   /** Nothing is started before this time, after failures. */
@@ -92,11 +96,15 @@
     return this.to - this.from;
   }
   get pending(): number {
-    return this.cancelled ? 0 : this.size - this.done.size - this.entries.size;
+    return this.unwanted ? 0 : this.size - this.done.size - this.entries.size;
   }
   get complete(): boolean {
     return this.done.size === this.size;
   }
+  /** Its user has asked to cancel it: what its tasks do is of no use to anybody. */
+  get unwanted(): boolean {
+    return this.cancelled || this.withheldAt !== null;
+  }
   get running(): number {
     let count = 0;
     for (const entry of this.entries.values()) if (entry.state === 'running') count++;
@@ -113,7 +121,7 @@
   get movable(): boolean {
     const { shelf } = this;
     const settled = shelf !== null && !shelf.busy && shelf.stamp > 0 && this.stored > 0;
-    return settled && this.accepted && !this.leaving && !this.cancelled && this.entries.size === 0;
+    return settled && this.accepted && !this.leaving && !this.unwanted && this.entries.size === 0;
   }
 
   taskName(task: number): string {
--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -17,6 +17,8 @@
 
 export interface CommitHost extends ShelvingHost {
   hosted: ReadonlyMap<string, Hosted>;
+  /** The job is about to be cancelled. */
+  withheld(job: string): boolean;
 }
 
 export class Commits {
@@ -186,6 +188,7 @@
   private cutMore(home: Hosted, job: HomeJob): void {
     const { record } = job;
     if (job.busy || record.spec === null || record.state !== 'open') return;
+    if (this.host.withheld(job.id)) return;
     const ranges = chunkRanges(record.spec.tasks, record.size, record.zones);
     if (record.cut >= ranges.length) return;
     const open = record.cut - record.finished.length;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -2,6 +2,7 @@
 import { sleep, type Clock } from '../base/clock.js';
 import { describe, log } from '../base/log.js';
 import type { Random } from '../base/random.js';
+import type { Gossip } from '../protocol/peer.js';
 import type { Settings, Tuning } from '../protocol/settings.js';
 import { parseTypes, paths as cloudPaths, type MachineType } from '../protocol/cloud.js';
 import type { Change } from '../protocol/state.js';
@@ -23,7 +24,7 @@
 import { chunkRanges } from './chunks.js';
 import { Commits } from './commits.js';
 import { RunTimes } from './estimate.js';
-import type { Hosted } from './hosted.js';
+import { hosting, type Hosted } from './hosted.js';
 import type { Machine } from './machine.js';
 import type { NeedsOptions } from './needs.js';
 import { Orders } from './orders.js';
@@ -34,6 +35,7 @@
 import { Quotas } from './quotas.js';
 import { Sender } from './sender.js';
 import { Shelf } from './shelf.js';
+import { Withholding } from './withholding.js';
 
 /** How long changes are gathered for one round of decisions, as a ratio to the time between reports. */
 const GATHER = 1 / 200;
@@ -60,6 +62,7 @@
   readonly zoneOf = new Map<string, string>();
   readonly sender: Sender;
   readonly orders: Orders;
+  readonly withholding: Withholding;
   private readonly quotas: Quotas;
   private readonly provisioner: Provisioner;
   private kicked = false;
@@ -89,7 +92,8 @@
     });
     // Watches may take a tenth of the requests.
     const pause = Math.max(0.05, this.parts.length / (settings.stateRate * 0.1));
-    this.replica = new Replica(this.state, ROOT, { hold: settings.report * 2, pause }, (change) => {
+    const watch = { hold: settings.report * 2, pause };
+    this.replica = new Replica(this.state, ROOT, clock, watch, (change) => {
       this.onChange(change);
     });
     this.ownership = new Ownership(
@@ -117,6 +121,7 @@
       clock,
       {
         hosted: this.hosted,
+        withheld: (job) => this.withholding.has(job),
         valid: () => this.ownership.valid,
         doubt: (part) => this.ownership.doubt(part),
         stored: (host, chunks) => {
@@ -139,6 +144,7 @@
     );
     this.sender = new Sender(this);
     this.orders = new Orders(this);
+    this.withholding = new Withholding(this);
     this.quotas = new Quotas(this);
     this.provisioner = new Provisioner(this, process);
   }
@@ -187,6 +193,7 @@
     });
     void this.every(this.settings.report / 3, () => {
       this.commits.review();
+      this.withholding.sweep();
       this.adoptStrayShelves();
       this.sender.review();
       this.orders.sweep();
@@ -303,6 +310,12 @@
     );
   }
 
+  /** What a peer tells. Where it owns a part with a token above ours, ours has ended, whatever we believe. */
+  hear(gossip: Gossip): void {
+    this.peers.note(gossip);
+    for (const { part, token } of gossip.hosts) this.ownership.forfeit(part, token);
+  }
+
   private usedElsewhere(team: string, except: string): Amount {
     const used = { cpus: 0, gpus: 0 };
     const add = (amount: Amount): void => {
@@ -359,7 +372,7 @@
       return;
     }
     const now = this.clock.now();
-    const { report, lease, zones } = this.settings;
+    const { report, lease, zones, skew } = this.settings;
     const part = new Part(
       label,
       { lease, report, sample: this.tuning.sample, zones, ...this.pace },
@@ -376,19 +389,10 @@
         starved: (team) => this.starvedElsewhere(team, label),
       },
     );
-    const host: Hosted = {
-      part,
-      token: held.token,
-      stamp: held.stamp,
-      alive: true,
-      jobs: new Map(),
-      shelves: new Map(),
-      gatherUntil: 0,
-      writing: 0,
-      raisedAt: now,
-    };
-    // Another node may go on answering its workers for its grace; ourselves, before a restart, not.
-    const renewed = held.adopted ? now + this.grace : now;
+    // Another node may go on answering its workers for its grace; ourselves, before a restart, not. Counted
+    // from when the part came here, which may have been before our last restart.
+    const renewed = now + Math.max(0, held.since + this.grace + 2 * skew - this.clock.wall());
+    const host = hosting(part, held, now, renewed);
     for (const [name, record] of this.fleet.of(label)) part.addMachine(name, record, now, renewed);
     for (const [key, { value, stamp }] of this.replica.under(keys.runs(label))) {
       this.loadShelf(host, key.slice(keys.runs(label).length), value as ShelfRecord, stamp);
@@ -420,8 +424,10 @@
       }
       const chunk = host.part.loadChunk(index, record, host.token, now);
       shelf.add(chunk);
+      this.withholding.apply(host, chunk);
       if (job?.state === 'cancelled') host.part.cancel(chunk, now);
     }
+    if (shelf.chunks.size === 0) shelf.stale = true;
   }
 
   /** Chunks of a home job that nobody has stored yet: nothing of them was started. */
@@ -434,7 +440,9 @@
       const elsewhere = finished.includes(k) || away.includes(k);
       if (range === undefined || elsewhere || host.part.chunks.has(`${spec.id}/${k}`)) continue;
       const { from, to, zone } = range;
-      host.part.accept(new Chunk(spec, k, home, at, from, to, zone, now), now);
+      const chunk = new Chunk(spec, k, home, at, from, to, zone, now);
+      host.part.accept(chunk, now);
+      this.withholding.apply(host, chunk);
     }
   }
 
--- a/src/coordination/gateway.ts
+++ b/src/coordination/gateway.ts
@@ -77,13 +77,18 @@
 
   private async answerPeer(request: ReturnType<typeof decodeRequest>): Promise<PeerAnswer> {
     if ('Gossip' in request) {
-      this.node.peers.note(request.Gossip);
+      this.node.hear(request.Gossip);
       return { Noted: {} };
     }
     if ('Ask' in request) {
       const { spec, zone, tasks } = request.Ask;
       return { Estimates: { of: this.node.sender.estimates(decodeSpec(spec), zone, tasks) } };
     }
+    if ('Withhold' in request) {
+      const { job, at } = request.Withhold;
+      const of = this.node.peers.isLate(at) ? [] : this.node.withholding.withhold(job);
+      return { WithheldChunks: { of } };
+    }
     return { Relayed: await this.relayed(request.Relay) };
   }
 
--- a/src/coordination/hosted.ts
+++ b/src/coordination/hosted.ts
@@ -26,4 +26,29 @@
   /** Transactions on their way. */
   writing: number;
   raisedAt: number;
+  /** Steady time until which a node that owned the part before may answer its workers. */
+  foreignUntil: number;
+  /** The token with which we got it: a worker that has seen it takes nothing from earlier owners. */
+  readonly gainedToken: number;
+}
+
+export function hosting(
+  part: Part,
+  { token, stamp }: { token: number; stamp: number },
+  now: number,
+  foreignUntil = now,
+): Hosted {
+  return {
+    part,
+    token,
+    stamp,
+    alive: true,
+    jobs: new Map(),
+    shelves: new Map(),
+    gatherUntil: 0,
+    writing: 0,
+    raisedAt: now,
+    foreignUntil,
+    gainedToken: token,
+  };
 }
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -52,6 +52,13 @@
   lost = false;
   idleSince: number;
   inFlight = false;
+  /** Steady time of the last report that its worker sent by itself. */
+  reportedAt: number | null = null;
+  /**
+   * It answers, but its worker reaches no controller: answers do not renew its lease, so whatever starts there
+   * is killed within one.
+   */
+  mute = false;
   /** Questions in a row that it has not answered. */
   missed = 0;
   /** When the first of them was sent. */
@@ -182,9 +189,8 @@
   }
 
   usable(now: number): boolean {
-    return (
-      this.up && !this.deaf && !this.leaving && this.goneBy === null && this.shunnedUntil <= now
-    );
+    const able = this.up && !this.deaf && !this.mute && !this.leaving;
+    return able && this.goneBy === null && this.shunnedUntil <= now;
   }
 
   hasImage(image: string): boolean {
@@ -209,6 +215,21 @@
     );
   }
 
+  /**
+   * Ends of tasks whose users have asked to cancel them. Whoever answers the worker gives these, with every
+   * answer, whatever else it may not do: an answer without them would only keep such tasks alive.
+   */
+  endings(): Order[] {
+    const orders: Order[] = [];
+    for (const [task, { chunk, entry }] of this.entries) {
+      const report = this.tasks.get(task);
+      if (!chunk.unwanted || report?.attempt !== entry.attempt) continue;
+      const { attempt } = entry;
+      if (report.state !== 'ended') orders.push({ verb: 'halt', task, attempt, wind: 0 });
+    }
+    return orders;
+  }
+
   /** Stops, starts and reaps that the worker should carry out now. */
   orders(mayStart: boolean, now: number, again: number): Order[] {
     const orders: Order[] = [];
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -1,6 +1,11 @@
 /** What machines are told and asked: orders, questions to those that are silent, doubts settled. */
 import { describe, log } from '../base/log.js';
-import { ordersRequest, parseReport, paths as workerPaths } from '../protocol/worker.js';
+import {
+  ordersRequest,
+  parseReport,
+  paths as workerPaths,
+  type Order,
+} from '../protocol/worker.js';
 import { CallFailed, type HttpClient } from '../transport/httpClient.js';
 import type { Chunk } from './chunk.js';
 import type { Hosted } from './hosted.js';
@@ -41,7 +46,6 @@
   }
 
   send(): void {
-    if (!this.node.ownership.valid) return;
     for (const host of this.node.hosted.values()) {
       for (const machine of host.part.pokes) {
         if (machine.inFlight || machine.address === '') continue;
@@ -55,7 +59,12 @@
 
   private async command(host: Hosted, machine: Machine): Promise<void> {
     const { report } = this.node.settings;
-    const orders = machine.orders(true, this.node.clock.now(), report * 1.5);
+    const due = (): Order[] =>
+      this.node.ownership.valid
+        ? machine.orders(true, this.node.clock.now(), report * 1.5)
+        : // Nothing else may be done without a valid lease, but these ends can't be wrong.
+          machine.endings();
+    const orders = due();
     if (orders.length === 0) return;
     const { token } = host;
     const started = orders.flatMap((o) => {
@@ -94,7 +103,7 @@
     } finally {
       machine.inFlight = false;
     }
-    if (host.alive && machine.orders(true, this.node.clock.now(), report * 1.5).length > 0) {
+    if (host.alive && due().length > 0) {
       setTimeout(
         () => {
           host.part.pokes.add(machine);
@@ -149,7 +158,10 @@
   sweep(): void {
     const now = this.node.clock.now();
     const { report } = this.node.settings;
-    if (!this.node.ownership.valid) return;
+    if (!this.node.ownership.valid) {
+      this.pokeEndings();
+      return;
+    }
     for (const host of this.node.hosted.values()) {
       host.part.sweep(now);
       if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
@@ -180,6 +192,16 @@
     this.node.kick();
   }
 
+  /** Without a valid lease: only what users have asked to cancel is seen to. */
+  private pokeEndings(): void {
+    for (const { part } of this.node.hosted.values()) {
+      for (const machine of part.machines.values()) {
+        if (machine.endings().length > 0) part.pokes.add(machine);
+      }
+    }
+    this.send();
+  }
+
   /** A start stays in doubt until its worker has seen a higher token: get one when it drags on. */
   private settleDoubts(host: Hosted, now: number): void {
     const { report } = this.node.settings;
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -6,7 +6,7 @@
 import { describe, log } from '../base/log.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient } from '../storage/stateClient.js';
-import { keys, type OwnerRecord } from '../storage/records.js';
+import { keys, type OwnerRecord, type TokenRecord } from '../storage/records.js';
 
 /** Not a part: the key by which the one node that rents and returns machines is elected. */
 export const PROVISIONER = '~provisioner';
@@ -14,8 +14,11 @@
 export interface Held {
   token: number;
   stamp: number;
-  /** True when the last owner was another node, which may still answer its workers for a while. */
-  adopted: boolean;
+  /**
+   * Time of day at which the part came here from another node, which may still answer its workers for a
+   * while; 0 when no other node ever had it. A restart of this node changes nothing of it.
+   */
+  since: number;
 }
 
 export interface OwnershipOptions {
@@ -105,6 +108,13 @@
     if (this.held.get(part) === held && item?.stamp !== held.stamp) this.lose(part);
   }
 
+  /** Somebody owns the part with this token: if it is above ours, the part is ours no longer. */
+  forfeit(part: string, token: number): void {
+    const held = this.held.get(part);
+    // While a claim or a raise of ours is under way its record may be known before its answer.
+    if (held !== undefined && token > held.token && !this.busy.has(part)) this.lose(part);
+  }
+
   private lose(part: string): void {
     if (!this.held.delete(part)) return;
     log.info(`part ${part} is no longer ours`);
@@ -124,7 +134,9 @@
     if (this.busy.has(part)) return;
     const { label } = this.options;
     const stored = this.replica.get(keys.owner(part))?.value as OwnerRecord | undefined;
-    if (this.held.has(part)) {
+    const mine = this.held.get(part);
+    if (mine !== undefined) {
+      if (stored !== undefined) this.forfeit(part, stored.token);
       // Its key will be absent anew after a hand-back, and its own node goes first then.
       this.absentSince.delete(part);
       if (part !== label && part !== PROVISIONER && this.events.wantsBack(part)) {
@@ -186,7 +198,7 @@
       await this.events.quiet(part);
       const raised = await this.writeOwner(part, (_, stamp) => stamp === before.stamp);
       if (raised === null || this.held.get(part) !== before) return null;
-      this.held.set(part, { ...raised, adopted: before.adopted });
+      this.held.set(part, raised);
       return raised;
     } finally {
       this.busy.delete(part);
@@ -206,8 +218,12 @@
       if (before !== null) this.replica.note(key, before.value, before.stamp);
       return null;
     }
-    const token = ((counter?.value as { last: number } | undefined)?.last ?? 0) + 1;
+    const tokens = (counter?.value ?? { last: 0 }) as TokenRecord;
+    const token = tokens.last + 1;
     const record: OwnerRecord = { node, token, process };
+    const last = tokens.owners?.[part];
+    const since = last === undefined ? 0 : last.node === node ? last.since : this.clock.wall();
+    const owners = { ...tokens.owners, [part]: { node, since } };
     const result = await this.client.txn(
       {
         when: [
@@ -215,7 +231,7 @@
           { key, stamp: before?.stamp ?? 0 },
         ],
         puts: [
-          { key: keys.token, value: { last: token } },
+          { key: keys.token, value: { last: token, owners } satisfies TokenRecord },
           { key, value: record, hold: this.hold },
         ],
         removes: [],
@@ -231,7 +247,7 @@
     }
     if (stamp === 0) return null;
     this.replica.note(key, record, stamp);
-    return { token, stamp, adopted: owner !== null ? owner.node !== node : part !== node };
+    return { token, stamp, since };
   }
 
   private async handBack(part: string): Promise<void> {
@@ -243,10 +259,24 @@
     await this.events.quiet(part);
     const key = keys.owner(part);
     for (let tries = 0; tries < 5; tries++) {
-      const when = [{ key, stamp: held.stamp }];
-      const result = await this.client.txn({ when, puts: [], removes: [key] }, 'first');
+      const counter = await this.client.get(keys.token);
+      const tokens = (counter?.value ?? { last: held.token }) as TokenRecord;
+      // We answer its workers no more, so its own node has to wait for nobody on our account.
+      const owners = { ...tokens.owners, [part]: { node: part, since: held.since } };
+      const result = await this.client.txn(
+        {
+          when: [
+            { key, stamp: held.stamp },
+            { key: keys.token, stamp: counter?.stamp ?? 0 },
+          ],
+          puts: [{ key: keys.token, value: { ...tokens, owners } }],
+          removes: [key],
+        },
+        'first',
+      );
       if (result.kind === 'applied') this.replica.noteRemoved(key, result.stamp);
-      if (result.kind === 'applied' || result.kind === 'conflict') return;
+      if (result.kind === 'applied') return;
+      if (result.kind === 'conflict' && result.failed.includes(key)) return;
       await sleep(this.options.ttl / 10);
     }
   }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -133,6 +133,7 @@
     machine.tick = report.tick;
     machine.seenToken = Math.max(machine.seenToken, report.token);
     machine.heard = now;
+    if (isHello) machine.reportedAt = now;
     if (from !== 'report') machine.noteReached(now);
     machine.goneBy = report.warning === null ? null : now + report.warning;
     machine.noteTasks(report.tasks);
@@ -289,7 +290,7 @@
 
   private drain(machine: Machine, now: number): void {
     for (const { chunk, entry } of machine.entries.values()) {
-      if (entry.stop !== null || chunk.cancelled) continue;
+      if (entry.stop !== null || chunk.unwanted) continue;
       const left = (machine.goneBy ?? now) - now;
       const { service, checkpoint, save } = chunk.spec;
       // Without a checkpoint stopping gains nothing, save that a replica's successor starts sooner.
@@ -311,7 +312,7 @@
     if (machine.entries.size === 0) machine.idleSince = now;
     this.changed(chunk, now);
     // One of a gang is over before its time: the others can do nothing without it, and start anew with it.
-    if (!chunk.spec.gang || chunk.cancelled || chunk.done.has(entry.task)) return;
+    if (!chunk.spec.gang || chunk.unwanted || chunk.done.has(entry.task)) return;
     for (const other of chunk.entries.values()) {
       const { checkpoint, save } = chunk.spec;
       const on = this.machines.get(other.machine);
@@ -328,6 +329,7 @@
   /** Silent machines: what ran there is over once nobody can have renewed the lease that long. */
   sweep(now: number): void {
     for (const machine of this.machines.values()) {
+      machine.mute = now - (machine.reportedAt ?? machine.created) > this.options.lease / 2;
       const limit = this.options.lease * (1 + DRIFT) + this.options.report / 2;
       if (machine.entries.size === 0 || now - machine.renewed <= limit) continue;
       machine.lost = true;
@@ -472,6 +474,25 @@
   cancel(chunk: Chunk, now: number): void {
     if (chunk.cancelled) return;
     chunk.cancelled = true;
+    this.endAll(chunk, now);
+    this.changed(chunk, now);
+  }
+
+  /**
+   * Its user has asked to cancel it, and that is about to be stored: nothing of it starts or runs from now
+   * on. This must not wait for the record, which may be stored where this node can't read it any more.
+   */
+  withhold(chunk: Chunk, now: number): void {
+    if (chunk.withheldAt === null && !chunk.cancelled) this.endAll(chunk, now);
+    chunk.withheldAt = now;
+  }
+
+  /** The cancellation did not come about. */
+  resume(chunk: Chunk): void {
+    chunk.withheldAt = null;
+  }
+
+  private endAll(chunk: Chunk, now: number): void {
     for (const entry of [...chunk.entries.values()]) {
       const machine = this.machines.get(entry.machine);
       if (machine === undefined) continue;
@@ -482,7 +503,6 @@
         this.release(machine, { chunk, entry }, now);
       }
     }
-    this.changed(chunk, now);
   }
 
   // ---- Decisions ----
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -9,6 +9,7 @@
   type Gossip,
   type Relay,
   type Relayed,
+  type Withheld,
 } from '../protocol/peer.js';
 import type { JobSpec } from '../protocol/job.js';
 import type { PeerClient } from '../transport/peerLink.js';
@@ -53,7 +54,7 @@
     // A cut holds messages back and delivers them late, from earlier starts of the peer as well: what
     // they say of machines to return, of tokens and of teams is long past.
     const before = peer.gossip;
-    const stale = this.clock.wall() - gossip.at > this.fresh + 2 * this.skew;
+    const stale = this.isLate(gossip.at);
     const behind =
       before !== null &&
       (before.process === gossip.process
@@ -144,6 +145,32 @@
     return (await Promise.all(calls)).flat();
   }
 
+  /** A late message may tell of a cancellation that was long given up. */
+  isLate(at: number): boolean {
+    return this.clock.wall() - at > this.fresh + 2 * this.skew;
+  }
+
+  /**
+   * Tells all peers that a job is about to be cancelled. `note` takes their answers as they come and says
+   * whether they are enough; false when they were not.
+   */
+  withhold(job: string, timeout: number, note: (found: Withheld[]) => boolean): Promise<boolean> {
+    const body = encodeRequest({ Withhold: { job, at: this.clock.wall() } });
+    return new Promise((resolve) => {
+      const calls = [...this.peers.values()].map(async ({ client }) => {
+        try {
+          const answer = decodeAnswer(await client.call(body, timeout));
+          if ('WithheldChunks' in answer && note(answer.WithheldChunks.of)) resolve(true);
+        } catch {
+          // Out of reach: what it has is not known to have ended.
+        }
+      });
+      void Promise.all(calls).then(() => {
+        resolve(false);
+      });
+    });
+  }
+
   async relay(label: string, relay: Relay, timeout: number): Promise<Relayed | null> {
     const peer = this.peers.get(label);
     if (peer === undefined) return null;
--- a/src/coordination/shelf.ts
+++ b/src/coordination/shelf.ts
@@ -13,6 +13,12 @@
   busy = false;
   /** Its record still holds chunks that are over; nobody needs that stored in a hurry. */
   stale = false;
+  /**
+   * A transaction that creates its record got no answer. Were the record removed, that transaction could be
+   * applied late and bring back chunks that are at other parts by then. So the record stays, empty if need
+   * be, for as long as the ownership that the transaction is conditional on.
+   */
+  unsettled = false;
 
   constructor(
     readonly name: string,
--- a/src/coordination/shelving.ts
+++ b/src/coordination/shelving.ts
@@ -110,10 +110,10 @@
     let best: Shelf | null = null;
     let most = -1;
     for (const shelf of host.shelves.values()) {
-      if (shelf.chunks.size === 0 || shelf.busy) continue;
+      if ((shelf.chunks.size === 0 && !shelf.unsettled) || shelf.busy) continue;
       // Replicas seldom change, tasks often: apart, so that the ones are not written for the others.
       const [first] = shelf.chunks;
-      if (first?.spec.service !== chunk.spec.service) continue;
+      if (first !== undefined && first.spec.service !== chunk.spec.service) continue;
       const used = shelf.potential;
       if (used + need <= room && used > most) [best, most] = [shelf, used];
     }
@@ -142,7 +142,8 @@
       const puts: Txn['puts'] = [];
       const removes: string[] = [];
       for (const shelf of shelves) {
-        if (shelf.chunks.size > 0) puts.push({ key: this.key(host, shelf), value: shelf.record() });
+        if (shelf.chunks.size > 0 || shelf.unsettled)
+          puts.push({ key: this.key(host, shelf), value: shelf.record() });
         else if (shelf.stamp > 0) removes.push(this.key(host, shelf));
         shelf.stale = false;
       }
@@ -154,7 +155,10 @@
         return;
       }
       for (const { chunk } of stored) chunk.dirtySince ??= this.clock.now();
-      for (const shelf of shelves) shelf.stale = true;
+      for (const shelf of shelves) {
+        shelf.stale = true;
+        if (result.kind === 'unknown' && shelf.stamp === 0) shelf.unsettled = true;
+      }
       if (result.kind === 'conflict') await this.resolve(host, shelves);
       else await sleep(this.options.retry);
     } catch (error) {
@@ -237,7 +241,8 @@
     host.writing++;
     try {
       await this.client.turn(2 + extra.puts.length, 'later');
-      if (chunk.entries.size > 0 || chunk.dropped || chunk.cancelled) return { kind: 'refused' };
+      if (chunk.entries.size > 0 || chunk.dropped || chunk.unwanted) return { kind: 'refused' };
+      chunk.moving = true;
       const value: ShelfRecord = {
         chunks: { [chunk.id]: { ...chunk.record(), moves: chunk.moves + 1 } },
       };
@@ -246,7 +251,7 @@
       const others = [...shelf.chunks]
         .filter((c) => c !== chunk)
         .map((c) => ({ c, at: c.version }));
-      const alone = others.length === 0;
+      const alone = others.length === 0 && !shelf.unsettled;
       const result = await this.write(
         host,
         {
@@ -279,6 +284,7 @@
       }
       return result;
     } finally {
+      chunk.moving = false;
       shelf.busy = false;
       host.writing--;
     }
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -288,6 +288,10 @@
     const host = node.hosted.get(record.home);
     const job = host?.jobs.get(id);
     if (host !== undefined && job !== undefined && node.ownership.valid) {
+      // Else a node that can't read the record would keep tasks of the job alive, or start some.
+      if (job.record.state === 'open' && !(await node.withholding.everywhere(id, job.record))) {
+        return later('a node that may run tasks of the job cannot be asked just now', 2);
+      }
       const state = await node.commits.cancel(host, job, node.clock.now() + PATIENCE);
       if (state !== null && state !== 'open') return over(id, state);
       return later('the cancellation could not be stored');
--- /dev/null
+++ b/src/coordination/withholding.ts
@@ -0,0 +1,105 @@
+/**
+ * Before a cancellation is stored, all nodes are told of it, and each that has chunks of the job ends them and
+ * starts nothing more. The record alone would not do: a node that the state service refuses can't read it, goes
+ * on answering its workers, and would keep cancelled tasks alive for longer than they may be (safety, C1).
+ */
+import { DRIFT, type Clock } from '../base/clock.js';
+import type { Withheld } from '../protocol/peer.js';
+import type { Settings } from '../protocol/settings.js';
+import { keys, type JobRecord, type OwnerRecord } from '../storage/records.js';
+import type { Replica } from '../storage/replica.js';
+import type { Chunk } from './chunk.js';
+import type { Hosted } from './hosted.js';
+import type { Peers } from './peers.js';
+
+/** What is needed of a node. */
+export interface WithholdingNode {
+  settings: Pick<Settings, 'report' | 'lease' | 'cancel'>;
+  clock: Pick<Clock, 'now'>;
+  hosted: ReadonlyMap<string, Hosted>;
+  replica: Pick<Replica, 'get' | 'syncedAt'>;
+  peers: Pick<Peers, 'withhold'>;
+  kick(): void;
+}
+
+/** Seconds in which a cancellation that was announced is stored or given up: its user waits no longer. */
+const STORED_WITHIN = 5;
+
+export class Withholding {
+  /** Jobs whose cancellation was announced, and when. */
+  private readonly jobs = new Map<string, number>();
+
+  constructor(private readonly node: WithholdingNode) {}
+
+  has(id: string): boolean {
+    return this.jobs.has(id);
+  }
+
+  /** A chunk that has just come here. */
+  apply(host: Hosted, chunk: Chunk): void {
+    if (this.has(chunk.spec.id)) host.part.withhold(chunk, this.node.clock.now());
+  }
+
+  /** Gives the chunks of a job that are here, end them, and can't be kept alive by anybody else. */
+  withhold(id: string): Withheld[] {
+    const now = this.node.clock.now();
+    this.jobs.set(id, now);
+    const here: Withheld[] = [];
+    for (const host of this.node.hosted.values()) {
+      for (const chunk of host.part.chunksOf(id)) {
+        host.part.withhold(chunk, now);
+        // It may be at the part that it is on its way to.
+        if (chunk.moving || chunk.leaving) continue;
+        if (!this.isOurs(host, chunk, now)) continue;
+        here.push({ index: chunk.index, part: host.part.label, token: host.token });
+      }
+    }
+    this.node.kick();
+    return here;
+  }
+
+  /** No earlier owner of the part answers the workers of its tasks for longer than a cancellation leaves. */
+  private isOurs(host: Hosted, chunk: Chunk, now: number): boolean {
+    const { cancel, lease, report } = this.node.settings;
+    const allowance = Math.max(0, cancel - lease * (1 + 2 * DRIFT) - report);
+    if (now >= host.foreignUntil - allowance) return true;
+    for (const entry of chunk.entries.values()) {
+      const machine = host.part.machines.get(entry.machine);
+      if (machine !== undefined && machine.seenToken < host.gainedToken) return false;
+    }
+    return true;
+  }
+
+  /** True once every open chunk of a job is known to be withheld by the owner of its part. */
+  async everywhere(id: string, record: JobRecord): Promise<boolean> {
+    const missing = new Set<number>();
+    for (let k = 0; k < record.cut; k++) if (!record.finished.includes(k)) missing.add(k);
+    const note = (found: Withheld[]): boolean => {
+      for (const { index, part, token } of found) {
+        const owner = this.node.replica.get(keys.owner(part))?.value as OwnerRecord | undefined;
+        // One that has lost the part and does not know it speaks for nobody.
+        if (owner !== undefined && owner.token <= token) missing.delete(index);
+      }
+      return missing.size === 0;
+    };
+    if (note(this.withhold(id))) return true;
+    return this.node.peers.withhold(id, this.node.settings.report / 12, note);
+  }
+
+  /**
+   * Work of a job that is still open after all could have been stored goes on. Only a node that has read the
+   * records since can tell.
+   */
+  sweep(): void {
+    const { hosted, replica } = this.node;
+    for (const [id, at] of this.jobs) {
+      if (replica.syncedAt <= at + STORED_WITHIN) continue;
+      this.jobs.delete(id);
+      const record = replica.get(keys.job(id))?.value as JobRecord | undefined;
+      if (record?.state !== 'open') continue;
+      for (const { part } of hosted.values()) {
+        for (const chunk of part.chunksOf(id)) part.resume(chunk);
+      }
+    }
+  }
+}
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -70,7 +70,8 @@
     // It may be a late copy, or our answers may not get there: a question shows that at once.
     if (!machine.up || machine.missed > 0) void node.orders.probe(host, machine);
     const valid = node.ownership.valid;
-    const orders = newer && valid ? machine.orders(true, now, node.settings.report * 1.5) : [];
+    const orders =
+      newer && valid ? machine.orders(true, now, node.settings.report * 1.5) : machine.endings();
     for (const order of orders) {
       const placed = order.verb === 'start' ? machine.entries.get(order.task) : undefined;
       if (placed !== undefined) placed.entry.riding = true;
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -70,6 +70,20 @@
   utilisation: number;
 }
 
+/** A job is about to be cancelled: its tasks are ended and none is started. */
+export interface Withhold {
+  job: string;
+  /** Time of day at which it was sent: a cut may hold it back for minutes. */
+  at: number;
+}
+
+/** A chunk that runs no more, at the owner of its part. */
+export interface Withheld {
+  index: number;
+  part: string;
+  token: number;
+}
+
 /** A request of a user or a worker, passed on to the node that can answer it. */
 export interface Relay {
   method: string;
@@ -174,17 +188,31 @@
   field('retryAfter', nullable('double')),
 ]);
 const noted = record('Noted', []);
+const withhold = record('Withhold', [field('job', 'string'), field('at', 'double')]);
+const withheldChunks = record('WithheldChunks', [
+  field(
+    'of',
+    list(
+      record('Withheld', [field('index', 'int'), field('part', 'string'), field('token', 'long')]),
+    ),
+  ),
+]);
 
-const requestType = avro.Type.forSchema([gossip, ask, relay] as unknown as avro.Schema, {
-  wrapUnions: true,
-});
-const answerType = avro.Type.forSchema([noted, estimates, relayed] as unknown as avro.Schema, {
+const requestType = avro.Type.forSchema([gossip, ask, relay, withhold] as unknown as avro.Schema, {
   wrapUnions: true,
 });
+const answerType = avro.Type.forSchema(
+  [noted, estimates, relayed, withheldChunks] as unknown as avro.Schema,
+  { wrapUnions: true },
+);
 
-export type PeerRequest = { Gossip: Gossip } | { Ask: Ask } | { Relay: Relay };
+export type PeerRequest =
+  { Gossip: Gossip } | { Ask: Ask } | { Relay: Relay } | { Withhold: Withhold };
 export type PeerAnswer =
-  { Noted: Record<string, never> } | { Estimates: { of: Estimate[] } } | { Relayed: Relayed };
+  | { Noted: Record<string, never> }
+  | { Estimates: { of: Estimate[] } }
+  | { Relayed: Relayed }
+  | { WithheldChunks: { of: Withheld[] } };
 
 export const encodeRequest = (request: PeerRequest): Buffer => requestType.toBuffer(wrap(request));
 export const encodeAnswer = (answer: PeerAnswer): Buffer => answerType.toBuffer(wrap(answer));
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -1,7 +1,7 @@
 /**
  * What is kept in the state service. All keys share one prefix, so that one watch follows them all.
  *
- *   b/token              the counter that tokens come from
+ *   b/token              the counter that tokens come from, and which node had each part last
  *   b/types              the machine types, as the cloud last told them
  *   b/own/PART           who owns a part (held by the owner's lease)
  *   b/job/ID             a job: its description, home part and state
@@ -24,6 +24,15 @@
   quota: (team: string): string => `b/quota/${team}`,
 };
 
+/**
+ * An owner's key goes with its lease; that another node may still answer a part's workers must outlast it.
+ */
+export interface TokenRecord {
+  last: number;
+  /** By part: the node that owned it last, and the time of day at which it got it from another node. */
+  owners?: Record<string, { node: string; since: number }>;
+}
+
 export interface OwnerRecord {
   node: string;
   token: number;
--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -1,4 +1,4 @@
-import { sleep } from '../base/clock.js';
+import { sleep, type Clock } from '../base/clock.js';
 import { log, describe } from '../base/log.js';
 import type { Change } from '../protocol/state.js';
 import type { StateClient } from './stateClient.js';
@@ -18,10 +18,13 @@
   private epoch = -1;
   private stopped = false;
   loaded = false;
+  /** Steady time up to which all changes are known here. */
+  syncedAt = -Infinity;
 
   constructor(
     private readonly client: StateClient,
     private readonly prefix: string,
+    private readonly clock: Pick<Clock, 'now'>,
     private readonly options: { hold: number; pause: number },
     private readonly changed: (change: Change) => void,
   ) {}
@@ -64,6 +67,7 @@
   }
 
   async load(): Promise<void> {
+    const sent = this.clock.now();
     const { items, epoch } = await this.client.range(this.prefix);
     const present = new Set<string>();
     for (const item of items) {
@@ -77,12 +81,14 @@
     }
     this.epoch = epoch;
     this.loaded = true;
+    this.syncedAt = Math.max(this.syncedAt, sent);
   }
 
   async run(): Promise<void> {
     while (!this.stopped) {
       try {
         if (this.epoch < 0) await this.load();
+        const sent = this.clock.now();
         const log = await this.client.changes(this.prefix, this.epoch, this.options.hold);
         if (log === null) {
           this.epoch = -1;
@@ -93,6 +99,7 @@
           else this.note(change.key, change.value, change.stamp);
         }
         this.epoch = Math.max(this.epoch, log.epoch);
+        this.syncedAt = Math.max(this.syncedAt, sent);
         // Watches count as requests: a short pause lets changes gather.
         await sleep(this.options.pause);
       } catch (error) {
--- a/test/accepting.test.ts
+++ b/test/accepting.test.ts
@@ -4,7 +4,7 @@
 import { Accepting, type AcceptingNode } from '../src/coordination/accepting.js';
 import { Chunk } from '../src/coordination/chunk.js';
 import { RunTimes } from '../src/coordination/estimate.js';
-import type { Hosted } from '../src/coordination/hosted.js';
+import { hosting, type Hosted } from '../src/coordination/hosted.js';
 import { Part } from '../src/coordination/part.js';
 import { seededRandom } from '../src/base/random.js';
 import { keys, type JobRecord, type ShelfRecord } from '../src/storage/records.js';
@@ -29,17 +29,7 @@
       new RunTimes(),
       seededRandom(1),
     );
-    this.host = {
-      part,
-      token: 5,
-      stamp: 1,
-      alive: true,
-      jobs: new Map(),
-      shelves: new Map(),
-      gatherUntil: 0,
-      writing: 0,
-      raisedAt: 0,
-    };
+    this.host = hosting(part, { token: 5, stamp: 1 }, 0);
     this.store.rows.set(keys.owner('q'), { key: keys.owner('q'), value: {}, stamp: 2 });
     const { rows } = this.store;
     const node: AcceptingNode = {
--- /dev/null
+++ b/test/cancelling.test.ts
@@ -0,0 +1,223 @@
+/** Cancellations that meet other troubles: what was confirmed holds, and what can't hold is not confirmed. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { seededRandom } from '../src/base/random.js';
+import { Chunk } from '../src/coordination/chunk.js';
+import { RunTimes } from '../src/coordination/estimate.js';
+import { hosting, type Hosted } from '../src/coordination/hosted.js';
+import { Part } from '../src/coordination/part.js';
+import { Withholding } from '../src/coordination/withholding.js';
+import type { Withheld } from '../src/protocol/peer.js';
+import { keys, type JobRecord } from '../src/storage/records.js';
+import { until, type Cluster } from './support/cluster.js';
+import { spec as jobSpec } from './support/spec.js';
+import { status, withCluster, type Answer } from './support/users.js';
+
+const ID = 'wk-000201';
+
+/** A service of two replicas, at home at drone-1, that runs on machines of drone-0's part. */
+async function awayFromHome(cluster: Cluster): Promise<void> {
+  const spec = jobSpec({ id: ID, tasks: 2, service: true, rank: 'prod', cpus: 2, memory: 4 });
+  const shared = { spec, home: 'drone-1', at: 1 };
+  const job: JobRecord = {
+    ...{ ...shared, state: 'open', tasks: 2, size: 8 },
+    ...{ zones: [], cut: 1, finished: [], away: [0] },
+  };
+  const chunk = { from: 0, to: 2, zone: null, next: 1, done: [], entries: [], moves: 1 };
+  const shelf = { chunks: { [`${ID}/0`]: { ...shared, ...chunk } } };
+  const answer = cluster.state.apply({
+    Then: [
+      { Put: keys.job(ID), Value: job },
+      { Put: keys.run('drone-0', 's1'), Value: shelf },
+    ],
+  });
+  assert.equal(answer.status, 200);
+  // Its home takes the job's record up when it next owns its part.
+  cluster.crash('drone-1');
+  await cluster.boot('drone-1');
+  await until('it runs', () => running(cluster).length === 2);
+  await until(
+    'its home knows it',
+    async () => (await status(cluster, 'drone-1', ID)).running === 2,
+  );
+}
+
+const running = (cluster: Cluster): string[] =>
+  [...cluster.cloud.workers.values()].flatMap((w) => w.tasks).filter((t) => t.startsWith(ID));
+
+async function cancel(
+  cluster: Cluster,
+  label: string,
+): Promise<{ status: number; said: string | undefined }> {
+  const answer = await cluster.call(label, 'POST', `/v1/jobs/${ID}/withdraw`);
+  if (answer.status === 503) assert.notEqual(answer.retryAfter, null);
+  return { status: answer.status, said: (answer.body as Partial<Answer>).Status };
+}
+
+const gone = (cluster: Cluster): Promise<void> =>
+  until('no task of it is left', () => running(cluster).length === 0, 12);
+
+const meetings: {
+  name: string;
+  /** Before the state service is out for all, and the leader is refused by it alone. */
+  before?: (cluster: Cluster) => void;
+  after?: (cluster: Cluster) => Promise<void>;
+}[] = [
+  { name: 'nothing else' },
+  {
+    name: 'the confirming node dies at once',
+    after: (c) => {
+      c.crash('drone-1');
+      return Promise.resolve();
+    },
+  },
+  {
+    name: 'a machine reports but gets no answers and no commands for a while',
+    before: (c) => {
+      for (const worker of c.cloud.workers.values()) worker.deaf = true;
+    },
+    after: async (c) => {
+      await new Promise((resolve) => setTimeout(resolve, 700));
+      for (const worker of c.cloud.workers.values()) worker.deaf = false;
+    },
+  },
+  {
+    name: 'its machines hang across the cancellation and go on',
+    before: (c) => {
+      for (const worker of c.cloud.workers.values()) worker.hanging = true;
+    },
+    after: async (c) => {
+      await new Promise((resolve) => setTimeout(resolve, 700));
+      for (const worker of c.cloud.workers.values()) worker.hanging = false;
+    },
+  },
+];
+for (const { name, before, after } of meetings) {
+  // The owner of its machines can't read what is stored, and would answer their workers all through the outage.
+  test(`cancelled elsewhere while the state service refuses the leader, then all: ${name}`, () =>
+    withCluster({ nodes: 2, runs: () => Infinity }, async (cluster) => {
+      await awayFromHome(cluster);
+      before?.(cluster);
+      cluster.state.refused.add('drone-0');
+      assert.deepEqual(await cancel(cluster, 'drone-1'), { status: 200, said: 'cancelled' });
+      cluster.state.refused.add('*');
+      await after?.(cluster);
+      await gone(cluster);
+    }));
+}
+
+test('while an owner of its tasks can be neither asked nor replaced, a cancellation is not confirmed', () =>
+  withCluster({ nodes: 2, runs: () => Infinity }, async (cluster) => {
+    await awayFromHome(cluster);
+    cluster.apart.add('drone-0');
+    assert.equal((await cancel(cluster, 'drone-1')).status, 503);
+    assert.notEqual((await status(cluster, 'drone-1', ID)).Status, 'cancelled');
+    cluster.apart.clear();
+    await until('it is cancelled', async () => (await cancel(cluster, 'drone-1')).status === 200);
+    await gone(cluster);
+  }));
+
+test('a cancellation that could not be stored leaves its job to go on', () =>
+  withCluster({ nodes: 2, runs: () => Infinity }, async (cluster) => {
+    await awayFromHome(cluster);
+    cluster.state.refused.add('drone-1');
+    const node = cluster.nodes.get('drone-0')?.controller;
+    // As announced by a home that dies before it has stored anything.
+    assert.equal(node?.withholding.withhold(ID).length, 1);
+    cluster.crash('drone-1');
+    await gone(cluster);
+    await until('it runs again', () => running(cluster).length === 2, 20);
+  }));
+
+// ---- Who may say that a chunk is withheld ----
+
+const NOW = 1000;
+const settings = { report: 4, lease: 18, cancel: 43 };
+
+function node(foreignUntil: number, seenToken: number) {
+  const part = new Part(
+    'p',
+    {
+      ...{ lease: 18, report: 4, sample: 8, zones: ['a'] },
+      ...{ patience: 30, dearPatience: 60, headroom: 1, window: 100 },
+    },
+    () => new Map(),
+    new RunTimes(),
+    seededRandom(1),
+  );
+  const host: Hosted = hosting(part, { token: 7, stamp: 1 }, NOW, foreignUntil);
+  const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0 };
+  const machine = part.addMachine('n-1', record, NOW);
+  machine.seenToken = seenToken;
+  const entry = { task: 0, attempt: 1, machine: 'n-1', session: 1 };
+  const stored = new Chunk(jobSpec({ id: ID, tasks: 1 }), 0, 'q', 1, 0, 1, null, NOW).record();
+  const chunk = part.loadChunk(0, { ...stored, entries: [entry] }, 7, NOW);
+  const withholding = new Withholding({
+    settings,
+    clock: { now: () => NOW },
+    hosted: new Map([['p', host]]),
+    replica: { get: () => undefined, syncedAt: NOW },
+    peers: { withhold: () => Promise.resolve(false) },
+    kick: () => undefined,
+  });
+  return { withholding, chunk };
+}
+
+const claims: {
+  name: string;
+  foreignUntil: number;
+  seen: number;
+  moving?: boolean;
+  yes: boolean;
+}[] = [
+  { name: 'a part that was always ours', foreignUntil: NOW, seen: 3, yes: true },
+  {
+    name: 'an adopted one, its last owner may answer',
+    foreignUntil: NOW + 36,
+    seen: 3,
+    yes: false,
+  },
+  { name: 'the worker has seen our token', foreignUntil: NOW + 36, seen: 7, yes: true },
+  { name: 'the last owner ends soon enough', foreignUntil: NOW + 20, seen: 3, yes: true },
+  { name: 'on its way elsewhere', foreignUntil: NOW, seen: 7, moving: true, yes: false },
+];
+for (const { name, foreignUntil, seen, moving, yes } of claims) {
+  test(`a chunk is known to be withheld: ${name}`, () => {
+    const { withholding, chunk } = node(foreignUntil, seen);
+    chunk.moving = moving ?? false;
+    assert.equal(withholding.withhold(ID).length, yes ? 1 : 0);
+    assert.equal(chunk.pending, 0);
+  });
+}
+
+const answers: { name: string; cut: number; found: Withheld[][]; enough: boolean }[] = [
+  { name: 'all chunks', cut: 2, found: [[at(0, 'q', 5)], [at(1, 'r', 6)]], enough: true },
+  { name: 'one is missing', cut: 3, found: [[at(0, 'q', 5)], [at(1, 'r', 6)]], enough: false },
+  { name: 'an owner that has lost its part', cut: 1, found: [[at(0, 'q', 4)]], enough: false },
+  { name: 'nobody answers', cut: 1, found: [], enough: false },
+  { name: 'the missing one is done', cut: 1, found: [], enough: true },
+];
+function at(index: number, part: string, token: number): Withheld {
+  return { index, part, token };
+}
+for (const { name, cut, found, enough } of answers) {
+  test(`a cancellation may be confirmed: ${name}`, async () => {
+    const tokens: Record<string, number> = { [keys.owner('q')]: 5, [keys.owner('r')]: 6 };
+    const withholding = new Withholding({
+      settings,
+      clock: { now: () => NOW },
+      hosted: new Map(),
+      replica: {
+        get: (key) => ({ value: { node: 'x', token: tokens[key], process: '' }, stamp: 1 }),
+        syncedAt: NOW,
+      },
+      peers: {
+        withhold: (_job, _timeout, note) => Promise.resolve(found.map(note).some((done) => done)),
+      },
+      kick: () => undefined,
+    });
+    const finished = name.endsWith('is done') ? [0] : [];
+    const record = { cut, finished } as unknown as JobRecord;
+    assert.equal(await withholding.everywhere(ID, record), enough);
+  });
+}
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -3,10 +3,12 @@
 import { test } from 'node:test';
 import { seededRandom } from '../src/base/random.js';
 import { RunTimes } from '../src/coordination/estimate.js';
-import type { Hosted } from '../src/coordination/hosted.js';
+import { hosting } from '../src/coordination/hosted.js';
+import { Chunk } from '../src/coordination/chunk.js';
 import { Orders, type OrdersNode } from '../src/coordination/orders.js';
 import { Part } from '../src/coordination/part.js';
 import { CallFailed, type Response } from '../src/transport/httpClient.js';
+import { spec } from './support/spec.js';
 
 const SOCKETS = 120;
 
@@ -24,10 +26,7 @@
     const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0, address: `h:${i}` };
     part.addMachine(`n-${i}`, record, 0).noteReached(0);
   }
-  const host: Hosted = {
-    ...{ part, token: 1, stamp: 1, alive: true, jobs: new Map(), shelves: new Map() },
-    ...{ gatherUntil: 0, writing: 0, raisedAt: 0 },
-  };
+  const host = hosting(part, { token: 1, stamp: 1 }, 0);
   const asked: string[] = [];
   const clock = { at: 100, now: () => clock.at };
   const ownership = { valid: true, raise: () => Promise.resolve(null) };
@@ -96,3 +95,26 @@
   orders.sweep();
   assert.deepEqual(asked, []);
 });
+
+test('without a valid lease what users have asked to cancel is ended all the same, and nothing else', () => {
+  const { part, orders, asked, ownership } = fixture(3, () => new Promise(() => undefined));
+  ownership.valid = false;
+  const record = new Chunk(spec({ tasks: 2 }), 0, 'p', 0, 0, 2, null, 0).record();
+  const entries = [0, 1].map((n) => ({ task: n, attempt: 1, machine: `n-${n}`, session: 1 }));
+  const ids = ['wk-1', 'wk-2'];
+  const chunks = entries.map((entry, n) => {
+    const of = { ...record, spec: spec({ id: ids[n] ?? '', tasks: 2 }), entries: [entry] };
+    return part.loadChunk(0, of, 1, 0);
+  });
+  for (const [n, { task }] of entries.entries()) {
+    const machine = part.machines.get(`n-${n}`);
+    const name = `${ids[n] ?? ''}/${task}`;
+    machine?.noteTasks([{ task: name, attempt: 1, state: 'running', cause: null, saved: false }]);
+  }
+  const [unwanted] = chunks;
+  if (unwanted === undefined) throw new Error('no chunk');
+  part.withhold(unwanted, 100);
+  for (const machine of part.machines.values()) part.pokes.add(machine);
+  orders.sweep();
+  assert.deepEqual(asked, ['h:0']);
+});
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -854,3 +854,49 @@
   b.now += 3;
   assert.deepEqual(lost(), ['n-1']);
 });
+
+test('what its user has asked to cancel starts nothing, and ends with every answer, until it is resumed', () => {
+  const b = new Bench();
+  const machine = b.machine();
+  const other = b.machine('n-2');
+  const [runs, waits] = [b.chunk({ id: 'wk-1' }), b.chunk({ id: 'wk-2', cpus: 8 })];
+  b.decide();
+  b.store(runs, waits);
+  const on = runs.entries.get(0)?.machine === machine.name ? machine : other;
+  b.report(on, [{}]);
+  assert.deepEqual(on.endings(), []);
+  b.part.withhold(runs, b.now);
+  b.part.withhold(waits, b.now);
+  const halt = { verb: 'halt', task: 'wk-1/0', attempt: 1, wind: 0 };
+  // With every answer: one of them may be lost, and the next would renew the lease.
+  assert.deepEqual([on.endings(), on.endings()], [[halt], [halt]]);
+  assert.deepEqual(waits.entries.size, 0, 'its start was never sent, so nothing can come of it');
+  b.report(on, [{ state: 'ended', cause: 'halted' }]);
+  b.decide();
+  assert.deepEqual([runs.entries.size, waits.entries.size], [0, 0]);
+  b.part.resume(runs);
+  b.part.resume(waits);
+  b.decide();
+  assert.deepEqual([runs.entries.size, waits.entries.size], [1, 1]);
+});
+
+const silences: { name: string; report: boolean; after: number; used: boolean }[] = [
+  { name: 'it reports', report: true, after: 4, used: true },
+  { name: 'its reports are overdue', report: true, after: 8, used: true },
+  { name: 'it has not reported for half of its lease', report: true, after: 10, used: false },
+  { name: 'it answers, but has never reported', report: false, after: 10, used: false },
+];
+for (const { name, report, after, used } of silences) {
+  // Answers do not renew a lease: what starts there would be killed again and again.
+  test(`a machine that answers questions is given work: ${name}`, () => {
+    const b = new Bench();
+    const machine = b.machine('n-1', false);
+    b.report(machine, [], {}, report ? 'follow' : 'answer');
+    b.now += after;
+    b.report(machine, [], {}, 'answer');
+    b.part.sweep(b.now);
+    const chunk = b.chunk();
+    b.decide();
+    assert.equal(chunk.entries.size, used ? 1 : 0);
+  });
+}
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -1,12 +1,15 @@
 /** What is believed of peers, and what a node believes of itself after it stood still. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Ownership } from '../src/coordination/ownership.js';
+import { Ownership, type Held } from '../src/coordination/ownership.js';
 import { Peers } from '../src/coordination/peers.js';
 import type { Gossip } from '../src/protocol/peer.js';
+import type { Txn } from '../src/protocol/state.js';
+import { keys, type TokenRecord } from '../src/storage/records.js';
 import type { Replica } from '../src/storage/replica.js';
 import type { StateClient } from '../src/storage/stateClient.js';
 import { PeerClient } from '../src/transport/peerLink.js';
+import { MemoryStore } from './support/store.js';
 
 const REPORT = 4;
 const SKEW = 0.1;
@@ -56,6 +59,77 @@
   });
 }
 
+const FRESH: TokenRecord = { last: 4 };
+const histories: {
+  name: string;
+  tokens: TokenRecord;
+  key?: string;
+  since: number;
+}[] = [
+  { name: 'nobody had it', tokens: FRESH, since: 0 },
+  { name: 'we had it, our key has gone', tokens: had('p', 0), since: 0 },
+  { name: 'we had it, our key is there', tokens: had('p', 0), key: 'p', since: 0 },
+  { name: 'another had it last', tokens: had('q', 0), since: 1000 },
+  { name: 'ours since a takeover, then restarted', tokens: had('p', 990), key: 'p', since: 990 },
+  { name: 'ours since a takeover, key gone', tokens: had('p', 990), since: 990 },
+];
+function had(node: string, since: number): TokenRecord {
+  return { last: 4, owners: { p: { node, since } } };
+}
+for (const { name, tokens, key, since } of histories) {
+  // An earlier owner that is cut off may answer its workers all that time, whoever restarts meanwhile.
+  test(`since when a part is ours: ${name}`, async () => {
+    const store = new MemoryStore();
+    await store.txn({ when: [], puts: [{ key: keys.token, value: tokens }], removes: [] });
+    if (key !== undefined) {
+      const value = { node: key, token: 4, process: 'before' };
+      await store.txn({ when: [], puts: [{ key: keys.owner('p'), value }], removes: [] });
+    }
+    const gained: Held[] = [];
+    const ownership = owner(store, (held) => gained.push(held));
+    void ownership.run();
+    while (gained.length === 0) await new Promise((resolve) => setTimeout(resolve, 1));
+    assert.equal(gained[0]?.token, 5);
+    assert.equal(gained[0].since, since);
+    // Told of a higher token, it gives the part up; an old word changes nothing.
+    ownership.forfeit('p', 4);
+    assert.ok(ownership.get('p') !== undefined);
+    ownership.forfeit('p', 6);
+    assert.equal(ownership.get('p'), undefined);
+    ownership.stop();
+  });
+}
+
+function owner(store: MemoryStore, gained: (held: Held) => void): Ownership {
+  const client = {
+    grant: () => Promise.resolve(1),
+    extend: () => Promise.resolve(true),
+    get: (key: string) => store.get(key),
+    txn: (txn: Txn) => store.txn(txn),
+  };
+  const replica = {
+    loaded: true,
+    get: (key: string) => store.rows.get(key),
+    load: () => Promise.resolve(),
+    note: () => undefined,
+    noteRemoved: () => undefined,
+  };
+  return new Ownership(
+    client as unknown as StateClient,
+    replica as unknown as Replica,
+    { now: () => performance.now() / 1000, wall: () => 1000 },
+    { label: 'p', process: 'x', parts: ['p'], ttl: 0.05 },
+    {
+      gained: (part, held) => {
+        if (part === 'p') gained(held);
+      },
+      lost: () => undefined,
+      quiet: () => Promise.resolve(),
+      wantsBack: () => false,
+    },
+  );
+}
+
 test('a node that stood still knows at once that its lease is over', async () => {
   // Its clocks ran on: before anything else is read or sent, what it may do is asked of the clock.
   const clock = { at: 10, now: () => clock.at, wall: () => clock.at };
--- a/test/storing.test.ts
+++ b/test/storing.test.ts
@@ -4,7 +4,7 @@
 import { seededRandom } from '../src/base/random.js';
 import { Chunk } from '../src/coordination/chunk.js';
 import { RunTimes } from '../src/coordination/estimate.js';
-import type { Hosted } from '../src/coordination/hosted.js';
+import { hosting, type Hosted } from '../src/coordination/hosted.js';
 import { Part } from '../src/coordination/part.js';
 import { choosePartFor } from '../src/coordination/provisioner.js';
 import { Shelving } from '../src/coordination/shelving.js';
@@ -129,17 +129,7 @@
     ] as const) {
       this.store.rows.set(keys.owner(label), { key: keys.owner(label), value: {}, stamp });
     }
-    this.host = {
-      part,
-      token: 5,
-      stamp: 1,
-      alive: true,
-      jobs: new Map(),
-      shelves: new Map(),
-      gatherUntil: 0,
-      writing: 0,
-      raisedAt: 0,
-    };
+    this.host = hosting(part, { token: 5, stamp: 1 }, 0);
     const { rows } = this.store;
     this.shelving = new Shelving(
       this.store,
@@ -255,6 +245,29 @@
   }
 });
 
+test('a shelf whose creation got no answer never comes back once its chunks have left it', async () => {
+  for (const leave of ['moved', 'dropped before it was stored'] as const) {
+    const desk = new Desk();
+    const chunk = desk.job('wk-1');
+    desk.store.loseNext = true;
+    await desk.round();
+    if (leave === 'moved') {
+      await desk.round();
+      assert.equal((await desk.move(chunk)).kind, 'applied');
+    } else desk.host.part.dropChunk(chunk);
+    await desk.round();
+    await desk.round();
+    // Its condition is that there is no such record: a record that had been removed would let it pass.
+    assert.equal(desk.store.late().kind, 'conflict');
+    assert.deepEqual(desk.where(chunk), leave === 'moved' ? ['q'] : []);
+    // The shelf serves what comes next.
+    const next = desk.job('wk-2');
+    await desk.round();
+    assert.deepEqual(desk.where(next), ['p']);
+    assert.equal([...desk.store.rows.keys()].filter((k) => k.startsWith('b/run/p/')).length, 1);
+  }
+});
+
 test('what has started does not move', async () => {
   const desk = new Desk();
   desk.machine('n-1');
