Renewals overlap, an unanswered end is asked of the store, all that waits is asked for in turn

Renewals go out at their pace now. - The end of a job that was stored without an answer: its owner went on saying that it runs while others had read that it is done (went_back). Until settled, the store is asked. - Waiting chunks: the first few of a part were asked for again and again, and those behind them never (a job waits beside an idle peer for good).

--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -139,6 +139,7 @@
       this.applyJob(home, job, next, result.stamp);
       return true;
     }
+    if (result.kind === 'unknown') job.unsettled = true;
     if (result.kind === 'conflict') {
       await this.host.doubt(home.part.label);
       // An earlier copy of ours may have been applied after all.
@@ -159,6 +160,7 @@
   private applyJob(home: Hosted, job: HomeJob, record: JobRecord, stamp: number): void {
     job.record = record;
     job.stamp = stamp;
+    job.unsettled = false;
     if (record.state !== 'open') home.jobs.delete(job.id);
     this.replica.note(keys.job(job.id), record, stamp);
   }
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -88,7 +88,9 @@
       rate: settings.stateRate,
       writeRate: settings.stateWriteRate,
       sharers: this.parts.length,
-      timeout: this.stateTtl / 3,
+      // Long enough for a service that answers slowly: what gets no answer is asked for again, and makes it
+      // slower still.
+      timeout: this.stateTtl / 2,
     });
     // Watches may take a tenth of the requests.
     const pause = Math.max(0.05, this.parts.length / (settings.stateRate * 0.1));
--- a/src/coordination/hosted.ts
+++ b/src/coordination/hosted.ts
@@ -9,6 +9,11 @@
   stamp: number;
   /** A change of its record is on its way. */
   busy: boolean;
+  /**
+   * A change of its record got no answer: others may have read it already, and told users that the job is over.
+   * Until it is known, the store is asked.
+   */
+  unsettled?: boolean;
 }
 
 /** A part that this node hosts: its own, or one adopted from a peer. */
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -72,11 +72,12 @@
     const pause = this.options.ttl / 5;
     void this.watchKeys();
     while (!this.stopped) {
-      try {
-        await this.renew();
-      } catch (error) {
+      // One renewal does not wait for the answer to the last: where the state service is slow, the right to
+      // act would end between an answer and the next.
+      const renewal = this.renew().catch((error: unknown) => {
         log.debug(`lease: ${describe(error)}`);
-      }
+      });
+      if (this.hold === null) await renewal;
       await sleep(this.hold === null ? pause / 4 : pause);
     }
   }
@@ -88,16 +89,22 @@
   private async renew(): Promise<void> {
     // Counted from when the renewal was sent: it can't have reached the service earlier.
     const sent = this.clock.now();
-    if (this.hold === null) {
+    const { hold } = this;
+    if (hold === null) {
       this.hold = await this.client.grant(this.options.ttl);
-    } else if (!(await this.client.extend(this.hold, this.options.ttl / 3))) {
+      this.validUntil = -Infinity;
+    } else if (await this.client.extend(hold, this.options.ttl * 0.8)) {
+      if (this.hold !== hold) return;
+    } else {
+      if (this.hold !== hold) return;
       log.info('our lease at the state service has ended; giving up all parts');
       this.hold = null;
       this.validUntil = -Infinity;
       for (const part of [...this.held.keys()]) this.lose(part);
       return;
     }
-    this.validUntil = sent + this.options.ttl * (1 - DRIFT);
+    // Answers may overtake each other.
+    this.validUntil = Math.max(this.validUntil, sent + this.options.ttl * (1 - DRIFT));
   }
 
   /** A transaction of ours failed on the ownership key: look, and give the part up if it's true. */
--- a/src/coordination/sender.ts
+++ b/src/coordination/sender.ts
@@ -93,16 +93,17 @@
     // A move costs changes at the state service, which users and starts wait for.
     if (node.state.writeDelay('later') > node.settings.report / 4) return;
     for (const host of node.hosted.values()) {
-      let started = 0;
-      for (const chunk of host.part.chunks.values()) {
+      // A few at a time: many senders reading the same answers would flood one idle peer. Live services
+      // first, and then those that were asked for longest ago: else the first few would be asked for again
+      // and again, and those behind them never.
+      for (const chunk of nextToAsk(host.part.chunks.values(), 2, (chunk) => {
         const pause = this.threshold(chunk.spec);
-        if (chunk.blockedSince === null || now - chunk.blockedSince < pause) continue;
-        if (!chunk.movable || now - chunk.askedAt < Math.max(pause, node.settings.report)) continue;
-        if (this.asking.has(chunk)) continue;
+        if (chunk.blockedSince === null || now - chunk.blockedSince < pause) return false;
+        if (now - chunk.askedAt < Math.max(pause, node.settings.report)) return false;
+        return chunk.movable && !this.asking.has(chunk);
+      })) {
         chunk.askedAt = now;
         void this.sendOn(host, chunk);
-        // A few at a time: many senders reading the same answers would flood one idle peer.
-        if (++started >= 2) break;
       }
     }
   }
@@ -124,3 +125,13 @@
     }
   }
 }
+
+/** The first few of those that may be asked for: by rank, then by when they last were. */
+export function nextToAsk(
+  chunks: Iterable<Chunk>,
+  most: number,
+  due: (chunk: Chunk) => boolean,
+): Chunk[] {
+  const found = [...chunks].filter(due);
+  return found.sort((a, b) => b.rank - a.rank || a.askedAt - b.askedAt).slice(0, most);
+}
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -203,7 +203,7 @@
     if (copy !== undefined && node.ownership.valid) {
       const host = node.hosted.get(copy.home);
       const job = host?.jobs.get(id);
-      if (job !== undefined) return found(this.describe(job.record));
+      if (job !== undefined && job.unsettled !== true) return found(this.describe(job.record));
     }
     if (copy !== undefined && mayRelay) {
       const owner = node.ownerOf(copy.home);
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -149,3 +149,26 @@
     assert.equal(answer.status, 200);
     await until('its tasks have run', () => cluster.cloud.starts.length === 2);
   }));
+
+test('while the end of a job is stored without an answer, its owner speaks by the store alone', () =>
+  withCluster({ nodes: 1, runs: brief }, async (cluster) => {
+    // Others may have read the record and told users that the job is done.
+    let lose = true;
+    cluster.state.swallow = (body) =>
+      lose &&
+      ((body.Then ?? []) as { Put?: string; Value?: { state?: string } }[]).some(
+        (op) => op.Put === 'b/job/wk-000075' && op.Value?.state === 'done',
+      );
+    await accept(cluster, 'drone-0', submission('wk-000075'));
+    const job = (): boolean | undefined =>
+      cluster.nodes.get('drone-0')?.controller.hosted.get('drone-0')?.jobs.get('wk-000075')
+        ?.unsettled;
+    await until('its end got no answer', () => job() === true);
+    cluster.state.refused.add('drone-0');
+    assert.equal((await cluster.call('drone-0', 'GET', '/v1/jobs/wk-000075')).status, 503);
+    lose = false;
+    cluster.state.refused.clear();
+    await until('done', async () => {
+      return (await status(cluster, 'drone-0', 'wk-000075')).Status === 'done';
+    });
+  }));
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -157,3 +157,40 @@
   assert.equal(ownership.valid, false);
   ownership.stop();
 });
+
+test('a state service that answers slowly does not end a right that is renewed', async () => {
+  const clock = { at: 10, now: () => clock.at, wall: () => clock.at };
+  const ttl = 0.05;
+  const hung: ((yes: boolean) => void)[] = [];
+  const client = {
+    grant: () => Promise.resolve(1),
+    extend: () => new Promise<boolean>((resolve) => hung.push(resolve)),
+  };
+  const ownership = new Ownership(
+    client as unknown as StateClient,
+    { loaded: false } as Replica,
+    clock,
+    { label: 'p', process: 'x', parts: ['p'], ttl },
+    {
+      gained: () => undefined,
+      lost: () => undefined,
+      quiet: () => Promise.resolve(),
+      wantsBack: () => false,
+    },
+  );
+  void ownership.run();
+  // Each is sent whether or not the one before has been answered, and counts from when it was sent.
+  while (hung.length < 1) await new Promise((resolve) => setTimeout(resolve, 1));
+  clock.at += ttl * 0.6;
+  while (hung.length < 4) await new Promise((resolve) => setTimeout(resolve, 1));
+  clock.at += ttl * 0.6;
+  assert.equal(ownership.valid, false);
+  hung[3]?.(true);
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.equal(ownership.valid, true);
+  // One that was overtaken takes nothing back.
+  hung[0]?.(true);
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.equal(ownership.valid, true);
+  ownership.stop();
+});
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -1,7 +1,9 @@
 /** The pure parts of scheduling, with numbers worked out by hand. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { nextToAsk } from '../src/coordination/sender.js';
 import { seededRandom } from '../src/base/random.js';
+import { Chunk } from '../src/coordination/chunk.js';
 import { chunkRanges, chunkSize, mayCut, zonesFor } from '../src/coordination/chunks.js';
 import { Arrivals, RunTimes } from '../src/coordination/estimate.js';
 import { choosePart, turnaround } from '../src/coordination/migration.js';
@@ -329,3 +331,20 @@
   const merged = mergePlans(planRentals([demand, { ...demand, count: 2 }], context));
   assert.equal(merged.length, 1);
 });
+
+test('all that waits is asked for in turn, live services first', () => {
+  const chunks = [1, 2, 3, 4, 5, 6, 7].map((n) => {
+    const of = spec({ id: `wk-${n}`, rank: n === 6 ? 'prod' : 'normal' });
+    return new Chunk(of, 0, 'p', 0, 0, 1, null, 0);
+  });
+  const asked: string[] = [];
+  // Rounds come three times as often as one of them may be asked for again.
+  for (let now = 0; now < 8; now++) {
+    for (const chunk of nextToAsk(chunks, 2, (c) => now - c.askedAt >= 3)) {
+      chunk.askedAt = now;
+      asked.push(chunk.spec.id);
+    }
+  }
+  assert.equal(asked[0], 'wk-6');
+  assert.equal(new Set(asked).size, 7, 'some were never asked for');
+});
