--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -40,6 +40,12 @@
 /** How long changes are gathered for one round of decisions, as a ratio to the time between reports. */
 const GATHER = 1 / 200;
 
+/**
+ * How often peers are told of our parts, as a ratio to the time between reports. A message to each peer, with
+ * all that waits worked out for it, is a tenth of a small controller's work at an eighth of a report.
+ */
+const GOSSIP = 1 / 5;
+
 /**
  * Rest after a round, as a ratio to the time that it took: on a small machine rounds would else follow each
  * other without a break, and reports, users and renewals of the lease would wait for them.
@@ -73,6 +79,8 @@
   private readonly provisioner: Provisioner;
   private kicked = false;
   private lastRound = -Infinity;
+  /** What the parts here lacked when the peers were last told of it. */
+  demands: ReturnType<Part['needs']['demands']> = [];
   /** Seconds that the last round took, its waiting for the processor included. */
   private took = 0;
   /** Stored chunks without a counterpart here, seen once. */
@@ -304,7 +312,7 @@
   /** Gossip goes out at a steady pace, and sooner when a demand has come up. */
   private gossip(): void {
     const now = this.clock.now();
-    if (now - this.lastGossip < this.settings.report / 8) return;
+    if (now - this.lastGossip < this.settings.report * GOSSIP) return;
     this.lastGossip = now;
     this.state.share(this.peers.needs());
     const hosts = [...this.hosted.values()].map((h) => ({
@@ -324,7 +332,7 @@
         need: this.state.need,
         served: this.ownership.valid,
         hosts,
-        demands: this.ownership.valid ? this.localDemands() : [],
+        demands: this.ownership.valid ? (this.demands = this.localDemands()) : [],
         spare: this.ownership.valid ? this.localSpare() : [],
         lost: this.ownership.valid ? this.localLost() : [],
         used: this.settings.teams
@@ -390,7 +398,7 @@
     return cpus;
   }
 
-  localDemands(): ReturnType<Part['needs']['demands']> {
+  private localDemands(): ReturnType<Part['needs']['demands']> {
     const now = this.clock.now();
     return [...this.hosted.values()].flatMap((h) => h.part.needs.demands(now));
   }
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -15,6 +15,13 @@
   entry: Entry;
 }
 
+interface Occupancy {
+  shape: MachineType | undefined;
+  free: Room;
+  live: number;
+  taken: number;
+}
+
 const NOTHING: Room = { cpus: 0, gpus: 0, memory: 0 };
 
 /** One machine of a part, as its worker last reported it. */
@@ -37,7 +44,7 @@
   private reported = new Map<string, TaskReport>();
   private readonly placed = new Map<string, Placed>();
   /** What `free` and `live` were last worked out from; placement asks for them far more often than they change. */
-  private room: { shape: MachineType | undefined; free: Room; live: number } | null = null;
+  private room: Occupancy | null = null;
   readonly leftovers = new Map<string, Leftover>();
   /** Images seen here, oldest use first. */
   private readonly images = new Map<string, number>();
@@ -167,15 +174,22 @@
     return this.occupancy.live;
   }
 
-  private get occupancy(): { free: Room; live: number } {
+  /** Processors that tasks of ours have here. */
+  get taken(): number {
+    return this.occupancy.taken;
+  }
+
+  private get occupancy(): Occupancy {
     const { shape } = this;
     if (this.room !== null && this.room.shape === shape) return this.room;
     let free = { ...this.size };
     let live = 0;
+    let taken = 0;
     for (const { chunk } of this.placed.values()) {
       free.cpus -= chunk.spec.cpus;
       free.gpus -= chunk.spec.gpus;
       free.memory -= chunk.spec.memory;
+      taken += chunk.spec.cpus;
       if (chunk.spec.service) live += chunk.spec.cpus;
     }
     // A stranger (an attempt we know nothing of) takes room that we can't measure.
@@ -185,7 +199,7 @@
         break;
       }
     }
-    this.room = { shape, free, live };
+    this.room = { shape, free, live, taken };
     return this.room;
   }
 
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -534,7 +534,7 @@
     for (const machine of this.machines.values()) {
       if (!machine.up) continue;
       all += machine.size.cpus;
-      for (const { chunk } of machine.entries.values()) used += chunk.spec.cpus;
+      used += machine.taken;
     }
     return all === 0 ? 1 : used / all;
   }
@@ -816,6 +816,9 @@
     for (const machine of this.machines.values()) {
       if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) continue;
       if (!holds(machine.size, chunk.spec)) continue;
+      // Nothing ends there sooner than what is found already: most machines are passed over so.
+      const roomNow = holds(machine.free, chunk.spec);
+      if (best !== null && !roomNow && this.soonest(machine, now) >= best.at) continue;
       const room = { ...machine.free };
       const ends = [...machine.entries.values()]
         .map((p) => ({ at: this.endOf(p, now), need: p.chunk.spec }))
@@ -833,6 +836,12 @@
     return best;
   }
 
+  private soonest(machine: Machine, now: number): number {
+    let first = Infinity;
+    for (const placed of machine.entries.values()) first = Math.min(first, this.endOf(placed, now));
+    return first;
+  }
+
   private endOf({ chunk, entry }: Placed, now: number): number {
     if (chunk.spec.service) return Infinity;
     const run = this.runTimes.expected(chunk.spec.jobClass, chunk.spec.expect);
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -296,7 +296,7 @@
 
   private rentForDemands(now: number): void {
     const { settings, types } = this.node;
-    const demands = [...this.node.localDemands(), ...this.node.peers.demands()].filter(
+    const demands = [...this.node.demands, ...this.node.peers.demands()].filter(
       (d) => (this.holdOff.get(d.part) ?? 0) <= now,
     );
     if (demands.length === 0) return;
--- a/src/transport/httpParser.ts
+++ b/src/transport/httpParser.ts
@@ -5,7 +5,7 @@
   method: string;
   target: string;
   status: number;
-  headers: Map<string, string>;
+  headers: ReadonlyMap<string, string>;
   body: string;
   keepAlive: boolean;
 }
@@ -32,6 +32,8 @@
   private parts: Buffer[] = [];
   private need = 0;
   private total = 0;
+  /** The last head and what it says: on a connection that is kept, the next one is mostly the same. */
+  private last: { head: string; message: HttpMessage } | null = null;
 
   constructor(
     private readonly kind: 'request' | 'response',
@@ -92,29 +94,38 @@
       return false;
     }
     if (end > HEAD_LIMIT) throw new HttpError(431, 'header too large');
-    const lines = this.buffer.toString('latin1', 0, end).split('\r\n');
+    const head = this.buffer.toString('latin1', 0, end);
     this.buffer = this.buffer.subarray(end + HEAD_END.length);
-    const message = this.parseStart(lines[0] ?? '');
+    if (this.last?.head !== head) this.last = { head, message: this.parseHead(head) };
+    // Only the body is written later, so the rest may be shared.
+    const message = { ...this.last.message };
+    this.message = message;
+    this.chooseBody(message, done);
+    return this.buffer.length > 0;
+  }
+
+  private parseHead(head: string): HttpMessage {
+    const lines = head.split('\r\n');
+    const headers = new Map<string, string>();
+    const message = this.parseStart(lines[0] ?? '', headers);
     for (const line of lines.slice(1)) {
       const colon = line.indexOf(':');
       const name = line.slice(0, colon).toLowerCase();
       if (colon <= 0 || !TOKEN.test(name)) throw new HttpError(400, 'malformed header');
       const value = line.slice(colon + 1).trim();
-      if (name === 'content-length' && (message.headers.get(name) ?? value) !== value) {
+      if (name === 'content-length' && (headers.get(name) ?? value) !== value) {
         throw new HttpError(400, 'conflicting content-length');
       }
-      message.headers.set(name, value);
+      headers.set(name, value);
     }
-    const connection = (message.headers.get('connection') ?? '').toLowerCase();
+    const connection = (headers.get('connection') ?? '').toLowerCase();
     if (connection.includes('close')) message.keepAlive = false;
     if (connection.includes('keep-alive')) message.keepAlive = true;
-    this.message = message;
-    this.chooseBody(message, done);
-    return this.buffer.length > 0;
+    return message;
   }
 
-  private parseStart(line: string): HttpMessage {
-    const base = { headers: new Map<string, string>(), body: '' };
+  private parseStart(line: string, headers: Map<string, string>): HttpMessage {
+    const base = { headers, body: '' };
     if (this.kind === 'request') {
       const match = /^([A-Z]{1,16}) (\S{1,4096}) HTTP\/1\.([01])$/.exec(line);
       if (match === null) throw new HttpError(400, 'malformed request line');
