Odd requests at each node, fields one by one, repeated rentals and releases: tests; names sent on are forgotten

The one map that grew with time (names of workers that were sent on to another node) holds those of the last lease.

--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -15,7 +15,7 @@
 
 export class Workers {
   /** Workers that were sent on, and when: those that come back can't reach the owner. */
-  private readonly sentOn = new Map<string, number>();
+  readonly sentOn = new Map<string, number>();
 
   constructor(private readonly node: Controller) {}
 
@@ -89,8 +89,11 @@
     const now = node.clock.now();
     const owner = node.ownerOf(part);
     if (owner === null || owner === node.settings.label) return elsewhere(null);
+    this.forget(now);
     const before = this.sentOn.get(report.machine);
-    if (before === undefined || now - before > node.settings.lease) {
+    // Set anew each time, so that the names stand in the order in which they are forgotten.
+    this.sentOn.delete(report.machine);
+    if (before === undefined) {
       this.sentOn.set(report.machine, now);
       return elsewhere(owner);
     }
@@ -101,7 +104,14 @@
       this.sentOn.set(report.machine, now);
       return { status: 200, body: JSON.parse(answer.body) as unknown };
     }
-    this.sentOn.delete(report.machine);
     return elsewhere(null);
   }
+
+  /** Names would be kept of all machines that ever were. */
+  private forget(now: number): void {
+    for (const [name, at] of this.sentOn) {
+      if (now - at <= this.node.settings.lease) return;
+      this.sentOn.delete(name);
+    }
+  }
 }
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -172,3 +172,78 @@
       return (await status(cluster, 'drone-0', 'wk-000075')).Status === 'done';
     });
   }));
+
+test('rentals and releases that were carried out without an answer are repeated, to the same effect', () =>
+  withCluster({ nodes: 2, runs: forever }, async (cluster) => {
+    const { cloud } = cluster;
+    const lost: string[] = [];
+    cloud.lose = (path) => {
+      const first = path.startsWith('POST /rentals') && !lost.includes(path);
+      if (first) lost.push(path);
+      return first;
+    };
+    await accept(cluster, 'drone-0', submission('wk-000301', { ...service, Pieces: 1 }));
+    const on = (): string | undefined =>
+      [...cloud.workers.values()].find((w) => w.tasks.includes('wk-000301/0'))?.name;
+    await until('it runs', () => on() !== undefined);
+    const first = on() ?? '';
+    const worker = cloud.workers.get(first);
+    if (worker !== undefined) worker.hanging = true;
+    await until('it runs on another machine', () => on() !== undefined && on() !== first);
+    await until('nobody believes in the first any more', () =>
+      [...cluster.nodes.values()].every((n) => n.controller.fleet.get(first) === undefined),
+    );
+    assert.deepEqual(lost.sort(), ['POST /rentals', 'POST /rentals/release']);
+    // The repeated rental gave the machines of the first; all that are there are known.
+    const known = (): boolean =>
+      [...cloud.workers.keys()].every((name) =>
+        [...cluster.nodes.values()].every((n) => n.controller.fleet.get(name) !== undefined),
+      );
+    await until('no machine is paid for unknown', known);
+  }));
+
+const odd: [string, unknown, number][] = [
+  ['not an object', [1], 400],
+  ['a field is missing', submission('wk-000401', { Cores: undefined }), 400],
+  ['an unknown team', submission('wk-000402', { Owner: 'nobody' }), 422],
+  ['it fits no machine', submission('wk-000403', { Cores: 64 }), 422],
+  ['it fits no allowed machine', submission('wk-000404', { Flavours: ['m9'] }), 422],
+  ['no machine is in its zone', submission('wk-000405', { Yard: 'z' }), 422],
+  ['a service above its limit', submission('wk-000406', { ...service, Pieces: 9 }), 422],
+  ['a task above its limit', submission('wk-000407', { Cores: 7 }), 422],
+];
+test('odd requests get the same answers at each node, also after a restart', () => {
+  const teams = '[[settings.teams]]\nname = "crew"\ncpus_max = 6.0';
+  return withCluster({ nodes: 2, runs: brief, teams }, async (cluster) => {
+    const ask = async (at: string, method: string, path: string, body?: unknown) => {
+      const { status: code, body: said } = await settled(cluster, at, method, path, body);
+      return [code, (said as Partial<Answer>).Status];
+    };
+    const over = submission('wk-000411');
+    await accept(cluster, 'drone-0', over);
+    await until(
+      'done',
+      async () => (await status(cluster, 'drone-0', 'wk-000411')).Status === 'done',
+    );
+    for (const restarted of [false, true]) {
+      if (restarted) {
+        cluster.crash('drone-0');
+        await cluster.boot('drone-0');
+      }
+      for (const at of cluster.nodes.keys()) {
+        for (const [name, body, code] of odd) {
+          assert.equal((await ask(at, 'POST', '/v1/jobs', body))[0], code, `${name} at ${at}`);
+        }
+        assert.deepEqual(await ask(at, 'POST', '/v1/jobs', over), [200, 'done']);
+        assert.deepEqual(await ask(at, 'POST', '/v1/jobs/wk-000411/withdraw'), [200, 'done']);
+        assert.deepEqual(await ask(at, 'GET', '/v1/jobs/wk-000411'), [200, 'done']);
+        assert.equal((await ask(at, 'GET', '/v1/jobs/wk-000499'))[0], 404);
+        assert.equal((await ask(at, 'POST', '/v1/jobs/wk-000499/withdraw'))[0], 404);
+      }
+    }
+    // What can't be asked is not denied.
+    cluster.state.refused.add('*');
+    const unknown = await cluster.call('drone-1', 'GET', '/v1/jobs/wk-000499');
+    assert.equal(unknown.status, 503);
+  });
+});
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -48,6 +48,16 @@
   }
 });
 
+const optional = ['Flavours', 'Yard', 'DueS'];
+for (const field of Object.keys(submission('wk-000001') as Record<string, unknown>)) {
+  test(`a submission without ${field}, or with one of another type`, () => {
+    const left = parseJob(text({ [field]: undefined }));
+    assert.equal('job' in left, optional.includes(field), 'left out');
+    assert.equal('job' in parseJob(text({ [field]: null })), optional.includes(field), 'null');
+    assert.ok('error' in parseJob(text({ [field]: { a: 1 } })), 'an object');
+  });
+}
+
 const settings = `
 label = "drone-0"
 site = "a"
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -187,6 +187,8 @@
   private readonly asks = new Map<string, string[]>();
   private readonly server = new HttpServer((r) => this.answer(r), options);
   capacity = Infinity;
+  /** Requests for which this says yes are carried out, and their answers get lost. */
+  lose: ((path: string) => boolean) | null = null;
 
   constructor(
     readonly settings: FleetSettings,
@@ -224,6 +226,13 @@
   }
 
   private async answer(request: HttpMessage): Promise<Reply> {
+    const reply = await this.carryOut(request);
+    if (this.lose?.(`${request.method} ${request.target.split('?')[0] ?? ''}`) !== true)
+      return reply;
+    return new Promise(() => undefined);
+  }
+
+  private async carryOut(request: HttpMessage): Promise<Reply> {
     const path = request.target.split('?')[0];
     if (path === '/machine_types') {
       const type = {
