--- a/src/coordination/chunks.ts
+++ b/src/coordination/chunks.ts
@@ -27,8 +27,12 @@
   return ranges;
 }
 
-export const totalChunks = (record: JobRecord): number =>
-  record.spec === null ? 0 : chunkRanges(record.spec.tasks, record.size, record.zones).length;
+/** How many ranges `chunkRanges` gives, without making them: it is asked of every job in each review. */
+export function totalChunks({ spec, size, zones }: JobRecord): number {
+  if (spec === null) return 0;
+  const half = zones.length > 1 ? Math.ceil(spec.tasks / 2) : spec.tasks;
+  return Math.ceil(half / size) + Math.ceil((spec.tasks - half) / size);
+}
 
 /**
  * Where only one zone can run a spread job, its second half waits until all of the first is over:
--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -190,13 +190,11 @@
   private cutMore(home: Hosted, job: HomeJob): void {
     const { record } = job;
     if (job.busy || record.spec === null || record.state !== 'open') return;
-    if (this.host.withheld(job.id)) return;
-    const ranges = chunkRanges(record.spec.tasks, record.size, record.zones);
-    if (record.cut >= ranges.length) return;
     const open = record.cut - record.finished.length;
-    const next = ranges[record.cut];
-    if (open >= 4 || next === undefined) return;
-    if (!mayCut(record, record.cut)) return;
+    if (open >= 4 || record.cut >= totalChunks(record) || !mayCut(record, record.cut)) return;
+    if (this.host.withheld(job.id)) return;
+    const next = chunkRanges(record.spec.tasks, record.size, record.zones)[record.cut];
+    if (next === undefined) return;
     const spec = record.spec;
     const { label } = home.part;
     const { at, cut } = record;
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -58,8 +58,8 @@
     }
     // Our own lease has lapsed and a peer says that it has adopted the part: send the worker there,
     // or it would stay with us, and the adopter would take a healthy machine for a lost one.
-    const told = node.peers.hostOf(host.part.label);
-    if (!node.ownership.valid && told !== null && told.token > host.token) {
+    const told = node.ownership.valid ? null : node.peers.hostOf(host.part.label);
+    if (told !== null && told.token > host.token) {
       return elsewhere(told.label);
     }
     // Our lease has long run out: an adopter may count on our silence.
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -4,7 +4,13 @@
 import { nextToAsk } from '../src/coordination/sender.js';
 import { seededRandom } from '../src/base/random.js';
 import { Chunk } from '../src/coordination/chunk.js';
-import { chunkRanges, chunkSize, mayCut, zonesFor } from '../src/coordination/chunks.js';
+import {
+  chunkRanges,
+  chunkSize,
+  mayCut,
+  totalChunks,
+  zonesFor,
+} from '../src/coordination/chunks.js';
 import { Arrivals, RunTimes } from '../src/coordination/estimate.js';
 import { choosePart, turnaround } from '../src/coordination/migration.js';
 import { allows, bestFit, sampleHosts, victimsFor } from '../src/coordination/placement.js';
@@ -95,6 +101,8 @@
     for (const size of [1, 2, 3, 50, 200]) {
       for (const zones of [[], ['a'], ['a', 'b']]) {
         const ranges = chunkRanges(tasks, size, zones);
+        const record = { spec: spec({ tasks }), size, zones } as JobRecord;
+        assert.equal(totalChunks(record), ranges.length);
         const seen = ranges.flatMap((r) =>
           Array.from({ length: r.to - r.from }, (_, i) => r.from + i),
         );
