--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -25,6 +25,8 @@
   teams?: string;
   runs: (task: string) => number;
   zones?: string[];
+  /** Seconds; short where a test waits for its end. */
+  lease?: number;
 }
 
 const limits = {
@@ -48,9 +50,10 @@
   private cloudAddress = '';
   private readonly listeners: { close(): void }[] = [];
   private readonly report = 0.4;
-  private readonly lease = 8;
+  private readonly lease: number;
 
   constructor(private readonly options: ClusterOptions) {
+    this.lease = options.lease ?? 8;
     const addresses = (): Map<string, string> =>
       new Map([...this.fronts].map(([label, port]) => [label, `127.0.0.1:${port}`]));
     this.cloud = new CloudStandIn(
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -43,10 +43,12 @@
   hanging = false;
   /** Its reports arrive, but no answer, question or order gets to it. */
   deaf = false;
+  /** It reaches no controller, while direct commands and questions reach it. */
+  mute = false;
   /** All reports that it has sent. */
   readonly sent: string[] = [];
   private readonly server = new HttpServer((r) => this.serve(r), options);
-  private address = '';
+  address = '';
 
   constructor(
     readonly name: string,
@@ -145,7 +147,7 @@
         this.session++;
         this.answered = performance.now();
       }
-      if (!this.hanging) await this.tell(http);
+      if (!this.hanging && !this.mute) await this.tell(http);
       await new Promise((r) => setTimeout(r, report * 1000));
     }
   }
@@ -181,6 +183,8 @@
   /** task -> machines that run it now; more than one is a broken rule. */
   private readonly running = new Map<string, Set<string>>();
   readonly starts: string[] = [];
+  /** The zone of the machine, for each of them. */
+  readonly startZones: (string | undefined)[] = [];
   readonly twice: string[] = [];
   readonly released: string[] = [];
   private next = 1;
@@ -207,6 +211,7 @@
 
   started(task: string, machine: string): void {
     this.starts.push(task);
+    this.startZones.push(this.workers.get(machine)?.zone);
     const on = this.running.get(task) ?? new Set();
     this.running.set(task, on);
     if (on.size > 0 && !on.has(machine)) this.twice.push(task);
@@ -256,6 +261,7 @@
         Yard: w.zone,
         Loaners: w.spot,
         Status: 'running',
+        Address: w.address,
         AgeS: 100,
       }));
       return { status: 200, body: { Drones: machines, More: false } };
