--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -119,7 +119,7 @@
       this.state,
       this.replica,
       clock,
-      { label: settings.label, process, parts: this.parts, ttl: this.stateTtl },
+      { label: settings.label, process, parts: this.parts, ttl: this.stateTtl, grace: this.grace },
       {
         gained: (part, held) => {
           this.gain(part, held);
@@ -429,8 +429,8 @@
       },
     );
     // Another node may go on answering its workers for its grace; ourselves, before a restart, not. Counted
-    // from when the part came here, which may have been before our last restart.
-    const renewed = now + Math.max(0, held.since + this.grace + 2 * skew - this.clock.wall());
+    // from when that node lost the part, which may have been before our last restart.
+    const renewed = now + Math.max(0, held.lostAt + this.grace + 2 * skew - this.clock.wall());
     const host = hosting(part, held, now, renewed);
     for (const [name, record] of this.fleet.of(label)) part.addMachine(name, record, now, renewed);
     for (const [key, { value, stamp }] of this.replica.under(keys.runs(label))) {
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -6,7 +6,7 @@
 import { describe, log } from '../base/log.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient } from '../storage/stateClient.js';
-import { keys, type OwnerRecord, type TokenRecord } from '../storage/records.js';
+import { keys, type LastOwner, type OwnerRecord, type TokenRecord } from '../storage/records.js';
 
 /** Not a part: the key by which the one node that rents and returns machines is elected. */
 export const PROVISIONER = '~provisioner';
@@ -15,10 +15,10 @@
   token: number;
   stamp: number;
   /**
-   * Time of day at which the part came here from another node, which may still answer its workers for a
-   * while; 0 when no other node ever had it. A restart of this node changes nothing of it.
+   * Time of day at which the last node but this lost the part without handing it over: it may still answer
+   * the part's workers for a while. 0: there is none. A restart of this node changes nothing of it.
    */
-  since: number;
+  lostAt: number;
 }
 
 export interface OwnershipOptions {
@@ -27,6 +27,8 @@
   parts: string[];
   /** The lease at the state service, in seconds. */
   ttl: number;
+  /** Seconds for which a node may answer workers after its lease. */
+  grace: number;
 }
 
 export interface OwnershipEvents {
@@ -228,9 +230,8 @@
     const tokens = (counter?.value ?? { last: 0 }) as TokenRecord;
     const token = tokens.last + 1;
     const record: OwnerRecord = { node, token, process };
-    const last = tokens.owners?.[part];
-    const since = last === undefined ? 0 : last.node === node ? last.since : this.clock.wall();
-    const owners = { ...tokens.owners, [part]: { node, since } };
+    const lost = lostBefore(tokens.owners?.[part], node, this.clock.wall(), this.options.grace);
+    const owners = { ...tokens.owners, [part]: { node, lost } };
     const result = await this.client.txn(
       {
         when: [
@@ -254,7 +255,7 @@
     }
     if (stamp === 0) return null;
     this.replica.note(key, record, stamp);
-    return { token, stamp, since };
+    return { token, stamp, lostAt: Math.max(0, ...Object.values(lost)) };
   }
 
   private async handBack(part: string): Promise<void> {
@@ -269,7 +270,8 @@
       const counter = await this.client.get(keys.token);
       const tokens = (counter?.value ?? { last: held.token }) as TokenRecord;
       // We answer its workers no more, so its own node has to wait for nobody on our account.
-      const owners = { ...tokens.owners, [part]: { node: part, since: held.since } };
+      const lost = tokens.owners?.[part]?.lost ?? {};
+      const owners = { ...tokens.owners, [part]: { node: part, lost } };
       const result = await this.client.txn(
         {
           when: [
@@ -288,3 +290,20 @@
     }
   }
 }
+
+/**
+ * Who else may still answer the part's workers once this node has it: those that lost it, but not this node
+ * itself, whose earlier process has ended, nor those that lost it long ago.
+ */
+function lostBefore(
+  last: LastOwner | undefined,
+  node: string,
+  wall: number,
+  grace: number,
+): Record<string, number> {
+  const lost = { ...last?.lost };
+  if (last !== undefined) lost[last.node] = wall;
+  return Object.fromEntries(
+    Object.entries(lost).filter(([who, at]) => who !== node && wall - at <= grace * 2),
+  );
+}
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -137,7 +137,8 @@
     machine.tick = report.tick;
     machine.seenToken = Math.max(machine.seenToken, report.token);
     machine.heard = now;
-    if (isHello) machine.reportedAt = now;
+    // At once, not with the next sweep: a machine that has just come up is waited for.
+    if (isHello) [machine.reportedAt, machine.mute] = [now, false];
     if (from !== 'report') machine.noteReached(now);
     machine.goneBy = report.warning === null ? null : now + report.warning;
     const changed = machine.noteTasks(report.tasks);
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -29,8 +29,13 @@
  */
 export interface TokenRecord {
   last: number;
-  /** By part: the node that owned it last, and the time of day at which it got it from another node. */
-  owners?: Record<string, { node: string; since: number }>;
+  owners?: Record<string, LastOwner>;
+}
+
+export interface LastOwner {
+  node: string;
+  /** Nodes that lost the part to another, and the time of day at which they did: they may not know it. */
+  lost: Record<string, number>;
 }
 
 export interface OwnerRecord {
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -934,3 +934,14 @@
     }
   }
 });
+
+test('a machine that comes up long after it was rented is given work at once', () => {
+  const b = new Bench();
+  const machine = b.machine('n-1', false);
+  b.now += 60;
+  b.part.sweep(b.now);
+  const chunk = b.chunk();
+  b.report(machine, []);
+  b.decide();
+  assert.equal(chunk.entries.size, 1);
+});
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -60,25 +60,23 @@
 }
 
 const FRESH: TokenRecord = { last: 4 };
-const histories: {
-  name: string;
-  tokens: TokenRecord;
-  key?: string;
-  since: number;
-}[] = [
-  { name: 'nobody had it', tokens: FRESH, since: 0 },
-  { name: 'we had it, our key has gone', tokens: had('p', 0), since: 0 },
-  { name: 'we had it, our key is there', tokens: had('p', 0), key: 'p', since: 0 },
-  { name: 'another had it last', tokens: had('q', 0), since: 1000 },
-  { name: 'ours since a takeover, then restarted', tokens: had('p', 990), key: 'p', since: 990 },
-  { name: 'ours since a takeover, key gone', tokens: had('p', 990), since: 990 },
+const histories: { name: string; tokens: TokenRecord; key?: string; lostAt: number }[] = [
+  { name: 'nobody had it', tokens: FRESH, lostAt: 0 },
+  { name: 'we had it, our key has gone', tokens: had('p'), lostAt: 0 },
+  { name: 'we had it, our key is there', tokens: had('p'), key: 'p', lostAt: 0 },
+  { name: 'another had it last', tokens: had('q'), lostAt: 1000 },
+  { name: 'we took it over, then restarted', tokens: had('p', { q: 990 }), key: 'p', lostAt: 990 },
+  { name: 'we took it over, key gone', tokens: had('p', { q: 990 }), lostAt: 990 },
+  { name: 'we had lost it and got it back', tokens: had('p', { p: 990 }), lostAt: 0 },
+  { name: 'two lost it one after the other', tokens: had('r', { q: 990 }), lostAt: 1000 },
+  { name: 'another lost it long ago', tokens: had('p', { q: 100 }), lostAt: 0 },
 ];
-function had(node: string, since: number): TokenRecord {
-  return { last: 4, owners: { p: { node, since } } };
+function had(node: string, lost: Record<string, number> = {}): TokenRecord {
+  return { last: 4, owners: { p: { node, lost } } };
 }
-for (const { name, tokens, key, since } of histories) {
+for (const { name, tokens, key, lostAt } of histories) {
   // An earlier owner that is cut off may answer its workers all that time, whoever restarts meanwhile.
-  test(`since when a part is ours: ${name}`, async () => {
+  test(`who may still answer the workers of a part that is ours: ${name}`, async () => {
     const store = new MemoryStore();
     await store.txn({ when: [], puts: [{ key: keys.token, value: tokens }], removes: [] });
     if (key !== undefined) {
@@ -90,7 +88,7 @@
     void ownership.run();
     while (gained.length === 0) await new Promise((resolve) => setTimeout(resolve, 1));
     assert.equal(gained[0]?.token, 5);
-    assert.equal(gained[0].since, since);
+    assert.equal(gained[0].lostAt, lostAt);
     // Told of a higher token, it gives the part up; an old word changes nothing.
     ownership.forfeit('p', 4);
     assert.ok(ownership.get('p') !== undefined);
@@ -118,7 +116,7 @@
     client as unknown as StateClient,
     replica as unknown as Replica,
     { now: () => performance.now() / 1000, wall: () => 1000 },
-    { label: 'p', process: 'x', parts: ['p'], ttl: 0.05 },
+    { label: 'p', process: 'x', parts: ['p'], ttl: 0.05, grace: 20 },
     {
       gained: (part, held) => {
         if (part === 'p') gained(held);
@@ -141,7 +139,7 @@
     client as unknown as StateClient,
     { loaded: false } as Replica,
     clock,
-    { label: 'p', process: 'x', parts: ['p'], ttl: 0.05 },
+    { label: 'p', process: 'x', parts: ['p'], ttl: 0.05, grace: 20 },
     {
       gained: () => undefined,
       lost: () => undefined,
@@ -170,7 +168,7 @@
     client as unknown as StateClient,
     { loaded: false } as Replica,
     clock,
-    { label: 'p', process: 'x', parts: ['p'], ttl },
+    { label: 'p', process: 'x', parts: ['p'], ttl, grace: 20 },
     {
       gained: () => undefined,
       lost: () => undefined,
