--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -3,7 +3,15 @@
 import { test } from 'node:test';
 import { submission, until } from './support/cluster.js';
 import { spec as jobSpec } from './support/spec.js';
-import { accept, service, settled, status, withCluster, type Answer } from './support/users.js';
+import {
+  accept,
+  service,
+  settled,
+  status,
+  watchUse,
+  withCluster,
+  type Answer,
+} from './support/users.js';
 
 const forever = (): number => Infinity;
 const brief = (): number => 0.3;
@@ -78,12 +86,7 @@
 test('a team limit holds across parts', () => {
   const teams = '[[settings.teams]]\nname = "crew"\ncpus_max = 4.0';
   return withCluster({ nodes: 3, runs: brief, teams }, async (cluster) => {
-    let most = 0;
-    const watch = setInterval(() => {
-      let cpus = 0;
-      for (const worker of cluster.cloud.workers.values()) cpus += worker.tasks.length * 2;
-      most = Math.max(most, cpus);
-    }, 5);
+    const stopWatching = watchUse(cluster);
     for (const [i, label] of [...cluster.nodes.keys()].entries()) {
       await accept(cluster, label, submission(`wk-00005${i}`));
     }
@@ -93,7 +96,7 @@
       }
       return true;
     });
-    clearInterval(watch);
+    const most = stopWatching();
     assert.ok(most <= 4, `${most} processors were in use`);
     const tooLarge = submission('wk-000059', { ...service, Pieces: 3 });
     assert.equal((await settled(cluster, 'drone-0', 'POST', '/v1/jobs', tooLarge)).status, 422);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { submission, until, type Cluster } from './support/cluster.js';
 import type { WorkerStandIn } from './support/fleet.js';
-import { accept, service, status, withCluster, type Answer } from './support/users.js';
+import { accept, service, status, watchUse, withCluster, type Answer } from './support/users.js';
 
 const pause = (seconds: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, seconds * 1000));
@@ -95,12 +95,7 @@
 test('at the limit of a team, a leader ends, a machine hangs and its job is cancelled', () => {
   const teams = '[[settings.teams]]\nname = "crew"\ncpus_max = 4.0';
   return withCluster({ nodes: 2, lease: 3, runs: () => Infinity, teams }, async (cluster) => {
-    let most = 0;
-    const watch = setInterval(() => {
-      let cpus = 0;
-      for (const worker of cluster.cloud.workers.values()) cpus += worker.tasks.length * 2;
-      most = Math.max(most, cpus);
-    }, 5);
+    const stopWatching = watchUse(cluster);
     await accept(cluster, 'drone-0', submission('wk-000541', service));
     await until('it runs', () => holder(cluster, 'wk-000541/1') !== undefined);
     await accept(cluster, 'drone-1', submission('wk-000542', service));
@@ -114,7 +109,7 @@
     await until('the next has its place', () =>
       [0, 1].every((n) => holder(cluster, `wk-000542/${n}`) !== undefined),
     );
-    clearInterval(watch);
+    const most = stopWatching();
     assert.ok(most <= 4, `${most} processors were in use`);
   });
 });
--- a/test/support/users.ts
+++ b/test/support/users.ts
@@ -69,3 +69,17 @@
   if (answer === undefined) throw new Error('no answer');
   return answer;
 }
+
+/** Watches how many processors are in use at once, with tasks of two; the answer stops it and gives the most. */
+export function watchUse(cluster: Cluster): () => number {
+  let most = 0;
+  const watch = setInterval(() => {
+    let cpus = 0;
+    for (const worker of cluster.cloud.workers.values()) cpus += worker.tasks.length * 2;
+    most = Math.max(most, cpus);
+  }, 5);
+  return () => {
+    clearInterval(watch);
+    return most;
+  };
+}
