--- a/test/accepting.test.ts
+++ b/test/accepting.test.ts
@@ -3,12 +3,10 @@
 import { test } from 'node:test';
 import { Accepting, type AcceptingNode } from '../src/coordination/accepting.js';
 import { Chunk } from '../src/coordination/chunk.js';
-import { RunTimes } from '../src/coordination/estimate.js';
 import { hosting, type Hosted } from '../src/coordination/hosted.js';
-import { Part } from '../src/coordination/part.js';
-import { seededRandom } from '../src/base/random.js';
 import { keys, type JobRecord, type ShelfRecord } from '../src/storage/records.js';
 import type { Reply } from '../src/transport/httpServer.js';
+import { emptyPart } from './support/part.js';
 import { spec } from './support/spec.js';
 import { MemoryStore } from './support/store.js';
 
@@ -21,14 +19,7 @@
 
   constructor(value = 16 * 1024) {
     this.store.limits.value = value;
-    const pace = { patience: 30, dearPatience: 60, headroom: 1, window: 100 };
-    const part = new Part(
-      'p',
-      { lease: 18, report: 3, sample: 8, zones: ['a'], ...pace },
-      () => new Map(),
-      new RunTimes(),
-      seededRandom(1),
-    );
+    const part = emptyPart(3);
     this.host = hosting(part, { token: 5, stamp: 1 }, 0);
     this.store.rows.set(keys.owner('q'), { key: keys.owner('q'), value: {}, stamp: 2 });
     const { rows } = this.store;
--- a/test/cancelling.test.ts
+++ b/test/cancelling.test.ts
@@ -1,15 +1,13 @@
 /** Cancellations that meet other troubles: what was confirmed holds, and what can't hold is not confirmed. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { seededRandom } from '../src/base/random.js';
 import { Chunk } from '../src/coordination/chunk.js';
-import { RunTimes } from '../src/coordination/estimate.js';
 import { hosting, type Hosted } from '../src/coordination/hosted.js';
-import { Part } from '../src/coordination/part.js';
 import { Withholding } from '../src/coordination/withholding.js';
 import type { Withheld } from '../src/protocol/peer.js';
 import { keys, type JobRecord } from '../src/storage/records.js';
 import { until, type Cluster } from './support/cluster.js';
+import { emptyPart } from './support/part.js';
 import { spec as jobSpec } from './support/spec.js';
 import { status, withCluster, type Answer } from './support/users.js';
 
@@ -135,16 +133,7 @@
 const settings = { report: 4, lease: 18, cancel: 43 };
 
 function node(foreignUntil: number, seenToken: number) {
-  const part = new Part(
-    'p',
-    {
-      ...{ lease: 18, report: 4, sample: 8, zones: ['a'] },
-      ...{ patience: 30, dearPatience: 60, headroom: 1, window: 100 },
-    },
-    () => new Map(),
-    new RunTimes(),
-    seededRandom(1),
-  );
+  const part = emptyPart(4);
   const host: Hosted = hosting(part, { token: 7, stamp: 1 }, NOW, foreignUntil);
   const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0 };
   const machine = part.addMachine('n-1', record, NOW);
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -1,27 +1,18 @@
 /** Questions to machines: what silent ones may hold, and what says nothing of them. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { seededRandom } from '../src/base/random.js';
-import { RunTimes } from '../src/coordination/estimate.js';
 import { hosting } from '../src/coordination/hosted.js';
 import { Chunk } from '../src/coordination/chunk.js';
 import { Orders, type OrdersNode } from '../src/coordination/orders.js';
-import { Part } from '../src/coordination/part.js';
 import { CallFailed, type Response } from '../src/transport/httpClient.js';
+import { emptyPart } from './support/part.js';
 import { spec } from './support/spec.js';
 
 const SOCKETS = 120;
 
 /** A part of so many machines with live services, each last heard from long ago. */
 function fixture(count: number, call: (endpoint: string) => Promise<Response>) {
-  const options = { lease: 18, report: 4, sample: 8, zones: ['a'] };
-  const part = new Part(
-    'p',
-    { ...options, patience: 30, dearPatience: 60, headroom: 1, window: 100 },
-    () => new Map(),
-    new RunTimes(),
-    seededRandom(1),
-  );
+  const part = emptyPart(4);
   for (let i = 0; i < count; i++) {
     const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0, address: `h:${i}` };
     part.addMachine(`n-${i}`, record, 0).noteReached(0);
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -9,22 +9,10 @@
 import type { MachineType } from '../src/protocol/cloud.js';
 import type { JobSpec } from '../src/protocol/job.js';
 import type { Report, TaskReport } from '../src/protocol/worker.js';
+import { m8 } from './support/part.js';
 import { spec } from './support/spec.js';
 
 const TOKEN = 5;
-const m8: MachineType = {
-  name: 'm8',
-  cpus: 8,
-  gpus: 0,
-  memory: 32,
-  fetchRate: 1,
-  cache: 10,
-  price: 1,
-  spotPrice: 0.4,
-  boot: 30,
-  zones: ['a'],
-};
-
 class Bench {
   now = 100;
   tick = 0;
--- a/test/storing.test.ts
+++ b/test/storing.test.ts
@@ -1,18 +1,15 @@
 /** What is stored and when: machines by rental, chunks on shelves, and answers that get lost. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { seededRandom } from '../src/base/random.js';
 import { Chunk } from '../src/coordination/chunk.js';
-import { RunTimes } from '../src/coordination/estimate.js';
 import { hosting, type Hosted } from '../src/coordination/hosted.js';
-import { Part } from '../src/coordination/part.js';
 import { choosePartFor } from '../src/coordination/provisioner.js';
 import { Shelving } from '../src/coordination/shelving.js';
-import type { MachineType } from '../src/protocol/cloud.js';
 import { shareOf } from '../src/storage/budget.js';
 import { Fleet } from '../src/storage/fleet.js';
 import { keys, type GroupRecord, type ShelfRecord } from '../src/storage/records.js';
 import { Shelves } from '../src/storage/shelves.js';
+import { emptyPart, m8 } from './support/part.js';
 import { spec } from './support/spec.js';
 import { MemoryStore } from './support/store.js';
 
@@ -91,19 +88,6 @@
   }
 });
 
-const m8: MachineType = {
-  name: 'm8',
-  cpus: 8,
-  gpus: 0,
-  memory: 32,
-  fetchRate: 1,
-  cache: 10,
-  price: 1,
-  spotPrice: 0.4,
-  boot: 30,
-  zones: ['a'],
-};
-
 /** One part with its shelves, on a store in memory. */
 class Desk {
   now = 100;
@@ -113,16 +97,7 @@
   private readonly shelving: Shelving;
 
   constructor() {
-    const options = { lease: 18, report: 3, sample: 8, zones: ['a'] };
-    const pace = { patience: 30, dearPatience: 60, headroom: 1, window: 100 };
-    const types = new Map([['m8', m8]]);
-    const part = new Part(
-      'p',
-      { ...options, ...pace },
-      () => types,
-      new RunTimes(),
-      seededRandom(1),
-    );
+    const part = emptyPart(3, new Map([['m8', m8]]));
     for (const [label, stamp] of [
       ['p', 1],
       ['q', 2],
--- /dev/null
+++ b/test/support/part.ts
@@ -0,0 +1,24 @@
+/** An empty part with one type of machine, for tests of what works on parts. */
+import { seededRandom } from '../../src/base/random.js';
+import { RunTimes } from '../../src/coordination/estimate.js';
+import { Part } from '../../src/coordination/part.js';
+import type { MachineType } from '../../src/protocol/cloud.js';
+
+export const m8: MachineType = {
+  name: 'm8',
+  cpus: 8,
+  gpus: 0,
+  memory: 32,
+  fetchRate: 1,
+  cache: 10,
+  price: 1,
+  spotPrice: 0.4,
+  boot: 30,
+  zones: ['a'],
+};
+
+export function emptyPart(report: number, types = new Map<string, MachineType>()): Part {
+  const options = { lease: 18, report, sample: 8, zones: ['a'] };
+  const pace = { patience: 30, dearPatience: 60, headroom: 1, window: 100 };
+  return new Part('p', { ...options, ...pace }, () => types, new RunTimes(), seededRandom(1));
+}
