--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,9 @@
 #!/usr/bin/env node
+/**
+ * Entry point. The build runs this module once to make a startup snapshot (all modules loaded, schemas
+ * compiled), and a controller starts from that: loading them took three quarters of a start's processor time.
+ */
+import { startupSnapshot } from 'node:v8';
 import { Command, CommanderError } from 'commander';
 import { systemClock } from './base/clock.js';
 import { describe, log, setLogLevel } from './base/log.js';
@@ -100,16 +105,22 @@
   await program.parseAsync();
 }
 
-// A fault in one request must not end the controller; what it held is settled by the loops.
-process.on('unhandledRejection', (error) => {
-  log.error(`unhandled: ${describe(error)}`);
-});
-
-main().catch((error: unknown) => {
-  if (error instanceof CommanderError) process.exitCode = error.exitCode;
-  else {
+function start(): void {
+  // A fault in one request must not end the controller; what it held is settled by the loops.
+  process.on('unhandledRejection', (error) => {
+    log.error(`unhandled: ${describe(error)}`);
+  });
+  main().catch((error: unknown) => {
+    if (error instanceof CommanderError) {
+      process.exitCode = error.exitCode;
+      return;
+    }
     const known = error instanceof SettingsError || error instanceof QueryError;
     process.stderr.write(`barrowlb: ${known ? error.message : describe(error)}\n`);
     process.exit(1);
-  }
-});
+  });
+}
+
+// Nothing that a snapshot would freeze (environment, arguments, clocks) may be read before this point.
+if (startupSnapshot.isBuildingSnapshot()) startupSnapshot.setDeserializeMainFunction(start);
+else start();
--- /dev/null
+++ b/test/startup.test.ts
@@ -0,0 +1,94 @@
+/** The startup snapshot that the deploy file builds and starts from. */
+import assert from 'node:assert/strict';
+import { execFileSync, spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { buildSync } from 'esbuild';
+
+const root = fileURLToPath(new URL('../../..', import.meta.url));
+const compiledMain = fileURLToPath(new URL('../src/main.js', import.meta.url));
+const folder = mkdtempSync(join(tmpdir(), 'barrowlb-'));
+const bundle = join(folder, 'barrowlb.cjs');
+const snapshot = join(folder, 'barrowlb.blob');
+const settingsFile = join(folder, 'settings.toml');
+
+const heapFlags = (command: string): string[] => command.match(/--max-[a-z-]+=\d+/g) ?? [];
+
+const { scripts } = JSON.parse(readFileSync(join(root, 'package.json'), 'utf8')) as {
+  scripts: Record<string, string>;
+};
+const deployFile = readFileSync(join(root, 'deploy/service.toml'), 'utf8');
+const runLine = /^run = "(.*)"$/m.exec(deployFile)?.[1] ?? '';
+
+before(() => {
+  buildSync({ entryPoints: [compiledMain], bundle: true, platform: 'node', outfile: bundle });
+  const flags = heapFlags(scripts['snapshot'] ?? '');
+  const build = [...flags, '--snapshot-blob', snapshot, '--build-snapshot', bundle];
+  execFileSync(process.execPath, build, { env: { LOG_LEVEL: 'error' }, stdio: 'pipe' });
+  writeFileSync(
+    settingsFile,
+    `
+label = "drone-0"
+site = "a"
+client_listen = "127.0.0.1:0"
+back = "127.0.0.1:0"
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:1"
+[settings]
+zones = ["a"]
+teams = [{ name = "crew" }]
+workers = { report_s = 3.0, lease_s = 30.0, cancel_s = 60.0 }
+state = { rps = 100.0, write_rps = 50.0, value_kb = 16.0, txn_ops = 16 }
+cloud = { rps = 6.0, list_lag_s = 6.0 }
+limits = { cores = 0.1, ram_mb = 127.0, fd_limit = 1000 }
+`,
+  );
+});
+
+after(() => {
+  rmSync(folder, { recursive: true });
+});
+
+test('the deploy file starts from the snapshot with the flags it was built with', () => {
+  // V8 refuses a snapshot that was made with other heap flags, and no controller would start.
+  assert.deepEqual(heapFlags(runLine), heapFlags(scripts['snapshot'] ?? ''));
+  assert.equal(heapFlags(runLine).length, 2);
+  const blob = /--snapshot-blob (\S+)/.exec(scripts['snapshot'] ?? '')?.[1];
+  assert.ok(blob !== undefined && runLine.includes(`--snapshot-blob ${blob} `));
+});
+
+const command = (...args: string[]): string[] => [
+  ...heapFlags(runLine),
+  '--snapshot-blob',
+  snapshot,
+  compiledMain,
+  ...args,
+];
+
+test('arguments and settings are read at the start, not when the snapshot was made', () => {
+  const checked = execFileSync(
+    process.execPath,
+    command('--check', '--config', settingsFile),
+  ).toString();
+  assert.equal(checked, 'settings are sound: drone-0 in a\n');
+});
+
+test('the log level is that of the start, and a controller listens', async () => {
+  const controller = spawn(process.execPath, command('--config', settingsFile), {
+    env: { LOG_LEVEL: 'info' },
+  });
+  try {
+    let output = '';
+    for await (const data of controller.stderr) {
+      output += String(data);
+      if (output.includes('\n')) break;
+    }
+    assert.match(output, /^info barrowlb \d+\.\d+\.\d+ listens on 127\.0\.0\.1:0 as drone-0\n/);
+  } finally {
+    controller.kill('SIGKILL');
+  }
+});
