--- /dev/null
+++ b/test/turns.test.ts
@@ -0,0 +1,118 @@
+/** Work spread over turns of the event loop: new connections are accepted between the turns. */
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import { test } from 'node:test';
+import { HttpServer } from '../src/transport/httpServer.js';
+import { TurnQueue } from '../src/transport/turnQueue.js';
+
+/** Runs all turns and gives what was done in each. */
+function turnsOf(items: [name: string, isUrgent: boolean][]): string[][] {
+  const deferred: (() => void)[] = [];
+  const queue = new TurnQueue({ urgent: 2, ordinary: 1 }, (turn) => deferred.push(turn));
+  let done: string[] = [];
+  for (const [name, isUrgent] of items) queue.add(() => done.push(name), isUrgent);
+  const turns: string[][] = [];
+  for (let turn = deferred.shift(); turn !== undefined; turn = deferred.shift()) {
+    done = [];
+    turn();
+    turns.push(done);
+  }
+  return turns;
+}
+
+for (const { name, items, turns } of [
+  { name: 'nothing', items: [], turns: [] },
+  { name: 'a little', items: [['u1', true]], turns: [['u1']] },
+  {
+    name: 'urgent work goes first and does not stop the rest',
+    items: [
+      ['o1', false],
+      ['o2', false],
+      ['u1', true],
+      ['u2', true],
+      ['u3', true],
+    ],
+    turns: [
+      ['u1', 'u2', 'o1'],
+      ['u3', 'o2'],
+    ],
+  },
+  {
+    name: 'a turn takes so much and no more',
+    items: [
+      ['u1', true],
+      ['u2', true],
+      ['u3', true],
+      ['u4', true],
+      ['u5', true],
+    ],
+    turns: [['u1', 'u2'], ['u3', 'u4'], ['u5']],
+  },
+] satisfies { name: string; items: [string, boolean][]; turns: string[][] }[]) {
+  test(`turns of the event loop: ${name}`, () => {
+    assert.deepEqual(turnsOf(items), turns);
+  });
+}
+
+test('a burst of requests is spread over turns, so that new connections are let in between', async () => {
+  const clients = 40;
+  let turn = 0;
+  const handledIn = new Map<number, number>();
+  const server = new HttpServer(
+    () => {
+      handledIn.set(turn, (handledIn.get(turn) ?? 0) + 1);
+      return Promise.resolve({ status: 200, body: {} });
+    },
+    { bodyLimit: 10, maxConnections: 99, maxInFlight: 99, requestTimeout: 5, idleTimeout: 60 },
+  );
+  const port = await server.listen({ host: '127.0.0.1', port: 0 });
+  const sockets = await Promise.all(
+    Array.from({ length: clients }, async () => {
+      const socket = net.connect(port, '127.0.0.1');
+      await new Promise((resolve) => socket.once('connect', resolve));
+      return socket;
+    }),
+  );
+  let counting = true;
+  const count = (): void => {
+    turn++;
+    if (counting) setImmediate(count);
+  };
+  count();
+  try {
+    await Promise.all(
+      sockets.map((socket) => {
+        const answered = new Promise((resolve) => socket.once('data', resolve));
+        socket.write('GET / HTTP/1.1\r\n\r\n');
+        return answered;
+      }),
+    );
+    const most = Math.max(...handledIn.values());
+    assert.ok(most <= 6, `${most} requests in one turn`);
+    assert.equal(
+      [...handledIn.values()].reduce((a, b) => a + b, 0),
+      clients,
+    );
+  } finally {
+    counting = false;
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  }
+});
+
+test('a client that has sent all its requests still gets the replies', async () => {
+  const server = new HttpServer(
+    ({ target }) => Promise.resolve({ status: 200, body: { target } }),
+    { bodyLimit: 10, maxConnections: 9, maxInFlight: 9, requestTimeout: 5, idleTimeout: 60 },
+  );
+  const port = await server.listen({ host: '127.0.0.1', port: 0 });
+  try {
+    const socket = net.connect({ port, host: '127.0.0.1', allowHalfOpen: true });
+    socket.end('GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n');
+    let text = '';
+    for await (const data of socket) text += String(data);
+    assert.match(text, /"target":"\/a"[^]*Connection: close[^]*"target":"\/b"/);
+  } finally {
+    server.close();
+  }
+});
