--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -190,8 +190,8 @@
       (owner) => owner?.node === this.options.label || !owner,
     );
     if (held === null) return;
-    // Read after the key was written: no earlier owner's transaction can be applied any more.
-    await this.replica.load();
+    // Asked for after the key was written: no earlier owner's transaction can be applied any more.
+    await this.replica.catchUp(held.stamp);
     if (!this.valid || this.held.has(part)) return;
     this.held.set(part, held);
     log.info(`part ${part} is ours with token ${held.token}`);
--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -1,8 +1,15 @@
+/** The copy of the state service's records that each node keeps. */
 import { sleep, type Clock } from '../base/clock.js';
 import { log, describe } from '../base/log.js';
 import type { Change } from '../protocol/state.js';
 import type { StateClient } from './stateClient.js';
 
+/** Changes after a revision, up to `epoch`. */
+export interface ChangeLog {
+  epoch: number;
+  changes: Change[];
+}
+
 export interface Stored {
   value: unknown;
   stamp: number;
@@ -22,7 +29,7 @@
   syncedAt = -Infinity;
 
   constructor(
-    private readonly client: StateClient,
+    private readonly client: Pick<StateClient, 'range' | 'changes'>,
     private readonly prefix: string,
     private readonly clock: Pick<Clock, 'now'>,
     private readonly options: { hold: number; pause: number },
@@ -66,6 +73,33 @@
     this.changed({ key, value: null, stamp, removed: true });
   }
 
+  /**
+   * Makes sure that the copy holds all that was stored up to a revision, for who has just written that.
+   * Reading all records again would cost a second of a small processor's time after each restart.
+   */
+  async catchUp(revision: number): Promise<void> {
+    if (this.epoch >= 0) {
+      const sent = this.clock.now();
+      const log = await this.client.changes(this.prefix, this.epoch, 0);
+      if (log !== null && log.epoch >= revision) {
+        this.follow(log, sent);
+        return;
+      }
+    }
+    await this.load();
+  }
+
+  /** Takes up an answer with changes, which may have been overtaken by a newer one. */
+  private follow(log: ChangeLog, sent: number): void {
+    for (const change of log.changes) {
+      if (change.stamp <= this.epoch) continue;
+      if (change.removed) this.noteRemoved(change.key, change.stamp);
+      else this.note(change.key, change.value, change.stamp);
+    }
+    this.epoch = Math.max(this.epoch, log.epoch);
+    this.syncedAt = Math.max(this.syncedAt, sent);
+  }
+
   async load(): Promise<void> {
     const sent = this.clock.now();
     const { items, epoch } = await this.client.range(this.prefix);
@@ -89,17 +123,12 @@
       try {
         if (this.epoch < 0) await this.load();
         const sent = this.clock.now();
-        const log = await this.client.changes(this.prefix, this.epoch, this.options.hold);
-        if (log === null) {
+        const changes = await this.client.changes(this.prefix, this.epoch, this.options.hold);
+        if (changes === null) {
           this.epoch = -1;
           continue;
         }
-        for (const change of log.changes) {
-          if (change.removed) this.noteRemoved(change.key, change.stamp);
-          else this.note(change.key, change.value, change.stamp);
-        }
-        this.epoch = Math.max(this.epoch, log.epoch);
-        this.syncedAt = Math.max(this.syncedAt, sent);
+        this.follow(changes, sent);
         // Watches count as requests: a short pause lets changes gather.
         await sleep(this.options.pause);
       } catch (error) {
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -108,7 +108,7 @@
   const replica = {
     loaded: true,
     get: (key: string) => store.rows.get(key),
-    load: () => Promise.resolve(),
+    catchUp: () => Promise.resolve(),
     note: () => undefined,
     noteRemoved: () => undefined,
   };
--- /dev/null
+++ b/test/replica.test.ts
@@ -0,0 +1,105 @@
+/** The copy of the state service's records: what it asks for, and what late answers may not do. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Change } from '../src/protocol/state.js';
+import { Replica, type ChangeLog } from '../src/storage/replica.js';
+
+const put = (key: string, stamp: number): Change => ({ key, value: {}, stamp, removed: false });
+const remove = (key: string, stamp: number): Change => ({
+  key,
+  value: null,
+  stamp,
+  removed: true,
+});
+
+/** A replica that has loaded `b/job/1` at revision 10, and what it asks for from then on. */
+async function loaded(answers: (ChangeLog | null | Promise<ChangeLog>)[]) {
+  const asked: string[] = [];
+  const client = {
+    range: () => {
+      asked.push('all');
+      return Promise.resolve({ items: [{ key: 'b/job/1', value: {}, stamp: 10 }], epoch: 10 });
+    },
+    changes: (_: string, from: number, hold: number) => {
+      asked.push(`after ${from} for ${hold}`);
+      const answer = answers.shift();
+      return answer === undefined ? new Promise<never>(() => undefined) : Promise.resolve(answer);
+    },
+  };
+  const options = { hold: 5, pause: 0 };
+  const replica = new Replica(client, 'b/', { now: () => 0 }, options, () => undefined);
+  await replica.load();
+  asked.length = 0;
+  return { replica, asked };
+}
+
+for (const { name, answer, asked, known } of [
+  {
+    name: 'only the changes since then are read',
+    answer: { epoch: 12, changes: [put('b/job/2', 11), put('b/own/p', 12)] },
+    asked: ['after 10 for 0'],
+    known: ['b/job/1', 'b/job/2', 'b/own/p'],
+  },
+  {
+    name: 'what has been removed is gone',
+    answer: { epoch: 13, changes: [put('b/own/p', 12), remove('b/job/1', 13)] },
+    asked: ['after 10 for 0'],
+    known: ['b/own/p'],
+  },
+  {
+    name: 'an answer from before the key was written is not enough',
+    answer: { epoch: 11, changes: [put('b/job/2', 11)] },
+    asked: ['after 10 for 0', 'all'],
+    known: ['b/job/1'],
+  },
+  {
+    name: 'all is read where the service keeps the changes no longer',
+    answer: null,
+    asked: ['after 10 for 0', 'all'],
+    known: ['b/job/1'],
+  },
+]) {
+  test(`an adopter's copy after its key was written at 12: ${name}`, async () => {
+    const fixture = await loaded([answer]);
+    await fixture.replica.catchUp(12);
+    assert.deepEqual(fixture.asked, asked);
+    const keys = ['b/job/1', 'b/job/2', 'b/own/p'];
+    assert.deepEqual(
+      keys.filter((key) => fixture.replica.get(key) !== undefined),
+      known,
+    );
+  });
+}
+
+test('without a copy all records are read', async () => {
+  const fixture = await loaded([]);
+  const fresh = new Replica(
+    {
+      range: () => {
+        fixture.asked.push('all');
+        return Promise.resolve({ items: [], epoch: 12 });
+      },
+      changes: () => Promise.reject(new Error('not asked for')),
+    },
+    'b/',
+    { now: () => 0 },
+    { hold: 5, pause: 0 },
+    () => undefined,
+  );
+  await fresh.catchUp(12);
+  assert.deepEqual(fixture.asked, ['all']);
+});
+
+test('an answer of the watch that was overtaken does not bring back what has been removed', async () => {
+  let answerWatch: (log: ChangeLog) => void = () => undefined;
+  const watch = new Promise<ChangeLog>((resolve) => (answerWatch = resolve));
+  const late = { epoch: 11, changes: [put('b/run/p/1', 11)] };
+  const newer = { epoch: 13, changes: [put('b/run/p/1', 11), remove('b/run/p/1', 12)] };
+  const { replica } = await loaded([watch, newer]);
+  void replica.run();
+  await replica.catchUp(13);
+  answerWatch(late);
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.equal(replica.get('b/run/p/1'), undefined);
+  replica.stop();
+});
