After a takeover machines are asked a few at a time, those with live services first

A worker with tasks that has not seen the new token reports again within half a second and needs no question; the others are asked as many at a time as one report's time affords.

--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -158,7 +158,6 @@
 
   sweep(): void {
     const now = this.node.clock.now();
-    const { report } = this.node.settings;
     if (!this.node.ownership.valid) {
       this.pokeEndings();
       return;
@@ -167,32 +166,52 @@
       host.part.sweep(now);
       if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
       this.settleDoubts(host, now);
-      // Questions to many machines would take the processor from users: so many a second at the most.
-      const affordable = (PROBES_PER_CORE * this.node.settings.cores) / this.node.hosted.size;
-      // Those that were asked longest ago go first, since not all may get their turn.
-      const machines = [...host.part.machines.values()].sort((a, b) => a.askedAt - b.askedAt);
-      const doubtful = machines.some((m) => m.missed > 0);
-      // Only those with live services are asked so often: in a large part they are the fewer.
-      const live = machines.reduce((n, m) => n + (m.live > 0 ? 1 : 0), 0);
-      const watchful = Math.min(1.3, Math.max(0.3, live / affordable / report));
-      for (const machine of machines) {
-        if (machine.reached === null) {
-          // Stored by an earlier owner: asked directly, since its worker may never come.
-          if (machine.address !== '') void this.probe(host, machine);
-          continue;
-        }
-        if (!machine.up) continue;
-        host.part.pokes.add(machine);
-        // Where live services run, silence is noticed within a second or two; elsewhere when a report
-        // is overdue.
-        // When one does not answer, all are asked: others that answer show that the fault is not ours.
-        const patience = machine.live > 0 || doubtful ? watchful : 1.3;
-        if (now - machine.reached > report * patience) void this.probe(host, machine);
-      }
+      this.probeUnreached(host);
+      this.probeOverdue(host, now);
     }
     this.node.kick();
   }
 
+  /** Questions a second that this node can afford for each part: more would take the processor from users. */
+  private get affordableProbes(): number {
+    return (PROBES_PER_CORE * this.node.settings.cores) / this.node.hosted.size;
+  }
+
+  /**
+   * Machines stored by an earlier owner are asked directly, since their workers may never come. After a
+   * takeover they are hundreds: those with live services go first, and most of the others report meanwhile.
+   */
+  private probeUnreached(host: Hosted): void {
+    const unreached: Machine[] = [];
+    for (const machine of host.part.machines.values()) {
+      if (machine.reached === null && machine.address !== '') unreached.push(machine);
+    }
+    unreached.sort((a, b) => a.askedAt - b.askedAt || b.live - a.live);
+    const most = Math.ceil(this.affordableProbes * this.node.settings.report);
+    for (const machine of unreached.slice(0, most)) void this.probe(host, machine);
+  }
+
+  /** Machines that were in reach and have said nothing for too long. */
+  private probeOverdue(host: Hosted, now: number): void {
+    const { report } = this.node.settings;
+    const machines = [...host.part.machines.values()].filter((machine) => machine.up);
+    // Those that were asked longest ago go first, since not all may get their turn.
+    machines.sort((a, b) => a.askedAt - b.askedAt);
+    const doubtful = [...host.part.machines.values()].some((machine) => machine.missed > 0);
+    // Only those with live services are asked so often: in a large part they are the fewer.
+    const live = machines.reduce((n, machine) => n + (machine.live > 0 ? 1 : 0), 0);
+    const watchful = Math.min(1.3, Math.max(0.3, live / this.affordableProbes / report));
+    for (const machine of machines) {
+      if (machine.reached === null) continue;
+      host.part.pokes.add(machine);
+      // Where live services run, silence is noticed within a second or two; elsewhere when a report
+      // is overdue.
+      // When one does not answer, all are asked: others that answer show that the fault is not ours.
+      const patience = machine.live > 0 || doubtful ? watchful : 1.3;
+      if (now - machine.reached > report * patience) void this.probe(host, machine);
+    }
+  }
+
   /** Without a valid lease: only what users have asked to cancel is seen to. */
   private pokeEndings(): void {
     for (const { part } of this.node.hosted.values()) {
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -4,6 +4,7 @@
 import type { Reply } from '../transport/httpServer.js';
 import type { Controller } from './controller.js';
 import type { Hosted } from './hosted.js';
+import type { Machine } from './machine.js';
 
 const elsewhere = (owner: string | null): Reply => ({ status: 421, body: redirectAnswer(owner) });
 
@@ -13,6 +14,17 @@
   follows: boolean;
 }
 
+/**
+ * Whether to ask a machine that has reported if our answers reach it: the report may be a late copy. A worker
+ * that runs tasks and has not seen our token reports again within half a second of this answer, on the same
+ * connection, which proves as much. After a takeover hundreds do, and a question to each would cost more
+ * than answering them.
+ */
+function needsProbe(machine: Machine, report: Report, token: number): boolean {
+  if (machine.missed > 0) return true;
+  return !machine.up && (report.tasks.length === 0 || report.token >= token);
+}
+
 export class Workers {
   /** Workers that were sent on, and when: those that come back can't reach the owner. */
   readonly sentOn = new Map<string, number>();
@@ -68,8 +80,7 @@
     if (machine === undefined) return elsewhere(null);
     const says = host.part.apply(machine, report, now, follows ? 'follow' : 'report');
     const newer = says !== 'older';
-    // It may be a late copy, or our answers may not get there: a question shows that at once.
-    if (!machine.up || machine.missed > 0) void node.orders.probe(host, machine);
+    if (needsProbe(machine, report, host.token)) void node.orders.probe(host, machine);
     const valid = node.ownership.valid;
     const orders =
       newer && valid ? machine.orders(true, now, node.settings.report * 1.5) : machine.endings();
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -61,6 +61,23 @@
   assert.equal(new Set(asked).size, 40, 'some were never asked');
 });
 
+test('after a takeover machines are asked a few at a time, those with live services first', () => {
+  const { part, orders, asked, clock } = fixture(1000, () => new Promise(() => undefined));
+  // Before the leases that an earlier owner gave have run out.
+  clock.at = 1;
+  for (const machine of part.machines.values()) machine.reached = null;
+  const live = spec({ id: 'wk-1', tasks: 1, service: true });
+  const record = new Chunk(live, 0, 'p', 0, 0, 1, null, 0).record();
+  const entries = [{ task: 0, attempt: 1, machine: 'n-999', session: 1 }];
+  part.loadChunk(0, { ...record, entries }, 1, 0);
+  orders.sweep();
+  assert.equal(asked[0], 'h:999');
+  // One core may ask 120 a second, here for the time between two reports.
+  assert.equal(asked.length, 480);
+  orders.sweep();
+  assert.equal(new Set(asked).size, 960, 'those not asked yet go next');
+});
+
 for (const [name, error, took, missed] of [
   ['one that timed out is asked once more at once', new CallFailed('timed out', false), 1, 2],
   ['one that was refused was missed', new CallFailed('refused', true), 0, 1],
