Less work at once: commands over turns, one rest for all rounds, one question for chunks of a size

Commands go out four a turn; the rest counts from the last round, whoever asks for the next. Machines that are full when a round begins are passed over once. The peers were asked, and the queue replayed, for each chunk of a job, though all but the last are of one size and get the same answer.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -269,22 +269,27 @@
         this.kicked = false;
         this.round();
       },
-      Math.max(this.settings.report * GATHER, this.took * REST) * 1000,
+      Math.max(this.settings.report * GATHER, this.restLeft) * 1000,
     );
   }
 
+  /** Seconds until the next round may begin, whoever asks for it. */
+  private get restLeft(): number {
+    return this.lastRound + this.took * REST - this.clock.now();
+  }
+
   /** A round now and then without a reason: time alone changes what is due. */
   private async rounds(): Promise<void> {
     const pause = this.settings.report / 30;
     while (!this.stopped) {
-      if (this.clock.now() - this.lastRound >= pause) {
+      if (this.clock.now() - this.lastRound >= pause && this.restLeft <= 0) {
         try {
           this.round();
         } catch (error) {
           log.error(`round: ${error instanceof Error ? (error.stack ?? '') : String(error)}`);
         }
       }
-      await sleep(Math.max(pause, this.took * REST));
+      await sleep(Math.max(pause, this.restLeft));
     }
   }
 
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -6,6 +6,7 @@
   paths as workerPaths,
   type Order,
 } from '../protocol/worker.js';
+import { TurnQueue } from '../transport/turnQueue.js';
 import { CallFailed, type HttpClient } from '../transport/httpClient.js';
 import type { Chunk } from './chunk.js';
 import type { Hosted } from './hosted.js';
@@ -17,6 +18,9 @@
 /** Machines that one core may ask in a second without noticing it. */
 const PROBES_PER_CORE = 120;
 
+/** A round may have commands for hundreds of machines; sent at once they would keep reports waiting. */
+const COMMANDS_PER_TURN = 4;
+
 /** What is needed of a node. */
 export interface OrdersNode {
   settings: Pick<Settings, 'report' | 'cores' | 'maxSockets'>;
@@ -31,7 +35,10 @@
   /** Questions on their way to machines that have left one without an answer. */
   private toSilent = 0;
 
-  constructor(private readonly node: OrdersNode) {}
+  constructor(
+    private readonly node: OrdersNode,
+    private readonly turns = new TurnQueue({ urgent: COMMANDS_PER_TURN, ordinary: 0 }),
+  ) {}
 
   pokeFor(host: Hosted, chunks: Chunk[]): void {
     for (const chunk of chunks) {
@@ -52,12 +59,19 @@
         host.part.pokes.delete(machine);
         // Questions go on until it answers one; orders meanwhile would only hold sockets.
         if (machine.deaf) continue;
-        void this.command(host, machine);
+        this.turns.add(() => {
+          void this.command(host, machine);
+        }, true);
       }
     }
   }
 
   private async command(host: Hosted, machine: Machine): Promise<void> {
+    if (!host.alive) return;
+    if (machine.inFlight) {
+      host.part.pokes.add(machine);
+      return;
+    }
     const { report } = this.node.settings;
     const due = (): Order[] =>
       this.node.ownership.valid
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -557,6 +557,7 @@
     this.resumeAfter = null;
     this.starving.clear();
     const round: Round = {
+      withRoom: this.machinesWithRoom(now),
       reserved: null,
       full: new Set(),
       hopeless: new Set(),
@@ -622,6 +623,16 @@
     return true;
   }
 
+  /** Rooms only shrink within a round, so the machines that are full at its start need not be looked at again. */
+  private machinesWithRoom(now: number): Machine[] {
+    const found: Machine[] = [];
+    for (const machine of this.machines.values()) {
+      // Every task takes some processor, but not every one takes memory.
+      if (machine.free.cpus > 0 && machine.usable(now)) found.push(machine);
+    }
+    return found;
+  }
+
   /** Gives true when tasks of it are left without room. */
   private placeChunk(chunk: Chunk, round: Round, now: number): boolean {
     const { spec } = chunk;
@@ -644,8 +655,8 @@
       }
       if (hosts === null) {
         hosts = [];
-        for (const machine of this.machines.values()) {
-          if (machine === kept || !holds(machine.free, spec) || !machine.usable(now)) continue;
+        for (const machine of round.withRoom) {
+          if (machine === kept || !holds(machine.free, spec)) continue;
           if (!allows(spec, chunk.zone, machine)) continue;
           if (choosy && chunk.failedOn.has(machine.name)) continue;
           hosts.push(machine);
@@ -1035,6 +1046,8 @@
 export type Told = 'older' | 'as before' | 'news';
 
 interface Round {
+  /** Machines that may take work and had room when the round began. */
+  withRoom: Machine[];
   /** The machine that is kept for the first that waits, and from when on it will have room. */
   reserved: { machine: Machine; at: number } | null;
   /** Shapes of work for which no machine has room. */
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -152,10 +152,18 @@
     const now = node.clock.now();
     const { label } = home.part;
     const atOnce = ranges.slice(0, Math.max(2, most)).filter((_, k) => mayCut(record, k));
+    // Most chunks of a job are of one size, and the same question has the same answer: it is asked once.
+    const choices = new Map<string, Promise<string>>();
+    const choose = (zone: string | null, count: number): Promise<string> => {
+      const question = `${zone ?? '*'} ${count}`;
+      const choice = choices.get(question) ?? node.sender.choose(home, spec, zone, count);
+      choices.set(question, choice);
+      return choice;
+    };
     const first = await Promise.all(
       atOnce.map(async (range, index) => {
         const { from, to, zone } = range;
-        const part = await node.sender.choose(home, spec, zone ?? spec.zone, to - from);
+        const part = await choose(zone ?? spec.zone, to - from);
         const chunk = new Chunk(spec, index, label, record.at, from, to, zone, now);
         if (part !== label) chunk.moves = 1;
         return { part, chunk };
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -5,6 +5,7 @@
 import { Chunk } from '../src/coordination/chunk.js';
 import { Orders, type OrdersNode } from '../src/coordination/orders.js';
 import { CallFailed, type Response } from '../src/transport/httpClient.js';
+import { TurnQueue } from '../src/transport/turnQueue.js';
 import { emptyPart } from './support/part.js';
 import { spec } from './support/spec.js';
 
@@ -36,7 +37,11 @@
     hosted: new Map([['p', host]]),
     kick: () => undefined,
   };
-  return { part, orders: new Orders(node), asked, clock, ownership };
+  // Turns of the event loop that follow each other at once.
+  const turns = new TurnQueue({ urgent: 4, ordinary: 0 }, (turn) => {
+    turn();
+  });
+  return { part, orders: new Orders(node, turns), asked, clock, ownership };
 }
 
 test('machines that are silent hold half of the sockets for machines, and take turns', async () => {
