Reaps wait for company; a command goes out only when it says more than reaps

Reaps now go with other orders, or with the answer to a report once a report's time has passed. What is due is looked at without marking stops as sent: a stop that came while a command was on its way was taken for sent and waited for one and a half reports.

--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -7,6 +7,8 @@
 /** An ended attempt that the worker still reports, and from when on it may be forgotten. */
 export interface Leftover {
   attempt: number;
+  /** Steady time at which its end was heard of. */
+  since: number;
   mayReap: () => boolean;
 }
 
@@ -253,6 +255,44 @@
     return orders;
   }
 
+  /**
+   * Whether something should be sent to the worker at once. Reaps are not worth a command of their own: they
+   * go along with others or with the answer to a report.
+   */
+  needsCommand(now: number, again: number): boolean {
+    for (const [task, report] of this.tasks) {
+      const isOver = report.state === 'ended';
+      if (!isOver && this.entries.get(task)?.entry.attempt !== report.attempt) return true;
+    }
+    for (const [task, { chunk, entry }] of this.entries) {
+      const report = this.tasks.get(task);
+      const here = report?.attempt === entry.attempt ? report : undefined;
+      if (entry.stop === null) {
+        if (here === undefined && chunk.isDurable(entry) && !entry.seen) return true;
+      } else if (here !== undefined && here.state !== 'ended') {
+        const { sentAt, wind } = entry.stop;
+        const patience = here.state === 'saving' ? wind + again : again;
+        const isDue = sentAt === null ? here.state !== 'saving' : now - sentAt > patience;
+        if (isDue) return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Orders for the answer to a report. A reap changes what the worker reports, so one that has no company costs
+   * another report: reaps wait for other orders, but no longer than `patience`.
+   */
+  answerOrders(now: number, again: number, patience: number): Order[] {
+    const orders = this.orders(true, now, again);
+    if (orders.some((order) => order.verb !== 'reap')) return orders;
+    const isOld = ({ task }: Order): boolean => {
+      const leftover = this.leftovers.get(task);
+      return leftover === undefined || now - leftover.since >= patience;
+    };
+    return orders.some(isOld) ? orders : [];
+  }
+
   /** Stops, starts and reaps that the worker should carry out now. */
   orders(mayStart: boolean, now: number, again: number): Order[] {
     const orders: Order[] = [];
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -58,7 +58,7 @@
         if (machine.inFlight || machine.address === '') continue;
         host.part.pokes.delete(machine);
         // Questions go on until it answers one; orders meanwhile would only hold sockets.
-        if (machine.deaf) continue;
+        if (machine.deaf || !this.isDue(machine)) continue;
         this.turns.add(() => {
           void this.command(host, machine);
         }, true);
@@ -66,6 +66,12 @@
     }
   }
 
+  /** Without a valid lease only the ends that users have asked for may be sent: those can't be wrong. */
+  private isDue(machine: Machine): boolean {
+    if (!this.node.ownership.valid) return machine.endings().length > 0;
+    return machine.needsCommand(this.node.clock.now(), this.node.settings.report * 1.5);
+  }
+
   private async command(host: Hosted, machine: Machine): Promise<void> {
     if (!host.alive) return;
     if (machine.inFlight) {
@@ -73,13 +79,10 @@
       return;
     }
     const { report } = this.node.settings;
-    const due = (): Order[] =>
-      this.node.ownership.valid
-        ? machine.orders(true, this.node.clock.now(), report * 1.5)
-        : // Nothing else may be done without a valid lease, but these ends can't be wrong.
-          machine.endings();
-    const orders = due();
-    if (orders.length === 0) return;
+    if (!this.isDue(machine)) return;
+    const orders: Order[] = this.node.ownership.valid
+      ? machine.orders(true, this.node.clock.now(), report * 1.5)
+      : machine.endings();
     const { token } = host;
     const started = orders.flatMap((o) => {
       const placed = o.verb === 'start' ? machine.entries.get(o.task) : undefined;
@@ -117,7 +120,7 @@
     } finally {
       machine.inFlight = false;
     }
-    if (host.alive && due().length > 0) {
+    if (host.alive && this.isDue(machine)) {
       setTimeout(
         () => {
           host.part.pokes.add(machine);
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -206,7 +206,7 @@
       if (report.cause === 'unknown') this.backOff(chunk, now);
       this.release(machine, placed, now);
     }
-    this.leave(machine, chunk, entry);
+    this.leave(machine, chunk, entry, now);
   }
 
   private finish(machine: Machine, placed: Placed, now: number): void {
@@ -228,11 +228,12 @@
   }
 
   /** The attempt's end stays in the worker's reports until it may be forgotten. */
-  private leave(machine: Machine, chunk: Chunk, entry: Entry): void {
+  private leave(machine: Machine, chunk: Chunk, entry: Entry, now: number): void {
     const version = chunk.version;
     const { doubt, attempt, task } = entry;
     machine.leftovers.set(chunk.taskName(task), {
       attempt,
+      since: now,
       // Its end must be stored first; and a start that may still come would run it once more.
       mayReap: () =>
         (chunk.stored >= version || chunk.dropped) &&
@@ -275,6 +276,7 @@
         const version = chunk.version;
         machine.leftovers.set(task, {
           attempt: report.attempt,
+          since: now,
           mayReap: () => chunk.stored >= version || chunk.dropped,
         });
       }
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -82,8 +82,9 @@
     const newer = says !== 'older';
     if (needsProbe(machine, report, host.token)) void node.orders.probe(host, machine);
     const valid = node.ownership.valid;
+    const { report: reportTime } = node.settings;
     const orders =
-      newer && valid ? machine.orders(true, now, node.settings.report * 1.5) : machine.endings();
+      newer && valid ? machine.answerOrders(now, reportTime * 1.5, reportTime) : machine.endings();
     for (const order of orders) {
       const placed = order.verb === 'start' ? machine.entries.get(order.task) : undefined;
       if (placed !== undefined) placed.entry.riding = true;
--- /dev/null
+++ b/test/costs.test.ts
@@ -0,0 +1,202 @@
+/** Costs that were won back on small controllers, held by counts: messages, questions and visits. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Chunk } from '../src/coordination/chunk.js';
+import { hosting } from '../src/coordination/hosted.js';
+import { Machine } from '../src/coordination/machine.js';
+import { Orders } from '../src/coordination/orders.js';
+import type { Part } from '../src/coordination/part.js';
+import type { TaskReport } from '../src/protocol/worker.js';
+import { TurnQueue } from '../src/transport/turnQueue.js';
+import { submission, until } from './support/cluster.js';
+import { emptyPart, m8 } from './support/part.js';
+import { spec } from './support/spec.js';
+import { withCluster } from './support/users.js';
+
+const REPORT = 4;
+const AGAIN = REPORT * 1.5;
+
+function partWith(count: number): { part: Part; machines: Machine[] } {
+  const part = emptyPart(REPORT, new Map([['m8', m8]]));
+  const machines = Array.from({ length: count }, (_, i) => {
+    const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0, address: `h:${i}` };
+    const machine = part.addMachine(`n-${i}`, record, 0);
+    machine.noteReached(0);
+    return machine;
+  });
+  return { part, machines };
+}
+
+function addChunk(part: Part, id: string, memory = 4): Chunk {
+  const chunk = new Chunk(spec({ id, tasks: 1, cpus: 8, memory }), 0, 'p', 0, 0, 1, null, 0);
+  part.accept(chunk, 0);
+  return chunk;
+}
+
+function report(part: Part, machine: Machine, now: number, tasks: TaskReport[]): void {
+  const { name, address, type, zone, spot, session } = machine;
+  const tick = machine.tick + 1;
+  const whole = {
+    machine: name,
+    address,
+    type,
+    zone,
+    spot,
+    session,
+    tick,
+    token: 1,
+    warning: null,
+  };
+  part.apply(machine, { ...whole, tasks }, now, 'follow');
+}
+
+/** A machine with one task that has ended, and whose end is stored. */
+function withLeftover(now: number): { part: Part; machine: Machine } {
+  const { part, machines } = partWith(1);
+  const [machine] = machines;
+  if (machine === undefined) throw new Error('no machine');
+  const chunk = addChunk(part, 'wk-1');
+  part.decide(now, () => false);
+  const task = { task: 'wk-1/0', attempt: 1, cause: null, saved: false };
+  report(part, machine, now, [{ ...task, state: 'running' }]);
+  report(part, machine, now, [{ ...task, state: 'ended', cause: 'done' }]);
+  chunk.stored = chunk.version;
+  return { part, machine };
+}
+
+test('a reap alone is no reason for a command, and waits for company in the answers to reports', () => {
+  const { part, machine } = withLeftover(1);
+  assert.equal(machine.needsCommand(1, AGAIN), false);
+  assert.deepEqual(machine.answerOrders(1 + REPORT / 2, AGAIN, REPORT), []);
+  const alone = machine.answerOrders(1 + REPORT, AGAIN, REPORT);
+  assert.deepEqual(
+    alone.map((order) => order.verb),
+    ['reap'],
+  );
+  const next = addChunk(part, 'wk-2');
+  part.decide(2, () => false);
+  assert.equal(machine.needsCommand(2, AGAIN), false, 'its placement is not stored');
+  next.stored = next.version;
+  assert.equal(machine.needsCommand(2, AGAIN), true);
+  const together = machine.answerOrders(2, AGAIN, REPORT);
+  assert.deepEqual(
+    together.map((order) => order.verb),
+    ['reap', 'start'],
+  );
+});
+
+for (const { name, strike, due } of [
+  { name: 'nothing to say', strike: () => undefined, due: false },
+  { name: 'a stop', strike: stopAll, due: true },
+  {
+    name: 'a stop that has just been sent',
+    strike: (part: Part, machine: Machine) => {
+      stopAll(part, machine);
+      machine.orders(true, 2, AGAIN);
+    },
+    due: false,
+  },
+  {
+    name: 'a task that is not ours',
+    strike: (_: Part, machine: Machine) => {
+      const stranger = { task: 'wk-9/0', attempt: 1, cause: null, saved: false };
+      machine.noteTasks([...machine.tasks.values(), { ...stranger, state: 'running' }]);
+    },
+    due: true,
+  },
+]) {
+  test(`a command is due just when there is more to say than reaps: ${name}`, () => {
+    const { part, machines } = partWith(1);
+    const [machine] = machines;
+    if (machine === undefined) throw new Error('no machine');
+    addChunk(part, 'wk-1');
+    part.decide(1, () => false);
+    const running = { task: 'wk-1/0', attempt: 1, cause: null, saved: false };
+    report(part, machine, 1, [{ ...running, state: 'running' }]);
+    strike(part, machine);
+    assert.equal(machine.needsCommand(3, AGAIN), due);
+    assert.equal(machine.orders(true, 3, AGAIN).length > 0, due);
+  });
+}
+
+function stopAll(part: Part, machine: Machine): void {
+  for (const { entry } of machine.entries.values()) part.stop(machine, entry, 0);
+}
+
+test('a round of commands to many machines goes out a few in each turn of the event loop', () => {
+  const { part, machines } = partWith(40);
+  const deferred: (() => void)[] = [];
+  let sent = 0;
+  const call = (): Promise<never> => {
+    sent++;
+    return new Promise(() => undefined);
+  };
+  const node = {
+    settings: { report: REPORT, cores: 1, maxSockets: 1000 },
+    clock: { now: () => 1 },
+    links: { machines: { call } },
+    ownership: { valid: true, raise: () => Promise.resolve(null) },
+    hosted: new Map([['p', hosting(part, { token: 1, stamp: 1 }, 0)]]),
+    kick: () => undefined,
+  };
+  const turns = new TurnQueue({ urgent: 4, ordinary: 0 }, (turn) => deferred.push(turn));
+  const orders = new Orders(node, turns);
+  const chunks = machines.map((_, i) => addChunk(part, `wk-${i}`));
+  part.decide(1, () => false);
+  for (const chunk of chunks) chunk.stored = chunk.version;
+  for (const machine of machines) part.pokes.add(machine);
+  orders.send();
+  const perTurn: number[] = [];
+  for (let turn = deferred.shift(); turn !== undefined; turn = deferred.shift()) {
+    const before = sent;
+    turn();
+    perTurn.push(sent - before);
+  }
+  assert.equal(sent, 40);
+  assert.ok(Math.max(...perTurn) <= 4);
+});
+
+test('machines that are full when a round begins are not looked at for each job that waits', () => {
+  const { part, machines } = partWith(200);
+  for (const [i] of machines.entries()) addChunk(part, `wk-${i}`);
+  part.decide(1, () => false);
+  // Each of a shape of its own, so that nothing is known of one from the others.
+  for (let i = 0; i < 50; i++) addChunk(part, `wk-9${i}`, 5 + i / 10);
+  let visits = 0;
+  const { free } = Object.getOwnPropertyDescriptors(Machine.prototype);
+  const counted = {
+    get(this: Machine) {
+      visits++;
+      return free.get?.call(this) as unknown;
+    },
+    configurable: true,
+  };
+  Object.defineProperty(Machine.prototype, 'free', counted);
+  try {
+    part.decide(2, () => false);
+  } finally {
+    Object.defineProperty(Machine.prototype, 'free', free);
+  }
+  // Once for the list of those with room, and for the machine kept for the first that waits.
+  assert.ok(visits <= 4 * machines.length, `${visits} visits`);
+});
+
+test('a job of many chunks is asked for once for each size of them', () =>
+  withCluster({ nodes: 2, runs: () => 0.1 }, async (cluster) => {
+    const sender = cluster.nodes.get('drone-0')?.controller.sender;
+    if (sender === undefined) throw new Error('no node');
+    const counts: number[] = [];
+    const choose = sender.choose.bind(sender);
+    sender.choose = (home, ofJob, zone, count, queued) => {
+      if (queued === undefined) counts.push(count);
+      return choose(home, ofJob, zone, count, queued);
+    };
+    await until('accepted', async () => {
+      const job = submission('wk-000701', { Pieces: 64, Cores: 1 });
+      return (await cluster.call('drone-0', 'POST', '/v1/jobs', job)).status < 300;
+    });
+    const record = cluster.nodes.get('drone-0')?.controller.replica.get('b/job/wk-000701')?.value;
+    const { cut } = record as { cut: number };
+    assert.ok(counts.length >= 1 && new Set(counts).size === counts.length, `${counts.join(' ')}`);
+    assert.ok(cut >= counts.length);
+  }));
