--- a/src/coordination/chunk.ts
+++ b/src/coordination/chunk.ts
@@ -167,3 +167,10 @@
     };
   }
 }
+
+/** The order of the queue: rank before arrival. */
+export const byOrder = (a: Chunk, b: Chunk): number =>
+  b.rank - a.rank || a.at - b.at || (a.id < b.id ? -1 : 1);
+
+/** Whether a chunk is looked at before another. */
+export const isAhead = (a: Chunk, b: Chunk): boolean => byOrder(a, b) < 0;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -29,12 +29,13 @@
 import type { NeedsOptions } from './needs.js';
 import { Orders } from './orders.js';
 import { Ownership, PROVISIONER, type Held } from './ownership.js';
-import { Part, type Amount, type Starved } from './part.js';
+import { Part } from './part.js';
 import { Peers } from './peers.js';
 import { Provisioner } from './provisioner.js';
 import { Quotas } from './quotas.js';
 import { Sender } from './sender.js';
 import { Shelf } from './shelf.js';
+import type { Amount, Starved } from './teamUsage.js';
 import { Withholding } from './withholding.js';
 
 /** How long changes are gathered for one round of decisions, as a ratio to the time between reports. */
@@ -343,7 +344,7 @@
         used: this.settings.teams
           .filter((t) => t.cpus > 0 || t.gpus > 0)
           .map(({ name: team }) => {
-            const amounts = reports.map((p) => p.usedBy(team));
+            const amounts = reports.map((p) => p.teams.usedBy(team));
             const cpus = amounts.reduce((n, a) => n + a.cpus, 0);
             return { team, cpus, gpus: amounts.reduce((n, a) => n + a.gpus, 0) };
           }),
@@ -366,7 +367,8 @@
       used.cpus += amount.cpus;
       used.gpus += amount.gpus;
     };
-    for (const { part } of this.hosted.values()) if (part.label !== except) add(part.usedBy(team));
+    for (const { part } of this.hosted.values())
+      if (part.label !== except) add(part.teams.usedBy(team));
     for (const { used: entries } of this.peers.gossips()) {
       for (const entry of entries) if (entry.team === team) add(entry);
     }
@@ -429,8 +431,8 @@
           const team = this.settings.teams.find((t) => t.name === name);
           return { cpus: team?.cpus ?? 0, gpus: team?.gpus ?? 0 };
         },
-        elsewhere: (team) => this.usedElsewhere(team, label),
-        starved: (team) => this.starvedElsewhere(team, label),
+        usedElsewhere: (team) => this.usedElsewhere(team, label),
+        starvedElsewhere: (team) => this.starvedElsewhere(team, label),
       },
     );
     // Another node may go on answering its workers for its grace; ourselves, before a restart, not. Counted
--- a/src/coordination/needs.ts
+++ b/src/coordination/needs.ts
@@ -26,7 +26,7 @@
   constructor(
     private readonly part: Pick<
       Part,
-      'label' | 'machines' | 'chunks' | 'waiting' | 'queue' | 'expectedRun'
+      'label' | 'machines' | 'chunks' | 'waiting' | 'queue' | 'estimates'
     >,
     private readonly options: NeedsOptions,
     private readonly types: () => Map<string, MachineType>,
@@ -42,7 +42,7 @@
       return;
     }
     this.arrivals.note(
-      sign * chunk.pending * chunk.spec.cpus * this.part.expectedRun(chunk.spec),
+      sign * chunk.pending * chunk.spec.cpus * this.part.estimates.expectedRun(chunk.spec),
       now,
     );
   }
@@ -76,7 +76,7 @@
     let work = 0;
     for (const chunk of this.part.chunks.values()) {
       if (chunk.spec.service || chunk.cancelled) continue;
-      const run = this.part.expectedRun(chunk.spec);
+      const run = this.part.estimates.expectedRun(chunk.spec);
       work += (chunk.pending * run + chunk.entries.size * run * 0.5) * chunk.spec.cpus;
     }
     return work;
@@ -207,7 +207,7 @@
       pressing = Math.max(0, pressing - dear * chunk.spec.cpus);
       const { cpus, gpus, memory, types, spot, rank, service, image, imageGb } = chunk.spec;
       const zone = chunk.zone ?? chunk.spec.zone;
-      const run = service ? 0 : this.part.expectedRun(chunk.spec);
+      const run = service ? 0 : this.part.estimates.expectedRun(chunk.spec);
       // One demand for all chunks that the same machines suit: thousands of tasks may wait.
       const key = `${shape} ${rank} ${String(service)}`;
       const known = demands.get(key);
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -6,24 +6,24 @@
 import { DRIFT } from '../base/clock.js';
 import { log } from '../base/log.js';
 import type { MachineType } from '../protocol/cloud.js';
-import { rankOrder, type JobSpec } from '../protocol/job.js';
+import { rankOrder } from '../protocol/job.js';
 import type { Report, TaskReport } from '../protocol/worker.js';
 import type { ChunkRecord, MachineRecord } from '../storage/records.js';
-import { Chunk, type Entry } from './chunk.js';
+import { byOrder, Chunk, type Entry } from './chunk.js';
 import type { RunTimes } from './estimate.js';
 import { Machine, type Placed } from './machine.js';
-import { Heap } from './heap.js';
-import {
-  allows,
-  bestFit,
-  holds,
-  sampleHosts,
-  shapeOf,
-  victimsFor,
-  type Room,
-} from './placement.js';
+import { allows, bestFit, holds, sampleHosts, shapeOf } from './placement.js';
 import { Needs, type NeedsOptions } from './needs.js';
-import { replay, type ReplayHost, type ReplayItem } from './replay.js';
+import { Preemption } from './preemption.js';
+import {
+  nothing,
+  singlePartView,
+  TeamUsage,
+  type Amount,
+  type ClusterView,
+  type Starved,
+} from './teamUsage.js';
+import { WaitEstimates } from './waitEstimates.js';
 
 export interface PartOptions extends NeedsOptions {
   lease: number;
@@ -32,40 +32,6 @@
   zones: string[];
 }
 
-export interface Amount {
-  cpus: number;
-  gpus: number;
-}
-
-/** What a part has to know of the rest of the service. */
-export interface Surroundings {
-  /** How much of a team's limit this part may use; null: no limit. */
-  allowance(team: string): Amount | null;
-  /** What a team is guaranteed; 0: nothing. */
-  guarantee(team: string): Amount;
-  /** What a team's tasks take at the other parts, as last heard. */
-  elsewhere(team: string): Amount;
-  /** The first of a team's jobs that waits too long for the team's limit at another part. */
-  starved(team: string): Starved | null;
-}
-
-/** A job that has long been kept waiting by its team's limit. */
-export interface Starved {
-  team: string;
-  /** Time of day of its submission, and its rank: the order of the queue. */
-  at: number;
-  rank: number;
-}
-
-const nothing = (): Amount => ({ cpus: 0, gpus: 0 });
-
-export const alone: Surroundings = {
-  allowance: () => null,
-  guarantee: nothing,
-  elsewhere: nothing,
-  starved: () => null,
-};
-
 export class Part {
   readonly machines = new Map<string, Machine>();
   readonly chunks = new Map<string, Chunk>();
@@ -84,8 +50,10 @@
   readonly starving = new Map<string, Starved>();
   /** What should be rented for it, and what may be returned. */
   readonly needs: Needs;
-  /** What each team's tasks take here; kept up to date, since each decision asks for it. */
-  private readonly used = new Map<string, Amount>();
+  /** What teams' tasks use here. */
+  readonly teams: TeamUsage;
+  readonly estimates: WaitEstimates;
+  private readonly preemption: Preemption;
 
   constructor(
     readonly label: string,
@@ -93,8 +61,11 @@
     private readonly types: () => Map<string, MachineType>,
     private readonly runTimes: RunTimes,
     private readonly random: Random,
-    private readonly around: Surroundings = alone,
+    private readonly cluster: ClusterView = singlePartView,
   ) {
+    this.teams = new TeamUsage(cluster);
+    this.estimates = new WaitEstimates(this, runTimes);
+    this.preemption = new Preemption(this, this.teams, options.report);
     this.needs = new Needs(this, options, types);
   }
 
@@ -315,7 +286,7 @@
 
   /** Ends an entry whose attempt is known to be over. */
   private release(machine: Machine, { chunk, entry }: Placed, now: number): void {
-    if (chunk.entries.delete(entry.task) && !chunk.dropped) this.use(chunk, -1);
+    if (chunk.entries.delete(entry.task) && !chunk.dropped) this.teams.add(chunk.spec, -1);
     machine.drop(chunk.taskName(entry.task));
     if (machine.entries.size === 0) machine.idleSince = now;
     this.changed(chunk, now);
@@ -444,7 +415,7 @@
         stop: null,
       };
       chunk.entries.set(e.task, entry);
-      this.use(chunk, 1);
+      this.teams.add(chunk.spec, 1);
       machine.put({ chunk, entry });
     }
     if (chunk.entries.size < record.entries.length) this.dirty.add(chunk);
@@ -459,7 +430,7 @@
   }
 
   dropChunk(chunk: Chunk): void {
-    if (!chunk.dropped) this.use(chunk, -chunk.entries.size);
+    if (!chunk.dropped) this.teams.add(chunk.spec, -chunk.entries.size);
     chunk.dropped = true;
     chunk.shelf?.remove(chunk);
     this.chunks.delete(chunk.id);
@@ -518,7 +489,7 @@
   /** What waits, in the order in which it is looked at. */
   queue(): Chunk[] {
     const waiting = [...this.chunks.values()].filter((c) => c.pending > 0);
-    const entitled = new Set(waiting.filter((c) => this.isEntitled(c.spec)));
+    const entitled = new Set(waiting.filter((c) => this.teams.isEntitled(c.spec)));
     return waiting.sort(
       (a, b) =>
         b.rank - a.rank || Number(entitled.has(b)) - Number(entitled.has(a)) || byOrder(a, b),
@@ -577,7 +548,7 @@
         break;
       }
       if (chunk.notBefore > now) continue;
-      if (chunk.spec.service && this.clearsForImage(chunk, now)) continue;
+      if (chunk.spec.service && this.preemption.makeRoomAtImage(chunk, now)) continue;
       const before = chunk.entries.size;
       const waits = this.placeChunk(chunk, round, now);
       if (chunk.spec.gang && chunk.entries.size > before) chunk.next++;
@@ -595,34 +566,7 @@
         if (round.reserved === null) round.hopeless.add(shape);
       }
     }
-    this.preempt(blocked, now, outOfTime);
-  }
-
-  /**
-   * A replica that would wait for its image where there is room, while a machine that has the image is
-   * full of lower-ranked work: that work makes room, and the replica waits the moment it takes.
-   */
-  private clearsForImage(chunk: Chunk, now: number): boolean {
-    if (chunk.pending === 0) return false;
-    const { spec } = chunk;
-    const patience = this.options.report / 6;
-    if (chunk.clearingSince !== null && now - chunk.clearingSince > patience) return false;
-    const stoppable: { machine: Machine; victims: Victims; loss: number }[] = [];
-    for (const machine of this.machines.values()) {
-      if (!machine.usable(now) || !allows(spec, chunk.zone, machine)) continue;
-      if (!machine.hasImage(spec.image) || machine.slowness > 1.5) continue;
-      if (holds(machine.free, spec)) return false;
-      const running = this.stoppable(machine, chunk, now);
-      const victims = victimsFor(machine.free, spec, running, chunk.rank);
-      if (victims === null || victims.some((v) => v.placed.chunk.spec.checkpoint > 0)) continue;
-      stoppable.push({ machine, victims, loss: victims.reduce((n, v) => n + v.loss, 0) });
-    }
-    if (chunk.clearingSince !== null) return true;
-    const best = stoppable.sort((a, b) => a.loss - b.loss)[0];
-    if (best === undefined || best.victims.length === 0) return false;
-    chunk.clearingSince = now;
-    for (const { placed } of best.victims) this.stop(best.machine, placed.entry, 0);
-    return true;
+    this.preemption.makeRoom(blocked, now, outOfTime);
   }
 
   /** Rooms only shrink within a round, so the machines that are full at its start need not be looked at again. */
@@ -651,7 +595,7 @@
     if (round.full.has(shape) || (kept !== undefined && round.full.has(behind))) return true;
     let hosts: Machine[] | null = null;
     while (chunk.pending > 0) {
-      if (!this.withinAllowance(spec)) {
+      if (!this.teams.withinAllowance(spec)) {
         this.noteCapped(chunk, round, now);
         return true;
       }
@@ -687,7 +631,7 @@
     if (chunk.pending === 0) return false;
     if (round.capped.has(team)) return true;
     let first = round.starved.get(team);
-    if (first === undefined) round.starved.set(team, (first = this.around.starved(team)));
+    if (first === undefined) round.starved.set(team, (first = this.cluster.starvedElsewhere(team)));
     if (!this.isBehind(chunk, first)) return false;
     round.capped.add(team);
     return true;
@@ -704,7 +648,7 @@
    */
   wanted(team: string): Amount {
     const want = nothing();
-    const first = this.around.starved(team);
+    const first = this.cluster.starvedElsewhere(team);
     for (const chunk of this.chunks.values()) {
       if (chunk.spec.team !== team || this.isBehind(chunk, first)) continue;
       want.cpus += chunk.pending * chunk.spec.cpus;
@@ -727,8 +671,8 @@
   private gangFits(chunk: Chunk, round: Round, now: number): boolean {
     if (chunk.entries.size > 0) return false;
     const { spec } = chunk;
-    const allowance = this.around.allowance(spec.team);
-    const used = this.usedBy(spec.team);
+    const allowance = this.cluster.allowance(spec.team);
+    const used = this.teams.usedBy(spec.team);
     if (allowance !== null) {
       const short =
         used.cpus + chunk.pending * spec.cpus > allowance.cpus + 1e-6 ||
@@ -768,7 +712,7 @@
       stop: null,
     };
     chunk.entries.set(task, entry);
-    this.use(chunk, 1);
+    this.teams.add(chunk.spec, 1);
     machine.put({ chunk, entry });
     log.debug(
       `${this.label} places ${chunk.taskName(task)} (${chunk.spec.jobClass}) on ${machine.name}, ` +
@@ -778,52 +722,6 @@
     this.changed(chunk, now);
   }
 
-  private withinAllowance(spec: JobSpec): boolean {
-    const allowance = this.around.allowance(spec.team);
-    if (allowance === null) return true;
-    const used = this.usedBy(spec.team);
-    return (
-      used.cpus + spec.cpus <= allowance.cpus + 1e-6 &&
-      used.gpus + spec.gpus <= allowance.gpus + 1e-6
-    );
-  }
-
-  private total(team: string): Amount {
-    const here = this.usedBy(team);
-    const there = this.around.elsewhere(team);
-    return { cpus: here.cpus + there.cpus, gpus: here.gpus + there.gpus };
-  }
-
-  /** One more task of it stays within its team's guarantee. */
-  private isEntitled(spec: JobSpec): boolean {
-    const guarantee = this.around.guarantee(spec.team);
-    if (guarantee.cpus === 0 && guarantee.gpus === 0) return false;
-    const used = this.total(spec.team);
-    return (
-      used.cpus + spec.cpus <= guarantee.cpus + 1e-6 &&
-      used.gpus + spec.gpus <= guarantee.gpus + 1e-6
-    );
-  }
-
-  /** What a team runs beyond its guarantee. */
-  private borrowed(team: string): Amount {
-    const guarantee = this.around.guarantee(team);
-    const used = this.total(team);
-    return { cpus: used.cpus - guarantee.cpus, gpus: used.gpus - guarantee.gpus };
-  }
-
-  /** What a team's tasks take here, those that may still run included. */
-  usedBy(team: string): Readonly<Amount> {
-    return this.used.get(team) ?? nothing();
-  }
-
-  private use({ spec }: Chunk, tasks: number): void {
-    const used = this.used.get(spec.team) ?? nothing();
-    this.used.set(spec.team, used);
-    used.cpus += tasks * spec.cpus;
-    used.gpus += tasks * spec.gpus;
-  }
-
   /** Where and when the first that waits will find room: that room is kept for it. */
   private shadow(chunk: Chunk, now: number): { machine: Machine; at: number } | null {
     let best: { machine: Machine; at: number } | null = null;
@@ -835,7 +733,7 @@
       if (best !== null && !roomNow && this.soonest(machine, now) >= best.at) continue;
       const room = { ...machine.free };
       const ends = [...machine.entries.values()]
-        .map((p) => ({ at: this.endOf(p, now), need: p.chunk.spec }))
+        .map((p) => ({ at: this.estimates.endOf(p, now), need: p.chunk.spec }))
         .sort((a, b) => a.at - b.at);
       let at = now;
       for (const end of ends) {
@@ -852,192 +750,12 @@
 
   private soonest(machine: Machine, now: number): number {
     let first = Infinity;
-    for (const placed of machine.entries.values()) first = Math.min(first, this.endOf(placed, now));
+    for (const placed of machine.entries.values())
+      first = Math.min(first, this.estimates.endOf(placed, now));
     return first;
   }
-
-  private endOf({ chunk, entry }: Placed, now: number): number {
-    if (chunk.spec.service) return Infinity;
-    const run = this.runTimes.expected(chunk.spec.jobClass, chunk.spec.expect);
-    return Math.max(now, (entry.runningSince ?? now) + run);
-  }
-
-  /** Stops lower-ranked work on the machines where that costs least. */
-  private preempt(blocked: Chunk[], now: number, outOfTime: () => boolean): void {
-    if (blocked.length === 0) return;
-    let making = 0;
-    let lowest = Infinity;
-    for (const chunk of this.chunks.values()) {
-      if (chunk.entries.size === 0) continue;
-      lowest = Math.min(lowest, chunk.rank);
-      if (chunk.cancelled) continue;
-      for (const entry of chunk.entries.values()) if (entry.stop !== null) making++;
-    }
-    // Where nothing of a lower rank runs there is nothing to look for on hundreds of machines.
-    const claimants = blocked.filter((c) => c.rank > lowest || this.isEntitled(c.spec));
-    const offers = new Map<string, Heap<Offer>>();
-    for (const chunk of claimants) {
-      // One task's room at a time for each that waits; more would stop work for nothing.
-      const left = Math.max(0, chunk.pending - making);
-      making = Math.max(0, making - chunk.pending);
-      if (left === 0) continue;
-      if (outOfTime()) return;
-      const key = [shapeOf(chunk.spec, chunk.zone), chunk.rank, chunk.spec.team, chunk.spec.image];
-      const shape = key.join(' ');
-      let heap = offers.get(shape);
-      if (heap === undefined) {
-        heap = new Heap<Offer>((a, b) => a.loss - b.loss);
-        for (const machine of this.machines.values()) this.offer(heap, machine, chunk, now);
-        offers.set(shape, heap);
-      }
-      for (let n = 0; n < left; n++) {
-        const best = heap.pop();
-        if (best === undefined) break;
-        // Another shape may have been given some of it meanwhile.
-        if (best.victims.some((v) => v.placed.entry.stop !== null)) {
-          this.offer(heap, best.machine, chunk, now);
-          n--;
-          continue;
-        }
-        for (const { placed } of best.victims) {
-          const { checkpoint, save } = placed.chunk.spec;
-          this.stop(best.machine, placed.entry, checkpoint > 0 ? save : 0);
-        }
-        this.offer(heap, best.machine, chunk, now);
-      }
-    }
-  }
-
-  private offer(heap: Heap<Offer>, machine: Machine, chunk: Chunk, now: number): void {
-    if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) return;
-    const victims = victimsFor(
-      machine.free,
-      chunk.spec,
-      this.stoppable(machine, chunk, now),
-      chunk.rank,
-    );
-    if (victims === null || victims.length === 0) return;
-    const fetch = machine.hasImage(chunk.spec.image) ? 0 : 1e6;
-    heap.push({ machine, victims, loss: victims.reduce((sum, v) => sum + v.loss, fetch) });
-  }
-
-  private stoppable(machine: Machine, claimant: Chunk, now: number): Victims {
-    const list: Victims = [];
-    const entitled = this.isEntitled(claimant.spec);
-    const borrowed = new Map<string, Amount>();
-    for (const placed of machine.entries.values()) {
-      const { chunk, entry } = placed;
-      if (entry.stop !== null) continue;
-      const ran = entry.runningSince === null ? 0 : now - entry.runningSince;
-      const loss = chunk.spec.checkpoint > 0 ? Math.min(ran, chunk.spec.save) : ran;
-      let { rank } = chunk;
-      if (entitled && chunk.spec.team !== claimant.spec.team) {
-        // Work of any rank that another team runs beyond its own guarantee gives way.
-        const { team, cpus, gpus } = chunk.spec;
-        const over = borrowed.get(team) ?? this.borrowed(team);
-        borrowed.set(team, over);
-        if (over.cpus >= cpus && over.gpus >= gpus) {
-          over.cpus -= cpus;
-          over.gpus -= gpus;
-          rank = -1;
-        }
-      }
-      list.push({ rank, need: chunk.spec, loss, placed });
-    }
-    return list;
-  }
-
-  // ---- Estimates ----
-
-  /** The wait that a candidate would see here, by replaying the queue. */
-  waitFor(candidate: ReplayItem, now: number, self?: Chunk): number {
-    const rank = rankOrder[candidate.spec.rank];
-    const queue = this.queue()
-      .filter((c) => c !== self && c.rank >= rank && (self === undefined || ahead(c, self)))
-      .map((c) => ({
-        spec: c.spec,
-        zone: c.zone,
-        count: c.pending,
-        run: c.spec.service ? Infinity : this.expectedRun(c.spec),
-      }));
-    if (queue.length === 0 && this.hasRoomNow(candidate, now)) return 0;
-    const hosts: ReplayHost[] = [];
-    for (const machine of this.machines.values()) {
-      const { type, zone, spot } = machine;
-      if (machine.shape === undefined || machine.leaving || machine.lost) continue;
-      const boot = machine.created + machine.shape.boot - now;
-      const ready = machine.up ? Math.max(0, machine.shunnedUntil - now) : Math.max(1, boot);
-      const running: ReplayHost['running'] = [];
-      const free = { ...machine.free };
-      for (const placed of machine.entries.values()) {
-        const need = placed.chunk.spec;
-        if (placed.chunk.rank < rank) {
-          // It would be stopped for the candidate.
-          free.cpus += need.cpus;
-          free.gpus += need.gpus;
-          free.memory += need.memory;
-          continue;
-        }
-        const ends = this.endOf(placed, now) - now;
-        if (Number.isFinite(ends)) running.push({ ends, need });
-      }
-      hosts.push({ type, zone, spot, free, ready, running });
-    }
-    return replay(hosts, queue, candidate).wait;
-  }
-
-  /** The short cut of the replay: nothing is ahead and there is room for all of it. */
-  private hasRoomNow({ spec, zone, count }: ReplayItem, now: number): boolean {
-    let left = count;
-    for (const machine of this.machines.values()) {
-      const { free } = machine;
-      if (!holds(free, spec) || !machine.usable(now) || !allows(spec, zone, machine)) continue;
-      const by = (have: number, need: number): number =>
-        need > 0 ? Math.floor(have / need + 1e-9) : Infinity;
-      left -= Math.min(
-        by(free.cpus, spec.cpus),
-        by(free.gpus, spec.gpus),
-        by(free.memory, spec.memory),
-      );
-      if (left <= 0) return true;
-    }
-    return false;
-  }
-
-  expectedRun(spec: JobSpec): number {
-    return this.runTimes.expected(spec.jobClass, spec.expect);
-  }
-
-  /** Room for work of this rank: what is free, and what lower ranks would give up. */
-  private roomFor(machine: Machine, spec: JobSpec): Room {
-    const room = { ...machine.free };
-    for (const { chunk } of machine.entries.values()) {
-      if (chunk.rank >= rankOrder[spec.rank]) continue;
-      room.cpus += chunk.spec.cpus;
-      room.gpus += chunk.spec.gpus;
-      room.memory += chunk.spec.memory;
-    }
-    return room;
-  }
-
-  /** Seconds to fetch an image here: nothing when a machine with room already has it. */
-  fetchFor(spec: JobSpec, zone: string | null): number {
-    let best = Infinity;
-    for (const machine of this.machines.values()) {
-      if (machine.shape === undefined || !allows(spec, zone, machine)) continue;
-      const warm = machine.hasImage(spec.image) && holds(this.roomFor(machine, spec), spec);
-      best = Math.min(best, warm ? 0 : spec.imageGb / Math.max(1e-3, machine.shape.fetchRate));
-    }
-    return Number.isFinite(best) ? best : 0;
-  }
 }
 
-/** The order of the queue: rank before arrival. */
-const byOrder = (a: Chunk, b: Chunk): number =>
-  b.rank - a.rank || a.at - b.at || (a.id < b.id ? -1 : 1);
-
-const ahead = (a: Chunk, b: Chunk): boolean => byOrder(a, b) < 0;
-
 /**
  * Where a report comes from: a worker's own, which may be late or get no answer; one that follows an
  * answer of ours on the same connection; the answer to a question or command of ours.
@@ -1061,11 +779,3 @@
   /** What was found out of each team's work that starves at other parts. */
   starved: Map<string, Starved | null>;
 }
-
-interface Offer {
-  machine: Machine;
-  victims: Victims;
-  loss: number;
-}
-
-type Victims = { rank: number; need: Room; loss: number; placed: Placed }[];
--- /dev/null
+++ b/src/coordination/preemption.ts
@@ -0,0 +1,152 @@
+/** Stops lower-ranked work, and what teams have borrowed, where others need the room. */
+import type { Chunk } from './chunk.js';
+import { Heap } from './heap.js';
+import type { Machine, Placed } from './machine.js';
+import type { Part } from './part.js';
+import { allows, holds, shapeOf, victimsFor, type Room } from './placement.js';
+import type { Amount, TeamUsage } from './teamUsage.js';
+
+/** Running tasks that may be stopped. */
+type Victims = { rank: number; need: Room; loss: number; placed: Placed }[];
+
+/** A machine on which stopping some tasks makes room for one. */
+interface Offer {
+  machine: Machine;
+  victims: Victims;
+  loss: number;
+}
+
+/** Added to the loss, in seconds of work, where the image is missing: machines that hold it come first. */
+const FETCH_LOSS = 1e6;
+
+export class Preemption {
+  constructor(
+    private readonly part: Pick<Part, 'machines' | 'chunks' | 'stop'>,
+    private readonly teams: TeamUsage,
+    /** Seconds between two reports of a worker. */
+    private readonly report: number,
+  ) {}
+
+  /** Stops lower-ranked work on the machines where that costs least. */
+  makeRoom(blocked: Chunk[], now: number, outOfTime: () => boolean): void {
+    if (blocked.length === 0) return;
+    const { lowestRank, ending } = this.running();
+    let making = ending;
+    // Where nothing of a lower rank runs there is nothing to look for on hundreds of machines.
+    const claimants = blocked.filter((c) => c.rank > lowestRank || this.teams.isEntitled(c.spec));
+    const offers = new Map<string, Heap<Offer>>();
+    for (const chunk of claimants) {
+      // One task's room at a time for each that waits; more would stop work for nothing.
+      const left = Math.max(0, chunk.pending - making);
+      making = Math.max(0, making - chunk.pending);
+      if (left === 0) continue;
+      if (outOfTime()) return;
+      const key = [shapeOf(chunk.spec, chunk.zone), chunk.rank, chunk.spec.team, chunk.spec.image];
+      const shape = key.join(' ');
+      let heap = offers.get(shape);
+      if (heap === undefined) {
+        heap = new Heap<Offer>((a, b) => a.loss - b.loss);
+        for (const machine of this.part.machines.values()) this.offer(heap, machine, chunk, now);
+        offers.set(shape, heap);
+      }
+      this.stopFor(chunk, left, heap, now);
+    }
+  }
+
+  /** The lowest rank of what runs, and how many tasks are being stopped already. */
+  private running(): { lowestRank: number; ending: number } {
+    let ending = 0;
+    let lowestRank = Infinity;
+    for (const chunk of this.part.chunks.values()) {
+      if (chunk.entries.size === 0) continue;
+      lowestRank = Math.min(lowestRank, chunk.rank);
+      if (chunk.cancelled) continue;
+      for (const entry of chunk.entries.values()) if (entry.stop !== null) ending++;
+    }
+    return { lowestRank, ending };
+  }
+
+  /** Takes the cheapest offers for so many tasks. */
+  private stopFor(chunk: Chunk, count: number, offers: Heap<Offer>, now: number): void {
+    let left = count;
+    while (left > 0) {
+      const best = offers.pop();
+      if (best === undefined) return;
+      // Another shape may have been given some of it meanwhile.
+      if (!best.victims.some((v) => v.placed.entry.stop !== null)) {
+        left--;
+        for (const { placed } of best.victims) {
+          const { checkpoint, save } = placed.chunk.spec;
+          this.part.stop(best.machine, placed.entry, checkpoint > 0 ? save : 0);
+        }
+      }
+      this.offer(offers, best.machine, chunk, now);
+    }
+  }
+
+  private offer(heap: Heap<Offer>, machine: Machine, chunk: Chunk, now: number): void {
+    if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) return;
+    const victims = victimsFor(
+      machine.free,
+      chunk.spec,
+      this.stoppable(machine, chunk, now),
+      chunk.rank,
+    );
+    if (victims === null || victims.length === 0) return;
+    const fetch = machine.hasImage(chunk.spec.image) ? 0 : FETCH_LOSS;
+    heap.push({ machine, victims, loss: victims.reduce((sum, v) => sum + v.loss, fetch) });
+  }
+
+  private stoppable(machine: Machine, claimant: Chunk, now: number): Victims {
+    const list: Victims = [];
+    const entitled = this.teams.isEntitled(claimant.spec);
+    const borrowed = new Map<string, Amount>();
+    for (const placed of machine.entries.values()) {
+      const { chunk, entry } = placed;
+      if (entry.stop !== null) continue;
+      const ran = entry.runningSince === null ? 0 : now - entry.runningSince;
+      const loss = chunk.spec.checkpoint > 0 ? Math.min(ran, chunk.spec.save) : ran;
+      let { rank } = chunk;
+      if (entitled && chunk.spec.team !== claimant.spec.team) {
+        // Work of any rank that another team runs beyond its own guarantee gives way.
+        const { team, cpus, gpus } = chunk.spec;
+        const over = borrowed.get(team) ?? this.teams.borrowed(team);
+        borrowed.set(team, over);
+        if (over.cpus >= cpus && over.gpus >= gpus) {
+          over.cpus -= cpus;
+          over.gpus -= gpus;
+          rank = -1;
+        }
+      }
+      list.push({ rank, need: chunk.spec, loss, placed });
+    }
+    return list;
+  }
+
+  /**
+   * A replica that would wait for its image where there is room, while a machine that has the image is
+   * full of lower-ranked work: that work makes room, and the replica waits the moment it takes.
+   */
+  makeRoomAtImage(chunk: Chunk, now: number): boolean {
+    if (chunk.pending === 0) return false;
+    const { spec } = chunk;
+    const patience = this.report / 6;
+    if (chunk.clearingSince !== null && now - chunk.clearingSince > patience) return false;
+    const stoppable: { machine: Machine; victims: Victims; loss: number }[] = [];
+    for (const machine of this.part.machines.values()) {
+      if (!machine.usable(now) || !allows(spec, chunk.zone, machine)) continue;
+      if (!machine.hasImage(spec.image) || machine.slowness > 1.5) continue;
+      if (holds(machine.free, spec)) return false;
+      const running = this.stoppable(machine, chunk, now);
+      const victims = victimsFor(machine.free, spec, running, chunk.rank);
+      if (victims === null || victims.some((v) => v.placed.chunk.spec.checkpoint > 0)) continue;
+      stoppable.push({ machine, victims, loss: victims.reduce((n, v) => n + v.loss, 0) });
+    }
+    if (chunk.clearingSince !== null) return true;
+    const best = stoppable.sort((a, b) => a.loss - b.loss)[0];
+    if (best === undefined || best.victims.length === 0) return false;
+    chunk.clearingSince = now;
+    for (const { placed } of best.victims) this.part.stop(best.machine, placed.entry, 0);
+    return true;
+  }
+}
--- a/src/coordination/quotas.ts
+++ b/src/coordination/quotas.ts
@@ -6,7 +6,7 @@
 import type { Team } from '../protocol/settings.js';
 import { keys, type QuotaRecord } from '../storage/records.js';
 import type { Controller } from './controller.js';
-import type { Amount } from './part.js';
+import type { Amount } from './teamUsage.js';
 
 const LIMITS = ['cpus', 'gpus'] as const;
 
@@ -80,7 +80,7 @@
     const key = keys.quota(team.name);
     const stored = this.node.replica.get(key);
     const shares = (stored?.value ?? {}) as QuotaRecord;
-    const wanted = reshare(shares, label, part.usedBy(team.name), want, limit);
+    const wanted = reshare(shares, label, part.teams.usedBy(team.name), want, limit);
     const before = shares[label] ?? { cpus: 0, gpus: 0 };
     const after = wanted[label] ?? before;
     const hungryElsewhere = this.node.peers.gossips().some((g) => g.hungry.includes(team.name));
--- a/src/coordination/sender.ts
+++ b/src/coordination/sender.ts
@@ -41,9 +41,9 @@
       queued === undefined
         ? Math.min(tuning.peerTimeout, node.settings.report / 40)
         : tuning.peerTimeout;
-    const run = home.part.expectedRun(spec);
-    const wait = home.part.waitFor({ spec, zone, count, run }, node.clock.now(), queued);
-    const fetch = home.part.fetchFor(spec, zone);
+    const run = home.part.estimates.expectedRun(spec);
+    const wait = home.part.estimates.waitFor({ spec, zone, count, run }, node.clock.now(), queued);
+    const fetch = home.part.estimates.fetchFor(spec, zone);
     const start = spec.service ? Math.max(wait, fetch) : wait;
     if (start < this.threshold(spec) || !tuning.migrate) return home.part.label;
     const estimate: Estimate = {
@@ -71,12 +71,12 @@
     if (!this.node.ownership.valid) return [];
     const now = this.node.clock.now();
     return [...this.node.hosted.values()].map(({ part }) => {
-      const run = part.expectedRun(spec);
-      const wait = part.waitFor({ spec, zone, count: tasks, run }, now);
+      const run = part.estimates.expectedRun(spec);
+      const wait = part.estimates.waitFor({ spec, zone, count: tasks, run }, now);
       return {
         part: part.label,
         wait,
-        turnaround: turnaround(wait, part.fetchFor(spec, zone), run),
+        turnaround: turnaround(wait, part.estimates.fetchFor(spec, zone), run),
         utilisation: part.utilisation,
       };
     });
--- /dev/null
+++ b/src/coordination/teamUsage.ts
@@ -0,0 +1,96 @@
+/** What teams' tasks use of a part, against their limits and guarantees. */
+import type { JobSpec } from '../protocol/job.js';
+
+/** Processors and accelerators. */
+export interface Amount {
+  cpus: number;
+  gpus: number;
+}
+
+/** What a part has to know of the rest of the cluster. */
+export interface ClusterView {
+  /** How much of a team's limit this part may use; null: no limit. */
+  allowance(team: string): Amount | null;
+  /** What a team is guaranteed; 0: nothing. */
+  guarantee(team: string): Amount;
+  /** What a team's tasks take at the other parts, as last heard. */
+  usedElsewhere(team: string): Amount;
+  /** The first of a team's jobs that waits too long for the team's limit at another part. */
+  starvedElsewhere(team: string): Starved | null;
+}
+
+/** A job that has long been kept waiting by its team's limit. */
+export interface Starved {
+  team: string;
+  /** Time of day of its submission, and its rank: the order of the queue. */
+  at: number;
+  rank: number;
+}
+
+export const nothing = (): Amount => ({ cpus: 0, gpus: 0 });
+
+/** The view of a part that is the only one. */
+export const singlePartView: ClusterView = {
+  allowance: () => null,
+  guarantee: nothing,
+  usedElsewhere: nothing,
+  starvedElsewhere: () => null,
+};
+
+/** Room for rounding where amounts are added and taken away again. */
+const EPSILON = 1e-6;
+
+export class TeamUsage {
+  /** Kept up to date, since each decision asks for it. */
+  private readonly used = new Map<string, Amount>();
+
+  constructor(private readonly cluster: ClusterView) {}
+
+  /** One more task of it stays within this part's share of its team's limit. */
+  withinAllowance(spec: JobSpec): boolean {
+    const allowance = this.cluster.allowance(spec.team);
+    if (allowance === null) return true;
+    const used = this.usedBy(spec.team);
+    return (
+      used.cpus + spec.cpus <= allowance.cpus + EPSILON &&
+      used.gpus + spec.gpus <= allowance.gpus + EPSILON
+    );
+  }
+
+  private total(team: string): Amount {
+    const here = this.usedBy(team);
+    const there = this.cluster.usedElsewhere(team);
+    return { cpus: here.cpus + there.cpus, gpus: here.gpus + there.gpus };
+  }
+
+  /** One more task of it stays within its team's guarantee. */
+  isEntitled(spec: JobSpec): boolean {
+    const guarantee = this.cluster.guarantee(spec.team);
+    if (guarantee.cpus === 0 && guarantee.gpus === 0) return false;
+    const used = this.total(spec.team);
+    return (
+      used.cpus + spec.cpus <= guarantee.cpus + EPSILON &&
+      used.gpus + spec.gpus <= guarantee.gpus + EPSILON
+    );
+  }
+
+  /** What a team runs beyond its guarantee. */
+  borrowed(team: string): Amount {
+    const guarantee = this.cluster.guarantee(team);
+    const used = this.total(team);
+    return { cpus: used.cpus - guarantee.cpus, gpus: used.gpus - guarantee.gpus };
+  }
+
+  /** What a team's tasks take here, those that may still run included. */
+  usedBy(team: string): Readonly<Amount> {
+    return this.used.get(team) ?? nothing();
+  }
+
+  /** Counts tasks that have been placed here, or, below zero, are over. */
+  add(spec: JobSpec, tasks: number): void {
+    const used = this.used.get(spec.team) ?? nothing();
+    this.used.set(spec.team, used);
+    used.cpus += tasks * spec.cpus;
+    used.gpus += tasks * spec.gpus;
+  }
+}
--- /dev/null
+++ b/src/coordination/waitEstimates.ts
@@ -0,0 +1,111 @@
+/** What a part tells of the wait and the turnaround that work would see there. */
+import { rankOrder, type JobSpec } from '../protocol/job.js';
+import { isAhead, type Chunk } from './chunk.js';
+import type { RunTimes } from './estimate.js';
+import type { Machine, Placed } from './machine.js';
+import type { Part } from './part.js';
+import { allows, holds, type Room } from './placement.js';
+import { replay, type ReplayHost, type ReplayItem } from './replay.js';
+
+export class WaitEstimates {
+  constructor(
+    private readonly part: Pick<Part, 'machines' | 'queue'>,
+    private readonly runTimes: RunTimes,
+  ) {}
+
+  /** Steady time at which a placed task should end; services never do. */
+  endOf({ chunk, entry }: Placed, now: number): number {
+    if (chunk.spec.service) return Infinity;
+    const run = this.expectedRun(chunk.spec);
+    return Math.max(now, (entry.runningSince ?? now) + run);
+  }
+
+  /** Run time of one task, corrected by what was seen of its class. */
+  expectedRun(spec: JobSpec): number {
+    return this.runTimes.expected(spec.jobClass, spec.expect);
+  }
+
+  /** The wait that a candidate would see here, by replaying the queue. */
+  waitFor(candidate: ReplayItem, now: number, self?: Chunk): number {
+    const rank = rankOrder[candidate.spec.rank];
+    const queue = this.part
+      .queue()
+      .filter((c) => c !== self && c.rank >= rank && (self === undefined || isAhead(c, self)))
+      .map((c) => ({
+        spec: c.spec,
+        zone: c.zone,
+        count: c.pending,
+        run: c.spec.service ? Infinity : this.expectedRun(c.spec),
+      }));
+    if (queue.length === 0 && this.hasRoomNow(candidate, now)) return 0;
+    return replay(this.replayHosts(rank, now), queue, candidate).wait;
+  }
+
+  /** The machines as the replay begins; work below the rank would be stopped for the candidate. */
+  private replayHosts(rank: number, now: number): ReplayHost[] {
+    const hosts: ReplayHost[] = [];
+    for (const machine of this.part.machines.values()) {
+      const { type, zone, spot } = machine;
+      if (machine.shape === undefined || machine.leaving || machine.lost) continue;
+      const boot = machine.created + machine.shape.boot - now;
+      const ready = machine.up ? Math.max(0, machine.shunnedUntil - now) : Math.max(1, boot);
+      const running: ReplayHost['running'] = [];
+      const free = { ...machine.free };
+      for (const placed of machine.entries.values()) {
+        const need = placed.chunk.spec;
+        if (placed.chunk.rank < rank) {
+          // It would be stopped for the candidate.
+          free.cpus += need.cpus;
+          free.gpus += need.gpus;
+          free.memory += need.memory;
+          continue;
+        }
+        const ends = this.endOf(placed, now) - now;
+        if (Number.isFinite(ends)) running.push({ ends, need });
+      }
+      hosts.push({ type, zone, spot, free, ready, running });
+    }
+    return hosts;
+  }
+
+  /** The short cut of the replay: nothing is ahead and there is room for all of it. */
+  private hasRoomNow({ spec, zone, count }: ReplayItem, now: number): boolean {
+    let left = count;
+    for (const machine of this.part.machines.values()) {
+      const { free } = machine;
+      if (!holds(free, spec) || !machine.usable(now) || !allows(spec, zone, machine)) continue;
+      const by = (have: number, need: number): number =>
+        need > 0 ? Math.floor(have / need + 1e-9) : Infinity;
+      left -= Math.min(
+        by(free.cpus, spec.cpus),
+        by(free.gpus, spec.gpus),
+        by(free.memory, spec.memory),
+      );
+      if (left <= 0) return true;
+    }
+    return false;
+  }
+
+  /** Room for work of this rank: what is free, and what lower ranks would give up. */
+  private roomFor(machine: Machine, spec: JobSpec): Room {
+    const room = { ...machine.free };
+    for (const { chunk } of machine.entries.values()) {
+      if (chunk.rank >= rankOrder[spec.rank]) continue;
+      room.cpus += chunk.spec.cpus;
+      room.gpus += chunk.spec.gpus;
+      room.memory += chunk.spec.memory;
+    }
+    return room;
+  }
+
+  /** Seconds to fetch an image here: nothing when a machine with room already has it. */
+  fetchFor(spec: JobSpec, zone: string | null): number {
+    let best = Infinity;
+    for (const machine of this.part.machines.values()) {
+      if (machine.shape === undefined || !allows(spec, zone, machine)) continue;
+      const warm = machine.hasImage(spec.image) && holds(this.roomFor(machine, spec), spec);
+      best = Math.min(best, warm ? 0 : spec.imageGb / Math.max(1e-3, machine.shape.fetchRate));
+    }
+    return Number.isFinite(best) ? best : 0;
+  }
+}
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -5,7 +5,8 @@
 import { Chunk } from '../src/coordination/chunk.js';
 import { RunTimes } from '../src/coordination/estimate.js';
 import type { Machine } from '../src/coordination/machine.js';
-import { alone, Part, type Source, type Surroundings } from '../src/coordination/part.js';
+import { Part, type Source } from '../src/coordination/part.js';
+import { singlePartView, type ClusterView } from '../src/coordination/teamUsage.js';
 import type { MachineType } from '../src/protocol/cloud.js';
 import type { JobSpec } from '../src/protocol/job.js';
 import type { Report, TaskReport } from '../src/protocol/worker.js';
@@ -20,7 +21,7 @@
   types = new Map([['m8', m8]]);
   readonly part: Part;
 
-  constructor(around: Surroundings = alone) {
+  constructor(cluster: ClusterView = singlePartView) {
     this.part = new Part(
       'p',
       {
@@ -36,7 +37,7 @@
       () => this.types,
       new RunTimes(),
       seededRandom(1),
-      around,
+      cluster,
     );
   }
 
@@ -436,7 +437,7 @@
       cpus: team === 'small' && mine === 2 ? 2 : 0,
       gpus: 0,
     });
-    const b = new Bench({ ...alone, guarantee, elsewhere });
+    const b = new Bench({ ...singlePartView, guarantee, usedElsewhere: elsewhere });
     const machine = b.machine();
     const large = b.chunk({ id: 'wk-1', team: 'large', rank: 'high', cpus: 4, tasks: 2 });
     b.decide();
@@ -702,9 +703,9 @@
   let allowance = 4;
   let starved: { team: string; at: number; rank: number } | null = null;
   const b = new Bench({
-    ...alone,
+    ...singlePartView,
     allowance: () => ({ cpus: allowance, gpus: Infinity }),
-    starved: () => starved,
+    starvedElsewhere: () => starved,
   });
   b.machine('n-1');
   b.machine('n-2');
@@ -767,7 +768,7 @@
     most: 12,
     play: (p, now) => {
       const asked = spec({ tasks: 20 });
-      p.waitFor({ spec: asked, zone: null, count: 20, run: 20 }, now);
+      p.estimates.waitFor({ spec: asked, zone: null, count: 20, run: 20 }, now);
     },
   },
 ];
