--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -41,8 +41,7 @@
     private readonly handler: Handler,
     private readonly options: ServerOptions,
   ) {
-    // Half-open: a client that has sent all its requests still gets the replies.
-    this.server = net.createServer({ noDelay: true, allowHalfOpen: true }, (socket) => {
+    this.server = net.createServer({ noDelay: true }, (socket) => {
       this.serve(socket);
     });
   }
@@ -96,23 +95,26 @@
       closed: () => {
         this.connections.delete(socket);
       },
-      answer: (request, follows) => this.answer(request, follows),
+      answer: (request, follows, isGone) => this.answer(request, follows, isGone),
       mustClose: (request) => this.isCrowded(request),
     });
     this.connections.set(socket, connection);
   }
 
-  private answer(request: HttpMessage, follows: boolean): Promise<Reply> {
+  private answer(request: HttpMessage, follows: boolean, isGone: () => boolean): Promise<Reply> {
     const { maxInFlight, essential } = this.options;
     const isEssential = essential?.(request) === true;
     if (this.inFlight >= maxInFlight && !isEssential) return Promise.resolve(OVERLOADED);
     this.inFlight++;
     return new Promise((resolve) => {
+      const finish = (reply: Reply): void => {
+        this.inFlight--;
+        resolve(reply);
+      };
       const work = (): void => {
-        void this.handle(request, follows).then((reply) => {
-          this.inFlight--;
-          resolve(reply);
-        });
+        // Work for clients that have given up would make those give up that still wait.
+        if (isGone()) finish(OVERLOADED);
+        else void this.handle(request, follows).then(finish);
       };
       this.requests.add(work, isEssential);
     });
--- a/src/transport/serverConnection.ts
+++ b/src/transport/serverConnection.ts
@@ -49,8 +49,9 @@
   /**
    * Answers a request. `follows`: an earlier one on this connection was answered, and its sender went on
    * using it, so it has had the answer; of one that only ever sends first requests, nothing is known.
+   * `isGone` tells later whether the client has closed the connection, and nobody waits for the reply.
    */
-  answer(request: HttpMessage, follows: boolean): Promise<Reply>;
+  answer(request: HttpMessage, follows: boolean, isGone: () => boolean): Promise<Reply>;
   /** Whether the connection should be closed after this request, so that room is left for others. */
   mustClose(request: HttpMessage): boolean;
 }
@@ -62,7 +63,10 @@
   private answering = false;
   /** Nothing more is read: it was dropped or sent something malformed. */
   private closing = false;
-  /** The client has sent all that it will. */
+  /**
+   * The client has closed its side, which ends ours too: one that gave up looks the same as one that waits
+   * for a last reply, and where many give up their connections would use up all sockets.
+   */
   private ended = false;
 
   constructor(
@@ -80,7 +84,7 @@
     });
     socket.on('end', () => {
       this.ended = true;
-      if (!this.busy) socket.end();
+      socket.end();
     });
     // A machine that loses its power does not close its connection; kept for ever, such connections
     // would use up all sockets as machines come and go. Only a half-sent request is cut off sooner.
@@ -124,16 +128,16 @@
     const request = this.waiting.shift();
     if (request === undefined) return;
     this.answering = true;
-    void this.events.answer(request, this.answered++ > 0).then((reply) => {
+    const isGone = (): boolean => this.ended || this.socket.destroyed;
+    void this.events.answer(request, this.answered++ > 0, isGone).then((reply) => {
       this.reply(request, reply);
     });
   }
 
   private reply(request: HttpMessage, reply: Reply): void {
     this.answering = false;
-    if (this.socket.destroyed) return;
-    const isLast = this.ended && this.waiting.length === 0;
-    const close = this.closing || isLast || !request.keepAlive || this.events.mustClose(request);
+    if (this.ended || this.socket.destroyed) return;
+    const close = this.closing || !request.keepAlive || this.events.mustClose(request);
     const text = formatResponse(reply, close);
     if (close) {
       this.socket.end(text);
