--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -130,6 +130,9 @@
   private async serve(request: HttpMessage): Promise<Reply> {
     while ((this.hanging || this.deaf) && !this.stopped)
       await new Promise((r) => setTimeout(r, 20));
+    // A machine that was released meanwhile is gone: what was held back for it is carried out nowhere. A
+    // command that was let through by the release started its task beside the next machine's.
+    if (this.stopped) return new Promise(() => undefined);
     if (request.target === '/inspect') return { status: 200, body: this.report() };
     const body = JSON.parse(request.body) as { Baton: number; Shift: number; Orders: Order[] };
     if (body.Baton < this.token || body.Shift !== this.session) {
