A submission is stored by one request: the store is read first only before a refusal

Cause: each submission read its job's key before its own transaction, which fails on a known job anyway (condition: absent). While the service was last heard to refuse the key is read as before, and a batch that an outage refuses is answered at once instead of after 4 s, as the read's refusal did. Cases in accepting and costs tests.

--- a/src/coordination/accepting.ts
+++ b/src/coordination/accepting.ts
@@ -41,7 +41,7 @@
   parts: string[];
   settings: { txnOps: number; valueBytes: number };
   clock: Clock;
-  state: Pick<StateClient, 'turn' | 'charge' | 'get' | 'writeDelay' | 'writeRate'>;
+  state: Pick<StateClient, 'turn' | 'charge' | 'get' | 'writeDelay' | 'writeRate' | 'healthy'>;
   replica: Pick<Replica, 'get' | 'note'>;
   ownership: { readonly valid: boolean; doubt(part: string): Promise<void> };
   commits: { write(host: Hosted, txn: Txn, urgency: 'paid'): Promise<TxnResult> };
@@ -194,6 +194,11 @@
       } catch (error) {
         log.debug(`accept: ${describe(error)}`);
       }
+      if (!batch.mayBeStored && !node.state.healthy) {
+        // Trying on until their patience is over would only keep the users from a node that is served.
+        this.answer(batch, () => later('the state service is out of reach', 1));
+        return;
+      }
       await sleep(RETRY);
       if (!batch.mayBeStored) {
         const now = node.clock.now();
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -127,13 +127,17 @@
   }
 
   private async accept(home: Hosted, spec: JobSpec): Promise<Reply> {
-    const reason = this.impossible(spec);
-    // A job may have been accepted before its retry reached us: that is never refused.
-    const before = await this.stored(spec.id);
-    if (before === undefined) return later('the state service is out of reach');
-    if (before !== null) return this.known(spec.id);
-    if (reason !== null) return { status: 422, body: { error: reason } };
     const { node } = this;
+    const reason = this.impossible(spec);
+    // The transaction that stores a job fails if the job is known already, so the store is asked beforehand
+    // only where there may be no transaction.
+    if (reason !== null || !node.state.healthy) {
+      // A job may have been accepted before its retry reached us: that is never refused.
+      const before = await this.stored(spec.id);
+      if (before === undefined) return later('the state service is out of reach');
+      if (before !== null) return this.known(spec.id);
+      if (reason !== null) return { status: 422, body: { error: reason } };
+    }
     const { valueBytes, stateWriteRate } = node.settings;
     const record: JobRecord = {
       spec,
--- a/test/accepting.test.ts
+++ b/test/accepting.test.ts
@@ -135,6 +135,35 @@
   assert.equal(c.parcels('wk-1'), 1);
 });
 
+test('in an outage users are told at once to come back, not when their patience is over', async () => {
+  // One attempt is refused and none is made after it: held back, they would not ask a node that is served.
+  const c = new Counter();
+  c.store.healthy = false;
+  c.store.refuseNext = 2;
+  await Promise.all([c.submit('wk-1'), c.submit('wk-2')]);
+  assert.deepEqual([c.status('wk-1'), c.status('wk-2')], [503, 503]);
+  assert.equal(c.answers.get('wk-1')?.retryAfter, 1);
+  assert.equal(c.store.refuseNext, 1, 'it was tried again');
+  c.store.healthy = true;
+  c.store.refuseNext = 0;
+  await c.submit('wk-1');
+  assert.equal(c.status('wk-1'), 201);
+  assert.equal(c.parcels('wk-1'), 1);
+});
+
+test('after a transaction without an answer an outage does not end the batch', async () => {
+  const c = new Counter();
+  c.store.loseNext = true;
+  const submitted = c.submit('wk-1');
+  while (!c.store.lost) await new Promise((resolve) => setTimeout(resolve, 1));
+  // It may be stored, so it is asked for until that is known.
+  c.store.healthy = false;
+  c.store.refuseNext = 1;
+  await submitted;
+  assert.equal(c.status('wk-1'), 201);
+  assert.equal(c.parcels('wk-1'), 1);
+});
+
 test('a burst for one idle peer stays within the limits of a record', async () => {
   // Some forty chunks for the peer would make a record that the state service calls malformed, and then
   // everybody's submissions of that moment were turned away together.
--- a/test/costs.test.ts
+++ b/test/costs.test.ts
@@ -11,7 +11,7 @@
 import { submission, until } from './support/cluster.js';
 import { emptyPart, m8 } from './support/part.js';
 import { spec } from './support/spec.js';
-import { withCluster } from './support/users.js';
+import { accept, settled, withCluster } from './support/users.js';
 
 const REPORT = 4;
 const AGAIN = REPORT * 1.5;
@@ -205,3 +205,21 @@
     assert.ok(record.cut >= 3, `${record.cut} chunks`);
     assert.equal(questions, 1);
   }));
+
+test('a job is stored by one request: nothing is read before it', () =>
+  withCluster({ nodes: 1, runs: () => Infinity }, async (cluster) => {
+    const state = cluster.nodes.get('drone-0')?.controller.state;
+    if (state === undefined) throw new Error('no node');
+    // A busy machine may have kept an answer of the stand-in waiting, which looks like an outage.
+    Object.defineProperty(state, 'healthy', { value: true });
+    await accept(cluster, 'drone-0', submission('wk-000711'));
+    assert.deepEqual(
+      cluster.state.reads.filter((key) => key === 'b/job/wk-000711'),
+      [],
+    );
+    // What is refused is read: it may have been accepted before.
+    const tooLarge = submission('wk-000712', { Cores: 64 });
+    const refused = await settled(cluster, 'drone-0', 'POST', '/v1/jobs', tooLarge);
+    assert.equal(refused.status, 422);
+    assert.ok(cluster.state.reads.includes('b/job/wk-000712'));
+  }));
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -34,6 +34,8 @@
   swallow: ((body: TxnBody) => boolean) | null = null;
   readonly late: TxnBody[] = [];
   writes = 0;
+  /** Keys that were read one by one. */
+  readonly reads: string[] = [];
 
   /** One listener for each client, so that a single one can be refused. */
   async listenFor(client: string): Promise<string> {
@@ -147,6 +149,7 @@
     }
     if (url.pathname === '/kv') return this.range(url);
     const key = url.pathname.slice('/kv/'.length);
+    this.reads.push(key);
     const row = this.rows.get(key);
     if (row === undefined) return { status: 404, body: { Epoch: this.epoch } };
     return { status: 200, body: { K: key, Value: row.value, Stamp: row.stamp } };
--- a/test/support/store.ts
+++ b/test/support/store.ts
@@ -12,6 +12,8 @@
   refuseNext = 0;
   private kept: Txn | null = null;
   readonly writeRate = 1000;
+  /** False in an outage: its last answer was a refusal. */
+  healthy = true;
   /** Bytes of a value and of a transaction, beyond which one is malformed. */
   limits = { value: 16 * 1024, txn: 64 * 1024 };
 
