Controller: rounds, gossip, sums over the parts and loading into modules of their own

controller.ts 610 to 377 lines; decisionRounds, gossiper, clusterTotals and partLoader name what they need of a node instead of taking the controller. A round that throws is logged whoever asked for it (one asked for by a change ended the process). No other change of behaviour.

--- /dev/null
+++ b/src/coordination/clusterTotals.ts
@@ -0,0 +1,62 @@
+/** Sums over all parts: those owned here by our own count, the others by their owners' last gossip. */
+import type { Hosted } from './hosted.js';
+import type { Peers } from './peers.js';
+import type { Amount, Starved } from './teamUsage.js';
+
+export class ClusterTotals {
+  constructor(
+    private readonly hosted: ReadonlyMap<string, Hosted>,
+    private readonly peers: Pick<Peers, 'gossips'>,
+    /** The zone of each part's node. */
+    private readonly zoneOf: ReadonlyMap<string, string>,
+  ) {}
+
+  /** What a team's tasks take at all parts but one. */
+  usedElsewhere(team: string, except: string): Amount {
+    const used = { cpus: 0, gpus: 0 };
+    const add = (amount: Amount): void => {
+      used.cpus += amount.cpus;
+      used.gpus += amount.gpus;
+    };
+    for (const { part } of this.hosted.values()) {
+      if (part.label !== except) add(part.teams.usedBy(team));
+    }
+    for (const { used: entries } of this.peers.gossips()) {
+      for (const entry of entries) if (entry.team === team) add(entry);
+    }
+    return used;
+  }
+
+  /** The first in the queue's order of a team's starved jobs, of all parts but one. */
+  starvedElsewhere(team: string, except: string): Starved | null {
+    const here = [...this.hosted.values()].flatMap(({ part }) =>
+      part.label === except ? [] : [...part.starving.values()],
+    );
+    const there = this.peers.gossips().flatMap((gossip) => gossip.starving);
+    let first: Starved | null = null;
+    for (const candidate of [...here, ...there]) {
+      if (candidate.team !== team) continue;
+      if (first === null || isAhead(candidate, first)) first = candidate;
+    }
+    return first;
+  }
+
+  /** Processors for live services in the parts of a zone. */
+  liveRoomIn(zone: string): number {
+    const isThere = (part: string): boolean => this.zoneOf.get(part) === zone;
+    let cpus = 0;
+    for (const { part } of this.hosted.values()) {
+      if (isThere(part.label)) cpus += part.needs.liveRoom();
+    }
+    for (const gossip of this.peers.gossips()) {
+      for (const host of gossip.hosts) {
+        if (isThere(host.part) && !this.hosted.has(host.part)) cpus += host.liveRoom;
+      }
+    }
+    return cpus;
+  }
+}
+
+function isAhead(one: Starved, other: Starved): boolean {
+  return one.rank > other.rank || (one.rank === other.rank && one.at < other.at);
+}
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -20,39 +20,24 @@
 import { StateClient } from '../storage/stateClient.js';
 import type { HttpClient } from '../transport/httpClient.js';
 import { PeerClient } from '../transport/peerLink.js';
-import { Chunk } from './chunk.js';
-import { chunkRanges } from './chunks.js';
+import { ClusterTotals } from './clusterTotals.js';
 import { Commits } from './commits.js';
+import { DecisionRounds } from './decisionRounds.js';
 import { RunTimes } from './estimate.js';
-import { hosting, type Hosted } from './hosted.js';
-import type { Machine } from './machine.js';
+import { Gossiper } from './gossiper.js';
+import type { Hosted } from './hosted.js';
 import type { NeedsOptions } from './needs.js';
 import { Orders } from './orders.js';
 import { Ownership, PROVISIONER, type Held } from './ownership.js';
 import { Part } from './part.js';
+import { PartLoader } from './partLoader.js';
 import { Peers } from './peers.js';
 import { Provisioner } from './provisioner.js';
 import { Quotas } from './quotas.js';
 import { Sender } from './sender.js';
-import { Shelf } from './shelf.js';
-import type { Amount, Starved } from './teamUsage.js';
+import type { ClusterView } from './teamUsage.js';
 import { Withholding } from './withholding.js';
 
-/** How long changes are gathered for one round of decisions, as a ratio to the time between reports. */
-const GATHER = 1 / 200;
-
-/**
- * How often peers are told of our parts, as a ratio to the time between reports. A message to each peer, with
- * all that waits worked out for it, is a tenth of a small controller's work at an eighth of a report.
- */
-const GOSSIP = 1 / 5;
-
-/**
- * Rest after a round, as a ratio to the time that it took: on a small machine rounds would else follow each
- * other without a break, and reports, users and renewals of the lease would wait for them.
- */
-const REST = 3;
-
 /** Connections of this node's own making. */
 export interface Links {
   services: HttpClient;
@@ -78,17 +63,11 @@
   readonly withholding: Withholding;
   private readonly quotas: Quotas;
   private readonly provisioner: Provisioner;
-  private kicked = false;
-  private lastRound = -Infinity;
-  /** What the parts here lacked when the peers were last told of it. */
-  demands: ReturnType<Part['needs']['demands']> = [];
-  /** Seconds that the last round took, its waiting for the processor included. */
-  private took = 0;
-  /** Stored chunks without a counterpart here, seen once. */
-  private readonly strays = new Set<string>();
+  readonly totals: ClusterTotals;
+  readonly gossiper: Gossiper;
+  private readonly rounds: DecisionRounds;
+  private readonly loader: PartLoader;
   private stopped = false;
-  private lastGossip = -Infinity;
-  private gossiped = 0;
 
   constructor(
     readonly settings: Settings,
@@ -167,6 +146,14 @@
     this.withholding = new Withholding(this);
     this.quotas = new Quotas(this);
     this.provisioner = new Provisioner(this, process);
+    this.totals = new ClusterTotals(this.hosted, this.peers, this.zoneOf);
+    this.gossiper = new Gossiper(this);
+    this.loader = new PartLoader(this);
+    this.rounds = new DecisionRounds(clock, settings.report, () => {
+      this.decide();
+      this.orders.send();
+      this.gossiper.sendIfDue();
+    });
   }
 
   /** The lease at the state service: long against a renewal's delay, short against a worker's lease. */
@@ -208,11 +195,11 @@
     void this.replica.run();
     void this.refreshTypes();
     void this.provisioner.run();
-    void this.rounds();
+    void this.rounds.run();
     void this.every(this.settings.report / 3, () => {
       this.commits.review();
       this.withholding.sweep();
-      this.adoptStrayShelves();
+      this.adoptUnmatched();
       this.sender.review();
       this.orders.sweep();
       void this.quotas.balance();
@@ -222,6 +209,7 @@
   /** Ends all loops; what is stored is enough to go on from. */
   stop(): void {
     this.stopped = true;
+    this.rounds.stop();
     this.ownership.stop();
     this.replica.stop();
     this.provisioner.stop();
@@ -261,47 +249,9 @@
     }
   }
 
-  /** Something changed: a round of decisions soon, gathered with what else comes meanwhile. */
+  /** Something has changed: a round of decisions soon. */
   kick(): void {
-    if (this.kicked) return;
-    this.kicked = true;
-    setTimeout(
-      () => {
-        this.kicked = false;
-        this.round();
-      },
-      Math.max(this.settings.report * GATHER, this.restLeft) * 1000,
-    );
-  }
-
-  /** Seconds until the next round may begin, whoever asks for it. */
-  private get restLeft(): number {
-    return this.lastRound + this.took * REST - this.clock.now();
-  }
-
-  /** A round now and then without a reason: time alone changes what is due. */
-  private async rounds(): Promise<void> {
-    const pause = this.settings.report / 30;
-    while (!this.stopped) {
-      if (this.clock.now() - this.lastRound >= pause && this.restLeft <= 0) {
-        try {
-          this.round();
-        } catch (error) {
-          log.error(`round: ${error instanceof Error ? (error.stack ?? '') : String(error)}`);
-        }
-      }
-      await sleep(Math.max(pause, this.restLeft));
-    }
-  }
-
-  private round(): void {
-    if (this.stopped) return;
-    const began = this.clock.now();
-    this.decide();
-    this.orders.send();
-    this.gossip();
-    this.lastRound = this.clock.now();
-    this.took = this.lastRound - began;
+    this.rounds.request();
   }
 
   private decide(): void {
@@ -315,101 +265,12 @@
     }
   }
 
-  /** Gossip goes out at a steady pace, and sooner when a demand has come up. */
-  private gossip(): void {
-    const now = this.clock.now();
-    if (now - this.lastGossip < this.settings.report * GOSSIP) return;
-    this.lastGossip = now;
-    this.state.share(this.peers.needs());
-    const hosts = [...this.hosted.values()].map((h) => ({
-      part: h.part.label,
-      token: h.token,
-      utilisation: h.part.utilisation,
-      waiting: h.part.waiting,
-      liveRoom: h.part.needs.liveRoom(),
-    }));
-    const reports = [...this.hosted.values()].map((h) => h.part);
-    this.peers.gossip(
-      {
-        from: this.settings.label,
-        process: this.process,
-        sequence: ++this.gossiped,
-        at: this.clock.wall(),
-        need: this.state.need,
-        served: this.ownership.valid,
-        hosts,
-        demands: this.ownership.valid ? (this.demands = this.localDemands()) : [],
-        spare: this.ownership.valid ? this.localSpare() : [],
-        lost: this.ownership.valid ? this.localLost() : [],
-        used: this.settings.teams
-          .filter((t) => t.cpus > 0 || t.gpus > 0)
-          .map(({ name: team }) => {
-            const amounts = reports.map((p) => p.teams.usedBy(team));
-            const cpus = amounts.reduce((n, a) => n + a.cpus, 0);
-            return { team, cpus, gpus: amounts.reduce((n, a) => n + a.gpus, 0) };
-          }),
-        hungry: [...new Set(reports.flatMap((p) => [...p.hungry]))],
-        starving: reports.flatMap((p) => [...p.starving.values()]),
-      },
-      this.settings.report / 2,
-    );
-  }
-
   /** What a peer tells. Where it owns a part with a token above ours, ours has ended, whatever we believe. */
   hear(gossip: Gossip): void {
     this.peers.note(gossip);
     for (const { part, token } of gossip.hosts) this.ownership.forfeit(part, token);
   }
 
-  private usedElsewhere(team: string, except: string): Amount {
-    const used = { cpus: 0, gpus: 0 };
-    const add = (amount: Amount): void => {
-      used.cpus += amount.cpus;
-      used.gpus += amount.gpus;
-    };
-    for (const { part } of this.hosted.values())
-      if (part.label !== except) add(part.teams.usedBy(team));
-    for (const { used: entries } of this.peers.gossips()) {
-      for (const entry of entries) if (entry.team === team) add(entry);
-    }
-    return used;
-  }
-
-  /** The first in the queue's order, of all parts but one. */
-  private starvedElsewhere(team: string, except: string): Starved | null {
-    const here = [...this.hosted.values()].flatMap(({ part }) =>
-      part.label === except ? [] : [...part.starving.values()],
-    );
-    const all = [...here, ...this.peers.gossips().flatMap((g) => g.starving)];
-    let first: Starved | null = null;
-    for (const one of all) {
-      if (one.team !== team) continue;
-      const ahead =
-        first === null || one.rank > first.rank || (one.rank === first.rank && one.at < first.at);
-      if (ahead) first = one;
-    }
-    return first;
-  }
-
-  /** Room for live services in a zone's parts, by our own count and the peers' last word. */
-  liveRoomIn(zone: string): number {
-    const counts = (part: string): boolean => this.zoneOf.get(part) === zone;
-    let cpus = 0;
-    for (const { part } of this.hosted.values())
-      if (counts(part.label)) cpus += part.needs.liveRoom();
-    for (const gossip of this.peers.gossips()) {
-      for (const host of gossip.hosts) {
-        if (counts(host.part) && !this.hosted.has(host.part)) cpus += host.liveRoom;
-      }
-    }
-    return cpus;
-  }
-
-  private localDemands(): ReturnType<Part['needs']['demands']> {
-    const now = this.clock.now();
-    return [...this.hosted.values()].flatMap((h) => h.part.needs.demands(now));
-  }
-
   // ---- Ownership ----
 
   private gain(label: string, held: Held): void {
@@ -417,79 +278,32 @@
       this.provisioner.elected();
       return;
     }
-    const now = this.clock.now();
-    const { report, lease, zones, skew } = this.settings;
-    const part = new Part(
-      label,
-      { lease, report, sample: this.tuning.sample, zones, ...this.pace },
-      () => this.types,
-      this.runTimes,
-      this.random,
-      {
-        allowance: (team) => this.quotas.allowance(label, team),
-        guarantee: (name) => {
-          const team = this.settings.teams.find((t) => t.name === name);
-          return { cpus: team?.cpus ?? 0, gpus: team?.gpus ?? 0 };
-        },
-        usedElsewhere: (team) => this.usedElsewhere(team, label),
-        starvedElsewhere: (team) => this.starvedElsewhere(team, label),
-      },
-    );
     // Another node may go on answering its workers for its grace; ourselves, before a restart, not. Counted
     // from when that node lost the part, which may have been before our last restart.
-    const renewed = now + Math.max(0, held.lostAt + this.grace + 2 * skew - this.clock.wall());
-    const host = hosting(part, held, now, renewed);
-    for (const [name, record] of this.fleet.of(label)) part.addMachine(name, record, now, renewed);
-    for (const [key, { value, stamp }] of this.replica.under(keys.runs(label))) {
-      this.loadShelf(host, key.slice(keys.runs(label).length), value as ShelfRecord, stamp);
-    }
-    for (const [key, { value, stamp }] of this.replica.under('b/job/')) {
-      const record = value as JobRecord;
-      const id = key.slice('b/job/'.length);
-      if (record.state !== 'open' || record.home !== label) continue;
-      host.jobs.set(id, { id, record, stamp, busy: false });
-      this.loadUnstored(host, record, now);
-    }
-    part.needs.seedArrivals(now);
-    this.hosted.set(label, host);
+    const answered = held.lostAt + this.grace + 2 * this.settings.skew - this.clock.wall();
+    const renewed = this.clock.now() + Math.max(0, answered);
+    this.hosted.set(label, this.loader.load(this.createPart(label), held, renewed));
     this.kick();
   }
 
-  /** Takes up one shelf of a part, but for chunks that are over; those go with its next change. */
-  private loadShelf(host: Hosted, name: string, value: ShelfRecord, stamp: number): void {
-    const now = this.clock.now();
-    const shelf = new Shelf(name, stamp);
-    host.shelves.set(name, shelf);
-    for (const [id, record] of Object.entries(value.chunks)) {
-      const index = Number(id.slice(id.lastIndexOf('/') + 1));
-      const job = this.replica.get(keys.job(record.spec.id))?.value as JobRecord | undefined;
-      const over = job?.state === 'done' || job?.finished.includes(index) === true;
-      if (over || host.part.chunks.has(id)) {
-        shelf.stale = true;
-        continue;
-      }
-      const chunk = host.part.loadChunk(index, record, host.token, now);
-      shelf.add(chunk);
-      this.withholding.apply(host, chunk);
-      if (job?.state === 'cancelled') host.part.cancel(chunk, now);
-    }
-    if (shelf.chunks.size === 0) shelf.stale = true;
+  private createPart(label: string): Part {
+    const { report, lease, zones } = this.settings;
+    const options = { lease, report, sample: this.tuning.sample, zones, ...this.pace };
+    const types = (): Map<string, MachineType> => this.types;
+    return new Part(label, options, types, this.runTimes, this.random, this.viewOf(label));
   }
 
-  /** Chunks of a home job that nobody has stored yet: nothing of them was started. */
-  private loadUnstored(host: Hosted, record: JobRecord, now: number): void {
-    const { spec, size, zones, cut, finished, away, at, home } = record;
-    if (spec === null) return;
-    const ranges = chunkRanges(spec.tasks, size, zones);
-    for (let k = 0; k < cut; k++) {
-      const range = ranges[k];
-      const elsewhere = finished.includes(k) || away.includes(k);
-      if (range === undefined || elsewhere || host.part.chunks.has(`${spec.id}/${k}`)) continue;
-      const { from, to, zone } = range;
-      const chunk = new Chunk(spec, k, home, at, from, to, zone, now);
-      host.part.accept(chunk, now);
-      this.withholding.apply(host, chunk);
-    }
+  /** What a part has to know of the rest of the cluster. */
+  private viewOf(label: string): ClusterView {
+    return {
+      allowance: (team) => this.quotas.allowance(label, team),
+      guarantee: (name) => {
+        const team = this.settings.teams.find((t) => t.name === name);
+        return { cpus: team?.cpus ?? 0, gpus: team?.gpus ?? 0 };
+      },
+      usedElsewhere: (team) => this.totals.usedElsewhere(team, label),
+      starvedElsewhere: (team) => this.totals.starvedElsewhere(team, label),
+    };
   }
 
   private lose(label: string): void {
@@ -515,12 +329,9 @@
       const value = change.value as ShelfRecord | null;
       this.shelves.note(name, shelf, value);
       const host = this.hosted.get(name);
-      if (host === undefined || value === null || host.shelves.has(shelf)) return;
-      // Only what was just sent here: nothing of it can have been started by this part's owners.
-      const chunks = Object.values(value.chunks);
-      if (!chunks.every((c) => c.moves > 0 && c.entries.length === 0)) return;
-      this.loadShelf(host, shelf, value, change.stamp);
-      this.kick();
+      if (host !== undefined && value !== null) {
+        this.loader.noteShelf(host, shelf, value, change.stamp);
+      }
     }
   }
 
@@ -539,35 +350,9 @@
     this.kick();
   }
 
-  /** Shelves of our parts that we hold nothing of: a change that the watch has missed. */
-  private adoptStrayShelves(): void {
+  private adoptUnmatched(): void {
     if (!this.ownership.valid) return;
-    for (const host of this.hosted.values()) {
-      const prefix = keys.runs(host.part.label);
-      for (const [key] of this.replica.under(prefix)) {
-        const name = key.slice(prefix.length);
-        if (host.shelves.has(name)) this.strays.delete(key);
-        else if (this.strays.has(key)) void this.adoptShelf(host, key, name);
-        else this.strays.add(key);
-      }
-    }
-  }
-
-  private async adoptShelf(host: Hosted, key: string, name: string): Promise<void> {
-    this.strays.delete(key);
-    try {
-      const item = await this.state.get(key);
-      if (!host.alive || host.shelves.has(name)) return;
-      if (item === null) {
-        this.replica.noteRemoved(key, Infinity);
-        return;
-      }
-      log.info(`taking up what ${key} holds`);
-      this.loadShelf(host, name, item.value as ShelfRecord, item.stamp);
-      this.kick();
-    } catch (error) {
-      log.debug(`stored shelf: ${describe(error)}`);
-    }
+    for (const host of this.hosted.values()) this.loader.adoptUnmatched(host);
   }
 
   private onGroup(group: string, change: Change): void {
@@ -589,22 +374,4 @@
     if (told !== null && told.token > (stored?.token ?? 0)) return told.label;
     return stored?.node ?? told?.label ?? null;
   }
-
-  // ---- Machines for the provisioner ----
-
-  /** Machines that may be returned. */
-  localSpare(): string[] {
-    const now = this.clock.now();
-    return [...this.hosted.values()].flatMap((h) => h.part.needs.spare(now, this.tuning.idleRatio));
-  }
-
-  localLost(): string[] {
-    const now = this.clock.now();
-    const boot = (machine: Machine): number => machine.shape?.boot ?? this.settings.lease;
-    // Without a word from the state service the network may have left us, and everybody seems lost.
-    if (now - this.state.lastServed > this.stateTtl / 2) return [];
-    return [...this.hosted.values()].flatMap((h) =>
-      h.part.lostMachines(now, boot, this.clock.wall()),
-    );
-  }
 }
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -296,7 +296,7 @@
 
   private rentForDemands(now: number): void {
     const { settings, types } = this.node;
-    const demands = [...this.node.demands, ...this.node.peers.demands()].filter(
+    const demands = [...this.node.gossiper.demands, ...this.node.peers.demands()].filter(
       (d) => (this.holdOff.get(d.part) ?? 0) <= now,
     );
     if (demands.length === 0) return;
@@ -424,9 +424,9 @@
     const gossips = this.node.peers.gossips().filter((g) => g.served);
     // Those whose tasks wait to be known as over go before those that are only paid for.
     const names = new Set<string>([
-      ...this.node.localLost(),
+      ...this.node.gossiper.lostMachines(),
       ...gossips.flatMap((g) => g.lost),
-      ...this.node.localSpare(),
+      ...this.node.gossiper.spareMachines(),
       ...gossips.flatMap((g) => g.spare),
     ]);
     for (const machine of this.listed.values()) {
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -115,7 +115,7 @@
         if (allows(spec, null, host)) found.set(zone, 0);
       }
     }
-    for (const zone of found.keys()) found.set(zone, node.liveRoomIn(zone));
+    for (const zone of found.keys()) found.set(zone, node.totals.liveRoomIn(zone));
     // Where there is nothing to choose between zones, jobs take turns by their ids.
     const turn = [...spec.id].reduce((n, c) => (n * 31 + c.charCodeAt(0)) % 65521, 7);
     const zones = [...found.keys()].sort();
