State service: submissions get their turn before rentals and starts, for half of the rate

Now: ownership, submissions, rentals, starts and ends, bookkeeping. A flood of submissions has no more than half of the rate ahead of the others.

--- a/src/coordination/accepting.ts
+++ b/src/coordination/accepting.ts
@@ -44,7 +44,7 @@
   state: Pick<StateClient, 'turn' | 'charge' | 'get' | 'writeDelay' | 'writeRate' | 'healthy'>;
   replica: Pick<Replica, 'get' | 'note'>;
   ownership: { readonly valid: boolean; doubt(part: string): Promise<void> };
-  commits: { write(host: Hosted, txn: Txn, urgency: 'paid'): Promise<TxnResult> };
+  commits: { write(host: Hosted, txn: Txn, urgency: 'granted'): Promise<TxnResult> };
   kick(): void;
 }
 
@@ -101,7 +101,7 @@
   /** Seconds until a job that came now would be stored. */
   get delay(): number {
     const { state } = this.node;
-    return state.writeDelay('urgent') + this.queue.length / state.writeRate;
+    return state.writeDelay('submission') + this.queue.length / state.writeRate;
   }
 
   /** Resolves with the user's answer within `patience` seconds. */
@@ -132,10 +132,10 @@
     this.running++;
     try {
       while (this.queue.length > 0) {
-        await this.node.state.turn(1, 'urgent');
+        await this.node.state.turn(1, 'submission');
         const batch = this.gather();
         if (batch === null) break;
-        this.node.state.charge(batch.jobs.length + batch.parcels.size - 1);
+        this.node.state.charge(batch.jobs.length + batch.parcels.size - 1, 'submission');
         await this.store(batch);
       }
     } finally {
@@ -228,7 +228,7 @@
       ...jobs.map((job) => ({ key: keys.job(job.id), value: job.record as unknown })),
       ...[...parcels].map(([key, { value }]) => ({ key, value })),
     ];
-    const result = await node.commits.write(home, { when, puts, removes: [] }, 'paid');
+    const result = await node.commits.write(home, { when, puts, removes: [] }, 'granted');
     if (result.kind === 'applied') {
       this.stored(batch, result.stamp);
       return true;
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -244,7 +244,7 @@
         ],
         removes: [],
       },
-      'first',
+      'ownership',
     );
     let stamp = result.kind === 'applied' ? result.stamp : 0;
     if (result.kind === 'unknown' || result.kind === 'conflict') {
@@ -281,7 +281,7 @@
           puts: [{ key: keys.token, value: { ...tokens, owners } }],
           removes: [key],
         },
-        'first',
+        'ownership',
       );
       if (result.kind === 'applied') this.replica.noteRemoved(key, result.stamp);
       if (result.kind === 'applied') return;
--- a/src/coordination/provisioner.ts
+++ b/src/coordination/provisioner.ts
@@ -203,7 +203,7 @@
       const key = keys.group(ask);
       const when = [owner, { key, stamp: 0 }];
       const txn = { when, puts: [{ key, value: group }], removes: [] };
-      const result = await node.state.txn(txn, 'first');
+      const result = await node.state.txn(txn, 'rental');
       if (result.kind === 'applied') node.replica.note(key, group, result.stamp);
       else if (result.kind === 'conflict') {
         const item = await node.state.get(key).catch(() => undefined);
@@ -345,7 +345,7 @@
     try {
       const when = [owner, { key, stamp: 0 }];
       const txn = { when, puts: [{ key, value: group }], removes: [] };
-      const result = await this.node.state.txn(txn, 'first');
+      const result = await this.node.state.txn(txn, 'rental');
       if (result.kind === 'applied') this.node.replica.note(key, group, result.stamp);
     } finally {
       this.renting.delete(ask);
@@ -398,7 +398,7 @@
       // Until the part has the record and has told its new demand.
       known.until = this.node.clock.now() + this.node.settings.report * 0.7;
     }
-    const result = await this.replace(ask, count === 0 ? null : group, 'first');
+    const result = await this.replace(ask, count === 0 ? null : group, 'rental');
     if (result.kind !== 'conflict') return;
     // A copy of it that got no answer may have been applied.
     await this.reread(ask);
--- a/src/coordination/shelving.ts
+++ b/src/coordination/shelving.ts
@@ -51,7 +51,7 @@
   ) {}
 
   /** Every write of a part goes through here: under its ownership, and only while that is valid. */
-  async write(host: Hosted, txn: Txn, urgency: Urgency | 'paid' = 'later'): Promise<TxnResult> {
+  async write(host: Hosted, txn: Txn, urgency: Urgency | 'granted' = 'later'): Promise<TxnResult> {
     if (!host.alive || !this.host.valid()) return { kind: 'refused' };
     const owner = { key: keys.owner(host.part.label), stamp: host.stamp };
     return this.client.txn({ ...txn, when: [owner, ...txn.when] }, urgency);
@@ -149,7 +149,7 @@
       }
       for (const { chunk } of stored) chunk.dirtySince = null;
       const when = shelves.map((s) => ({ key: this.key(host, s), stamp: s.stamp }));
-      const result = await this.write(host, { when, puts, removes }, 'paid');
+      const result = await this.write(host, { when, puts, removes }, 'granted');
       if (result.kind === 'applied') {
         this.applied(host, shelves, stored, puts, result.stamp);
         return;
@@ -268,7 +268,7 @@
           ],
           removes: alone ? [from] : [],
         },
-        'paid',
+        'granted',
       );
       if (result.kind === 'applied') {
         host.part.sendAway(chunk, this.clock.now());
--- a/src/storage/budget.ts
+++ b/src/storage/budget.ts
@@ -5,12 +5,21 @@
 const MEMORY = 3;
 
 /**
- * Who goes first. `first`: what keeps the service itself going (ownership, machines that are paid for);
- * `urgent`: what a user or a start waits for; `later`: bookkeeping.
+ * Who goes first. `ownership`: without it nothing else counts; `submission`: a user waits for the answer;
+ * `rental`: machines that are paid for; `urgent`: starts and ends that somebody waits for; `later`: bookkeeping.
  */
-export type Urgency = 'first' | 'urgent' | 'later';
+export type Urgency = 'ownership' | 'submission' | 'rental' | 'urgent' | 'later';
 
-const ORDER: Record<Urgency, number> = { first: 0, urgent: 1, later: 2 };
+const ORDER: Record<Urgency, number> = {
+  ownership: 0,
+  submission: 1,
+  rental: 2,
+  urgent: 3,
+  later: 4,
+};
+
+/** Of the rate, what submissions may take ahead of others: a flood of them must not keep starts waiting. */
+const SUBMISSION_SHARE = 1 / 2;
 
 /** A bucket of tokens, refilled at a rate; callers wait their turn. */
 export class Budget {
@@ -19,6 +28,8 @@
   /** Cost asked for lately, a second; forgets over a few seconds. */
   private asked = 0;
   private askedAt: number;
+  /** What is left of the submissions' share; below zero, they queue like other urgent work. */
+  private submissionLevel: number;
   private readonly queue: { cost: number; order: number; go: () => void }[] = [];
   private timer: NodeJS.Timeout | null = null;
 
@@ -28,6 +39,7 @@
     private burst: number,
   ) {
     this.level = burst;
+    this.submissionLevel = burst * SUBMISSION_SHARE;
     this.filled = clock.now();
     this.askedAt = this.filled;
   }
@@ -66,15 +78,18 @@
   delay(urgency: Urgency): number {
     this.refill();
     let ahead = 0;
-    for (const { cost, order } of this.queue) if (order <= ORDER[urgency]) ahead += cost;
+    const own = this.orderOf(urgency);
+    for (const { cost, order } of this.queue) if (order <= own) ahead += cost;
     return Math.max(0, (ahead - this.level) / this.rate);
   }
 
   take(cost: number, urgency: Urgency): Promise<void> {
     this.forget();
+    this.refill();
     this.asked += cost / MEMORY;
+    const order = this.orderOf(urgency);
+    if (order === ORDER.submission) this.submissionLevel -= cost;
     return new Promise((go) => {
-      const order = ORDER[urgency];
       const entry = { cost, order, go };
       const at = this.queue.findIndex((e) => e.order > order);
       if (at >= 0) this.queue.splice(at, 0, entry);
@@ -83,10 +98,16 @@
     });
   }
 
+  private orderOf(urgency: Urgency): number {
+    const isBeyondShare = urgency === 'submission' && this.submissionLevel < 0;
+    return ORDER[isBeyondShare ? 'urgent' : urgency];
+  }
+
   /** What goes along with somebody whose turn it is; the next wait for it. */
-  charge(cost: number): void {
+  charge(cost: number, urgency: Urgency): void {
     this.refill();
     this.level -= cost;
+    if (urgency === 'submission') this.submissionLevel -= cost;
     this.forget();
     this.asked += cost / MEMORY;
   }
@@ -99,7 +120,12 @@
 
   private refill(): void {
     const now = this.clock.now();
-    this.level = Math.min(this.burst, this.level + (now - this.filled) * this.rate);
+    const gained = (now - this.filled) * this.rate;
+    this.level = Math.min(this.burst, this.level + gained);
+    this.submissionLevel = Math.min(
+      this.burst * SUBMISSION_SHARE,
+      this.submissionLevel + gained * SUBMISSION_SHARE,
+    );
     this.filled = now;
   }
 
--- a/src/storage/stateClient.ts
+++ b/src/storage/stateClient.ts
@@ -104,7 +104,7 @@
     timeout?: number,
   ): Promise<Response> {
     for (let tries = 0; ; tries++) {
-      await this.requests.take(1, method === 'POST' ? 'first' : 'urgent');
+      await this.requests.take(1, method === 'POST' ? 'ownership' : 'urgent');
       let response: Response;
       try {
         response = await this.call(method, target, body, timeout);
@@ -144,20 +144,20 @@
     }
   }
 
-  /** Waits for the turn of a transaction that will be made, with `paid`, from what is known then. */
+  /** Waits for the turn of a transaction that will be made, with `granted`, from what is known then. */
   turn(cost: number, urgency: Urgency): Promise<void> {
     return this.writes.take(cost, urgency);
   }
 
   /** More changes go with a turn that was given. */
-  charge(cost: number): void {
-    this.writes.charge(cost);
+  charge(cost: number, urgency: Urgency): void {
+    this.writes.charge(cost, urgency);
   }
 
-  async txn(txn: wire.Txn, urgency: Urgency | 'paid' = 'later'): Promise<TxnResult> {
+  async txn(txn: wire.Txn, urgency: Urgency | 'granted' = 'later'): Promise<TxnResult> {
     const cost = txn.puts.length + txn.removes.length;
-    if (cost > 0 && urgency !== 'paid') await this.writes.take(cost, urgency);
-    await this.requests.take(1, urgency === 'paid' ? 'first' : urgency);
+    if (cost > 0 && urgency !== 'granted') await this.writes.take(cost, urgency);
+    await this.requests.take(1, urgency === 'granted' ? 'ownership' : urgency);
     let response: Response;
     try {
       response = await this.call('POST', wire.paths.txn, wire.txnRequest(txn));
--- /dev/null
+++ b/test/budget.test.ts
@@ -0,0 +1,104 @@
+/** The order in which requests get their turn at a service that limits its rate. */
+import assert from 'node:assert/strict';
+import { mock, test } from 'node:test';
+import { Budget, shareOf, type Urgency } from '../src/storage/budget.js';
+
+const RATE = 10;
+
+/** A budget on a clock of its own; `order` names those that got their turn. */
+function emptyBudget(): {
+  budget: Budget;
+  order: string[];
+  queue: (name: string, urgency: Urgency, cost?: number) => void;
+  pass: (seconds: number) => Promise<void>;
+} {
+  mock.timers.enable({ apis: ['setTimeout'] });
+  let now = 0;
+  const budget = new Budget({ now: () => now, wall: () => now }, RATE, RATE);
+  // What was saved up is spent, so that all that follows has to wait.
+  budget.charge(RATE, 'later');
+  const order: string[] = [];
+  const queue = (name: string, urgency: Urgency, cost = 1): void => {
+    void budget.take(cost, urgency).then(() => order.push(name));
+  };
+  const pass = async (seconds: number): Promise<void> => {
+    const step = 0.01;
+    for (let passed = 0; passed < seconds; passed += step) {
+      now += step;
+      mock.timers.tick(step * 1000);
+      await Promise.resolve();
+    }
+  };
+  return { budget, order, queue, pass };
+}
+
+const cases: { name: string; asks: [string, Urgency][]; order: string[] }[] = [
+  {
+    name: 'those of one urgency in the order in which they came',
+    asks: [
+      ['a', 'urgent'],
+      ['b', 'urgent'],
+    ],
+    order: ['a', 'b'],
+  },
+  {
+    name: 'ownership, users, rentals, starts, bookkeeping',
+    asks: [
+      ['bookkeeping', 'later'],
+      ['start', 'urgent'],
+      ['rental', 'rental'],
+      ['user', 'submission'],
+      ['lease', 'ownership'],
+    ],
+    order: ['lease', 'user', 'rental', 'start', 'bookkeeping'],
+  },
+];
+for (const { name, asks, order } of cases) {
+  test(`turns: ${name}`, async (t) => {
+    t.after(() => {
+      mock.timers.reset();
+    });
+    const budget = emptyBudget();
+    for (const [who, urgency] of asks) budget.queue(who, urgency);
+    await budget.pass(asks.length / RATE + 0.1);
+    assert.deepEqual(budget.order, order);
+  });
+}
+
+test('a flood of submissions leaves half of the rate to starts', async (t) => {
+  t.after(() => {
+    mock.timers.reset();
+  });
+  const { order, queue, pass } = emptyBudget();
+  for (let i = 0; i < 200; i++) queue(`start ${i}`, 'urgent');
+  // Twice as many as there is room for, for ten seconds.
+  for (let i = 0; i < 200; i++) {
+    queue(`user ${i}`, 'submission');
+    await pass(0.05);
+  }
+  const starts = order.filter((who) => who.startsWith('start')).length;
+  const users = order.length - starts;
+  assert.ok(starts >= 0.4 * order.length, `${starts} starts of ${order.length}`);
+  assert.ok(users >= 0.4 * order.length, `${users} submissions of ${order.length}`);
+});
+
+test('jobs that go along with a submission count towards its share', () => {
+  const { budget } = emptyBudget();
+  budget.charge(RATE, 'submission');
+  void budget.take(RATE, 'urgent');
+  // It waits behind what is as urgent, as long as its share is overdrawn.
+  assert.equal(budget.delay('submission'), budget.delay('urgent'));
+  mock.timers.reset();
+});
+
+const shares: { name: string; needs: number[]; share: number }[] = [
+  { name: 'nobody has been heard: an even share', needs: [], share: 10 },
+  { name: 'the others need nothing', needs: [0, 0], share: 30 },
+  { name: 'the others need more than their share', needs: [25, 25], share: 10 },
+  { name: 'one needs less', needs: [4, 25], share: 16 },
+];
+for (const { name, needs, share } of shares) {
+  test(`share of a rate: ${name}`, () => {
+    assert.equal(shareOf(30, 3, needs), share);
+  });
+}
