--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -32,7 +32,7 @@
 import { Part } from './part.js';
 import { PartLoader } from './partLoader.js';
 import { Peers } from './peers.js';
-import { Provisioner } from './provisioner.js';
+import { Provisioner } from './provisioning/provisioner.js';
 import { Quotas } from './quotas.js';
 import { Sender } from './sender.js';
 import type { ClusterView } from './teamUsage.js';
--- /dev/null
+++ b/src/coordination/provisioning/groupStore.ts
@@ -0,0 +1,180 @@
+/** The stored groups of machines, written by the elected provisioner alone and under its ownership. */
+import { sleep } from '../../base/clock.js';
+import { TXN_BYTES } from '../../protocol/state.js';
+import type { Urgency } from '../../storage/budget.js';
+import { keys, type GroupRecord } from '../../storage/records.js';
+import type { TxnResult } from '../../storage/stateClient.js';
+import type { Controller } from '../controller.js';
+import { PROVISIONER } from '../ownership.js';
+
+/** What is needed of a node. */
+export type ProvisioningNode = Pick<
+  Controller,
+  | 'clock'
+  | 'fleet'
+  | 'gossiper'
+  | 'links'
+  | 'ownership'
+  | 'parts'
+  | 'peers'
+  | 'replica'
+  | 'settings'
+  | 'state'
+  | 'stateTtl'
+  | 'types'
+  | 'zoneOf'
+>;
+
+/** How often the records of released machines are tried to be removed. */
+const REMOVAL_TRIES = 20;
+
+export class GroupStore {
+  /** Machines whose group is being stored, by the group's name: they are not unknown. */
+  readonly pending = new Map<string, string[]>();
+  private readonly storing = new Set<string>();
+  private sequence = 0;
+  private stopped = false;
+
+  constructor(
+    private readonly node: ProvisioningNode,
+    private readonly process: string,
+  ) {}
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** The condition that this node is the provisioner; null when it is not. */
+  ownerCondition(): { key: string; stamp: number } | null {
+    const held = this.node.ownership.get(PROVISIONER);
+    if (held === undefined || !this.node.ownership.valid) return null;
+    return { key: keys.owner(PROVISIONER), stamp: held.stamp };
+  }
+
+  /** A name for a rental and its group that is never used again. */
+  nextName(): string {
+    return `${this.node.settings.label}-${this.process}-${++this.sequence}`;
+  }
+
+  /** Forgets pending machines, but for groups that are still being stored. */
+  prunePending(isOpen: (name: string) => boolean): void {
+    for (const name of this.pending.keys()) {
+      if (!isOpen(name) && !this.storing.has(name)) this.pending.delete(name);
+    }
+  }
+
+  /** Stores a rental's intention, unless anything under its name is stored already. */
+  async create(name: string, group: GroupRecord): Promise<TxnResult> {
+    const owner = this.ownerCondition();
+    if (owner === null) return { kind: 'refused' };
+    const key = keys.group(name);
+    const when = [owner, { key, stamp: 0 }];
+    const puts = [{ key, value: group }];
+    const result = await this.node.state.txn({ when, puts, removes: [] }, 'rental');
+    if (result.kind === 'applied') this.node.replica.note(key, group, result.stamp);
+    return result;
+  }
+
+  /** Stores machines that no rental of ours brought, under a name that is used once. */
+  async adopt(group: GroupRecord): Promise<void> {
+    const { node } = this;
+    const name = this.nextName();
+    const held = node.ownership.get(PROVISIONER);
+    this.storing.add(name);
+    this.pending.set(name, Object.keys(group.machines));
+    // Its machines are stored in no other group before this one's fate is known: a machine that were
+    // in two groups would have two owners.
+    while (!this.stopped && node.ownership.get(PROVISIONER) === held) {
+      if (await this.tryAdopt(name, group)) break;
+    }
+    this.storing.delete(name);
+  }
+
+  /** True once it is known what has become of the group. */
+  private async tryAdopt(name: string, group: GroupRecord): Promise<boolean> {
+    const { node } = this;
+    const result = await this.create(name, group);
+    if (result.kind === 'applied') return true;
+    if (result.kind !== 'conflict') {
+      await sleep(node.settings.report / 6);
+      return false;
+    }
+    const key = keys.group(name);
+    const item = await node.state.get(key).catch(() => undefined);
+    if (item === undefined) return false;
+    if (item !== null) node.replica.note(key, item.value, item.stamp);
+    // Neither our key nor our ownership is as we thought: a new provisioner will find them.
+    else await node.ownership.doubt(PROVISIONER).catch(() => undefined);
+    return true;
+  }
+
+  /** Changes groups in one transaction; null removes one. */
+  async replace(groups: Map<string, GroupRecord | null>, urgency: Urgency): Promise<TxnResult> {
+    const { replica, state } = this.node;
+    const owner = this.ownerCondition();
+    if (owner === null) return { kind: 'refused' };
+    const when = [owner];
+    const puts: { key: string; value: unknown }[] = [];
+    const removes: string[] = [];
+    for (const [name, group] of groups) {
+      const key = keys.group(name);
+      when.push({ key, stamp: replica.get(key)?.stamp ?? 0 });
+      if (group === null) removes.push(key);
+      else puts.push({ key, value: group });
+    }
+    const result = await state.txn({ when, puts, removes }, urgency);
+    if (result.kind === 'applied') {
+      for (const put of puts) replica.note(put.key, put.value, result.stamp);
+      for (const key of removes) replica.noteRemoved(key, result.stamp);
+    }
+    return result;
+  }
+
+  /** A copy of a change that got no answer may have been applied: takes the stored record. */
+  async reread(name: string): Promise<void> {
+    const { replica, state } = this.node;
+    const key = keys.group(name);
+    const item = await state.get(key);
+    if (item === null) replica.noteRemoved(key, Infinity);
+    else replica.note(key, item.value, item.stamp);
+  }
+
+  /** The cloud has said that they are gone: what ran there is over. */
+  async removeMachines(machines: string[]): Promise<void> {
+    const { ownership, settings } = this.node;
+    for (let tries = 0; tries < REMOVAL_TRIES; tries++) {
+      const groups = this.withoutMachines(machines);
+      if (groups.size === 0) return;
+      const result = await this.replace(groups, 'urgent');
+      if (result.kind === 'refused' && this.ownerCondition() === null) return;
+      if (result.kind === 'conflict') {
+        // An earlier copy was applied, or the watch is late: look again.
+        for (const name of groups.keys()) await this.reread(name);
+        await ownership.doubt(PROVISIONER);
+      }
+      if (result.kind !== 'applied') await sleep(settings.report / 12);
+    }
+  }
+
+  /** The groups that hold any of the machines, without them: as many as fit a transaction. */
+  private withoutMachines(machines: string[]): Map<string, GroupRecord | null> {
+    const { fleet, replica, settings } = this.node;
+    const groups = new Map<string, GroupRecord>();
+    let bytes = 0;
+    for (const machine of machines) {
+      const name = fleet.groupOf(machine);
+      if (name === undefined) continue;
+      const stored = replica.get(keys.group(name))?.value as GroupRecord | undefined;
+      const before = groups.get(name) ?? stored;
+      if (before === undefined) continue;
+      if (!groups.has(name)) {
+        bytes += JSON.stringify(before).length;
+        if (groups.size >= settings.txnOps || bytes > TXN_BYTES) break;
+      }
+      const rest = Object.entries(before.machines).filter(([other]) => other !== machine);
+      groups.set(name, { ...before, machines: Object.fromEntries(rest) });
+    }
+    const isEmpty = (group: GroupRecord): boolean => Object.keys(group.machines).length === 0;
+    return new Map([...groups].map(([name, group]) => [name, isEmpty(group) ? null : group]));
+  }
+}
--- /dev/null
+++ b/src/coordination/provisioning/machineListing.ts
@@ -0,0 +1,141 @@
+/** Follows the cloud's list: machines that nobody expected get a part, and addresses are stored. */
+import { describe, log } from '../../base/log.js';
+import type { ListedMachine } from '../../protocol/cloud.js';
+import type { GroupRecord } from '../../storage/records.js';
+import type { CloudClient } from './cloudClient.js';
+import type { GroupStore, ProvisioningNode } from './groupStore.js';
+import { choosePartFor, groupLimit, splitGroup } from './machinePool.js';
+
+/** How often the list is read, as a ratio to the time that it lags behind. */
+const INTERVAL = 0.75;
+
+/** How long a group's record waits for the addresses of all its machines, as a ratio to the list's lag. */
+const ADDRESS_PATIENCE = 4;
+
+/** Of the changes a second that are ours, what addresses may take. */
+const ADDRESS_SHARE = 1 / 10;
+
+/** Where a machine that is up can be asked; one that boots would seem to be silent. */
+const addressOf = (machine: ListedMachine | undefined): string =>
+  machine?.status === 'running' ? machine.address : '';
+
+export class MachineListing {
+  private listed = new Map<string, ListedMachine>();
+  /** Machines without a record, and since when. */
+  private readonly unknownSince = new Map<string, number>();
+  private lastRead = -Infinity;
+  private isReading = false;
+
+  constructor(
+    private readonly node: ProvisioningNode,
+    private readonly cloud: CloudClient,
+    private readonly groups: GroupStore,
+    /** Its release was confirmed: a late list may still show it. */
+    private readonly isReleased: (machine: string) => boolean,
+  ) {}
+
+  /** The list is read with the next step. */
+  expire(): void {
+    this.lastRead = -Infinity;
+  }
+
+  /** Machines that failed to come up. */
+  get failed(): string[] {
+    const failed = [...this.listed.values()].filter(({ status }) => status === 'failed');
+    return failed.map(({ name }) => name);
+  }
+
+  async readIfDue(now: number): Promise<void> {
+    if (this.isReading || now - this.lastRead <= this.node.settings.listLag * INTERVAL) return;
+    this.isReading = true;
+    try {
+      const found = await this.cloud.listMachines();
+      if (found === null) return;
+      this.listed = found;
+      await this.adoptUnknown();
+      await this.storeAddresses();
+    } catch (error) {
+      log.debug(`machine list: ${describe(error)}`);
+    } finally {
+      this.isReading = false;
+      this.lastRead = this.node.clock.now();
+    }
+  }
+
+  /** Machines that nobody expected (late rentals, those up from the start) get a part. */
+  private async adoptUnknown(): Promise<void> {
+    const { node } = this;
+    const groups = new Map<string, GroupRecord>();
+    const taken: { part: string; type: string; count: number }[] = [];
+    for (const machine of this.longUnknown()) {
+      const { name, type, zone, spot, age } = machine;
+      const part = choosePartFor(node, zone, '', taken);
+      taken.push({ part, type, count: 1 });
+      const key = [part, type, zone, String(spot)].join(' ');
+      const group = groups.get(key) ?? { part, type, zone, spot, machines: {} };
+      groups.set(key, group);
+      const address = addressOf(machine);
+      const at = node.clock.wall() - age;
+      group.machines[name] = address === '' ? { at } : { at, address };
+    }
+    const most = groupLimit(node.settings.valueBytes);
+    const stored = [...groups.values()].flatMap((group) => splitGroup(group, most));
+    await Promise.all(stored.map((group) => this.groups.adopt(group)));
+  }
+
+  /** Listed machines without a record, for longer than the list may lag behind. */
+  private longUnknown(): ListedMachine[] {
+    const { clock, fleet, settings } = this.node;
+    const now = clock.now();
+    const pending = new Set([...this.groups.pending.values()].flat());
+    for (const name of this.unknownSince.keys()) {
+      if (!this.listed.has(name)) this.unknownSince.delete(name);
+    }
+    // The list may be older than a release by a provisioner before us; with no record of any machine
+    // there has been none.
+    const patience = fleet.size === 0 ? 0 : settings.listLag;
+    const found: ListedMachine[] = [];
+    for (const [name, machine] of this.listed) {
+      if (fleet.get(name) !== undefined || pending.has(name) || this.isReleased(name)) continue;
+      const since = this.unknownSince.get(name) ?? now;
+      this.unknownSince.set(name, since);
+      if (now - since >= patience) found.push(machine);
+    }
+    return found;
+  }
+
+  /** Addresses go into the groups' records once all of a group are known, or what has come in time. */
+  private async storeAddresses(): Promise<void> {
+    const { fleet, settings } = this.node;
+    // Bookkeeping: what users and starts wait for goes first.
+    let left = Math.max(1, settings.stateWriteRate * ADDRESS_SHARE);
+    for (const [name, group] of [...fleet.entries()]) {
+      if (!this.hasNewAddresses(group)) continue;
+      if (--left < 0) return;
+      await this.groups.replace(new Map([[name, this.withAddresses(group)]]), 'later');
+    }
+  }
+
+  private hasNewAddresses(group: GroupRecord): boolean {
+    const wall = this.node.clock.wall();
+    let missing = 0;
+    let found = 0;
+    let oldest = wall;
+    for (const [name, machine] of Object.entries(group.machines)) {
+      if (machine.address !== undefined) continue;
+      oldest = Math.min(oldest, machine.at);
+      if (addressOf(this.listed.get(name)) === '') missing++;
+      else found++;
+    }
+    const isLate = wall - oldest > this.node.settings.listLag * ADDRESS_PATIENCE;
+    return found > 0 && (missing === 0 || isLate);
+  }
+
+  private withAddresses(group: GroupRecord): GroupRecord {
+    const machines = Object.entries(group.machines).map(([name, machine]) => {
+      const address = machine.address ?? addressOf(this.listed.get(name));
+      return [name, address === '' ? machine : { ...machine, address }] as const;
+    });
+    return { ...group, machines: Object.fromEntries(machines) };
+  }
+}
--- /dev/null
+++ b/src/coordination/provisioning/machinePool.ts
@@ -0,0 +1,60 @@
+/** Which part a machine goes to, and how many machines one record may hold: pure. */
+import { RENT_LIMIT } from '../../protocol/cloud.js';
+import type { Fleet } from '../../storage/fleet.js';
+import type { GroupRecord } from '../../storage/records.js';
+
+/** A machine's name, time and address in its group's record, with room for long ones. */
+const MACHINE_BYTES = 120;
+
+/** Of a record's limit, what the machines of a group may take. */
+const RECORD_SHARE = 0.8;
+
+/** Machines that a group may have: its record, and copies of it in a transaction, stay within the limits. */
+export function groupLimit(valueBytes: number): number {
+  const fitting = Math.floor((valueBytes * RECORD_SHARE) / MACHINE_BYTES);
+  return Math.max(1, Math.min(RENT_LIMIT, fitting));
+}
+
+/** The same machines in groups of at most `most`. */
+export function splitGroup(group: GroupRecord, most: number): GroupRecord[] {
+  const machines = Object.entries(group.machines);
+  const groups: GroupRecord[] = [];
+  for (let from = 0; from < machines.length; from += most) {
+    groups.push({ ...group, machines: Object.fromEntries(machines.slice(from, from + most)) });
+  }
+  return groups;
+}
+
+/** What is looked at to find a part for machines. */
+export interface PoolNode {
+  parts: string[];
+  zoneOf: ReadonlyMap<string, string>;
+  types: ReadonlyMap<string, { cpus: number }>;
+  fleet: Pick<Fleet, 'countsOf'>;
+}
+
+/**
+ * Machines go to a part of their own zone, so that a cut between zones leaves parts whole: to the one
+ * that wants them, or else to the one with the fewest processors.
+ */
+export function choosePartFor(
+  node: PoolNode,
+  zone: string,
+  wanted: string,
+  /** Machines that are on their way to a part. */
+  coming: Iterable<{ part: string; type: string; count: number }> = [],
+): string {
+  const inZone = node.parts.filter((part) => node.zoneOf.get(part) === zone);
+  const candidates = inZone.length > 0 ? inZone : node.parts;
+  if (candidates.includes(wanted)) return wanted;
+  const cpus = new Map(candidates.map((part) => [part, 0]));
+  const add = (part: string, type: string, count: number): void => {
+    const before = cpus.get(part);
+    if (before !== undefined) cpus.set(part, before + count * (node.types.get(type)?.cpus ?? 1));
+  };
+  for (const part of candidates) {
+    for (const [type, count] of node.fleet.countsOf(part)) add(part, type, count);
+  }
+  for (const { part, type, count } of coming) add(part, type, count);
+  return candidates.reduce((a, b) => ((cpus.get(b) ?? 0) < (cpus.get(a) ?? 0) ? b : a));
+}
--- /dev/null
+++ b/src/coordination/provisioning/provisioner.ts
@@ -0,0 +1,105 @@
+/** The one elected node that rents and returns machines for all parts. */
+import { sleep } from '../../base/clock.js';
+import { describe, log } from '../../base/log.js';
+import type { MachineType } from '../../protocol/cloud.js';
+import { keys } from '../../storage/records.js';
+import { CloudClient } from './cloudClient.js';
+import { GroupStore, type ProvisioningNode } from './groupStore.js';
+import { MachineListing } from './machineListing.js';
+import { Releaser } from './releaser.js';
+import { Renter } from './renter.js';
+
+/** Time between two steps, as a ratio to the time between reports. */
+const INTERVAL = 1 / 6;
+
+export class Provisioner {
+  private active = false;
+  private stopped = false;
+  private isStoringTypes = false;
+  private readonly cloud: CloudClient;
+  private readonly groups: GroupStore;
+  private readonly renter: Renter;
+  private readonly releaser: Releaser;
+  private readonly listing: MachineListing;
+
+  constructor(
+    private readonly node: ProvisioningNode,
+    process: string,
+  ) {
+    const { clock, links, settings } = node;
+    const { cloudEndpoint, cloudRate } = settings;
+    this.cloud = new CloudClient(links.services, clock, cloudEndpoint, cloudRate);
+    this.groups = new GroupStore(node, process);
+    this.renter = new Renter(node, this.cloud, this.groups);
+    this.releaser = new Releaser(node, this.cloud, this.groups);
+    this.listing = new MachineListing(node, this.cloud, this.groups, (machine) =>
+      this.releaser.isReleased(machine),
+    );
+  }
+
+  /** This node has become the provisioner. */
+  elected(): void {
+    this.active = true;
+    this.groups.pending.clear();
+    this.renter.reset();
+    this.listing.expire();
+    log.info('this node rents and returns the machines');
+  }
+
+  /** Another node is the provisioner, or none. */
+  retired(): void {
+    this.active = false;
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.groups.stop();
+  }
+
+  /** Goes on until `stop`. */
+  async run(): Promise<void> {
+    const { ownership, settings } = this.node;
+    while (!this.stopped) {
+      try {
+        if (this.active && ownership.valid && this.node.types.size > 0) this.step();
+      } catch (error) {
+        log.error(`provisioner: ${describe(error)}`);
+      }
+      await sleep(settings.report * INTERVAL);
+    }
+  }
+
+  private step(): void {
+    const { clock, state, stateTtl } = this.node;
+    const now = clock.now();
+    if (this.cloud.isPausing) return;
+    // What is sent into a cut may be carried out when it is over, and nobody wants it any more then.
+    if (now - state.lastServed > stateTtl / 2) return;
+    void this.storeTypes();
+    void this.listing.readIfDue(now);
+    this.renter.continueOpen(now);
+    this.groups.prunePending((name) => this.renter.isOpen(name));
+    this.releaser.releaseDue(now, this.listing.failed);
+    this.renter.rentForDemands(now);
+  }
+
+  /** Keeps the machine types for nodes that start while the cloud's interface is down. */
+  private async storeTypes(): Promise<void> {
+    const { replica, state } = this.node;
+    const owner = this.groups.ownerCondition();
+    const stored = replica.get(keys.types);
+    const known = (stored?.value ?? []) as MachineType[];
+    const types = [...this.node.types.values()];
+    const namesOf = (list: MachineType[]): string => list.map((type) => type.name).join(' ');
+    if (owner === null || this.isStoringTypes || namesOf(known) === namesOf(types)) return;
+    this.isStoringTypes = true;
+    try {
+      const when = [owner, { key: keys.types, stamp: stored?.stamp ?? 0 }];
+      const puts = [{ key: keys.types, value: types }];
+      const result = await state.txn({ when, puts, removes: [] });
+      if (result.kind === 'applied') replica.note(keys.types, types, result.stamp);
+    } finally {
+      this.isStoringTypes = false;
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/provisioning/releaser.ts
@@ -0,0 +1,70 @@
+/** Returns machines to the cloud: those that are lost, failed or no longer needed. */
+import { describe, log } from '../../base/log.js';
+import { RELEASE_LIMIT } from '../../protocol/cloud.js';
+import type { CloudClient } from './cloudClient.js';
+import type { GroupStore, ProvisioningNode } from './groupStore.js';
+
+/** How long a released machine is remembered, as a ratio to the lag of the cloud's list. */
+const MEMORY = 10;
+
+export class Releaser {
+  /** Machines whose release was answered 200: gone, whatever a late list says. */
+  private readonly released = new Map<string, number>();
+  private readonly releasing = new Set<string>();
+
+  constructor(
+    private readonly node: ProvisioningNode,
+    private readonly cloud: CloudClient,
+    private readonly groups: GroupStore,
+  ) {}
+
+  isReleased(machine: string): boolean {
+    return this.released.has(machine);
+  }
+
+  /** Starts the release of all that is due; `failed` machines never came up. */
+  releaseDue(now: number, failed: string[]): void {
+    this.forget(now);
+    const due = [...this.unwanted(failed)].filter(
+      (machine) => !this.releasing.has(machine) && !this.released.has(machine),
+    );
+    // All at once: when hundreds fall silent together, replicas wait for each of them.
+    for (let from = 0; from < due.length; from += RELEASE_LIMIT) {
+      void this.release(due.slice(from, from + RELEASE_LIMIT));
+    }
+  }
+
+  /** Those whose tasks wait to be known as over go before those that are only paid for. */
+  private unwanted(failed: string[]): Set<string> {
+    const { gossiper, peers } = this.node;
+    const gossips = peers.gossips().filter((gossip) => gossip.served);
+    return new Set([
+      ...gossiper.lostMachines(),
+      ...gossips.flatMap((gossip) => gossip.lost),
+      ...gossiper.spareMachines(),
+      ...gossips.flatMap((gossip) => gossip.spare),
+      ...failed,
+    ]);
+  }
+
+  private forget(now: number): void {
+    for (const [machine, at] of this.released) {
+      if (now - at > this.node.settings.listLag * MEMORY) this.released.delete(machine);
+    }
+  }
+
+  private async release(machines: string[]): Promise<void> {
+    for (const machine of machines) this.releasing.add(machine);
+    try {
+      if (!(await this.cloud.release(machines))) return;
+      log.info(`released ${machines.join(' ')}`);
+      const now = this.node.clock.now();
+      for (const machine of machines) this.released.set(machine, now);
+      await this.groups.removeMachines(machines);
+    } catch (error) {
+      log.debug(`release: ${describe(error)}`);
+    } finally {
+      for (const machine of machines) this.releasing.delete(machine);
+    }
+  }
+}
--- a/src/storage/fleet.ts
+++ b/src/storage/fleet.ts
@@ -36,6 +36,11 @@
     for (const [name, { record }] of this.machines) if (record.part === part) yield [name, record];
   }
 
+  /** The group is a rental that has not been answered yet. */
+  isIntention(group: string): boolean {
+    return this.groups.get(group)?.asked !== undefined;
+  }
+
   entries(): IterableIterator<[string, GroupRecord]> {
     return this.groups.entries();
   }
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -15,7 +15,11 @@
 import { choosePart, turnaround } from '../src/coordination/migration.js';
 import { allows, bestFit, sampleHosts, victimsFor } from '../src/coordination/placement.js';
 import { reshare } from '../src/coordination/quotas.js';
-import { mergePlans, planRentals, type RentPlan } from '../src/coordination/renting.js';
+import {
+  mergePlans,
+  planRentals,
+  type RentPlan,
+} from '../src/coordination/provisioning/renting.js';
 import { replay, type ReplayHost } from '../src/coordination/replay.js';
 import type { JobRecord } from '../src/storage/records.js';
 import { fromRanges, toRanges } from '../src/storage/records.js';
--- a/test/storing.test.ts
+++ b/test/storing.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { Chunk } from '../src/coordination/chunk.js';
 import { hosting, type Hosted } from '../src/coordination/hosted.js';
-import { choosePartFor } from '../src/coordination/provisioner.js';
+import { choosePartFor } from '../src/coordination/provisioning/machinePool.js';
 import { Shelving } from '../src/coordination/shelving.js';
 import { shareOf } from '../src/storage/budget.js';
 import { Fleet } from '../src/storage/fleet.js';
