--- a/src/coordination/accepting.ts
+++ b/src/coordination/accepting.ts
@@ -7,13 +7,13 @@
 import { describe, log } from '../base/log.js';
 import { acceptedAnswer } from '../protocol/job.js';
 import { TXN_BYTES, type Txn } from '../protocol/state.js';
-import { keys, type JobRecord, type ShelfRecord } from '../storage/records.js';
+import { keys, type JobRecord, type BucketRecord } from '../storage/records.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient, TxnResult } from '../storage/stateClient.js';
 import type { Reply } from '../transport/httpServer.js';
 import type { Chunk } from './chunk.js';
-import type { Hosted } from './hosted.js';
-import { FRAME_BYTES } from './shelf.js';
+import type { OwnedPart } from './ownedPart.js';
+import { FRAME_BYTES } from './bucket.js';
 
 export interface Submission {
   id: string;
@@ -22,16 +22,16 @@
 }
 
 interface Waiting extends Submission {
-  home: Hosted;
+  home: OwnedPart;
   deadline: number;
   settle: (reply: Reply) => void;
 }
 
 /** Jobs whose transaction is on its way, and whether a copy of it got no answer. */
 interface Batch {
-  home: Hosted;
+  home: OwnedPart;
   jobs: Waiting[];
-  parcels: Map<string, { part: string; value: ShelfRecord }>;
+  transfers: Map<string, { part: string; value: BucketRecord }>;
   mayBeStored: boolean;
 }
 
@@ -44,8 +44,8 @@
   state: Pick<StateClient, 'turn' | 'charge' | 'get' | 'writeDelay' | 'writeRate' | 'healthy'>;
   replica: Pick<Replica, 'get' | 'note'>;
   ownership: { readonly valid: boolean; doubt(part: string): Promise<void> };
-  commits: { write(host: Hosted, txn: Txn, urgency: 'granted'): Promise<TxnResult> };
-  kick(): void;
+  commits: { write(host: OwnedPart, txn: Txn, urgency: 'granted'): Promise<TxnResult> };
+  requestRound(): void;
 }
 
 const TRANSACTIONS = 3;
@@ -58,16 +58,16 @@
 });
 
 /**
- * What a batch takes of the limits of a transaction and of each parcel's record. Beyond them the state
+ * What a batch takes of the limits of a transaction and of each transfer's record. Beyond them the state
  * service calls it malformed, and all of its users would be turned away together, again and again.
  */
 class Size {
   private all = 0;
-  private readonly parcels = new Map<string, number>();
+  private readonly transfers = new Map<string, number>();
 
   constructor(
     private readonly most: number,
-    private readonly mostParcel: number,
+    private readonly mostTransfer: number,
     private readonly home: string,
   ) {}
 
@@ -78,10 +78,10 @@
     for (const { part, chunk } of first) {
       if (part === this.home) continue;
       const bytes = chunk.specBytes + FRAME_BYTES;
-      const parcel = (this.parcels.get(part) ?? 0) + bytes;
-      this.parcels.set(part, parcel);
+      const transfer = (this.transfers.get(part) ?? 0) + bytes;
+      this.transfers.set(part, transfer);
       this.all += bytes;
-      fits &&= parcel <= this.mostParcel;
+      fits &&= transfer <= this.mostTransfer;
     }
     return fits && this.all <= this.most;
   }
@@ -90,7 +90,7 @@
 export class Accepting {
   private readonly queue: Waiting[] = [];
   private running = 0;
-  private parcels = 0;
+  private transfers = 0;
 
   constructor(
     private readonly node: AcceptingNode,
@@ -105,7 +105,7 @@
   }
 
   /** Resolves with the user's answer within `patience` seconds. */
-  accept(home: Hosted, submission: Submission, patience: number): Promise<Reply> {
+  accept(home: OwnedPart, submission: Submission, patience: number): Promise<Reply> {
     const { clock } = this.node;
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
@@ -135,7 +135,7 @@
         await this.node.state.turn(1, 'submission');
         const batch = this.gather();
         if (batch === null) break;
-        this.node.state.charge(batch.jobs.length + batch.parcels.size - 1, 'submission');
+        this.node.state.charge(batch.jobs.length + batch.transfers.size - 1, 'submission');
         await this.store(batch);
       }
     } finally {
@@ -158,24 +158,24 @@
       jobs.push(next);
       this.queue.splice(i--, 1);
     }
-    return this.pack({ home, jobs, parcels: new Map(), mayBeStored: false });
+    return this.pack({ home, jobs, transfers: new Map(), mayBeStored: false });
   }
 
-  /** Puts the chunks that go to each peer on one shelf, under a name that is used once. */
+  /** Puts the chunks that go to each peer on one bucket, under a name that is used once. */
   private pack(batch: Batch): Batch {
-    batch.parcels.clear();
-    const byPart = new Map<string, ShelfRecord>();
+    batch.transfers.clear();
+    const byPart = new Map<string, BucketRecord>();
     for (const { first } of batch.jobs) {
       for (const { part, chunk } of first) {
         if (part === batch.home.part.label) continue;
-        const shelf = byPart.get(part) ?? { chunks: {} };
-        byPart.set(part, shelf);
-        shelf.chunks[chunk.id] = chunk.record();
+        const bucket = byPart.get(part) ?? { chunks: {} };
+        byPart.set(part, bucket);
+        bucket.chunks[chunk.id] = chunk.record();
       }
     }
     for (const [part, value] of byPart) {
-      const name = `${this.node.process}-a${++this.parcels}`;
-      batch.parcels.set(keys.run(part, name), { part, value });
+      const name = `${this.node.process}-a${++this.transfers}`;
+      batch.transfers.set(keys.run(part, name), { part, value });
     }
     return batch;
   }
@@ -203,7 +203,7 @@
       if (!batch.mayBeStored) {
         const now = node.clock.now();
         batch.jobs = batch.jobs.filter((job) => job.deadline > now);
-        // Anew: a parcel that still held chunks of a job which was given up would have them run, and once
+        // Anew: a transfer that still held chunks of a job which was given up would have them run, and once
         // more when its user has come back.
         this.pack(batch);
       }
@@ -218,15 +218,15 @@
   /** True once the batch is settled. */
   private async attempt(batch: Batch): Promise<boolean> {
     const { node } = this;
-    const { home, jobs, parcels } = batch;
+    const { home, jobs, transfers } = batch;
     const when: Txn['when'] = jobs.map((job) => ({ key: keys.job(job.id), stamp: 0 }));
-    for (const part of new Set([...parcels.values()].map((p) => p.part))) {
+    for (const part of new Set([...transfers.values()].map((p) => p.part))) {
       when.push({ key: keys.owner(part), stamp: node.replica.get(keys.owner(part))?.stamp ?? 0 });
     }
-    for (const key of parcels.keys()) when.push({ key, stamp: 0 });
+    for (const key of transfers.keys()) when.push({ key, stamp: 0 });
     const puts = [
       ...jobs.map((job) => ({ key: keys.job(job.id), value: job.record as unknown })),
-      ...[...parcels].map(([key, { value }]) => ({ key, value })),
+      ...[...transfers].map(([key, { value }]) => ({ key, value })),
     ];
     const result = await node.commits.write(home, { when, puts, removes: [] }, 'granted');
     if (result.kind === 'applied') {
@@ -272,8 +272,8 @@
       }
       node.replica.note(keys.job(id), record, stamp);
     }
-    for (const [key, { value }] of batch.parcels) node.replica.note(key, value, stamp);
-    node.kick();
+    for (const [key, { value }] of batch.transfers) node.replica.note(key, value, stamp);
+    node.requestRound();
     this.answer(batch, ({ id }) => ({ status: 201, body: acceptedAnswer(id, 'queued') }));
   }
 }
--- a/src/coordination/shelf.ts
+++ b/src/coordination/bucket.ts
@@ -1,4 +1,4 @@
-import type { ShelfRecord } from '../storage/records.js';
+import type { BucketRecord } from '../storage/records.js';
 import type { Chunk } from './chunk.js';
 
 /** Of a chunk's record, what its description and numbers take beside its entries. */
@@ -7,7 +7,7 @@
 export const ENTRY_BYTES = 66;
 
 /** Some chunks of a part that are stored in one record. */
-export class Shelf {
+export class Bucket {
   readonly chunks = new Set<Chunk>();
   /** A transaction that changes it is on its way, or waits for its turn. */
   busy = false;
@@ -28,12 +28,12 @@
 
   add(chunk: Chunk): void {
     this.chunks.add(chunk);
-    chunk.shelf = this;
+    chunk.bucket = this;
   }
 
   remove(chunk: Chunk): void {
     if (!this.chunks.delete(chunk)) return;
-    chunk.shelf = null;
+    chunk.bucket = null;
     this.stale = true;
   }
 
@@ -54,7 +54,7 @@
     return bytes;
   }
 
-  record(): ShelfRecord {
+  record(): BucketRecord {
     return { chunks: Object.fromEntries([...this.chunks].map((c) => [c.id, c.record()])) };
   }
 }
--- a/src/coordination/shelving.ts
+++ b/src/coordination/bucketWriter.ts
@@ -1,89 +1,94 @@
 /**
  * Keeps the stored chunks in line with what the parts know. Each transaction is conditional on the
- * part's ownership key and on the shelf it changes; a shelf's record is made from memory when its turn
+ * part's ownership key and on the bucket it changes; a bucket's record is made from memory when its turn
  * comes, so that it holds all that has changed meanwhile.
  */
 import { sleep, type Clock } from '../base/clock.js';
 import { describe, log } from '../base/log.js';
 import { TXN_BYTES, type Txn } from '../protocol/state.js';
 import type { Urgency } from '../storage/budget.js';
-import { keys, type ShelfRecord } from '../storage/records.js';
+import { keys, type BucketRecord } from '../storage/records.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient, TxnResult } from '../storage/stateClient.js';
 import type { Chunk } from './chunk.js';
-import type { Hosted } from './hosted.js';
-import { potentialOf, Shelf } from './shelf.js';
+import type { OwnedPart } from './ownedPart.js';
+import { potentialOf, Bucket } from './bucket.js';
 
-export interface ShelvingHost {
+export interface BucketWriterEvents {
   valid(): boolean;
   /** An ownership key was not as we thought. */
   doubt(part: string): Promise<void>;
   /** Chunks were stored: their starts may go out. */
-  stored(host: Hosted, chunks: Chunk[]): void;
+  stored(host: OwnedPart, chunks: Chunk[]): void;
 }
 
 /** What is needed of the state service and of our copy of the records. */
 export type Store = Pick<StateClient, 'txn' | 'get' | 'turn' | 'writeRate' | 'writeDelay'>;
 export type Copy = Pick<Replica, 'get' | 'note' | 'noteRemoved'>;
 
-export interface ShelvingOptions {
+export interface BucketWriterOptions {
   txnOps: number;
   valueBytes: number;
   /** Seconds that changes which nobody waits for are gathered. */
   linger: number;
   retry: number;
-  /** Tells the names of this process's shelves from all others. */
+  /** Tells the names of this process's buckets from all others. */
   process: string;
 }
 
 /** Of the changes that are ours, what starts of batch work may use. */
 const GATHER_SHARE = 0.4;
 
-export class Shelving {
+export class BucketWriter {
   private named = 0;
 
   constructor(
     private readonly client: Store,
     private readonly replica: Copy,
     private readonly clock: Clock,
-    private readonly host: ShelvingHost,
-    private readonly options: ShelvingOptions,
+    private readonly host: BucketWriterEvents,
+    private readonly options: BucketWriterOptions,
   ) {}
 
   /** Every write of a part goes through here: under its ownership, and only while that is valid. */
-  async write(host: Hosted, txn: Txn, urgency: Urgency | 'granted' = 'later'): Promise<TxnResult> {
+  async write(
+    host: OwnedPart,
+    txn: Txn,
+    urgency: Urgency | 'granted' = 'later',
+  ): Promise<TxnResult> {
     if (!host.alive || !this.host.valid()) return { kind: 'refused' };
     const owner = { key: keys.owner(host.part.label), stamp: host.stamp };
     return this.client.txn({ ...txn, when: [owner, ...txn.when] }, urgency);
   }
 
   /** Starts the storing of what is due. */
-  pass(host: Hosted): void {
+  pass(host: OwnedPart): void {
     const now = this.clock.now();
     for (const chunk of host.part.dirty) {
-      if (chunk.accepted && chunk.shelf === null) this.shelve(host, chunk);
+      if (chunk.accepted && chunk.bucket === null) this.assignBucket(host, chunk);
     }
     // Ends can wait while users and starts are queueing for the state service's changes: a crash
     // meanwhile loses nothing that the workers do not still report.
     const busy = this.client.writeDelay('later') > this.options.linger / 2;
     const patience = this.options.linger * (busy ? 4 : 1);
     const gathering = now < host.gatherUntil;
-    const due = new Map<Shelf, Urgency>();
+    const due = new Map<Bucket, Urgency>();
     for (const chunk of host.part.dirty) {
-      const { shelf } = chunk;
-      if (shelf === null || shelf.busy || due.get(shelf) === 'urgent') continue;
+      const { bucket } = chunk;
+      if (bucket === null || bucket.busy || due.get(bucket) === 'urgent') continue;
       const ready =
         hasStarts(chunk) || (chunk.complete && !chunk.cancelled)
           ? chunk.spec.service || !gathering
           : false;
       const old = chunk.dirtySince !== null && now - chunk.dirtySince >= patience;
-      if (ready) due.set(shelf, 'urgent');
-      else if (old) due.set(shelf, 'later');
+      if (ready) due.set(bucket, 'urgent');
+      else if (old) due.set(bucket, 'later');
     }
-    for (const shelf of host.shelves.values()) {
-      if (shelf.chunks.size === 0 && shelf.stale && !shelf.busy && !busy) due.set(shelf, 'later');
+    for (const bucket of host.buckets.values()) {
+      if (bucket.chunks.size === 0 && bucket.stale && !bucket.busy && !busy)
+        due.set(bucket, 'later');
     }
-    let batch: Shelf[] = [];
+    let batch: Bucket[] = [];
     let bytes = 0;
     let urgency: Urgency = 'later';
     const send = (): void => {
@@ -91,88 +96,88 @@
       void this.flush(host, batch, urgency);
       [batch, bytes, urgency] = [[], 0, 'later'];
     };
-    for (const [shelf, how] of due) {
+    for (const [bucket, how] of due) {
       if (host.writing >= 3) break;
-      const size = shelf.bytes;
+      const size = bucket.bytes;
       const full = batch.length >= Math.max(1, this.options.txnOps - 1);
       if (full || (batch.length > 0 && bytes + size > TXN_BYTES * 0.8)) send();
-      batch.push(shelf);
+      batch.push(bucket);
       bytes += size;
       if (how === 'urgent') urgency = 'urgent';
     }
     if (host.writing < 3) send();
   }
 
-  /** Onto the fullest shelf of its kind that is sure to hold it, or a new one. */
-  private shelve(host: Hosted, chunk: Chunk): void {
+  /** Onto the fullest bucket of its kind that is sure to hold it, or a new one. */
+  private assignBucket(host: OwnedPart, chunk: Chunk): void {
     const room = Math.min(this.options.valueBytes, TXN_BYTES * 0.8) * 0.9;
     const need = potentialOf(chunk);
-    let best: Shelf | null = null;
+    let best: Bucket | null = null;
     let most = -1;
-    for (const shelf of host.shelves.values()) {
-      if ((shelf.chunks.size === 0 && !shelf.unsettled) || shelf.busy) continue;
+    for (const bucket of host.buckets.values()) {
+      if ((bucket.chunks.size === 0 && !bucket.unsettled) || bucket.busy) continue;
       // Replicas seldom change, tasks often: apart, so that the ones are not written for the others.
-      const [first] = shelf.chunks;
+      const [first] = bucket.chunks;
       if (first !== undefined && first.spec.service !== chunk.spec.service) continue;
-      const used = shelf.potential;
-      if (used + need <= room && used > most) [best, most] = [shelf, used];
+      const used = bucket.potential;
+      if (used + need <= room && used > most) [best, most] = [bucket, used];
     }
     if (best === null) {
-      best = new Shelf(`${this.options.process}-${++this.named}`, 0);
-      host.shelves.set(best.name, best);
+      best = new Bucket(`${this.options.process}-${++this.named}`, 0);
+      host.buckets.set(best.name, best);
     }
     best.add(chunk);
   }
 
-  private key(host: Hosted, shelf: Shelf): string {
-    return keys.run(host.part.label, shelf.name);
+  private key(host: OwnedPart, bucket: Bucket): string {
+    return keys.run(host.part.label, bucket.name);
   }
 
-  private async flush(host: Hosted, shelves: Shelf[], urgency: Urgency): Promise<void> {
+  private async flush(host: OwnedPart, buckets: Bucket[], urgency: Urgency): Promise<void> {
     host.writing++;
-    for (const shelf of shelves) shelf.busy = true;
+    for (const bucket of buckets) bucket.busy = true;
     // A round of starts every so often, each with all that has come up; users have the rest.
-    const pause = shelves.length / (this.client.writeRate * GATHER_SHARE);
+    const pause = buckets.length / (this.client.writeRate * GATHER_SHARE);
     host.gatherUntil = Math.max(host.gatherUntil, this.clock.now()) + pause;
     try {
-      await this.client.turn(shelves.length, urgency);
-      const stored = shelves.flatMap((s) =>
+      await this.client.turn(buckets.length, urgency);
+      const stored = buckets.flatMap((s) =>
         [...s.chunks].map((c) => ({ chunk: c, at: c.version })),
       );
       const puts: Txn['puts'] = [];
       const removes: string[] = [];
-      for (const shelf of shelves) {
-        if (shelf.chunks.size > 0 || shelf.unsettled)
-          puts.push({ key: this.key(host, shelf), value: shelf.record() });
-        else if (shelf.stamp > 0) removes.push(this.key(host, shelf));
-        shelf.stale = false;
+      for (const bucket of buckets) {
+        if (bucket.chunks.size > 0 || bucket.unsettled)
+          puts.push({ key: this.key(host, bucket), value: bucket.record() });
+        else if (bucket.stamp > 0) removes.push(this.key(host, bucket));
+        bucket.stale = false;
       }
       for (const { chunk } of stored) chunk.dirtySince = null;
-      const when = shelves.map((s) => ({ key: this.key(host, s), stamp: s.stamp }));
+      const when = buckets.map((s) => ({ key: this.key(host, s), stamp: s.stamp }));
       const result = await this.write(host, { when, puts, removes }, 'granted');
       if (result.kind === 'applied') {
-        this.applied(host, shelves, stored, puts, result.stamp);
+        this.applied(host, buckets, stored, puts, result.stamp);
         return;
       }
       for (const { chunk } of stored) chunk.dirtySince ??= this.clock.now();
-      for (const shelf of shelves) {
-        shelf.stale = true;
-        if (result.kind === 'unknown' && shelf.stamp === 0) shelf.unsettled = true;
+      for (const bucket of buckets) {
+        bucket.stale = true;
+        if (result.kind === 'unknown' && bucket.stamp === 0) bucket.unsettled = true;
       }
-      if (result.kind === 'conflict') await this.resolve(host, shelves);
+      if (result.kind === 'conflict') await this.resolve(host, buckets);
       else await sleep(this.options.retry);
     } catch (error) {
       log.debug(`store: ${describe(error)}`);
       await sleep(this.options.retry);
     } finally {
-      for (const shelf of shelves) shelf.busy = false;
+      for (const bucket of buckets) bucket.busy = false;
       host.writing--;
     }
   }
 
   private applied(
-    host: Hosted,
-    shelves: Shelf[],
+    host: OwnedPart,
+    buckets: Bucket[],
     stored: { chunk: Chunk; at: number }[],
     puts: Txn['puts'],
     stamp: number,
@@ -185,13 +190,13 @@
       else chunk.dirtySince ??= this.clock.now();
     }
     for (const put of puts) this.replica.note(put.key, put.value, stamp);
-    for (const shelf of shelves) {
-      const key = this.key(host, shelf);
-      if (puts.some((p) => p.key === key)) shelf.stamp = stamp;
+    for (const bucket of buckets) {
+      const key = this.key(host, bucket);
+      if (puts.some((p) => p.key === key)) bucket.stamp = stamp;
       else {
         this.replica.noteRemoved(key, stamp);
-        shelf.stamp = 0;
-        if (shelf.chunks.size === 0) host.shelves.delete(shelf.name);
+        bucket.stamp = 0;
+        if (bucket.chunks.size === 0) host.buckets.delete(bucket.name);
       }
     }
     this.host.stored(
@@ -201,23 +206,23 @@
   }
 
   /** Copies of ours that got no answer may have been applied: take what they left. */
-  async resolve(host: Hosted, shelves: Shelf[]): Promise<void> {
+  async resolve(host: OwnedPart, buckets: Bucket[]): Promise<void> {
     await this.host.doubt(host.part.label);
-    for (const shelf of shelves) {
-      const item = await this.client.get(this.key(host, shelf));
+    for (const bucket of buckets) {
+      const item = await this.client.get(this.key(host, bucket));
       if (!host.alive) return;
       const stamp = item?.stamp ?? 0;
-      if (stamp === shelf.stamp) continue;
-      const record = item?.value as ShelfRecord | undefined;
-      for (const chunk of [...shelf.chunks]) {
+      if (stamp === bucket.stamp) continue;
+      const record = item?.value as BucketRecord | undefined;
+      for (const chunk of [...bucket.chunks]) {
         if (!chunk.leaving) continue;
         // Its move was applied after all, or never will be, since the stamp has changed.
         if (record?.chunks[chunk.id] === undefined) host.part.sendAway(chunk, this.clock.now());
         else chunk.leaving = false;
       }
-      shelf.stamp = stamp;
+      bucket.stamp = stamp;
       if (item !== null) this.replica.note(item.key, item.value, item.stamp);
-      else this.replica.noteRemoved(this.key(host, shelf), Infinity);
+      else this.replica.noteRemoved(this.key(host, bucket), Infinity);
     }
   }
 
@@ -226,37 +231,37 @@
    * changes that belong to it: its home notes that it has left.
    */
   async move(
-    host: Hosted,
+    host: OwnedPart,
     chunk: Chunk,
     to: string,
     extra: Pick<Txn, 'when' | 'puts'>,
   ): Promise<TxnResult> {
-    const { shelf } = chunk;
+    const { bucket } = chunk;
     const owner = this.replica.get(keys.owner(to));
-    if (shelf === null || owner === undefined || !chunk.movable) return { kind: 'refused' };
-    const from = this.key(host, shelf);
+    if (bucket === null || owner === undefined || !chunk.movable) return { kind: 'refused' };
+    const from = this.key(host, bucket);
     const name = `${chunk.id.replace('/', '-')}-${chunk.moves + 1}`;
     const key = keys.run(to, name);
-    shelf.busy = true;
+    bucket.busy = true;
     host.writing++;
     try {
       await this.client.turn(2 + extra.puts.length, 'later');
       if (chunk.entries.size > 0 || chunk.dropped || chunk.unwanted) return { kind: 'refused' };
       chunk.moving = true;
-      const value: ShelfRecord = {
+      const value: BucketRecord = {
         chunks: { [chunk.id]: { ...chunk.record(), moves: chunk.moves + 1 } },
       };
-      const rest = shelf.record().chunks;
+      const rest = bucket.record().chunks;
       Reflect.deleteProperty(rest, chunk.id);
-      const others = [...shelf.chunks]
+      const others = [...bucket.chunks]
         .filter((c) => c !== chunk)
         .map((c) => ({ c, at: c.version }));
-      const alone = others.length === 0 && !shelf.unsettled;
+      const alone = others.length === 0 && !bucket.unsettled;
       const result = await this.write(
         host,
         {
           when: [
-            { key: from, stamp: shelf.stamp },
+            { key: from, stamp: bucket.stamp },
             { key: keys.owner(to), stamp: owner.stamp },
             { key, stamp: 0 },
             ...extra.when,
@@ -274,18 +279,18 @@
         host.part.sendAway(chunk, this.clock.now());
         const puts = alone ? [] : [{ key: from, value: { chunks: rest } }];
         const stored = others.map(({ c, at }) => ({ chunk: c, at }));
-        this.applied(host, [shelf], stored, puts, result.stamp);
+        this.applied(host, [bucket], stored, puts, result.stamp);
         this.replica.note(key, value, result.stamp);
-      } else if (result.kind === 'conflict') await this.resolve(host, [shelf]);
-      // Until its shelf is written again it may have gone, and nothing of it can be started.
+      } else if (result.kind === 'conflict') await this.resolve(host, [bucket]);
+      // Until its bucket is written again it may have gone, and nothing of it can be started.
       else if (result.kind === 'unknown') {
         chunk.leaving = true;
-        shelf.stale = true;
+        bucket.stale = true;
       }
       return result;
     } finally {
       chunk.moving = false;
-      shelf.busy = false;
+      bucket.busy = false;
       host.writing--;
     }
   }
--- a/src/coordination/withholding.ts
+++ b/src/coordination/cancelPreparations.ts
@@ -4,65 +4,65 @@
  * on answering its workers, and would keep cancelled tasks alive for longer than they may be (safety, C1).
  */
 import { DRIFT, type Clock } from '../base/clock.js';
-import type { Withheld } from '../protocol/peer.js';
+import type { PreparedChunk } from '../protocol/peer.js';
 import type { Settings } from '../protocol/settings.js';
 import { keys, type JobRecord, type OwnerRecord } from '../storage/records.js';
 import type { Replica } from '../storage/replica.js';
 import type { Chunk } from './chunk.js';
-import type { Hosted } from './hosted.js';
+import type { OwnedPart } from './ownedPart.js';
 import type { Peers } from './peers.js';
 
 /** What is needed of a node. */
-export interface WithholdingNode {
+export interface PreparingNode {
   settings: Pick<Settings, 'report' | 'lease' | 'cancel'>;
   clock: Pick<Clock, 'now'>;
-  hosted: ReadonlyMap<string, Hosted>;
+  ownedParts: ReadonlyMap<string, OwnedPart>;
   replica: Pick<Replica, 'get' | 'syncedAt'>;
-  peers: Pick<Peers, 'withhold'>;
-  kick(): void;
+  peers: Pick<Peers, 'prepareCancel'>;
+  requestRound(): void;
 }
 
 /** Seconds in which a cancellation that was announced is stored or given up: its user waits no longer. */
 const STORED_WITHIN = 5;
 
-export class Withholding {
+export class CancelPreparations {
   /** Jobs whose cancellation was announced, and when. */
   private readonly jobs = new Map<string, number>();
 
-  constructor(private readonly node: WithholdingNode) {}
+  constructor(private readonly node: PreparingNode) {}
 
   has(id: string): boolean {
     return this.jobs.has(id);
   }
 
   /** A chunk that has just come here. */
-  apply(host: Hosted, chunk: Chunk): void {
-    if (this.has(chunk.spec.id)) host.part.withhold(chunk, this.node.clock.now());
+  apply(host: OwnedPart, chunk: Chunk): void {
+    if (this.has(chunk.spec.id)) host.part.prepareCancel(chunk, this.node.clock.now());
   }
 
   /** Gives the chunks of a job that are here, end them, and can't be kept alive by anybody else. */
-  withhold(id: string): Withheld[] {
+  prepare(id: string): PreparedChunk[] {
     const now = this.node.clock.now();
     this.jobs.set(id, now);
-    const here: Withheld[] = [];
-    for (const host of this.node.hosted.values()) {
+    const here: PreparedChunk[] = [];
+    for (const host of this.node.ownedParts.values()) {
       for (const chunk of host.part.chunksOf(id)) {
-        host.part.withhold(chunk, now);
+        host.part.prepareCancel(chunk, now);
         // It may be at the part that it is on its way to.
         if (chunk.moving || chunk.leaving) continue;
         if (!this.isOurs(host, chunk, now)) continue;
         here.push({ index: chunk.index, part: host.part.label, token: host.token });
       }
     }
-    this.node.kick();
+    this.node.requestRound();
     return here;
   }
 
   /** No earlier owner of the part answers the workers of its tasks for longer than a cancellation leaves. */
-  private isOurs(host: Hosted, chunk: Chunk, now: number): boolean {
+  private isOurs(host: OwnedPart, chunk: Chunk, now: number): boolean {
     const { cancel, lease, report } = this.node.settings;
     const allowance = Math.max(0, cancel - lease * (1 + 2 * DRIFT) - report);
-    if (now >= host.foreignUntil - allowance) return true;
+    if (now >= host.previousOwnerUntil - allowance) return true;
     for (const entry of chunk.entries.values()) {
       const machine = host.part.machines.get(entry.machine);
       if (machine !== undefined && machine.seenToken < host.gainedToken) return false;
@@ -70,11 +70,11 @@
     return true;
   }
 
-  /** True once every open chunk of a job is known to be withheld by the owner of its part. */
-  async everywhere(id: string, record: JobRecord): Promise<boolean> {
+  /** True once every open chunk of a job is known to be prepared for its cancellation by the owner of its part. */
+  async prepareEverywhere(id: string, record: JobRecord): Promise<boolean> {
     const missing = new Set<number>();
     for (let k = 0; k < record.cut; k++) if (!record.finished.includes(k)) missing.add(k);
-    const note = (found: Withheld[]): boolean => {
+    const note = (found: PreparedChunk[]): boolean => {
       for (const { index, part, token } of found) {
         const owner = this.node.replica.get(keys.owner(part))?.value as OwnerRecord | undefined;
         // One that has lost the part and does not know it speaks for nobody.
@@ -82,8 +82,8 @@
       }
       return missing.size === 0;
     };
-    if (note(this.withhold(id))) return true;
-    return this.node.peers.withhold(id, this.node.settings.report / 12, note);
+    if (note(this.prepare(id))) return true;
+    return this.node.peers.prepareCancel(id, this.node.settings.report / 12, note);
   }
 
   /**
@@ -91,13 +91,13 @@
    * records since can tell.
    */
   sweep(): void {
-    const { hosted, replica } = this.node;
+    const { ownedParts, replica } = this.node;
     for (const [id, at] of this.jobs) {
       if (replica.syncedAt <= at + STORED_WITHIN) continue;
       this.jobs.delete(id);
       const record = replica.get(keys.job(id))?.value as JobRecord | undefined;
       if (record?.state !== 'open') continue;
-      for (const { part } of hosted.values()) {
+      for (const { part } of ownedParts.values()) {
         for (const chunk of part.chunksOf(id)) part.resume(chunk);
       }
     }
--- a/src/coordination/chunk.ts
+++ b/src/coordination/chunk.ts
@@ -1,6 +1,6 @@
 import { rankOrder, type JobSpec } from '../protocol/job.js';
 import type { TaskState } from '../protocol/worker.js';
-import type { Shelf } from './shelf.js';
+import type { Bucket } from './bucket.js';
 import { fromRanges, toRanges, type ChunkRecord } from '../storage/records.js';
 
 /** One attempt of one task that is, or may be, on a machine. */
@@ -21,7 +21,7 @@
    */
   doubt: number | null;
   /** A start rides in the answer to a report; the worker's next report settles it. */
-  riding: boolean;
+  sentInAnswer: boolean;
   stop: { wind: number; sentAt: number | null } | null;
 }
 
@@ -35,13 +35,13 @@
   /** Its job is stored: it may be stored too, and started after that. */
   accepted = false;
   /** Where it is stored, or is about to be. */
-  shelf: Shelf | null = null;
-  /** A move to another part got no answer: until its shelf is written again it may have gone. */
+  bucket: Bucket | null = null;
+  /** A move to another part got no answer: until its bucket is written again it may have gone. */
   leaving = false;
   dirtySince: number | null = null;
   cancelled = false;
   /** Steady time at which its job's cancellation was announced; null: nobody wants it cancelled. */
-  withheldAt: number | null = null;
+  cancelPreparedAt: number | null = null;
   /** A transaction that hands it to another part is on its way. */
   moving = false;
   /** Set once its record is gone from this part. */
@@ -103,7 +103,7 @@
   }
   /** Its user has asked to cancel it: what its tasks do is of no use to anybody. */
   get unwanted(): boolean {
-    return this.cancelled || this.withheldAt !== null;
+    return this.cancelled || this.cancelPreparedAt !== null;
   }
   get running(): number {
     let count = 0;
@@ -119,8 +119,8 @@
 
   /** Stored as it is here, with nothing of it on any machine or on its way. */
   get movable(): boolean {
-    const { shelf } = this;
-    const settled = shelf !== null && !shelf.busy && shelf.stamp > 0 && this.stored > 0;
+    const { bucket } = this;
+    const settled = bucket !== null && !bucket.busy && bucket.stamp > 0 && this.stored > 0;
     return settled && this.accepted && !this.leaving && !this.unwanted && this.entries.size === 0;
   }
 
--- a/src/coordination/clusterTotals.ts
+++ b/src/coordination/clusterTotals.ts
@@ -1,11 +1,11 @@
 /** Sums over all parts: those owned here by our own count, the others by their owners' last gossip. */
-import type { Hosted } from './hosted.js';
+import type { OwnedPart } from './ownedPart.js';
 import type { Peers } from './peers.js';
 import type { Amount, Starved } from './teamUsage.js';
 
 export class ClusterTotals {
   constructor(
-    private readonly hosted: ReadonlyMap<string, Hosted>,
+    private readonly ownedParts: ReadonlyMap<string, OwnedPart>,
     private readonly peers: Pick<Peers, 'gossips'>,
     /** The zone of each part's node. */
     private readonly zoneOf: ReadonlyMap<string, string>,
@@ -18,7 +18,7 @@
       used.cpus += amount.cpus;
       used.gpus += amount.gpus;
     };
-    for (const { part } of this.hosted.values()) {
+    for (const { part } of this.ownedParts.values()) {
       if (part.label !== except) add(part.teams.usedBy(team));
     }
     for (const { used: entries } of this.peers.gossips()) {
@@ -29,7 +29,7 @@
 
   /** The first in the queue's order of a team's starved jobs, of all parts but one. */
   starvedElsewhere(team: string, except: string): Starved | null {
-    const here = [...this.hosted.values()].flatMap(({ part }) =>
+    const here = [...this.ownedParts.values()].flatMap(({ part }) =>
       part.label === except ? [] : [...part.starving.values()],
     );
     const there = this.peers.gossips().flatMap((gossip) => gossip.starving);
@@ -45,12 +45,12 @@
   liveRoomIn(zone: string): number {
     const isThere = (part: string): boolean => this.zoneOf.get(part) === zone;
     let cpus = 0;
-    for (const { part } of this.hosted.values()) {
+    for (const { part } of this.ownedParts.values()) {
       if (isThere(part.label)) cpus += part.needs.liveRoom();
     }
     for (const gossip of this.peers.gossips()) {
       for (const host of gossip.hosts) {
-        if (isThere(host.part) && !this.hosted.has(host.part)) cpus += host.liveRoom;
+        if (isThere(host.part) && !this.ownedParts.has(host.part)) cpus += host.liveRoom;
       }
     }
     return cpus;
--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -8,63 +8,63 @@
 import type { Txn } from '../protocol/state.js';
 import { keys, type JobRecord } from '../storage/records.js';
 import type { Replica } from '../storage/replica.js';
-import type { Shelves } from '../storage/shelves.js';
+import type { Buckets } from '../storage/buckets.js';
 import type { StateClient } from '../storage/stateClient.js';
 import { Chunk } from './chunk.js';
 import { chunkRanges, mayCut, totalChunks } from './chunks.js';
-import type { HomeJob, Hosted } from './hosted.js';
-import { Shelving, type ShelvingHost, type ShelvingOptions } from './shelving.js';
+import type { HomeJob, OwnedPart } from './ownedPart.js';
+import { BucketWriter, type BucketWriterEvents, type BucketWriterOptions } from './bucketWriter.js';
 
-export interface CommitHost extends ShelvingHost {
-  hosted: ReadonlyMap<string, Hosted>;
+export interface CommitHost extends BucketWriterEvents {
+  ownedParts: ReadonlyMap<string, OwnedPart>;
   /** The job is about to be cancelled. */
-  withheld(job: string): boolean;
+  isBeingCancelled(job: string): boolean;
 }
 
 export class Commits {
-  private readonly shelving: Shelving;
+  private readonly bucketWriter: BucketWriter;
 
   constructor(
     private readonly client: StateClient,
     private readonly replica: Replica,
-    private readonly shelves: Shelves,
+    private readonly buckets: Buckets,
     private readonly clock: Clock,
     private readonly host: CommitHost,
-    private readonly options: ShelvingOptions,
+    private readonly options: BucketWriterOptions,
   ) {
-    this.shelving = new Shelving(client, replica, clock, host, options);
+    this.bucketWriter = new BucketWriter(client, replica, clock, host, options);
   }
 
-  get write(): Shelving['write'] {
-    return this.shelving.write.bind(this.shelving);
+  get write(): BucketWriter['write'] {
+    return this.bucketWriter.write.bind(this.bucketWriter);
   }
 
-  /** One pass over all hosted parts; starts what is due and returns. */
+  /** One pass over all owned parts; starts what is due and returns. */
   pass(): void {
     if (!this.host.valid()) return;
-    for (const host of this.host.hosted.values()) {
+    for (const host of this.host.ownedParts.values()) {
       for (const chunk of [...host.part.settled]) this.settle(host, chunk);
-      this.shelving.pass(host);
+      this.bucketWriter.pass(host);
     }
   }
 
-  /** Looks at all jobs of the hosted parts, in case a change was missed. */
+  /** Looks at all jobs of the owned parts, in case a change was missed. */
   review(): void {
     if (!this.host.valid()) return;
-    for (const [id, { part, record }] of this.shelves.entries()) {
+    for (const [id, { part, record }] of this.buckets.entries()) {
       const { done, from, to, home: label } = record;
       if (done.length !== 2 || done[0] !== from || done[1] !== to) continue;
-      const home = this.host.hosted.get(label);
+      const home = this.host.ownedParts.get(label);
       const job = home?.jobs.get(record.spec.id);
-      if (home === undefined || job === undefined || this.host.hosted.has(part)) continue;
+      if (home === undefined || job === undefined || this.host.ownedParts.has(part)) continue;
       void this.finish(home, job, Number(id.slice(id.lastIndexOf('/') + 1)));
     }
-    for (const host of this.host.hosted.values()) {
+    for (const host of this.host.ownedParts.values()) {
       for (const job of host.jobs.values()) this.cutMore(host, job);
     }
   }
 
-  private settle(host: Hosted, chunk: Chunk): void {
+  private settle(host: OwnedPart, chunk: Chunk): void {
     if (chunk.cancelled) {
       // Its job's record says that it is cancelled, so nobody will ever start anything of it again.
       if (chunk.entries.size === 0) host.part.dropChunk(chunk);
@@ -72,7 +72,7 @@
       return;
     }
     if (!chunk.accepted) return;
-    const home = this.host.hosted.get(chunk.home);
+    const home = this.host.ownedParts.get(chunk.home);
     const job = home?.jobs.get(chunk.spec.id);
     if (home !== undefined && job !== undefined) {
       void this.finish(home, job, chunk.index).then((gone) => {
@@ -85,9 +85,9 @@
   }
 
   /** Hands a chunk, of which nothing is on any machine, to another part. */
-  async move(host: Hosted, chunk: Chunk, to: string): Promise<void> {
+  async move(host: OwnedPart, chunk: Chunk, to: string): Promise<void> {
     if (chunk.home !== host.part.label) {
-      await this.shelving.move(host, chunk, to, { when: [], puts: [] });
+      await this.bucketWriter.move(host, chunk, to, { when: [], puts: [] });
       return;
     }
     const job = host.jobs.get(chunk.spec.id);
@@ -98,7 +98,10 @@
       const away = [...new Set([...job.record.away, chunk.index])];
       const value: JobRecord = { ...job.record, away };
       const when = [{ key, stamp: job.stamp }];
-      const result = await this.shelving.move(host, chunk, to, { when, puts: [{ key, value }] });
+      const result = await this.bucketWriter.move(host, chunk, to, {
+        when,
+        puts: [{ key, value }],
+      });
       if (result.kind === 'applied') this.applyJob(host, job, value, result.stamp);
       else if (result.kind === 'conflict') await this.reread(host, job);
     } finally {
@@ -109,7 +112,7 @@
   // ---- Jobs ----
 
   /** Notes a complete chunk in its job, and the job as done with the last one. True when stored. */
-  private async finish(home: Hosted, job: HomeJob, index: number): Promise<boolean> {
+  private async finish(home: OwnedPart, job: HomeJob, index: number): Promise<boolean> {
     if (job.busy) return false;
     const { record } = job;
     if (record.state !== 'open' || record.finished.includes(index)) return true;
@@ -130,7 +133,7 @@
   }
 
   /** Stores a job's new record; in memory it changes only after that. */
-  private async writeJob(home: Hosted, job: HomeJob, next: JobRecord): Promise<boolean> {
+  private async writeJob(home: OwnedPart, job: HomeJob, next: JobRecord): Promise<boolean> {
     const key = keys.job(job.id);
     const when = [{ key, stamp: job.stamp }];
     const txn: Txn = { when, puts: [{ key, value: next }], removes: [] };
@@ -150,14 +153,14 @@
   }
 
   /** True when the stored record was not as we thought, and is now. */
-  private async reread(home: Hosted, job: HomeJob): Promise<boolean> {
+  private async reread(home: OwnedPart, job: HomeJob): Promise<boolean> {
     const item = await this.client.get(keys.job(job.id));
     if (!home.alive || item === null || item.stamp === job.stamp) return false;
     this.applyJob(home, job, item.value as JobRecord, item.stamp);
     return true;
   }
 
-  private applyJob(home: Hosted, job: HomeJob, record: JobRecord, stamp: number): void {
+  private applyJob(home: OwnedPart, job: HomeJob, record: JobRecord, stamp: number): void {
     job.record = record;
     job.stamp = stamp;
     job.unsettled = false;
@@ -166,7 +169,11 @@
   }
 
   /** Stores a cancellation. Gives the job's state afterwards, or null when it isn't known. */
-  async cancel(home: Hosted, job: HomeJob, deadline: number): Promise<JobRecord['state'] | null> {
+  async cancel(
+    home: OwnedPart,
+    job: HomeJob,
+    deadline: number,
+  ): Promise<JobRecord['state'] | null> {
     while (this.clock.now() < deadline && home.alive && this.host.valid()) {
       if (job.record.state !== 'open') return job.record.state;
       if (job.busy) {
@@ -187,12 +194,12 @@
   }
 
   /** Large jobs are cut step by step, so that no part holds more of them than it can run. */
-  private cutMore(home: Hosted, job: HomeJob): void {
+  private cutMore(home: OwnedPart, job: HomeJob): void {
     const { record } = job;
     if (job.busy || record.spec === null || record.state !== 'open') return;
     const open = record.cut - record.finished.length;
     if (open >= 4 || record.cut >= totalChunks(record) || !mayCut(record, record.cut)) return;
-    if (this.host.withheld(job.id)) return;
+    if (this.host.isBeingCancelled(job.id)) return;
     const next = chunkRanges(record.spec.tasks, record.size, record.zones)[record.cut];
     if (next === undefined) return;
     const spec = record.spec;
@@ -203,7 +210,7 @@
     void this.addCut(home, job, chunk);
   }
 
-  private async addCut(home: Hosted, job: HomeJob, chunk: Chunk): Promise<void> {
+  private async addCut(home: OwnedPart, job: HomeJob, chunk: Chunk): Promise<void> {
     job.busy = true;
     try {
       const next = { ...job.record, cut: job.record.cut + 1 };
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -12,11 +12,11 @@
   type GroupRecord,
   type JobRecord,
   type OwnerRecord,
-  type ShelfRecord,
+  type BucketRecord,
 } from '../storage/records.js';
 import { Fleet } from '../storage/fleet.js';
 import { Replica } from '../storage/replica.js';
-import { Shelves } from '../storage/shelves.js';
+import { Buckets } from '../storage/buckets.js';
 import { StateClient } from '../storage/stateClient.js';
 import type { HttpClient } from '../transport/httpClient.js';
 import { PeerClient } from '../transport/peerLink.js';
@@ -25,7 +25,7 @@
 import { DecisionRounds } from './decisionRounds.js';
 import { RunTimes } from './estimate.js';
 import { Gossiper } from './gossiper.js';
-import type { Hosted } from './hosted.js';
+import type { OwnedPart } from './ownedPart.js';
 import type { NeedsOptions } from './needs.js';
 import { Orders } from './orders.js';
 import { Ownership, PROVISIONER, type Held } from './ownership.js';
@@ -36,7 +36,7 @@
 import { Quotas } from './quotas.js';
 import { Sender } from './sender.js';
 import type { ClusterView } from './teamUsage.js';
-import { Withholding } from './withholding.js';
+import { CancelPreparations } from './cancelPreparations.js';
 
 /** Connections of this node's own making. */
 export interface Links {
@@ -45,10 +45,10 @@
 }
 
 export class Controller {
-  readonly hosted = new Map<string, Hosted>();
+  readonly ownedParts = new Map<string, OwnedPart>();
   readonly replica: Replica;
   readonly fleet = new Fleet();
-  readonly shelves = new Shelves();
+  readonly buckets = new Buckets();
   readonly state: StateClient;
   readonly ownership: Ownership;
   readonly commits: Commits;
@@ -60,7 +60,7 @@
   readonly zoneOf = new Map<string, string>();
   readonly sender: Sender;
   readonly orders: Orders;
-  readonly withholding: Withholding;
+  readonly cancelPreparations: CancelPreparations;
   private readonly quotas: Quotas;
   private readonly provisioner: Provisioner;
   readonly totals: ClusterTotals;
@@ -108,7 +108,7 @@
           this.lose(part);
         },
         quiet: async (part) => {
-          while ((this.hosted.get(part)?.writing ?? 0) > 0) await sleep(0.01);
+          while ((this.ownedParts.get(part)?.writing ?? 0) > 0) await sleep(0.01);
         },
         wantsBack: (node) => this.peers.steady(node, settings.report / 2),
       },
@@ -116,15 +116,15 @@
     this.commits = new Commits(
       this.state,
       this.replica,
-      this.shelves,
+      this.buckets,
       clock,
       {
-        hosted: this.hosted,
-        withheld: (job) => this.withholding.has(job),
+        ownedParts: this.ownedParts,
+        isBeingCancelled: (job) => this.cancelPreparations.has(job),
         valid: () => this.ownership.valid,
         doubt: (part) => this.ownership.doubt(part),
         stored: (host, chunks) => {
-          this.orders.pokeFor(host, chunks);
+          this.orders.queueStarts(host, chunks);
         },
       },
       {
@@ -143,10 +143,10 @@
     );
     this.sender = new Sender(this);
     this.orders = new Orders(this);
-    this.withholding = new Withholding(this);
+    this.cancelPreparations = new CancelPreparations(this);
     this.quotas = new Quotas(this);
     this.provisioner = new Provisioner(this, process);
-    this.totals = new ClusterTotals(this.hosted, this.peers, this.zoneOf);
+    this.totals = new ClusterTotals(this.ownedParts, this.peers, this.zoneOf);
     this.gossiper = new Gossiper(this);
     this.loader = new PartLoader(this);
     this.rounds = new DecisionRounds(clock, settings.report, () => {
@@ -198,7 +198,7 @@
     void this.rounds.run();
     void this.every(this.settings.report / 3, () => {
       this.commits.review();
-      this.withholding.sweep();
+      this.cancelPreparations.sweep();
       this.adoptUnmatched();
       this.sender.review();
       this.orders.sweep();
@@ -213,8 +213,8 @@
     this.ownership.stop();
     this.replica.stop();
     this.provisioner.stop();
-    for (const host of this.hosted.values()) host.alive = false;
-    this.hosted.clear();
+    for (const host of this.ownedParts.values()) host.alive = false;
+    this.ownedParts.clear();
     this.peers.close();
   }
 
@@ -250,7 +250,7 @@
   }
 
   /** Something has changed: a round of decisions soon. */
-  kick(): void {
+  requestRound(): void {
     this.rounds.request();
   }
 
@@ -258,7 +258,7 @@
     if (this.ownership.valid) {
       const now = this.clock.now();
       const deadline = now + this.tuning.roundBudget;
-      for (const host of this.hosted.values()) {
+      for (const host of this.ownedParts.values()) {
         host.part.decide(now, () => this.clock.now() > deadline);
       }
       this.commits.pass();
@@ -282,8 +282,8 @@
     // from when that node lost the part, which may have been before our last restart.
     const answered = held.lostAt + this.grace + 2 * this.settings.skew - this.clock.wall();
     const renewed = this.clock.now() + Math.max(0, answered);
-    this.hosted.set(label, this.loader.load(this.createPart(label), held, renewed));
-    this.kick();
+    this.ownedParts.set(label, this.loader.load(this.createPart(label), held, renewed));
+    this.requestRound();
   }
 
   private createPart(label: string): Part {
@@ -311,26 +311,26 @@
       this.provisioner.retired();
       return;
     }
-    const host = this.hosted.get(label);
+    const host = this.ownedParts.get(label);
     if (host === undefined) return;
     host.alive = false;
-    this.hosted.delete(label);
+    this.ownedParts.delete(label);
   }
 
   /** Follows the stored records. */
   private onChange(change: Change): void {
-    const [, kind, name = '', shelf = ''] = change.key.split('/');
+    const [, kind, name = '', bucket = ''] = change.key.split('/');
     if (change.key === keys.types && this.types.size === 0) {
       // Restarted while the cloud is down: what it told before will do.
       this.types = new Map((change.value as MachineType[]).map((t) => [t.name, t]));
     } else if (kind === 'fleet') this.onGroup(name, change);
     else if (kind === 'job' && !change.removed) this.onJob(name, change.value as JobRecord);
     else if (kind === 'run') {
-      const value = change.value as ShelfRecord | null;
-      this.shelves.note(name, shelf, value);
-      const host = this.hosted.get(name);
+      const value = change.value as BucketRecord | null;
+      this.buckets.note(name, bucket, value);
+      const host = this.ownedParts.get(name);
       if (host !== undefined && value !== null) {
-        this.loader.noteShelf(host, shelf, value, change.stamp);
+        this.loader.noteBucket(host, bucket, value, change.stamp);
       }
     }
   }
@@ -338,7 +338,7 @@
   private onJob(id: string, record: JobRecord): void {
     const now = this.clock.now();
     if (record.state === 'open' && record.finished.length === 0) return;
-    for (const host of this.hosted.values()) {
+    for (const host of this.ownedParts.values()) {
       for (const chunk of host.part.chunksOf(id)) {
         if (record.state === 'cancelled') host.part.cancel(chunk, now);
         // Its home has counted it as over.
@@ -347,25 +347,25 @@
         }
       }
     }
-    this.kick();
+    this.requestRound();
   }
 
   private adoptUnmatched(): void {
     if (!this.ownership.valid) return;
-    for (const host of this.hosted.values()) this.loader.adoptUnmatched(host);
+    for (const host of this.ownedParts.values()) this.loader.adoptUnmatched(host);
   }
 
   private onGroup(group: string, change: Change): void {
     const now = this.clock.now();
     const { present, gone } = this.fleet.note(group, change.value as GroupRecord | null);
-    for (const host of this.hosted.values()) {
+    for (const host of this.ownedParts.values()) {
       // The record goes only after the cloud has said that the machine is gone.
       for (const name of gone) host.part.removeMachine(name, now);
       for (const [name, record] of present) {
         if (record.part === host.part.label) host.part.addMachine(name, record, now);
       }
     }
-    this.kick();
+    this.requestRound();
   }
 
   ownerOf(part: string): string | null {
--- a/src/coordination/gateway.ts
+++ b/src/coordination/gateway.ts
@@ -84,10 +84,10 @@
       const { spec, zone, tasks } = request.Ask;
       return { Estimates: { of: this.node.sender.estimates(decodeSpec(spec), zone, tasks) } };
     }
-    if ('Withhold' in request) {
-      const { job, at } = request.Withhold;
-      const of = this.node.peers.isLate(at) ? [] : this.node.withholding.withhold(job);
-      return { WithheldChunks: { of } };
+    if ('PrepareCancel' in request) {
+      const { job, at } = request.PrepareCancel;
+      const of = this.node.peers.isLate(at) ? [] : this.node.cancelPreparations.prepare(job);
+      return { PreparedChunks: { of } };
     }
     return { Relayed: await this.relayed(request.Relay) };
   }
--- a/src/coordination/gossiper.ts
+++ b/src/coordination/gossiper.ts
@@ -3,7 +3,7 @@
 import type { Gossip } from '../protocol/peer.js';
 import type { Settings, Tuning } from '../protocol/settings.js';
 import type { StateClient } from '../storage/stateClient.js';
-import type { Hosted } from './hosted.js';
+import type { OwnedPart } from './ownedPart.js';
 import type { Machine } from './machine.js';
 import type { Ownership } from './ownership.js';
 import type { Part } from './part.js';
@@ -17,7 +17,7 @@
   tuning: Pick<Tuning, 'idleRatio'>;
   clock: Clock;
   process: string;
-  hosted: ReadonlyMap<string, Hosted>;
+  ownedParts: ReadonlyMap<string, OwnedPart>;
   state: Pick<StateClient, 'need' | 'share' | 'lastServed'>;
   stateTtl: number;
   ownership: Pick<Ownership, 'valid'>;
@@ -64,17 +64,17 @@
       spare: isServed ? this.spareMachines() : [],
       lost: isServed ? this.lostMachines() : [],
       used: this.teamUsage(),
-      hungry: [...new Set(this.parts.flatMap((part) => [...part.hungry]))],
+      throttled: [...new Set(this.parts.flatMap((part) => [...part.throttled]))],
       starving: this.parts.flatMap((part) => [...part.starving.values()]),
     };
   }
 
   private get parts(): Part[] {
-    return [...this.node.hosted.values()].map((host) => host.part);
+    return [...this.node.ownedParts.values()].map((host) => host.part);
   }
 
   private ownedParts(): Gossip['hosts'] {
-    return [...this.node.hosted.values()].map(({ part, token }) => ({
+    return [...this.node.ownedParts.values()].map(({ part, token }) => ({
       part: part.label,
       token,
       utilisation: part.utilisation,
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -67,7 +67,7 @@
    * It answers, but its worker reaches no controller: answers do not renew its lease, so whatever starts there
    * is killed within one.
    */
-  mute = false;
+  cutOff = false;
   /** Questions in a row that it has not answered. */
   missed = 0;
   /** When the first of them was sent. */
@@ -214,7 +214,7 @@
   }
 
   usable(now: number): boolean {
-    const able = this.up && !this.deaf && !this.mute && !this.leaving;
+    const able = this.up && !this.deaf && !this.cutOff && !this.leaving;
     return able && this.goneBy === null && this.shunnedUntil <= now;
   }
 
--- a/src/coordination/needs.ts
+++ b/src/coordination/needs.ts
@@ -58,7 +58,7 @@
 
   private countsForBatch(machine: Machine, now: number): boolean {
     if (machine.lost || machine.deaf || machine.leaving || machine.goneBy !== null) return false;
-    if (machine.up && machine.mute) return false;
+    if (machine.up && machine.cutOff) return false;
     return !machine.up || machine.shunnedUntil <= now;
   }
 
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -9,7 +9,7 @@
 import { TurnQueue } from '../transport/turnQueue.js';
 import { CallFailed, type HttpClient } from '../transport/httpClient.js';
 import type { Chunk } from './chunk.js';
-import type { Hosted } from './hosted.js';
+import type { OwnedPart } from './ownedPart.js';
 import type { Machine } from './machine.js';
 import type { Ownership } from './ownership.js';
 import type { Settings } from '../protocol/settings.js';
@@ -27,8 +27,8 @@
   clock: Pick<Clock, 'now'>;
   links: { machines: Pick<HttpClient, 'call'> };
   ownership: Pick<Ownership, 'valid' | 'raise'>;
-  hosted: ReadonlyMap<string, Hosted>;
-  kick(): void;
+  ownedParts: ReadonlyMap<string, OwnedPart>;
+  requestRound(): void;
 }
 
 export class Orders {
@@ -40,23 +40,23 @@
     private readonly turns = new TurnQueue({ urgent: COMMANDS_PER_TURN, ordinary: 0 }),
   ) {}
 
-  pokeFor(host: Hosted, chunks: Chunk[]): void {
+  queueStarts(host: OwnedPart, chunks: Chunk[]): void {
     for (const chunk of chunks) {
       for (const entry of chunk.entries.values()) {
         if (entry.seen) continue;
         const machine = host.part.machines.get(entry.machine);
-        if (machine !== undefined) host.part.pokes.add(machine);
+        if (machine !== undefined) host.part.pendingCommands.add(machine);
       }
     }
     this.send();
-    this.node.kick();
+    this.node.requestRound();
   }
 
   send(): void {
-    for (const host of this.node.hosted.values()) {
-      for (const machine of host.part.pokes) {
+    for (const host of this.node.ownedParts.values()) {
+      for (const machine of host.part.pendingCommands) {
         if (machine.inFlight || machine.address === '') continue;
-        host.part.pokes.delete(machine);
+        host.part.pendingCommands.delete(machine);
         // Questions go on until it answers one; orders meanwhile would only hold sockets.
         if (machine.deaf || !this.isDue(machine)) continue;
         this.turns.add(() => {
@@ -72,10 +72,10 @@
     return machine.needsCommand(this.node.clock.now(), this.node.settings.report * 1.5);
   }
 
-  private async command(host: Hosted, machine: Machine): Promise<void> {
+  private async command(host: OwnedPart, machine: Machine): Promise<void> {
     if (!host.alive) return;
     if (machine.inFlight) {
-      host.part.pokes.add(machine);
+      host.part.pendingCommands.add(machine);
       return;
     }
     const { report } = this.node.settings;
@@ -110,7 +110,7 @@
       const parsed = parseReport(answer.body);
       if (parsed !== null && host.alive) {
         const told = host.part.apply(machine, parsed, this.node.clock.now(), 'answer');
-        if (told === 'news') this.node.kick();
+        if (told === 'news') this.node.requestRound();
       }
     } catch (error) {
       if (error instanceof CallFailed && error.unsent) {
@@ -123,8 +123,8 @@
     if (host.alive && this.isDue(machine)) {
       setTimeout(
         () => {
-          host.part.pokes.add(machine);
-          this.node.kick();
+          host.part.pendingCommands.add(machine);
+          this.node.requestRound();
         },
         (report / 6) * 1000,
       );
@@ -132,7 +132,7 @@
   }
 
   /** Asks a machine whose report is overdue: a hanging one is told from one that can't reach us. */
-  async probe(host: Hosted, machine: Machine): Promise<void> {
+  async probe(host: OwnedPart, machine: Machine): Promise<void> {
     if (machine.probing || machine.address === '') return;
     const silent = machine.missed > 0;
     // A question to a silent machine holds its socket until its time is up. When a zone is cut off they
@@ -156,7 +156,7 @@
       if (report !== null && host.alive && machine.address === address) {
         machine.noteReached(this.node.clock.now());
         const told = host.part.apply(machine, report, this.node.clock.now(), 'answer');
-        if (told === 'news') this.node.kick();
+        if (told === 'news') this.node.requestRound();
       }
     } catch (error) {
       // Not asked for want of sockets: healthy machines would be taken for silent ones.
@@ -176,29 +176,29 @@
   sweep(): void {
     const now = this.node.clock.now();
     if (!this.node.ownership.valid) {
-      this.pokeEndings();
+      this.queueEndings();
       return;
     }
-    for (const host of this.node.hosted.values()) {
+    for (const host of this.node.ownedParts.values()) {
       host.part.sweep(now);
       if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
       this.settleDoubts(host, now);
       this.probeUnreached(host);
       this.probeOverdue(host, now);
     }
-    this.node.kick();
+    this.node.requestRound();
   }
 
   /** Questions a second that this node can afford for each part: more would take the processor from users. */
   private get affordableProbes(): number {
-    return (PROBES_PER_CORE * this.node.settings.cores) / this.node.hosted.size;
+    return (PROBES_PER_CORE * this.node.settings.cores) / this.node.ownedParts.size;
   }
 
   /**
    * Machines stored by an earlier owner are asked directly, since their workers may never come. After a
    * takeover they are hundreds: those with live services go first, and most of the others report meanwhile.
    */
-  private probeUnreached(host: Hosted): void {
+  private probeUnreached(host: OwnedPart): void {
     const unreached: Machine[] = [];
     for (const machine of host.part.machines.values()) {
       if (machine.reached === null && machine.address !== '') unreached.push(machine);
@@ -209,7 +209,7 @@
   }
 
   /** Machines that were in reach and have said nothing for too long. */
-  private probeOverdue(host: Hosted, now: number): void {
+  private probeOverdue(host: OwnedPart, now: number): void {
     const { report } = this.node.settings;
     const machines = [...host.part.machines.values()].filter((machine) => machine.up);
     // Those that were asked longest ago go first, since not all may get their turn.
@@ -220,7 +220,7 @@
     const watchful = Math.min(1.3, Math.max(0.3, live / this.affordableProbes / report));
     for (const machine of machines) {
       if (machine.reached === null) continue;
-      host.part.pokes.add(machine);
+      host.part.pendingCommands.add(machine);
       // Where live services run, silence is noticed within a second or two; elsewhere when a report
       // is overdue.
       // When one does not answer, all are asked: others that answer show that the fault is not ours.
@@ -230,17 +230,17 @@
   }
 
   /** Without a valid lease: only what users have asked to cancel is seen to. */
-  private pokeEndings(): void {
-    for (const { part } of this.node.hosted.values()) {
+  private queueEndings(): void {
+    for (const { part } of this.node.ownedParts.values()) {
       for (const machine of part.machines.values()) {
-        if (machine.endings().length > 0) part.pokes.add(machine);
+        if (machine.endings().length > 0) part.pendingCommands.add(machine);
       }
     }
     this.send();
   }
 
   /** A start stays in doubt until its worker has seen a higher token: get one when it drags on. */
-  private settleDoubts(host: Hosted, now: number): void {
+  private settleDoubts(host: OwnedPart, now: number): void {
     const { report } = this.node.settings;
     let stuck = false;
     for (const machine of host.part.machines.values()) {
--- a/src/coordination/overview.ts
+++ b/src/coordination/overview.ts
@@ -17,7 +17,7 @@
 }
 
 export function overview(node: Controller): Overview {
-  const parts = [...node.hosted.values()].map(({ part, token, jobs }) => ({
+  const parts = [...node.ownedParts.values()].map(({ part, token, jobs }) => ({
     part: part.label,
     token,
     utilisation: Math.round(part.utilisation * 1000) / 1000,
--- a/src/coordination/hosted.ts
+++ b/src/coordination/ownedPart.ts
@@ -1,6 +1,6 @@
 import type { JobRecord } from '../storage/records.js';
 import type { Part } from './part.js';
-import type { Shelf } from './shelf.js';
+import type { Bucket } from './bucket.js';
 
 /** A job whose home is a part that we host. */
 export interface HomeJob {
@@ -17,43 +17,43 @@
 }
 
 /** A part that this node hosts: its own, or one adopted from a peer. */
-export interface Hosted {
+export interface OwnedPart {
   part: Part;
   token: number;
   stamp: number;
   /** False once the part is lost: nothing is written or started for it any more. */
   alive: boolean;
   jobs: Map<string, HomeJob>;
-  /** The part's stored chunks, by their shelves' names. */
-  shelves: Map<string, Shelf>;
+  /** The part's stored chunks, by their buckets' names. */
+  buckets: Map<string, Bucket>;
   /** Until when starts of batch work are gathered, so that they do not use up the changes of users. */
   gatherUntil: number;
   /** Transactions on their way. */
   writing: number;
   raisedAt: number;
   /** Steady time until which a node that owned the part before may answer its workers. */
-  foreignUntil: number;
+  previousOwnerUntil: number;
   /** The token with which we got it: a worker that has seen it takes nothing from earlier owners. */
   readonly gainedToken: number;
 }
 
-export function hosting(
+export function ownPart(
   part: Part,
   { token, stamp }: { token: number; stamp: number },
   now: number,
-  foreignUntil = now,
-): Hosted {
+  previousOwnerUntil = now,
+): OwnedPart {
   return {
     part,
     token,
     stamp,
     alive: true,
     jobs: new Map(),
-    shelves: new Map(),
+    buckets: new Map(),
     gatherUntil: 0,
     writing: 0,
     raisedAt: now,
-    foreignUntil,
+    previousOwnerUntil,
     gainedToken: token,
   };
 }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -38,14 +38,14 @@
   /** Chunks that changed and are not stored yet. */
   readonly dirty = new Set<Chunk>();
   /** Machines that should be sent orders now. */
-  readonly pokes = new Set<Machine>();
+  readonly pendingCommands = new Set<Machine>();
   /** Chunks whose tasks are all done or, cancelled, all over. */
   readonly settled = new Set<Chunk>();
   private resumeAfter: string | null = null;
   /** When most of the machines were last silent: more likely a fault on our side than on theirs. */
-  private blindAt = -Infinity;
+  private mostSilentAt = -Infinity;
   /** Teams that were kept waiting by their share of the limit in the last round. */
-  readonly hungry = new Set<string>();
+  readonly throttled = new Set<string>();
   /** The first of each team that its limit has kept waiting for long. */
   readonly starving = new Map<string, Starved>();
   /** What should be rented for it, and what may be returned. */
@@ -89,7 +89,7 @@
     const machine = this.machines.get(name);
     if (machine === undefined) return;
     this.machines.delete(name);
-    this.pokes.delete(machine);
+    this.pendingCommands.delete(machine);
     for (const placed of [...machine.entries.values()]) this.release(machine, placed, now);
   }
 
@@ -109,7 +109,7 @@
     machine.seenToken = Math.max(machine.seenToken, report.token);
     machine.heard = now;
     // At once, not with the next sweep: a machine that has just come up is waited for.
-    if (isHello) [machine.reportedAt, machine.mute] = [now, false];
+    if (isHello) [machine.reportedAt, machine.cutOff] = [now, false];
     if (from !== 'report') machine.noteReached(now);
     machine.goneBy = report.warning === null ? null : now + report.warning;
     const changed = machine.noteTasks(report.tasks);
@@ -121,7 +121,7 @@
     for (const placed of [...machine.entries.values()]) {
       this.settle(machine, placed, report.session, isHello, now);
     }
-    this.claimStrays(machine, now);
+    this.claimOrphans(machine, now);
     if (machine.goneBy !== null) this.drain(machine, now);
     if (machine.entries.size > 0) machine.idleSince = now;
     const news = changed || newSession || before !== machine.usable(now);
@@ -143,13 +143,13 @@
       return;
     }
     if (entry.doubt !== null && machine.seenToken > entry.doubt) entry.doubt = null;
-    if (isHello) entry.riding = false;
+    if (isHello) entry.sentInAnswer = false;
     const report = machine.tasks.get(chunk.taskName(entry.task));
     if (report?.attempt === entry.attempt) {
       this.progress(machine, placed, report, now);
       return;
     }
-    const unsettled = entry.doubt !== null || entry.riding;
+    const unsettled = entry.doubt !== null || entry.sentInAnswer;
     if (entry.seen ? entry.doubt === null : entry.stop !== null && !unsettled) {
       // It was here and is no more, or it never came and is not wanted any longer.
       this.release(machine, placed, now);
@@ -209,7 +209,7 @@
       mayReap: () =>
         (chunk.stored >= version || chunk.dropped) &&
         (doubt === null || machine.seenToken > doubt) &&
-        !entry.riding,
+        !entry.sentInAnswer,
     });
   }
 
@@ -233,7 +233,7 @@
   }
 
   /** A done attempt of ours that an earlier owner started and we hold no entry for. */
-  private claimStrays(machine: Machine, now: number): void {
+  private claimOrphans(machine: Machine, now: number): void {
     for (const [task, report] of machine.tasks) {
       if (report.state !== 'ended' || report.cause !== 'done') continue;
       if (machine.entries.has(task) || machine.leftovers.has(task)) continue;
@@ -281,7 +281,7 @@
   stop(machine: Machine, entry: Entry, wind: number): void {
     if (entry.stop !== null) return;
     entry.stop = { wind, sentAt: null };
-    this.pokes.add(machine);
+    this.pendingCommands.add(machine);
   }
 
   /** Ends an entry whose attempt is known to be over. */
@@ -308,7 +308,7 @@
   /** Silent machines: what ran there is over once nobody can have renewed the lease that long. */
   sweep(now: number): void {
     for (const machine of this.machines.values()) {
-      machine.mute = now - (machine.reportedAt ?? machine.created) > this.options.lease / 2;
+      machine.cutOff = now - (machine.reportedAt ?? machine.created) > this.options.lease / 2;
       const limit = this.options.lease * (1 + DRIFT) + this.options.report / 2;
       if (machine.entries.size === 0 || now - machine.renewed <= limit) continue;
       machine.lost = true;
@@ -348,7 +348,7 @@
       asked++;
       if (missed > 0) quiet++;
     }
-    if (quiet * 2 > asked) this.blindAt = now;
+    if (quiet * 2 > asked) this.mostSilentAt = now;
     for (const machine of this.machines.values()) {
       // Its last owner may be alive and answer it: that we can't reach it says nothing of the machine.
       if (machine.reached === null && machine.renewed > now) continue;
@@ -373,7 +373,7 @@
       }
       const alone = heard === 0 && silent === 0 && now - last > report * 3;
       // When a cut ends most answer at once. The others have not been asked since, and were released as lost.
-      const askedSince = machine.askedAt >= this.blindAt;
+      const askedSince = machine.askedAt >= this.mostSilentAt;
       if ((heard > silent && askedSince) || alone) lost.push(machine.name);
     }
     return lost;
@@ -411,7 +411,7 @@
         runningSince: null,
         // Whatever the last owner sent is settled once the worker has seen our token.
         doubt: token - 1,
-        riding: false,
+        sentInAnswer: false,
         stop: null,
       };
       chunk.entries.set(e.task, entry);
@@ -432,7 +432,7 @@
   dropChunk(chunk: Chunk): void {
     if (!chunk.dropped) this.teams.add(chunk.spec, -chunk.entries.size);
     chunk.dropped = true;
-    chunk.shelf?.remove(chunk);
+    chunk.bucket?.remove(chunk);
     this.chunks.delete(chunk.id);
     this.dirty.delete(chunk);
     this.settled.delete(chunk);
@@ -461,14 +461,14 @@
    * Its user has asked to cancel it, and that is about to be stored: nothing of it starts or runs from now
    * on. This must not wait for the record, which may be stored where this node can't read it any more.
    */
-  withhold(chunk: Chunk, now: number): void {
-    if (chunk.withheldAt === null && !chunk.cancelled) this.endAll(chunk, now);
-    chunk.withheldAt = now;
+  prepareCancel(chunk: Chunk, now: number): void {
+    if (chunk.cancelPreparedAt === null && !chunk.cancelled) this.endAll(chunk, now);
+    chunk.cancelPreparedAt = now;
   }
 
   /** The cancellation did not come about. */
   resume(chunk: Chunk): void {
-    chunk.withheldAt = null;
+    chunk.cancelPreparedAt = null;
   }
 
   private endAll(chunk: Chunk, now: number): void {
@@ -478,7 +478,7 @@
       this.stop(machine, entry, 0);
       entry.stop = { wind: 0, sentAt: null };
       // Never sent, so nothing can come of it.
-      if (!entry.seen && entry.doubt === null && !entry.riding && !machine.inFlight) {
+      if (!entry.seen && entry.doubt === null && !entry.sentInAnswer && !machine.inFlight) {
         this.release(machine, { chunk, entry }, now);
       }
     }
@@ -525,7 +525,7 @@
    */
   decide(now: number, outOfTime: () => boolean): void {
     const queue = this.queue();
-    this.hungry.clear();
+    this.throttled.clear();
     const start = queue.findIndex((c) => c.id === this.resumeAfter);
     this.resumeAfter = null;
     this.starving.clear();
@@ -659,7 +659,7 @@
 
   private noteCapped(chunk: Chunk, round: Round, now: number): void {
     const { team } = chunk.spec;
-    this.hungry.add(team);
+    this.throttled.add(team);
     round.capped.add(team);
     const since = chunk.blockedSince ?? now;
     if (now - since > this.options.report * 2) {
@@ -708,7 +708,7 @@
       placedAt: now,
       runningSince: null,
       doubt: null,
-      riding: false,
+      sentInAnswer: false,
       stop: null,
     };
     chunk.entries.set(task, entry);
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -9,7 +9,7 @@
   type Gossip,
   type Relay,
   type Relayed,
-  type Withheld,
+  type PreparedChunk,
 } from '../protocol/peer.js';
 import type { JobSpec } from '../protocol/job.js';
 import type { PeerClient } from '../transport/peerLink.js';
@@ -154,13 +154,17 @@
    * Tells all peers that a job is about to be cancelled. `note` takes their answers as they come and says
    * whether they are enough; false when they were not.
    */
-  withhold(job: string, timeout: number, note: (found: Withheld[]) => boolean): Promise<boolean> {
-    const body = encodeRequest({ Withhold: { job, at: this.clock.wall() } });
+  prepareCancel(
+    job: string,
+    timeout: number,
+    note: (found: PreparedChunk[]) => boolean,
+  ): Promise<boolean> {
+    const body = encodeRequest({ PrepareCancel: { job, at: this.clock.wall() } });
     return new Promise((resolve) => {
       const calls = [...this.peers.values()].map(async ({ client }) => {
         try {
           const answer = decodeAnswer(await client.call(body, timeout));
-          if ('WithheldChunks' in answer && note(answer.WithheldChunks.of)) resolve(true);
+          if ('PreparedChunks' in answer && note(answer.PreparedChunks.of)) resolve(true);
         } catch {
           // Out of reach: what it has is not known to have ended.
         }
--- a/src/coordination/quotas.ts
+++ b/src/coordination/quotas.ts
@@ -63,7 +63,7 @@
       for (const team of this.node.settings.teams) {
         const limit = limitOf(team);
         if (!Number.isFinite(limit.cpus) && !Number.isFinite(limit.gpus)) continue;
-        for (const label of this.node.hosted.keys()) await this.balanceTeam(team, label, limit);
+        for (const label of this.node.ownedParts.keys()) await this.balanceTeam(team, label, limit);
       }
     } catch (error) {
       log.debug(`quotas: ${describe(error)}`);
@@ -73,7 +73,7 @@
   }
 
   private async balanceTeam(team: Team, label: string, limit: Amount): Promise<void> {
-    const host = this.node.hosted.get(label);
+    const host = this.node.ownedParts.get(label);
     if (host === undefined) return;
     const { part } = host;
     const want = part.wanted(team.name);
@@ -83,10 +83,12 @@
     const wanted = reshare(shares, label, part.teams.usedBy(team.name), want, limit);
     const before = shares[label] ?? { cpus: 0, gpus: 0 };
     const after = wanted[label] ?? before;
-    const hungryElsewhere = this.node.peers.gossips().some((g) => g.hungry.includes(team.name));
+    const throttledElsewhere = this.node.peers
+      .gossips()
+      .some((g) => g.throttled.includes(team.name));
     const more = after.cpus > before.cpus || after.gpus > before.gpus;
     const less = after.cpus < before.cpus || after.gpus < before.gpus;
-    if (!more && !(less && hungryElsewhere)) return;
+    if (!more && !(less && throttledElsewhere)) return;
     // A smaller share binds at once, before it is stored: nothing new may be placed above it.
     if (less && stored !== undefined) stored.value = { ...shares, [label]: after };
     const txn = {
--- a/src/coordination/reasons.ts
+++ b/src/coordination/reasons.ts
@@ -18,14 +18,14 @@
     if (total > 0) return `Its last tasks are being completed.${tail}`;
     return `It waits at another node of the service.${tail}`;
   }
-  const host = [...node.hosted.values()].find((h) => h.part.chunks.get(chunk.id) === chunk);
+  const host = [...node.ownedParts.values()].find((h) => h.part.chunks.get(chunk.id) === chunk);
   const part = host?.part;
   if (part === undefined) return `It waits at another node of the service.${tail}`;
   if (chunk.pending === 0) {
     const fetching = [...chunk.entries.values()].filter((e) => e.state === 'fetching').length;
     return `${fetching} task(s) have a machine and wait for image ${spec.image} (${spec.imageGb} GB) to be fetched.${tail}`;
   }
-  if (part.hungry.has(spec.team)) {
+  if (part.throttled.has(spec.team)) {
     return `Team ${spec.team} is at its limit; tasks start as its others end.${tail}`;
   }
   if (chunk.notBefore > node.clock.now()) {
--- a/src/coordination/sender.ts
+++ b/src/coordination/sender.ts
@@ -5,7 +5,7 @@
 import { keys } from '../storage/records.js';
 import type { Chunk } from './chunk.js';
 import type { Controller } from './controller.js';
-import type { Hosted } from './hosted.js';
+import type { OwnedPart } from './ownedPart.js';
 import { choosePart, turnaround } from './migration.js';
 
 export class Sender {
@@ -27,7 +27,7 @@
    * the peer with the smallest turnaround (DESIGN). A chunk held to a zone starts from a part there.
    */
   async choose(
-    home: Hosted,
+    home: OwnedPart,
     spec: JobSpec,
     zone: string | null,
     count: number,
@@ -66,11 +66,11 @@
     return home.part.label;
   }
 
-  /** Answers to a peer's question, one for each part hosted here. */
+  /** Answers to a peer's question, one for each part owned here. */
   estimates(spec: JobSpec, zone: string | null, tasks: number): Estimate[] {
     if (!this.node.ownership.valid) return [];
     const now = this.node.clock.now();
-    return [...this.node.hosted.values()].map(({ part }) => {
+    return [...this.node.ownedParts.values()].map(({ part }) => {
       const run = part.estimates.expectedRun(spec);
       const wait = part.estimates.waitFor({ spec, zone, count: tasks, run }, now);
       return {
@@ -92,7 +92,7 @@
     const now = node.clock.now();
     // A move costs changes at the state service, which users and starts wait for.
     if (node.state.writeDelay('later') > node.settings.report / 4) return;
-    for (const host of node.hosted.values()) {
+    for (const host of node.ownedParts.values()) {
       // A few at a time: many senders reading the same answers would flood one idle peer. Live services
       // first, and then those that were asked for longest ago: else the first few would be asked for again
       // and again, and those behind them never.
@@ -108,7 +108,7 @@
     }
   }
 
-  private async sendOn(host: Hosted, chunk: Chunk): Promise<void> {
+  private async sendOn(host: OwnedPart, chunk: Chunk): Promise<void> {
     const { node } = this;
     this.asking.add(chunk);
     try {
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -14,7 +14,7 @@
 import { Chunk } from './chunk.js';
 import { chunkRanges, chunkSize, mayCut, zonesFor } from './chunks.js';
 import type { Controller } from './controller.js';
-import type { Hosted } from './hosted.js';
+import type { OwnedPart } from './ownedPart.js';
 import { allows, holds } from './placement.js';
 import { limitOf } from './quotas.js';
 import { reasonFor } from './reasons.js';
@@ -58,7 +58,7 @@
     }
     if (node.replica.get(keys.job(job.id)) !== undefined) return this.known(job.id);
     if (node.types.size === 0) return later('machine types are not known yet');
-    const host = node.hosted.get(node.settings.label) ?? [...node.hosted.values()][0];
+    const host = node.ownedParts.get(node.settings.label) ?? [...node.ownedParts.values()][0];
     if (host === undefined) return later('this node is starting');
     // More waits for the state service than it can take in the time that a user waits.
     const delay = this.storing.delay;
@@ -126,7 +126,7 @@
     );
   }
 
-  private async accept(home: Hosted, spec: JobSpec): Promise<Reply> {
+  private async accept(home: OwnedPart, spec: JobSpec): Promise<Reply> {
     const { node } = this;
     const reason = this.impossible(spec);
     // The transaction that stores a job fails if the job is known already, so the store is asked beforehand
@@ -213,7 +213,7 @@
     const copy = node.replica.get(keys.job(id))?.value as JobRecord | undefined;
     if (copy !== undefined && copy.state !== 'open') return found(final(copy));
     if (copy !== undefined && node.ownership.valid) {
-      const host = node.hosted.get(copy.home);
+      const host = node.ownedParts.get(copy.home);
       const job = host?.jobs.get(id);
       if (job !== undefined && job.unsettled !== true) return found(this.describe(job.record));
     }
@@ -262,10 +262,10 @@
         continue;
       }
       const id = `${spec.id}/${k}`;
-      const local = [...node.hosted.values()]
+      const local = [...node.ownedParts.values()]
         .map((h) => h.part.chunks.get(id))
         .find((c) => c !== undefined);
-      const stored = node.shelves.find(id)?.record;
+      const stored = node.buckets.find(id)?.record;
       if (local !== undefined) {
         done += local.done.size;
         running += local.running;
@@ -297,11 +297,14 @@
     if (record === undefined) {
       return (relayed ? null : await this.relayAny(request)) ?? later('out of reach');
     }
-    const host = node.hosted.get(record.home);
+    const host = node.ownedParts.get(record.home);
     const job = host?.jobs.get(id);
     if (host !== undefined && job !== undefined && node.ownership.valid) {
       // Else a node that can't read the record would keep tasks of the job alive, or start some.
-      if (job.record.state === 'open' && !(await node.withholding.everywhere(id, job.record))) {
+      if (
+        job.record.state === 'open' &&
+        !(await node.cancelPreparations.prepareEverywhere(id, job.record))
+      ) {
         return later('a node that may run tasks of the job cannot be asked just now', 2);
       }
       const state = await node.commits.cancel(host, job, node.clock.now() + PATIENCE);
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -3,7 +3,7 @@
 import { helloAnswer, parseReport, redirectAnswer, type Report } from '../protocol/worker.js';
 import type { Reply } from '../transport/httpServer.js';
 import type { Controller } from './controller.js';
-import type { Hosted } from './hosted.js';
+import type { OwnedPart } from './ownedPart.js';
 import type { Machine } from './machine.js';
 
 const elsewhere = (owner: string | null): Reply => ({ status: 421, body: redirectAnswer(owner) });
@@ -53,13 +53,13 @@
     // be a late copy from a machine that is gone, and must not bring it back.
     const part = node.fleet.get(report.machine)?.part;
     if (part === undefined) return elsewhere(null);
-    const host = node.hosted.get(part);
+    const host = node.ownedParts.get(part);
     if (host !== undefined) return this.answer(host, report, follows);
     if (relayed) return elsewhere(null);
     return this.sendOn(part, report, body);
   }
 
-  private answer(host: Hosted, report: Report, follows: boolean): Reply {
+  private answer(host: OwnedPart, report: Report, follows: boolean): Reply {
     const { node } = this;
     const now = node.clock.now();
     // The worker has seen a token above ours: another owner is entitled now, and would be ignored
@@ -87,12 +87,12 @@
       newer && valid ? machine.answerOrders(now, reportTime * 1.5, reportTime) : machine.endings();
     for (const order of orders) {
       const placed = order.verb === 'start' ? machine.entries.get(order.task) : undefined;
-      if (placed !== undefined) placed.entry.riding = true;
+      if (placed !== undefined) placed.entry.sentInAnswer = true;
     }
     // Also when an answer to a question of ours has overtaken this report: the worker's lease counts from
     // it all the same, and its tasks are not over before that.
     machine.renewed = Math.max(machine.renewed, now);
-    if (says === 'news') node.kick();
+    if (says === 'news') node.requestRound();
     return { status: 200, body: helloAnswer(host.token, orders) };
   }
 
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -52,7 +52,7 @@
   /** What teams' tasks take at the sender's parts. */
   used: { team: string; cpus: number; gpus: number }[];
   /** Teams whose share of the limit is too small for what waits here. */
-  hungry: string[];
+  throttled: string[];
   /** The first job of each team that its limit has kept waiting for long. */
   starving: { team: string; at: number; rank: number }[];
 }
@@ -71,14 +71,14 @@
 }
 
 /** A job is about to be cancelled: its tasks are ended and none is started. */
-export interface Withhold {
+export interface PrepareCancel {
   job: string;
   /** Time of day at which it was sent: a cut may hold it back for minutes. */
   at: number;
 }
 
 /** A chunk that runs no more, at the owner of its part. */
-export interface Withheld {
+export interface PreparedChunk {
   index: number;
   part: string;
   token: number;
@@ -151,7 +151,7 @@
       record('Used', [field('team', 'string'), field('cpus', 'double'), field('gpus', 'double')]),
     ),
   ),
-  field('hungry', list('string')),
+  field('throttled', list('string')),
   field(
     'starving',
     list(
@@ -188,31 +188,38 @@
   field('retryAfter', nullable('double')),
 ]);
 const noted = record('Noted', []);
-const withhold = record('Withhold', [field('job', 'string'), field('at', 'double')]);
-const withheldChunks = record('WithheldChunks', [
+const prepareCancel = record('PrepareCancel', [field('job', 'string'), field('at', 'double')]);
+const preparedChunks = record('PreparedChunks', [
   field(
     'of',
     list(
-      record('Withheld', [field('index', 'int'), field('part', 'string'), field('token', 'long')]),
+      record('PreparedChunk', [
+        field('index', 'int'),
+        field('part', 'string'),
+        field('token', 'long'),
+      ]),
     ),
   ),
 ]);
 
-const requestType = avro.Type.forSchema([gossip, ask, relay, withhold] as unknown as avro.Schema, {
-  wrapUnions: true,
-});
+const requestType = avro.Type.forSchema(
+  [gossip, ask, relay, prepareCancel] as unknown as avro.Schema,
+  {
+    wrapUnions: true,
+  },
+);
 const answerType = avro.Type.forSchema(
-  [noted, estimates, relayed, withheldChunks] as unknown as avro.Schema,
+  [noted, estimates, relayed, preparedChunks] as unknown as avro.Schema,
   { wrapUnions: true },
 );
 
 export type PeerRequest =
-  { Gossip: Gossip } | { Ask: Ask } | { Relay: Relay } | { Withhold: Withhold };
+  { Gossip: Gossip } | { Ask: Ask } | { Relay: Relay } | { PrepareCancel: PrepareCancel };
 export type PeerAnswer =
   | { Noted: Record<string, never> }
   | { Estimates: { of: Estimate[] } }
   | { Relayed: Relayed }
-  | { WithheldChunks: { of: Withheld[] } };
+  | { PreparedChunks: { of: PreparedChunk[] } };
 
 export const encodeRequest = (request: PeerRequest): Buffer => requestType.toBuffer(wrap(request));
 export const encodeAnswer = (answer: PeerAnswer): Buffer => answerType.toBuffer(wrap(answer));
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -50,7 +50,7 @@
       rps: positive,
       write_rps: positive,
       value_kb: positive,
-      // A chunk that moves changes two shelves and its job's record at once.
+      // A chunk that moves changes two buckets and its job's record at once.
       txn_ops: v.pipe(v.number(), v.integer(), v.minValue(3)),
     }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
--- a/src/storage/shelves.ts
+++ b/src/storage/buckets.ts
@@ -1,16 +1,16 @@
 /**
- * Where each chunk is stored. Chunks stand on shelves, several in one record, since the state service
+ * Where each chunk is stored. Chunks stand on buckets, several in one record, since the state service
  * counts changes by records: a change of many chunks costs as much as a change of one.
  */
-import type { ChunkRecord, ShelfRecord } from './records.js';
+import type { ChunkRecord, BucketRecord } from './records.js';
 
 export interface Found {
   part: string;
-  shelf: string;
+  bucket: string;
   record: ChunkRecord;
 }
 
-export class Shelves {
+export class Buckets {
   private readonly chunks = new Map<string, Found>();
   private readonly members = new Map<string, string[]>();
 
@@ -23,13 +23,13 @@
     return this.chunks.entries();
   }
 
-  /** Follows one shelf's record; null: it has been removed. */
-  note(part: string, shelf: string, value: ShelfRecord | null): void {
-    const key = `${part}/${shelf}`;
+  /** Follows one bucket's record; null: it has been removed. */
+  note(part: string, bucket: string, value: BucketRecord | null): void {
+    const key = `${part}/${bucket}`;
     for (const id of this.members.get(key) ?? []) {
       const known = this.chunks.get(id);
-      // It may stand on another shelf by now, at this part or another.
-      const here = known?.part === part && known.shelf === shelf;
+      // It may stand on another bucket by now, at this part or another.
+      const here = known?.part === part && known.bucket === bucket;
       if (here && value?.chunks[id] === undefined) this.chunks.delete(id);
     }
     if (value === null) {
@@ -38,7 +38,7 @@
     }
     this.members.set(key, Object.keys(value.chunks));
     for (const [id, record] of Object.entries(value.chunks)) {
-      this.chunks.set(id, { part, shelf, record });
+      this.chunks.set(id, { part, bucket, record });
     }
   }
 }
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -18,7 +18,7 @@
   types: 'b/types',
   owner: (part: string): string => `b/own/${part}`,
   job: (id: string): string => `b/job/${id}`,
-  run: (part: string, shelf: string): string => `b/run/${part}/${shelf}`,
+  run: (part: string, bucket: string): string => `b/run/${part}/${bucket}`,
   runs: (part: string): string => `b/run/${part}/`,
   group: (ask: string): string => `b/fleet/${ask}`,
   quota: (team: string): string => `b/quota/${team}`,
@@ -60,7 +60,7 @@
   cut: number;
   finished: number[];
   /**
-   * Chunks that have ever left the home part. Any other that is neither done nor on a shelf of the home
+   * Chunks that have ever left the home part. Any other that is neither done nor on a bucket of the home
    * part has not been stored yet: nothing of it was started, and its home has it.
    */
   away: number[];
@@ -90,7 +90,7 @@
 }
 
 /** Chunks by their ids. */
-export interface ShelfRecord {
+export interface BucketRecord {
   chunks: Record<string, ChunkRecord>;
 }
 
--- a/test/accepting.test.ts
+++ b/test/accepting.test.ts
@@ -3,8 +3,8 @@
 import { test } from 'node:test';
 import { Accepting, type AcceptingNode } from '../src/coordination/accepting.js';
 import { Chunk } from '../src/coordination/chunk.js';
-import { hosting, type Hosted } from '../src/coordination/hosted.js';
-import { keys, type JobRecord, type ShelfRecord } from '../src/storage/records.js';
+import { ownPart, type OwnedPart } from '../src/coordination/ownedPart.js';
+import { keys, type JobRecord, type BucketRecord } from '../src/storage/records.js';
 import type { Reply } from '../src/transport/httpServer.js';
 import { emptyPart } from './support/part.js';
 import { spec } from './support/spec.js';
@@ -13,14 +13,14 @@
 class Counter {
   now = 0;
   readonly store = new MemoryStore();
-  readonly host: Hosted;
+  readonly host: OwnedPart;
   readonly accepting: Accepting;
   readonly answers = new Map<string, Reply>();
 
   constructor(value = 16 * 1024) {
     this.store.limits.value = value;
     const part = emptyPart(3);
-    this.host = hosting(part, { token: 5, stamp: 1 }, 0);
+    this.host = ownPart(part, { token: 5, stamp: 1 }, 0);
     this.store.rows.set(keys.owner('q'), { key: keys.owner('q'), value: {}, stamp: 2 });
     const { rows } = this.store;
     const node: AcceptingNode = {
@@ -32,7 +32,7 @@
       replica: { get: (key) => rows.get(key), note: () => undefined },
       ownership: { valid: true, doubt: () => Promise.resolve() },
       commits: { write: (_, txn) => this.store.txn(txn) },
-      kick: () => undefined,
+      requestRound: () => undefined,
     };
     this.accepting = new Accepting(node, (id) =>
       Promise.resolve({ status: 200, body: { known: id } }),
@@ -64,11 +64,11 @@
     });
   }
 
-  /** How many stored shelves of the peer hold the job's second chunk. */
-  parcels(id: string): number {
+  /** How many stored buckets of the peer hold the job's second chunk. */
+  transfers(id: string): number {
     return [...this.store.rows.values()].filter(
       ({ key, value }) =>
-        key.startsWith('b/run/q/') && (value as ShelfRecord).chunks[`${id}/1`] !== undefined,
+        key.startsWith('b/run/q/') && (value as BucketRecord).chunks[`${id}/1`] !== undefined,
     ).length;
   }
 
@@ -77,13 +77,13 @@
   }
 }
 
-test('jobs that come together are stored together, with one parcel for the peer', async () => {
+test('jobs that come together are stored together, with one transfer for the peer', async () => {
   const c = new Counter();
   const ids = ['wk-1', 'wk-2', 'wk-3', 'wk-4', 'wk-5', 'wk-6'];
   await Promise.all(ids.map((id) => c.submit(id)));
   for (const id of ids) {
     assert.equal(c.status(id), 201);
-    assert.equal(c.parcels(id), 1);
+    assert.equal(c.transfers(id), 1);
     assert.ok(c.host.part.chunks.has(`${id}/0`));
     assert.ok(!c.host.part.chunks.has(`${id}/1`));
   }
@@ -99,7 +99,7 @@
     if (early) c.store.late();
     await submitted;
     assert.equal(c.status('wk-1'), 201);
-    assert.equal(c.parcels('wk-1'), 1);
+    assert.equal(c.transfers('wk-1'), 1);
     if (!early) assert.equal(c.store.late().kind, 'conflict');
     assert.equal(c.host.jobs.size, 1);
   }
@@ -114,8 +114,8 @@
     ['wk-1', 'wk-2', 'wk-3'].map((id) => c.status(id)),
     [201, 200, 201],
   );
-  assert.equal(c.parcels('wk-2'), 0, 'its chunk was sent to the peer all the same');
-  assert.equal(c.parcels('wk-3'), 1);
+  assert.equal(c.transfers('wk-2'), 0, 'its chunk was sent to the peer all the same');
+  assert.equal(c.transfers('wk-3'), 1);
 });
 
 test('nothing is left of a job that was given up while its batch was refused', async () => {
@@ -129,10 +129,10 @@
   c.now += 1;
   await long;
   assert.equal(c.status('wk-2'), 201);
-  assert.equal(c.parcels('wk-1'), 0, 'the peer would run a job that is not stored');
-  assert.equal(c.parcels('wk-2'), 1);
+  assert.equal(c.transfers('wk-1'), 0, 'the peer would run a job that is not stored');
+  assert.equal(c.transfers('wk-2'), 1);
   await c.submit('wk-1');
-  assert.equal(c.parcels('wk-1'), 1);
+  assert.equal(c.transfers('wk-1'), 1);
 });
 
 test('in an outage users are told at once to come back, not when their patience is over', async () => {
@@ -148,7 +148,7 @@
   c.store.refuseNext = 0;
   await c.submit('wk-1');
   assert.equal(c.status('wk-1'), 201);
-  assert.equal(c.parcels('wk-1'), 1);
+  assert.equal(c.transfers('wk-1'), 1);
 });
 
 test('after a transaction without an answer an outage does not end the batch', async () => {
@@ -161,7 +161,7 @@
   c.store.refuseNext = 1;
   await submitted;
   assert.equal(c.status('wk-1'), 201);
-  assert.equal(c.parcels('wk-1'), 1);
+  assert.equal(c.transfers('wk-1'), 1);
 });
 
 test('a burst for one idle peer stays within the limits of a record', async () => {
@@ -171,5 +171,5 @@
   const ids = Array.from({ length: 40 }, (_, i) => `wk-${i}`);
   await Promise.all(ids.map((id) => c.submit(id)));
   assert.deepEqual(new Set(ids.map((id) => c.status(id))), new Set([201]));
-  for (const id of ids) assert.equal(c.parcels(id), 1);
+  for (const id of ids) assert.equal(c.transfers(id), 1);
 });
--- a/test/cancelling.test.ts
+++ b/test/cancelling.test.ts
@@ -2,9 +2,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Chunk } from '../src/coordination/chunk.js';
-import { hosting, type Hosted } from '../src/coordination/hosted.js';
-import { Withholding } from '../src/coordination/withholding.js';
-import type { Withheld } from '../src/protocol/peer.js';
+import { ownPart, type OwnedPart } from '../src/coordination/ownedPart.js';
+import { CancelPreparations } from '../src/coordination/cancelPreparations.js';
+import type { PreparedChunk } from '../src/protocol/peer.js';
 import { keys, type JobRecord } from '../src/storage/records.js';
 import { until, type Cluster } from './support/cluster.js';
 import { emptyPart } from './support/part.js';
@@ -22,11 +22,11 @@
     ...{ zones: [], cut: 1, finished: [], away: [0] },
   };
   const chunk = { from: 0, to: 2, zone: null, next: 1, done: [], entries: [], moves: 1 };
-  const shelf = { chunks: { [`${ID}/0`]: { ...shared, ...chunk } } };
+  const bucket = { chunks: { [`${ID}/0`]: { ...shared, ...chunk } } };
   const answer = cluster.state.apply({
     Then: [
       { Put: keys.job(ID), Value: job },
-      { Put: keys.run('drone-0', 's1'), Value: shelf },
+      { Put: keys.run('drone-0', 's1'), Value: bucket },
     ],
   });
   assert.equal(answer.status, 200);
@@ -121,92 +121,93 @@
     cluster.state.refused.add('drone-1');
     const node = cluster.nodes.get('drone-0')?.controller;
     // As announced by a home that dies before it has stored anything.
-    assert.equal(node?.withholding.withhold(ID).length, 1);
+    assert.equal(node?.cancelPreparations.prepare(ID).length, 1);
     cluster.crash('drone-1');
     await gone(cluster);
     await until('it runs again', () => running(cluster).length === 2, 20);
   }));
 
-// ---- Who may say that a chunk is withheld ----
+// ---- Who may say that a chunk is prepared for its cancellation ----
 
 const NOW = 1000;
 const settings = { report: 4, lease: 18, cancel: 43 };
 
-function node(foreignUntil: number, seenToken: number) {
+function node(previousOwnerUntil: number, seenToken: number) {
   const part = emptyPart(4);
-  const host: Hosted = hosting(part, { token: 7, stamp: 1 }, NOW, foreignUntil);
+  const host: OwnedPart = ownPart(part, { token: 7, stamp: 1 }, NOW, previousOwnerUntil);
   const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0 };
   const machine = part.addMachine('n-1', record, NOW);
   machine.seenToken = seenToken;
   const entry = { task: 0, attempt: 1, machine: 'n-1', session: 1 };
   const stored = new Chunk(jobSpec({ id: ID, tasks: 1 }), 0, 'q', 1, 0, 1, null, NOW).record();
   const chunk = part.loadChunk(0, { ...stored, entries: [entry] }, 7, NOW);
-  const withholding = new Withholding({
+  const cancelPreparations = new CancelPreparations({
     settings,
     clock: { now: () => NOW },
-    hosted: new Map([['p', host]]),
+    ownedParts: new Map([['p', host]]),
     replica: { get: () => undefined, syncedAt: NOW },
-    peers: { withhold: () => Promise.resolve(false) },
-    kick: () => undefined,
+    peers: { prepareCancel: () => Promise.resolve(false) },
+    requestRound: () => undefined,
   });
-  return { withholding, chunk };
+  return { cancelPreparations, chunk };
 }
 
 const claims: {
   name: string;
-  foreignUntil: number;
+  previousOwnerUntil: number;
   seen: number;
   moving?: boolean;
   yes: boolean;
 }[] = [
-  { name: 'a part that was always ours', foreignUntil: NOW, seen: 3, yes: true },
+  { name: 'a part that was always ours', previousOwnerUntil: NOW, seen: 3, yes: true },
   {
     name: 'an adopted one, its last owner may answer',
-    foreignUntil: NOW + 36,
+    previousOwnerUntil: NOW + 36,
     seen: 3,
     yes: false,
   },
-  { name: 'the worker has seen our token', foreignUntil: NOW + 36, seen: 7, yes: true },
-  { name: 'the last owner ends soon enough', foreignUntil: NOW + 20, seen: 3, yes: true },
-  { name: 'on its way elsewhere', foreignUntil: NOW, seen: 7, moving: true, yes: false },
+  { name: 'the worker has seen our token', previousOwnerUntil: NOW + 36, seen: 7, yes: true },
+  { name: 'the last owner ends soon enough', previousOwnerUntil: NOW + 20, seen: 3, yes: true },
+  { name: 'on its way elsewhere', previousOwnerUntil: NOW, seen: 7, moving: true, yes: false },
 ];
-for (const { name, foreignUntil, seen, moving, yes } of claims) {
-  test(`a chunk is known to be withheld: ${name}`, () => {
-    const { withholding, chunk } = node(foreignUntil, seen);
+for (const { name, previousOwnerUntil, seen, moving, yes } of claims) {
+  test(`a chunk is known to be prepared for its cancellation: ${name}`, () => {
+    const { cancelPreparations, chunk } = node(previousOwnerUntil, seen);
     chunk.moving = moving ?? false;
-    assert.equal(withholding.withhold(ID).length, yes ? 1 : 0);
+    assert.equal(cancelPreparations.prepare(ID).length, yes ? 1 : 0);
     assert.equal(chunk.pending, 0);
   });
 }
 
-const answers: { name: string; cut: number; found: Withheld[][]; enough: boolean }[] = [
+const answers: { name: string; cut: number; found: PreparedChunk[][]; enough: boolean }[] = [
   { name: 'all chunks', cut: 2, found: [[at(0, 'q', 5)], [at(1, 'r', 6)]], enough: true },
   { name: 'one is missing', cut: 3, found: [[at(0, 'q', 5)], [at(1, 'r', 6)]], enough: false },
   { name: 'an owner that has lost its part', cut: 1, found: [[at(0, 'q', 4)]], enough: false },
   { name: 'nobody answers', cut: 1, found: [], enough: false },
   { name: 'the missing one is done', cut: 1, found: [], enough: true },
 ];
-function at(index: number, part: string, token: number): Withheld {
+function at(index: number, part: string, token: number): PreparedChunk {
   return { index, part, token };
 }
 for (const { name, cut, found, enough } of answers) {
   test(`a cancellation may be confirmed: ${name}`, async () => {
     const tokens: Record<string, number> = { [keys.owner('q')]: 5, [keys.owner('r')]: 6 };
-    const withholding = new Withholding({
+    const cancelPreparations = new CancelPreparations({
       settings,
       clock: { now: () => NOW },
-      hosted: new Map(),
+      ownedParts: new Map(),
       replica: {
         get: (key) => ({ value: { node: 'x', token: tokens[key], process: '' }, stamp: 1 }),
         syncedAt: NOW,
       },
       peers: {
-        withhold: (_job, _timeout, note) => Promise.resolve(found.map(note).some((done) => done)),
+        prepareCancel: (_job, _timeout, note) =>
+          Promise.resolve(found.map(note).some((done) => done)),
       },
-      kick: () => undefined,
+      requestRound: () => undefined,
     });
     const finished = name.endsWith('is done') ? [0] : [];
     const record = { cut, finished } as unknown as JobRecord;
-    assert.equal(await withholding.everywhere(ID, record), enough);
+    assert.equal(await cancelPreparations.prepareEverywhere(ID, record), enough);
   });
 }
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -128,7 +128,7 @@
     assert.equal(cluster.cloud.starts.length, 3);
   }));
 
-test('a shelf that its owner missed is taken up', () =>
+test('a bucket that its owner missed is taken up', () =>
   withCluster({ nodes: 1, runs: brief }, async (cluster) => {
     const spec = jobSpec({ id: 'wk-000081', tasks: 2 });
     const shared = { spec, home: 'drone-0', at: 1 };
@@ -164,7 +164,7 @@
       );
     await accept(cluster, 'drone-0', submission('wk-000075'));
     const job = (): boolean | undefined =>
-      cluster.nodes.get('drone-0')?.controller.hosted.get('drone-0')?.jobs.get('wk-000075')
+      cluster.nodes.get('drone-0')?.controller.ownedParts.get('drone-0')?.jobs.get('wk-000075')
         ?.unsettled;
     await until('its end got no answer', () => job() === true);
     cluster.state.refused.add('drone-0');
--- a/test/costs.test.ts
+++ b/test/costs.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Chunk } from '../src/coordination/chunk.js';
-import { hosting } from '../src/coordination/hosted.js';
+import { ownPart } from '../src/coordination/ownedPart.js';
 import { Machine } from '../src/coordination/machine.js';
 import { Orders } from '../src/coordination/orders.js';
 import type { Part } from '../src/coordination/part.js';
@@ -136,15 +136,15 @@
     clock: { now: () => 1 },
     links: { machines: { call } },
     ownership: { valid: true, raise: () => Promise.resolve(null) },
-    hosted: new Map([['p', hosting(part, { token: 1, stamp: 1 }, 0)]]),
-    kick: () => undefined,
+    ownedParts: new Map([['p', ownPart(part, { token: 1, stamp: 1 }, 0)]]),
+    requestRound: () => undefined,
   };
   const turns = new TurnQueue({ urgent: 4, ordinary: 0 }, (turn) => deferred.push(turn));
   const orders = new Orders(node, turns);
   const chunks = machines.map((_, i) => addChunk(part, `wk-${i}`));
   part.decide(1, () => false);
   for (const chunk of chunks) chunk.stored = chunk.version;
-  for (const machine of machines) part.pokes.add(machine);
+  for (const machine of machines) part.pendingCommands.add(machine);
   orders.send();
   const perTurn: number[] = [];
   for (let turn = deferred.shift(); turn !== undefined; turn = deferred.shift()) {
@@ -192,7 +192,10 @@
       });
     // A part without machines takes a job whole.
     await accept('wk-000701', 8);
-    await until('it has a machine', () => (controller.hosted.get('drone-0')?.part.cpus ?? 0) > 0);
+    await until(
+      'it has a machine',
+      () => (controller.ownedParts.get('drone-0')?.part.cpus ?? 0) > 0,
+    );
     let questions = 0;
     const { sender } = controller;
     const choose = sender.choose.bind(sender);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -70,7 +70,7 @@
 const silences: { name: string; silence: (worker: WorkerStandIn, on: boolean) => void }[] = [
   { name: 'hangs', silence: (w, on) => (w.hanging = on) },
   { name: 'hears no answer', silence: (w, on) => (w.deaf = on) },
-  { name: 'reaches no controller', silence: (w, on) => (w.mute = on) },
+  { name: 'reaches no controller', silence: (w, on) => (w.cutOff = on) },
 ];
 for (const { name, silence } of silences) {
   test(`a leader ends while a machine ${name}, and the machine goes on: no task on two machines`, () =>
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -1,7 +1,7 @@
 /** Questions to machines: what silent ones may hold, and what says nothing of them. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { hosting } from '../src/coordination/hosted.js';
+import { ownPart } from '../src/coordination/ownedPart.js';
 import { Chunk } from '../src/coordination/chunk.js';
 import { Orders, type OrdersNode } from '../src/coordination/orders.js';
 import { CallFailed, type Response } from '../src/transport/httpClient.js';
@@ -18,7 +18,7 @@
     const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0, address: `h:${i}` };
     part.addMachine(`n-${i}`, record, 0).noteReached(0);
   }
-  const host = hosting(part, { token: 1, stamp: 1 }, 0);
+  const host = ownPart(part, { token: 1, stamp: 1 }, 0);
   const asked: string[] = [];
   const clock = { at: 100, now: () => clock.at };
   const ownership = { valid: true, raise: () => Promise.resolve(null) };
@@ -34,8 +34,8 @@
       },
     },
     ownership,
-    hosted: new Map([['p', host]]),
-    kick: () => undefined,
+    ownedParts: new Map([['p', host]]),
+    requestRound: () => undefined,
   };
   // Turns of the event loop that follow each other at once.
   const turns = new TurnQueue({ urgent: 4, ordinary: 0 }, (turn) => {
@@ -103,7 +103,7 @@
 test('without a valid lease nothing is asked or ordered', () => {
   const { part, orders, asked, ownership } = fixture(3, () => new Promise(() => undefined));
   ownership.valid = false;
-  for (const machine of part.machines.values()) part.pokes.add(machine);
+  for (const machine of part.machines.values()) part.pendingCommands.add(machine);
   orders.send();
   orders.sweep();
   assert.deepEqual(asked, []);
@@ -126,8 +126,8 @@
   }
   const [unwanted] = chunks;
   if (unwanted === undefined) throw new Error('no chunk');
-  part.withhold(unwanted, 100);
-  for (const machine of part.machines.values()) part.pokes.add(machine);
+  part.prepareCancel(unwanted, 100);
+  for (const machine of part.machines.values()) part.pendingCommands.add(machine);
   orders.sweep();
   assert.deepEqual(asked, ['h:0']);
 });
--- a/test/outages.test.ts
+++ b/test/outages.test.ts
@@ -184,7 +184,7 @@
       return (await status(cluster, 'drone-0', 'wk-000098')).running === 1;
     });
     const [worker] = cluster.cloud.workers.values();
-    const part = cluster.nodes.get('drone-0')?.controller.hosted.get('drone-0')?.part;
+    const part = cluster.nodes.get('drone-0')?.controller.ownedParts.get('drone-0')?.part;
     const machine = part?.machines.get(worker?.name ?? '');
     if (worker === undefined || machine === undefined) throw new Error('no machine');
     worker.hanging = true;
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -854,8 +854,8 @@
   const on = runs.entries.get(0)?.machine === machine.name ? machine : other;
   b.report(on, [{}]);
   assert.deepEqual(on.endings(), []);
-  b.part.withhold(runs, b.now);
-  b.part.withhold(waits, b.now);
+  b.part.prepareCancel(runs, b.now);
+  b.part.prepareCancel(waits, b.now);
   const halt = { verb: 'halt', task: 'wk-1/0', attempt: 1, wind: 0 };
   // With every answer: one of them may be lost, and the next would renew the lease.
   assert.deepEqual([on.endings(), on.endings()], [[halt], [halt]]);
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -26,7 +26,7 @@
   spare: [],
   lost: ['n-1'],
   used: [],
-  hungry: [],
+  throttled: [],
   starving: [],
   ...changes,
 });
@@ -115,7 +115,8 @@
   return new Ownership(
     client as unknown as StateClient,
     replica as unknown as Replica,
-    { now: () => performance.now() / 1000, wall: () => 1000 },
+    // It stands still: on a busy machine a lease of so short a time lapses between two steps.
+    { now: () => 50, wall: () => 1000 },
     { label: 'p', process: 'x', parts: ['p'], ttl: 0.05, grace: 20 },
     {
       gained: (part, held) => {
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -171,7 +171,7 @@
         spare: ['n-1'],
         lost: [],
         used: [{ team: 'crew', cpus: 4, gpus: 0 }],
-        hungry: ['crew'],
+        throttled: ['crew'],
         starving: [{ team: 'crew', at: 12.5, rank: 1 }],
       },
     },
--- a/test/sizes.test.ts
+++ b/test/sizes.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { chunkRanges, chunkSize } from '../src/coordination/chunks.js';
 import { groupLimit } from '../src/coordination/provisioning/machinePool.js';
-import { ENTRY_BYTES, FRAME_BYTES } from '../src/coordination/shelf.js';
+import { ENTRY_BYTES, FRAME_BYTES } from '../src/coordination/bucket.js';
 import { RENT_LIMIT } from '../src/protocol/cloud.js';
 import { submission, until } from './support/cluster.js';
 import { spec } from './support/spec.js';
--- a/test/storing.test.ts
+++ b/test/storing.test.ts
@@ -1,14 +1,14 @@
-/** What is stored and when: machines by rental, chunks on shelves, and answers that get lost. */
+/** What is stored and when: machines by rental, chunks on buckets, and answers that get lost. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Chunk } from '../src/coordination/chunk.js';
-import { hosting, type Hosted } from '../src/coordination/hosted.js';
+import { ownPart, type OwnedPart } from '../src/coordination/ownedPart.js';
 import { choosePartFor } from '../src/coordination/provisioning/machinePool.js';
-import { Shelving } from '../src/coordination/shelving.js';
+import { BucketWriter } from '../src/coordination/bucketWriter.js';
 import { shareOf } from '../src/storage/budget.js';
 import { Fleet } from '../src/storage/fleet.js';
-import { keys, type GroupRecord, type ShelfRecord } from '../src/storage/records.js';
-import { Shelves } from '../src/storage/shelves.js';
+import { keys, type GroupRecord, type BucketRecord } from '../src/storage/records.js';
+import { Buckets } from '../src/storage/buckets.js';
 import { emptyPart, m8 } from './support/part.js';
 import { spec } from './support/spec.js';
 import { MemoryStore } from './support/store.js';
@@ -45,17 +45,17 @@
 });
 
 test('a chunk is found where it was stored last', () => {
-  const shelves = new Shelves();
+  const buckets = new Buckets();
   const chunk = new Chunk(spec(), 0, 'p', 1, 0, 4, null, 0);
   const record = { chunks: { 'wk-1/0': chunk.record() } };
-  shelves.note('p', 's1', record);
-  assert.equal(shelves.find('wk-1/0')?.part, 'p');
-  // It moves: the new shelf may be heard of before the old one is changed.
-  shelves.note('q', 's9', record);
-  shelves.note('p', 's1', { chunks: {} });
-  assert.equal(shelves.find('wk-1/0')?.part, 'q');
-  shelves.note('q', 's9', null);
-  assert.equal(shelves.find('wk-1/0'), undefined);
+  buckets.note('p', 's1', record);
+  assert.equal(buckets.find('wk-1/0')?.part, 'p');
+  // It moves: the new bucket may be heard of before the old one is changed.
+  buckets.note('q', 's9', record);
+  buckets.note('p', 's1', { chunks: {} });
+  assert.equal(buckets.find('wk-1/0')?.part, 'q');
+  buckets.note('q', 's9', null);
+  assert.equal(buckets.find('wk-1/0'), undefined);
 });
 
 test('nodes share a limit by need, and together stay below it', () => {
@@ -88,13 +88,13 @@
   }
 });
 
-/** One part with its shelves, on a store in memory. */
+/** One part with its buckets, on a store in memory. */
 class Desk {
   now = 100;
   readonly store = new MemoryStore();
-  readonly host: Hosted;
+  readonly host: OwnedPart;
   readonly started: string[] = [];
-  private readonly shelving: Shelving;
+  private readonly bucketWriter: BucketWriter;
 
   constructor() {
     const part = emptyPart(3, new Map([['m8', m8]]));
@@ -104,9 +104,9 @@
     ] as const) {
       this.store.rows.set(keys.owner(label), { key: keys.owner(label), value: {}, stamp });
     }
-    this.host = hosting(part, { token: 5, stamp: 1 }, 0);
+    this.host = ownPart(part, { token: 5, stamp: 1 }, 0);
     const { rows } = this.store;
-    this.shelving = new Shelving(
+    this.bucketWriter = new BucketWriter(
       this.store,
       { get: (key) => rows.get(key), note: () => undefined, noteRemoved: () => undefined },
       { now: () => this.now, wall: () => this.now },
@@ -144,18 +144,18 @@
   async round(seconds = 5): Promise<void> {
     this.now += seconds;
     this.host.part.decide(this.now, () => false);
-    this.shelving.pass(this.host);
+    this.bucketWriter.pass(this.host);
     while (this.host.writing > 0) await new Promise((r) => setTimeout(r, 1));
   }
 
-  move(chunk: Chunk): ReturnType<Shelving['move']> {
-    return this.shelving.move(this.host, chunk, 'q', { when: [], puts: [] });
+  move(chunk: Chunk): ReturnType<BucketWriter['move']> {
+    return this.bucketWriter.move(this.host, chunk, 'q', { when: [], puts: [] });
   }
 
-  /** Parts whose stored shelves hold the chunk. */
+  /** Parts whose stored buckets hold the chunk. */
   where(chunk: Chunk): string[] {
     return [...this.store.rows.values()].flatMap(({ key, value }) =>
-      key.startsWith('b/run/') && (value as ShelfRecord).chunks[chunk.id] !== undefined
+      key.startsWith('b/run/') && (value as BucketRecord).chunks[chunk.id] !== undefined
         ? [key.split('/')[2] ?? '']
         : [],
     );
@@ -220,7 +220,7 @@
   }
 });
 
-test('a shelf whose creation got no answer never comes back once its chunks have left it', async () => {
+test('a bucket whose creation got no answer never comes back once its chunks have left it', async () => {
   for (const leave of ['moved', 'dropped before it was stored'] as const) {
     const desk = new Desk();
     const chunk = desk.job('wk-1');
@@ -235,7 +235,7 @@
     // Its condition is that there is no such record: a record that had been removed would let it pass.
     assert.equal(desk.store.late().kind, 'conflict');
     assert.deepEqual(desk.where(chunk), leave === 'moved' ? ['q'] : []);
-    // The shelf serves what comes next.
+    // The bucket serves what comes next.
     const next = desk.job('wk-2');
     await desk.round();
     assert.deepEqual(desk.where(next), ['p']);
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -44,7 +44,7 @@
   /** Its reports arrive, but no answer, question or order gets to it. */
   deaf = false;
   /** It reaches no controller, while direct commands and questions reach it. */
-  mute = false;
+  cutOff = false;
   /** All reports that it has sent. */
   readonly sent: string[] = [];
   private readonly server = new HttpServer((r) => this.serve(r), options);
@@ -165,7 +165,7 @@
     const http = new HttpClient(10, 1);
     const { report } = this.fleet.settings;
     while (!this.stopped) {
-      if (!this.hanging && !this.mute) await this.tell(http);
+      if (!this.hanging && !this.cutOff) await this.tell(http);
       await new Promise((r) => setTimeout(r, report * 1000));
     }
   }
