--- a/src/coordination/heap.ts
+++ b/src/coordination/heap.ts
@@ -8,6 +8,11 @@
     return this.items.length;
   }
 
+  /** The least element, which stays. */
+  peek(): T | undefined {
+    return this.items[0];
+  }
+
   push(item: T): void {
     const { items } = this;
     let at = items.push(item) - 1;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -64,7 +64,7 @@
     private readonly cluster: ClusterView = singlePartView,
   ) {
     this.teams = new TeamUsage(cluster);
-    this.estimates = new WaitEstimates(this, runTimes);
+    this.estimates = new WaitEstimates(this, runTimes, options.report);
     this.preemption = new Preemption(this, this.teams, options.report);
     this.needs = new Needs(this, options, types);
   }
@@ -81,6 +81,7 @@
     const machine = new Machine(name, record, this.types, now);
     machine.renewed = renewed;
     this.machines.set(name, machine);
+    this.estimates.invalidate();
     return machine;
   }
 
@@ -89,6 +90,7 @@
     const machine = this.machines.get(name);
     if (machine === undefined) return;
     this.machines.delete(name);
+    this.estimates.invalidate();
     this.pendingCommands.delete(machine);
     for (const placed of [...machine.entries.values()]) this.release(machine, placed, now);
   }
@@ -417,6 +419,7 @@
       chunk.entries.set(e.task, entry);
       this.teams.add(chunk.spec, 1);
       machine.put({ chunk, entry });
+      this.estimates.invalidate();
     }
     if (chunk.entries.size < record.entries.length) this.dirty.add(chunk);
     this.addChunk(chunk, now);
@@ -714,6 +717,7 @@
     chunk.entries.set(task, entry);
     this.teams.add(chunk.spec, 1);
     machine.put({ chunk, entry });
+    this.estimates.invalidate();
     log.debug(
       `${this.label} places ${chunk.taskName(task)} (${chunk.spec.jobClass}) on ${machine.name}, ` +
         `image ${machine.hasImage(chunk.spec.image) ? 'there' : 'missing'}, ` +
--- a/src/coordination/replay.ts
+++ b/src/coordination/replay.ts
@@ -64,17 +64,56 @@
   return [...lanes.values()];
 }
 
+/** The machines as a replay begins; it can be used for any number of replays. */
+export class ReplayStart {
+  /** When running tasks end and machines get ready, soonest first. */
+  readonly ends: readonly End[];
+
+  constructor(readonly hosts: readonly ReplayHost[]) {
+    const ends: End[] = [];
+    hosts.forEach(({ running, ready }, host) => {
+      for (const task of running) ends.push({ at: Math.max(0, task.ends), host, need: task.need });
+      if (ready > 0) ends.push({ at: ready, host, need: NOTHING });
+    });
+    this.ends = ends.sort((a, b) => a.at - b.at);
+  }
+}
+
+/** What ends in a replay: what ran or was getting ready at its start, and what it has started itself. */
+class Ends {
+  private passed = 0;
+  private readonly started = new Heap<End>((a, b) => a.at - b.at);
+
+  constructor(private readonly atStart: readonly End[]) {}
+
+  add(end: End): void {
+    this.started.push(end);
+  }
+
+  /** The next, which is taken out. */
+  next(): End | undefined {
+    const known = this.atStart[this.passed];
+    const started = this.started.peek();
+    if (known === undefined || (started !== undefined && started.at < known.at)) {
+      return this.started.pop();
+    }
+    this.passed++;
+    return known;
+  }
+}
+
 export function replay(
-  hosts: ReplayHost[],
+  start: ReplayStart,
   queue: ReplayItem[],
   candidate: ReplayItem,
 ): ReplayResult {
+  const { hosts } = start;
   if (!hosts.some((h) => allows(candidate.spec, candidate.zone, h) && everHolds(h, candidate))) {
     return { wait: Infinity };
   }
   let lanes = lanesOf([...queue, candidate]);
   const rooms = hosts.map((h) => ({ ...h.free }));
-  const ends = new Heap<End>((a, b) => a.at - b.at);
+  const ends = new Ends(start.ends);
   let own = candidate.count;
   /** Starts what this machine has room for, first come first served, later work filling in behind. */
   const fill = (host: ReplayHost, index: number, room: Room, now: number): void => {
@@ -91,9 +130,11 @@
       if (first === null || next === undefined) return;
       const { spec: need, run } = next.item;
       take(room, need, -1);
-      if (Number.isFinite(run)) ends.push({ at: now + run, host: index, need });
+      if (Number.isFinite(run)) ends.add({ at: now + run, host: index, need });
       if (next.item === candidate) own--;
-      if (--next.left === 0) first.head++;
+      if (--next.left > 0) continue;
+      first.head++;
+      if (first.head === first.waiting.length) lanes = lanes.filter((lane) => lane !== first);
     }
   };
   hosts.forEach((host, index) => {
@@ -101,13 +142,9 @@
     if (room !== undefined && host.ready <= 0) fill(host, index, room, 0);
   });
   if (own === 0) return { wait: 0 };
-  hosts.forEach((h, host) => {
-    for (const task of h.running) ends.push({ at: Math.max(0, task.ends), host, need: task.need });
-    if (h.ready > 0) ends.push({ at: h.ready, host, need: NOTHING });
-  });
   let now = 0;
   for (let event = 0; event < MAX_EVENTS; event++) {
-    const next = ends.pop();
+    const next = ends.next();
     if (next === undefined) return { wait: Infinity };
     now = Math.max(now, next.at);
     const room = rooms[next.host];
@@ -116,7 +153,6 @@
     take(room, next.need, 1);
     if (host.ready <= now) fill(host, next.host, room, now);
     if (own === 0) return { wait: now };
-    lanes = lanes.filter((lane) => lane.head < lane.waiting.length);
   }
   return { wait: now };
 }
--- a/src/coordination/waitEstimates.ts
+++ b/src/coordination/waitEstimates.ts
@@ -5,14 +5,37 @@
 import type { Machine, Placed } from './machine.js';
 import type { Part } from './part.js';
 import { allows, holds, type Room } from './placement.js';
-import { replay, type ReplayHost, type ReplayItem } from './replay.js';
+import { replay, ReplayStart, type ReplayHost, type ReplayItem } from './replay.js';
+
+/** How old a snapshot of the machines may be, as a ratio to the time between reports. */
+const SNAPSHOT_AGE = 1 / 40;
+
+interface Snapshot {
+  start: ReplayStart;
+  /** Steady time at which it was taken. */
+  at: number;
+}
 
 export class WaitEstimates {
+  /**
+   * The machines as seen by work of each rank. A snapshot is used until a task is placed or a machine comes or
+   * goes, and for a fortieth of a report at the most: what has ended since then is not seen yet. After a
+   * restart peers ask dozens of times a second, and looking at each machine anew took most of the processor.
+   */
+  private readonly snapshots = new Map<number, Snapshot>();
+
   constructor(
     private readonly part: Pick<Part, 'machines' | 'queue'>,
     private readonly runTimes: RunTimes,
+    /** Seconds between two reports of a worker. */
+    private readonly report: number,
   ) {}
 
+  /** A task has been placed, or a machine has come or gone. */
+  invalidate(): void {
+    this.snapshots.clear();
+  }
+
   /** Steady time at which a placed task should end; services never do. */
   endOf({ chunk, entry }: Placed, now: number): number {
     if (chunk.spec.service) return Infinity;
@@ -38,7 +61,16 @@
         run: c.spec.service ? Infinity : this.expectedRun(c.spec),
       }));
     if (queue.length === 0 && this.hasRoomNow(candidate, now)) return 0;
-    return replay(this.replayHosts(rank, now), queue, candidate).wait;
+    const { start, at } = this.snapshot(rank, now);
+    return Math.max(0, replay(start, queue, candidate).wait - (now - at));
+  }
+
+  private snapshot(rank: number, now: number): Snapshot {
+    const known = this.snapshots.get(rank);
+    if (known !== undefined && now - known.at < this.report * SNAPSHOT_AGE) return known;
+    const snapshot = { start: new ReplayStart(this.replayHosts(rank, now)), at: now };
+    this.snapshots.set(rank, snapshot);
+    return snapshot;
   }
 
   /** The machines as the replay begins; work below the rank would be stopped for the candidate. */
--- a/test/costs.test.ts
+++ b/test/costs.test.ts
@@ -156,12 +156,8 @@
   assert.ok(Math.max(...perTurn) <= 4);
 });
 
-test('machines that are full when a round begins are not looked at for each job that waits', () => {
-  const { part, machines } = partWith(200);
-  for (const [i] of machines.entries()) addChunk(part, `wk-${i}`);
-  part.decide(1, () => false);
-  // Each of a shape of its own, so that nothing is known of one from the others.
-  for (let i = 0; i < 50; i++) addChunk(part, `wk-9${i}`, 5 + i / 10);
+/** How often the room of machines is looked at. */
+function countFree(work: () => void): number {
   let visits = 0;
   const { free } = Object.getOwnPropertyDescriptors(Machine.prototype);
   const counted = {
@@ -173,10 +169,37 @@
   };
   Object.defineProperty(Machine.prototype, 'free', counted);
   try {
-    part.decide(2, () => false);
+    work();
   } finally {
     Object.defineProperty(Machine.prototype, 'free', free);
   }
+  return visits;
+}
+
+test('questions of one moment share one look at the machines, and see what has been placed', () => {
+  const { part, machines } = partWith(200);
+  // The queue is not empty, so every question is answered by a replay.
+  addChunk(part, 'wk-0', 1000);
+  const asked = { spec: spec({ id: 'wk-x', cpus: 8 }), zone: null, count: 200, run: 20 };
+  const ask = (now: number): number => part.estimates.waitFor(asked, now);
+  const visits = countFree(() => {
+    for (let i = 0; i < 30; i++) assert.equal(ask(1 + i / 1000), 0);
+  });
+  assert.ok(visits <= 2 * machines.length, `${visits} visits`);
+  addChunk(part, 'wk-1');
+  part.decide(1.03, () => false);
+  assert.ok(ask(1.03) > 0, 'the room that was just taken was promised again');
+});
+
+test('machines that are full when a round begins are not looked at for each job that waits', () => {
+  const { part, machines } = partWith(200);
+  for (const [i] of machines.entries()) addChunk(part, `wk-${i}`);
+  part.decide(1, () => false);
+  // Each of a shape of its own, so that nothing is known of one from the others.
+  for (let i = 0; i < 50; i++) addChunk(part, `wk-9${i}`, 5 + i / 10);
+  const visits = countFree(() => {
+    part.decide(2, () => false);
+  });
   // Once for the list of those with room, and for the machine kept for the first that waits.
   assert.ok(visits <= 4 * machines.length, `${visits} visits`);
 });
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -20,7 +20,7 @@
   planRentals,
   type RentPlan,
 } from '../src/coordination/provisioning/renting.js';
-import { replay, type ReplayHost } from '../src/coordination/replay.js';
+import { replay, ReplayStart, type ReplayHost } from '../src/coordination/replay.js';
 import type { JobRecord } from '../src/storage/records.js';
 import { fromRanges, toRanges } from '../src/storage/records.js';
 import { spec } from './support/spec.js';
@@ -59,14 +59,14 @@
     ['no machines', [], [], 1, Infinity],
   ];
   for (const [name, hosts, queue, count, wait] of cases) {
-    assert.equal(replay(hosts, queue, item(count, 20)).wait, wait, name);
+    assert.equal(replay(new ReplayStart(hosts), queue, item(count, 20)).wait, wait, name);
   }
 });
 
 test('later work fills what earlier work leaves in the replay', () => {
   const large = { spec: spec({ cpus: 8 }), zone: null, count: 1, run: 10 };
   const small = { spec: spec({ cpus: 2 }), zone: null, count: 1, run: 1 };
-  assert.equal(replay([host(4, [[6, 4]])], [large], small).wait, 0);
+  assert.equal(replay(new ReplayStart([host(4, [[6, 4]])]), [large], small).wait, 0);
 });
 
 test('turnaround and the factor gate, by the formula of the paper', () => {
