Peer links: a connection is given up for silence, not after two unanswered questions

Cause, found reading what follows a restart: questions wait 100 ms for an answer, and two of them without one closed the connection; all else that waited on it (gossip, relayed requests, cancellations) was lost, and a peer that was only slow had to accept a new connection, one in a turn of its event loop. Timers also struck before an answer that had arrived was read. Now a connection goes after half a report without a word while calls wait, and a call's time is up only after what has arrived is read.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -38,6 +38,9 @@
 import type { ClusterView } from './teamUsage.js';
 import { CancelPreparations } from './cancelPreparations.js';
 
+/** Calls to one peer that may wait for an answer. */
+const PEER_CALLS = 256;
+
 /** Connections of this node's own making. */
 export interface Links {
   services: HttpClient;
@@ -139,7 +142,10 @@
       clock,
       settings.report,
       settings.skew,
-      settings.peers.map((p) => ({ ...p, client: new PeerClient(p.endpoint, 256) })),
+      settings.peers.map((p) => ({
+        ...p,
+        client: new PeerClient(p.endpoint, PEER_CALLS, settings.report / 2),
+      })),
     );
     this.sender = new Sender(this);
     this.orders = new Orders(this);
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -93,11 +93,18 @@
   private socket: net.Socket | null = null;
   private readonly pending = new Map<number, Pending>();
   private nextId = 1;
-  private silent = 0;
+  /** Runs while calls wait and nothing arrives. */
+  private silenceTimer: NodeJS.Timeout | null = null;
 
   constructor(
     private readonly endpoint: string,
     private readonly maxPending: number,
+    /**
+     * Seconds without a word, while calls wait, after which the connection is given up: a cut leaves it hanging
+     * without an error. Long against a call's patience: a peer that is only slow would have to accept one new
+     * connection after the other, and all calls that wait would be lost with each.
+     */
+    private readonly silence: number,
   ) {}
 
   call(body: Buffer, timeout: number): Promise<Buffer> {
@@ -113,18 +120,33 @@
       }
       const id = this.nextId;
       this.nextId = (this.nextId % 0xfffffff0) + 1;
-      const timer = setTimeout(() => {
-        this.pending.delete(id);
-        this.silent++;
-        // A cut leaves the connection hanging without an error; a new one is tried after it.
-        if (this.silent >= 2) this.drop(socket);
+      const giveUp = (): void => {
+        if (!this.pending.delete(id)) return;
         reject(new CallFailed('peer is silent', false));
-      }, timeout * 1000);
+      };
+      // After a stretch in which this process did not get to run, timers fire before what has arrived
+      // meanwhile is read: an answer that is there is taken.
+      const timer = setTimeout(() => setImmediate(giveUp), timeout * 1000);
       this.pending.set(id, { resolve, reject, timer });
       socket.write(frame(id, REQUEST, body));
+      this.silenceTimer ??= this.watchSilence(socket);
     });
   }
 
+  private watchSilence(socket: net.Socket): NodeJS.Timeout {
+    const drop = (): void => {
+      if (this.silenceTimer === timer) this.drop(socket);
+    };
+    const timer = setTimeout(() => setImmediate(drop), this.silence * 1000);
+    return timer;
+  }
+
+  /** Something has arrived: the connection works. */
+  private endSilence(): void {
+    if (this.silenceTimer !== null) clearTimeout(this.silenceTimer);
+    this.silenceTimer = null;
+  }
+
   close(): void {
     if (this.socket !== null) this.drop(this.socket);
   }
@@ -136,7 +158,7 @@
     const socket = net.connect({ ...address, noDelay: true });
     const reader = new FrameReader();
     socket.on('data', (data) => {
-      this.silent = 0;
+      this.endSilence();
       const sound = reader.push(data, (id, kind, body) => {
         const waiting = this.pending.get(id);
         if (waiting === undefined) return;
@@ -146,6 +168,7 @@
         else waiting.reject(new CallFailed(body.toString('utf8'), false));
       });
       if (!sound) this.drop(socket);
+      else if (this.pending.size > 0) this.silenceTimer = this.watchSilence(socket);
     });
     socket.on('error', () => {
       this.drop(socket);
@@ -154,7 +177,6 @@
       this.drop(socket);
     });
     this.socket = socket;
-    this.silent = 0;
     return socket;
   }
 
@@ -162,6 +184,7 @@
     socket.destroy();
     if (this.socket !== socket) return;
     this.socket = null;
+    this.endSilence();
     const lost = [...this.pending.values()];
     this.pending.clear();
     for (const waiting of lost) {
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -48,7 +48,7 @@
   // They name machines to end, so what is long past must not be acted on.
   test(`a message of a peer: ${name}`, () => {
     const clock = { now: () => 50, wall: () => 1001 };
-    const client = new PeerClient('127.0.0.1:1', 1);
+    const client = new PeerClient('127.0.0.1:1', 1, 1);
     const peers = new Peers(clock, REPORT, SKEW, [{ label: 'q', zone: 'a', client }]);
     peers.note(gossip({}));
     peers.note(gossip({ ...second, lost: ['n-2'] }));
