--- a/src/coordination/clusterTotals.ts
+++ b/src/coordination/clusterTotals.ts
@@ -30,7 +30,7 @@
   /** The first in the queue's order of a team's starved jobs, of all parts but one. */
   starvedElsewhere(team: string, except: string): Starved | null {
     const here = [...this.ownedParts.values()].flatMap(({ part }) =>
-      part.label === except ? [] : [...part.starving.values()],
+      part.label === except ? [] : [...part.scheduler.starving.values()],
     );
     const there = this.peers.gossips().flatMap((gossip) => gossip.starving);
     let first: Starved | null = null;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -265,7 +265,7 @@
       const now = this.clock.now();
       const deadline = now + this.tuning.roundBudget;
       for (const host of this.ownedParts.values()) {
-        host.part.decide(now, () => this.clock.now() > deadline);
+        host.part.scheduler.decide(now, () => this.clock.now() > deadline);
       }
       this.commits.pass();
     }
--- a/src/coordination/gossiper.ts
+++ b/src/coordination/gossiper.ts
@@ -64,8 +64,8 @@
       spare: isServed ? this.spareMachines() : [],
       lost: isServed ? this.lostMachines() : [],
       used: this.teamUsage(),
-      throttled: [...new Set(this.parts.flatMap((part) => [...part.throttled]))],
-      starving: this.parts.flatMap((part) => [...part.starving.values()]),
+      throttled: [...new Set(this.parts.flatMap((part) => [...part.scheduler.throttled]))],
+      starving: this.parts.flatMap((part) => [...part.scheduler.starving.values()]),
     };
   }
 
@@ -107,6 +107,6 @@
     // Without a word from the state service the network may have left us, and everybody seems lost.
     if (now - state.lastServed > stateTtl / 2) return [];
     const boot = (machine: Machine): number => machine.shape?.boot ?? settings.lease;
-    return this.parts.flatMap((part) => part.lostMachines(now, boot, clock.wall()));
+    return this.parts.flatMap((part) => part.liveness.lostMachines(now, boot, clock.wall()));
   }
 }
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -109,7 +109,7 @@
       }
       const parsed = parseReport(answer.body);
       if (parsed !== null && host.alive) {
-        const told = host.part.apply(machine, parsed, this.node.clock.now(), 'answer');
+        const told = host.part.reports.apply(machine, parsed, this.node.clock.now(), 'answer');
         if (told === 'news') this.node.requestRound();
       }
     } catch (error) {
@@ -155,7 +155,7 @@
       const report = parseReport(answer.body);
       if (report !== null && host.alive && machine.address === address) {
         machine.noteReached(this.node.clock.now());
-        const told = host.part.apply(machine, report, this.node.clock.now(), 'answer');
+        const told = host.part.reports.apply(machine, report, this.node.clock.now(), 'answer');
         if (told === 'news') this.node.requestRound();
       }
     } catch (error) {
@@ -180,7 +180,7 @@
       return;
     }
     for (const host of this.node.ownedParts.values()) {
-      host.part.sweep(now);
+      host.part.liveness.sweep(now);
       if (log.getLevel() <= log.levels.DEBUG) log.debug(host.part.summary(now));
       this.settleDoubts(host, now);
       this.probeUnreached(host);
--- a/src/coordination/quotas.ts
+++ b/src/coordination/quotas.ts
@@ -76,7 +76,7 @@
     const host = this.node.ownedParts.get(label);
     if (host === undefined) return;
     const { part } = host;
-    const want = part.wanted(team.name);
+    const want = part.scheduler.wanted(team.name);
     const key = keys.quota(team.name);
     const stored = this.node.replica.get(key);
     const shares = (stored?.value ?? {}) as QuotaRecord;
--- a/src/coordination/reasons.ts
+++ b/src/coordination/reasons.ts
@@ -25,7 +25,7 @@
     const fetching = [...chunk.entries.values()].filter((e) => e.state === 'fetching').length;
     return `${fetching} task(s) have a machine and wait for image ${spec.image} (${spec.imageGb} GB) to be fetched.${tail}`;
   }
-  if (part.throttled.has(spec.team)) {
+  if (part.scheduler.throttled.has(spec.team)) {
     return `Team ${spec.team} is at its limit; tasks start as its others end.${tail}`;
   }
   if (chunk.notBefore > node.clock.now()) {
--- /dev/null
+++ b/src/coordination/reportIntake.ts
@@ -0,0 +1,210 @@
+/** What workers' reports say of machines and of the attempts that are, or may be, there. */
+import type { Report, TaskReport } from '../protocol/worker.js';
+import type { Chunk, Entry } from './chunk.js';
+import type { RunTimes } from './estimate.js';
+import type { Machine, Placed } from './machine.js';
+import type { Part, PartOptions } from './part.js';
+
+/**
+ * Where a report comes from: a worker's own, which may be late or get no answer; one that follows an
+ * answer of ours on the same connection; the answer to a question or command of ours.
+ */
+export type Source = 'report' | 'follow' | 'answer';
+
+/** What a report says: nothing, since it is older than what is known; nothing new; or something new. */
+export type Told = 'older' | 'as before' | 'news';
+
+/** Of a machine's pace, how much one task that has ended counts: one odd task says little. */
+const PACE_WEIGHT = 0.25;
+
+/** The slowest pace that is believed, as a ratio to what was expected. */
+const SLOWEST = 8;
+
+/** Machines on which a job must have failed before the job is blamed, not they. */
+const BAD_JOB = 3;
+
+/** Jobs that must have failed in a row on a machine before the machine is blamed. */
+const BAD_MACHINE = 2;
+
+export class ReportIntake {
+  constructor(
+    private readonly part: Pick<
+      Part,
+      'chunks' | 'chunksOf' | 'changed' | 'pendingCommands' | 'release' | 'stop'
+    >,
+    private readonly options: Pick<PartOptions, 'lease' | 'report'>,
+    private readonly runTimes: RunTimes,
+  ) {}
+
+  /**
+   * Takes a worker's report. Most say nothing new, and nothing has to be decided anew for them: with
+   * hundreds of machines that would be most of a node's work.
+   */
+  apply(machine: Machine, report: Report, now: number, from: Source): Told {
+    if (!machine.isNewer(report)) return 'older';
+    const before = machine.usable(now);
+    const isHello = from !== 'answer';
+    const newSession = report.session > machine.session && machine.heard !== null;
+    // The first that is known stays: a late copy must not send orders elsewhere.
+    if (machine.address === '') machine.address = report.address;
+    machine.session = report.session;
+    machine.tick = report.tick;
+    machine.seenToken = Math.max(machine.seenToken, report.token);
+    machine.heard = now;
+    // At once, not with the next sweep: a machine that has just come up is waited for.
+    if (isHello) [machine.reportedAt, machine.cutOff] = [now, false];
+    if (from !== 'report') machine.noteReached(now);
+    machine.goneBy = report.warning === null ? null : now + report.warning;
+    const changed = machine.noteTasks(report.tasks);
+    if (newSession) machine.leftovers.clear();
+    for (const [task, leftover] of machine.leftovers) {
+      const still = machine.tasks.get(task);
+      if (still === undefined || still.attempt !== leftover.attempt) machine.leftovers.delete(task);
+    }
+    for (const placed of [...machine.entries.values()]) {
+      this.settle(machine, placed, report.session, isHello, now);
+    }
+    this.claimOrphans(machine, now);
+    if (machine.goneBy !== null) this.drain(machine, now);
+    if (machine.entries.size > 0) machine.idleSince = now;
+    const news = changed || newSession || before !== machine.usable(now);
+    return news ? 'news' : 'as before';
+  }
+
+  /** What a newer report says of one attempt. */
+  private settle(
+    machine: Machine,
+    placed: Placed,
+    session: number,
+    isHello: boolean,
+    now: number,
+  ): void {
+    const { chunk, entry } = placed;
+    if (session > entry.session) {
+      // The worker killed everything when its lease ran out; nothing of that session comes back.
+      this.part.release(machine, placed, now);
+      return;
+    }
+    if (entry.doubt !== null && machine.seenToken > entry.doubt) entry.doubt = null;
+    if (isHello) entry.sentInAnswer = false;
+    const report = machine.tasks.get(chunk.taskName(entry.task));
+    if (report?.attempt === entry.attempt) {
+      this.progress(machine, placed, report, now);
+      return;
+    }
+    const unsettled = entry.doubt !== null || entry.sentInAnswer;
+    if (entry.seen ? entry.doubt === null : entry.stop !== null && !unsettled) {
+      // It was here and is no more, or it never came and is not wanted any longer.
+      this.part.release(machine, placed, now);
+    }
+  }
+
+  private progress(machine: Machine, placed: Placed, report: TaskReport, now: number): void {
+    const { chunk, entry } = placed;
+    entry.seen = true;
+    if (report.state !== 'ended') {
+      if (report.state === 'running' && entry.state !== 'running') {
+        entry.runningSince = now;
+        machine.noteImage(chunk.spec.image, chunk.spec.imageGb);
+      }
+      entry.state = report.state;
+      return;
+    }
+    if (report.cause === 'done') this.finish(machine, placed, now);
+    else {
+      if (report.cause === 'error') this.noteFailure(machine, chunk, now);
+      if (report.cause === 'no_room' || report.cause === 'busy') {
+        machine.shunnedUntil = now + this.options.report;
+      }
+      // The description is on its way, or the user never sent it: try again, but not at once.
+      if (report.cause === 'unknown') this.backOff(chunk, now);
+      this.part.release(machine, placed, now);
+    }
+    this.leave(machine, chunk, entry, now);
+  }
+
+  private finish(machine: Machine, placed: Placed, now: number): void {
+    const { chunk, entry } = placed;
+    if (entry.runningSince !== null) {
+      const actual = now - entry.runningSince;
+      const expected = this.runTimes.expected(chunk.spec.jobClass, chunk.spec.expect);
+      this.runTimes.note(chunk.spec.jobClass, chunk.spec.expect, actual);
+      // A machine's own pace, slowly followed.
+      if (expected > 0) {
+        machine.slowness += PACE_WEIGHT * (Math.min(SLOWEST, actual / expected) - machine.slowness);
+      }
+    }
+    machine.failedJobs.clear();
+    chunk.failures = 0;
+    chunk.failedOn.clear();
+    chunk.done.add(entry.task);
+    this.part.release(machine, placed, now);
+  }
+
+  /** The attempt's end stays in the worker's reports until it may be forgotten. */
+  private leave(machine: Machine, chunk: Chunk, entry: Entry, now: number): void {
+    const version = chunk.version;
+    const { doubt, attempt, task } = entry;
+    machine.leftovers.set(chunk.taskName(task), {
+      attempt,
+      since: now,
+      // Its end must be stored first; and a start that may still come would run it once more.
+      mayReap: () =>
+        (chunk.stored >= version || chunk.dropped) &&
+        (doubt === null || machine.seenToken > doubt) &&
+        !entry.sentInAnswer,
+    });
+  }
+
+  private noteFailure(machine: Machine, chunk: Chunk, now: number): void {
+    machine.failedJobs.add(chunk.spec.id);
+    chunk.failures++;
+    chunk.failedOn.add(machine.name);
+    // Several jobs failing on one machine point at the machine; one job failing on several machines
+    // points at the job. Neither takes the other's good name with it.
+    const jobIsBad = chunk.failedOn.size >= BAD_JOB;
+    if (jobIsBad) machine.failedJobs.delete(chunk.spec.id);
+    if (machine.failedJobs.size >= BAD_MACHINE) {
+      machine.shunnedUntil = now + this.options.lease * machine.failedJobs.size;
+    }
+    this.backOff(chunk, now);
+  }
+
+  private backOff(chunk: Chunk, now: number): void {
+    const steps = Math.min(5, chunk.failedOn.size);
+    chunk.notBefore = now + (this.options.report / 4) * 2 ** steps;
+  }
+
+  /** A done attempt of ours that an earlier owner started and we hold no entry for. */
+  private claimOrphans(machine: Machine, now: number): void {
+    for (const [task, report] of machine.tasks) {
+      if (report.state !== 'ended' || report.cause !== 'done') continue;
+      if (machine.entries.has(task) || machine.leftovers.has(task)) continue;
+      const slash = task.lastIndexOf('/');
+      const number = Number(task.slice(slash + 1));
+      for (const chunk of this.part.chunksOf(task.slice(0, slash))) {
+        if (number < chunk.from || number >= chunk.to || chunk.done.has(number)) continue;
+        if (chunk.entries.has(number)) continue;
+        chunk.done.add(number);
+        this.part.changed(chunk, now);
+        const version = chunk.version;
+        machine.leftovers.set(task, {
+          attempt: report.attempt,
+          since: now,
+          mayReap: () => chunk.stored >= version || chunk.dropped,
+        });
+      }
+    }
+  }
+
+  private drain(machine: Machine, now: number): void {
+    for (const { chunk, entry } of machine.entries.values()) {
+      if (entry.stop !== null || chunk.unwanted) continue;
+      const left = (machine.goneBy ?? now) - now;
+      const { service, checkpoint, save } = chunk.spec;
+      // Without a checkpoint stopping gains nothing, save that a replica's successor starts sooner.
+      const worth = service || (checkpoint > 0 && left <= save + 2 * this.options.report);
+      if (worth) this.part.stop(machine, entry, checkpoint > 0 ? save : 0);
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/scheduler.ts
@@ -0,0 +1,287 @@
+/** Places what waits on the machines of a part: first come first served within a rank, with backfilling. */
+import { log } from '../base/log.js';
+import type { Random } from '../base/random.js';
+import { rankOrder } from '../protocol/job.js';
+import type { Chunk, Entry } from './chunk.js';
+import type { RunTimes } from './estimate.js';
+import type { Machine } from './machine.js';
+import type { Part, PartOptions } from './part.js';
+import { allows, bestFit, holds, sampleHosts, shapeOf } from './placement.js';
+import { Preemption } from './preemption.js';
+import { nothing, type Amount, type ClusterView, type Starved } from './teamUsage.js';
+
+interface Round {
+  /** Machines that may take work and had room when the round began. */
+  withRoom: Machine[];
+  /** The machine that is kept for the first that waits, and from when on it will have room. */
+  reserved: { machine: Machine; at: number } | null;
+  /** Shapes of work for which no machine has room. */
+  full: Set<string>;
+  /** Shapes of work that no machine will ever have room for. */
+  hopeless: Set<string>;
+  /** Teams whose limit holds up the first of their work. */
+  capped: Set<string>;
+  /** What was found out of each team's work that starves at other parts. */
+  starved: Map<string, Starved | null>;
+}
+
+export class Scheduler {
+  /** Teams that were kept waiting by their share of the limit in the last round. */
+  readonly throttled = new Set<string>();
+  /** The first of each team that its limit has kept waiting for long. */
+  readonly starving = new Map<string, Starved>();
+  /** The chunk at which the last round ran out of time. */
+  private resumeAfter: string | null = null;
+  private readonly preemption: Preemption;
+
+  constructor(
+    private readonly part: Pick<
+      Part,
+      'chunks' | 'machines' | 'label' | 'teams' | 'estimates' | 'queue' | 'changed' | 'stop'
+    >,
+    private readonly options: Pick<PartOptions, 'report' | 'sample'>,
+    private readonly runTimes: RunTimes,
+    private readonly random: Random,
+    private readonly cluster: ClusterView,
+  ) {
+    this.preemption = new Preemption(part, part.teams, options.report);
+  }
+
+  /**
+   * One round: places what fits, first come first served within a rank, later work filling in
+   * behind. Stops at the deadline; the next round goes on where this one stopped.
+   */
+  decide(now: number, outOfTime: () => boolean): void {
+    const queue = this.part.queue();
+    this.throttled.clear();
+    const start = queue.findIndex((c) => c.id === this.resumeAfter);
+    this.resumeAfter = null;
+    this.starving.clear();
+    const round: Round = {
+      withRoom: this.machinesWithRoom(now),
+      reserved: null,
+      full: new Set(),
+      hopeless: new Set(),
+      capped: new Set(),
+      starved: new Map(),
+    };
+    const blocked: Chunk[] = [];
+    for (let i = 0; i < queue.length; i++) {
+      const chunk = queue[i];
+      if (chunk === undefined) continue;
+      // Live services are always looked at first; batch goes on where the last round stopped.
+      if (chunk.rank < rankOrder.prod && start > 0 && i < start) continue;
+      if (outOfTime()) {
+        this.resumeAfter = chunk.id;
+        break;
+      }
+      if (chunk.notBefore > now) continue;
+      if (chunk.spec.service && this.preemption.makeRoomAtImage(chunk, now)) continue;
+      const before = chunk.entries.size;
+      const waits = this.placeChunk(chunk, round, now);
+      if (chunk.spec.gang && chunk.entries.size > before) chunk.next++;
+      if (!waits) {
+        chunk.blockedSince = null;
+        continue;
+      }
+      chunk.blockedSince ??= now;
+      // Room would be kept in vain for one that its team's limit holds up.
+      if (round.capped.has(chunk.spec.team)) continue;
+      blocked.push(chunk);
+      const shape = shapeOf(chunk.spec, chunk.zone);
+      if (round.reserved === null && !round.hopeless.has(shape)) {
+        round.reserved = this.shadow(chunk, now);
+        if (round.reserved === null) round.hopeless.add(shape);
+      }
+    }
+    this.preemption.makeRoom(blocked, now, outOfTime);
+  }
+
+  /** Rooms only shrink within a round, so the machines that are full at its start need not be looked at again. */
+  private machinesWithRoom(now: number): Machine[] {
+    const found: Machine[] = [];
+    for (const machine of this.part.machines.values()) {
+      // Every task takes some processor, but not every one takes memory.
+      if (machine.free.cpus > 0 && machine.usable(now)) found.push(machine);
+    }
+    return found;
+  }
+
+  /** Gives true when tasks of it are left without room. */
+  private placeChunk(chunk: Chunk, round: Round, now: number): boolean {
+    const { spec } = chunk;
+    const run = this.runTimes.expected(spec.jobClass, spec.expect);
+    if (this.mustYield(chunk, round)) return true;
+    if (spec.gang && !this.gangFits(chunk, round, now)) return true;
+    // Backfilling must not delay the first that waits.
+    const delays = spec.service || now + run > (round.reserved?.at ?? Infinity);
+    const kept = delays && !spec.gang ? round.reserved?.machine : undefined;
+    // Rooms only shrink within a round: what found none leaves none for others of its shape.
+    const shape = shapeOf(spec, chunk.zone);
+    const behind = `${shape} behind`;
+    const choosy = chunk.failedOn.size > 0 && chunk.failedOn.size < this.part.machines.size;
+    if (round.full.has(shape) || (kept !== undefined && round.full.has(behind))) return true;
+    let hosts: Machine[] | null = null;
+    while (chunk.pending > 0) {
+      if (!this.part.teams.withinAllowance(spec)) {
+        this.noteCapped(chunk, round, now);
+        return true;
+      }
+      if (hosts === null) {
+        hosts = [];
+        for (const machine of round.withRoom) {
+          if (machine === kept || !holds(machine.free, spec)) continue;
+          if (!allows(spec, chunk.zone, machine)) continue;
+          if (choosy && chunk.failedOn.has(machine.name)) continue;
+          hosts.push(machine);
+        }
+      }
+      const sampled = sampleHosts(hosts, spec.image, this.options.sample, this.random);
+      const machine = bestFit(sampled, spec);
+      if (machine === null) {
+        if (!choosy) round.full.add(kept === undefined ? shape : behind);
+        return true;
+      }
+      const task = chunk.nextPending();
+      if (task === null) return false;
+      this.place(chunk, task, machine, now);
+      if (!holds(machine.free, spec)) hosts.splice(hosts.indexOf(machine), 1);
+    }
+    return false;
+  }
+
+  /**
+   * At its limit a team's work goes on strictly in order: small tasks that took up each bit of the limit
+   * as it came free would keep a large one waiting for good, here or at another part.
+   */
+  private mustYield(chunk: Chunk, round: Round): boolean {
+    const { team } = chunk.spec;
+    if (chunk.pending === 0) return false;
+    if (round.capped.has(team)) return true;
+    let first = round.starved.get(team);
+    if (first === undefined) round.starved.set(team, (first = this.cluster.starvedElsewhere(team)));
+    if (!this.isBehind(chunk, first)) return false;
+    round.capped.add(team);
+    return true;
+  }
+
+  private isBehind(chunk: Chunk, first: Starved | null): boolean {
+    if (first === null || chunk.rank > first.rank) return false;
+    return chunk.rank < first.rank || chunk.at > first.at;
+  }
+
+  /**
+   * What waits here of a team and may have a share of its limit. What yields to a job at another part may
+   * not: a share kept for it would be the one that the other waits for.
+   */
+  wanted(team: string): Amount {
+    const want = nothing();
+    const first = this.cluster.starvedElsewhere(team);
+    for (const chunk of this.part.chunks.values()) {
+      if (chunk.spec.team !== team || this.isBehind(chunk, first)) continue;
+      want.cpus += chunk.pending * chunk.spec.cpus;
+      want.gpus += chunk.pending * chunk.spec.gpus;
+    }
+    return want;
+  }
+
+  private noteCapped(chunk: Chunk, round: Round, now: number): void {
+    const { team } = chunk.spec;
+    this.throttled.add(team);
+    round.capped.add(team);
+    const since = chunk.blockedSince ?? now;
+    if (now - since > this.options.report * 2) {
+      this.starving.set(team, { team, at: chunk.at, rank: chunk.rank });
+    }
+  }
+
+  /** A gang starts whole: nothing of it is left running, and there is room for all that is not done. */
+  private gangFits(chunk: Chunk, round: Round, now: number): boolean {
+    if (chunk.entries.size > 0) return false;
+    const { spec } = chunk;
+    const allowance = this.cluster.allowance(spec.team);
+    const used = this.part.teams.usedBy(spec.team);
+    if (allowance !== null) {
+      const short =
+        used.cpus + chunk.pending * spec.cpus > allowance.cpus + 1e-6 ||
+        used.gpus + chunk.pending * spec.gpus > allowance.gpus + 1e-6;
+      if (short) this.noteCapped(chunk, round, now);
+      if (short) return false;
+    }
+    let left = chunk.pending;
+    for (const machine of this.part.machines.values()) {
+      if (!machine.usable(now) || !allows(spec, chunk.zone, machine)) continue;
+      if (chunk.failedOn.has(machine.name) && chunk.failedOn.size < this.part.machines.size)
+        continue;
+      const room = { ...machine.free };
+      while (left > 0 && holds(room, spec)) {
+        left--;
+        room.cpus -= spec.cpus;
+        room.gpus -= spec.gpus;
+        room.memory -= spec.memory;
+      }
+    }
+    return left === 0;
+  }
+
+  private place(chunk: Chunk, task: number, machine: Machine, now: number): void {
+    const entry: Entry = {
+      task,
+      // The tasks of a gang know each other by a common attempt.
+      attempt: chunk.spec.gang ? chunk.next : chunk.next++,
+      machine: machine.name,
+      session: machine.session,
+      version: chunk.version + 1,
+      seen: false,
+      state: 'fetching',
+      placedAt: now,
+      runningSince: null,
+      doubt: null,
+      sentInAnswer: false,
+      stop: null,
+    };
+    chunk.entries.set(task, entry);
+    this.part.teams.add(chunk.spec, 1);
+    machine.put({ chunk, entry });
+    this.part.estimates.invalidate();
+    log.debug(
+      `${this.part.label} places ${chunk.taskName(task)} (${chunk.spec.jobClass}) on ${machine.name}, ` +
+        `image ${machine.hasImage(chunk.spec.image) ? 'there' : 'missing'}, ` +
+        `after ${(now - chunk.queuedAt).toFixed(1)} s`,
+    );
+    this.part.changed(chunk, now);
+  }
+
+  /** Where and when the first that waits will find room: that room is kept for it. */
+  private shadow(chunk: Chunk, now: number): { machine: Machine; at: number } | null {
+    let best: { machine: Machine; at: number } | null = null;
+    for (const machine of this.part.machines.values()) {
+      if (!machine.usable(now) || !allows(chunk.spec, chunk.zone, machine)) continue;
+      if (!holds(machine.size, chunk.spec)) continue;
+      // Nothing ends there sooner than what is found already: most machines are passed over so.
+      const roomNow = holds(machine.free, chunk.spec);
+      if (best !== null && !roomNow && this.soonest(machine, now) >= best.at) continue;
+      const room = { ...machine.free };
+      const ends = [...machine.entries.values()]
+        .map((p) => ({ at: this.part.estimates.endOf(p, now), need: p.chunk.spec }))
+        .sort((a, b) => a.at - b.at);
+      let at = now;
+      for (const end of ends) {
+        if (holds(room, chunk.spec)) break;
+        room.cpus += end.need.cpus;
+        room.gpus += end.need.gpus;
+        room.memory += end.need.memory;
+        at = end.at;
+      }
+      if (holds(room, chunk.spec) && at < (best?.at ?? Infinity)) best = { machine, at };
+    }
+    return best;
+  }
+
+  private soonest(machine: Machine, now: number): number {
+    let first = Infinity;
+    for (const placed of machine.entries.values())
+      first = Math.min(first, this.part.estimates.endOf(placed, now));
+    return first;
+  }
+}
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -78,7 +78,7 @@
     if (now > node.ownership.until + node.grace) return elsewhere(null);
     const machine = host.part.machines.get(report.machine);
     if (machine === undefined) return elsewhere(null);
-    const says = host.part.apply(machine, report, now, follows ? 'follow' : 'report');
+    const says = host.part.reports.apply(machine, report, now, follows ? 'follow' : 'report');
     const newer = says !== 'older';
     if (needsProbe(machine, report, host.token)) void node.orders.probe(host, machine);
     const valid = node.ownership.valid;
--- a/test/costs.test.ts
+++ b/test/costs.test.ts
@@ -47,7 +47,7 @@
     token: 1,
     warning: null,
   };
-  part.apply(machine, { ...whole, tasks }, now, 'follow');
+  part.reports.apply(machine, { ...whole, tasks }, now, 'follow');
 }
 
 /** A machine with one task that has ended, and whose end is stored. */
@@ -56,7 +56,7 @@
   const [machine] = machines;
   if (machine === undefined) throw new Error('no machine');
   const chunk = addChunk(part, 'wk-1');
-  part.decide(now, () => false);
+  part.scheduler.decide(now, () => false);
   const task = { task: 'wk-1/0', attempt: 1, cause: null, saved: false };
   report(part, machine, now, [{ ...task, state: 'running' }]);
   report(part, machine, now, [{ ...task, state: 'ended', cause: 'done' }]);
@@ -74,7 +74,7 @@
     ['reap'],
   );
   const next = addChunk(part, 'wk-2');
-  part.decide(2, () => false);
+  part.scheduler.decide(2, () => false);
   assert.equal(machine.needsCommand(2, AGAIN), false, 'its placement is not stored');
   next.stored = next.version;
   assert.equal(machine.needsCommand(2, AGAIN), true);
@@ -110,7 +110,7 @@
     const [machine] = machines;
     if (machine === undefined) throw new Error('no machine');
     addChunk(part, 'wk-1');
-    part.decide(1, () => false);
+    part.scheduler.decide(1, () => false);
     const running = { task: 'wk-1/0', attempt: 1, cause: null, saved: false };
     report(part, machine, 1, [{ ...running, state: 'running' }]);
     strike(part, machine);
@@ -142,7 +142,7 @@
   const turns = new TurnQueue({ urgent: 4, ordinary: 0 }, (turn) => deferred.push(turn));
   const orders = new Orders(node, turns);
   const chunks = machines.map((_, i) => addChunk(part, `wk-${i}`));
-  part.decide(1, () => false);
+  part.scheduler.decide(1, () => false);
   for (const chunk of chunks) chunk.stored = chunk.version;
   for (const machine of machines) part.pendingCommands.add(machine);
   orders.send();
@@ -187,18 +187,18 @@
   });
   assert.ok(visits <= 2 * machines.length, `${visits} visits`);
   addChunk(part, 'wk-1');
-  part.decide(1.03, () => false);
+  part.scheduler.decide(1.03, () => false);
   assert.ok(ask(1.03) > 0, 'the room that was just taken was promised again');
 });
 
 test('machines that are full when a round begins are not looked at for each job that waits', () => {
   const { part, machines } = partWith(200);
   for (const [i] of machines.entries()) addChunk(part, `wk-${i}`);
-  part.decide(1, () => false);
+  part.scheduler.decide(1, () => false);
   // Each of a shape of its own, so that nothing is known of one from the others.
   for (let i = 0; i < 50; i++) addChunk(part, `wk-9${i}`, 5 + i / 10);
   const visits = countFree(() => {
-    part.decide(2, () => false);
+    part.scheduler.decide(2, () => false);
   });
   // Once for the list of those with room, and for the machine kept for the first that waits.
   assert.ok(visits <= 4 * machines.length, `${visits} visits`);
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -5,7 +5,8 @@
 import { Chunk } from '../src/coordination/chunk.js';
 import { RunTimes } from '../src/coordination/estimate.js';
 import type { Machine } from '../src/coordination/machine.js';
-import { Part, type Source } from '../src/coordination/part.js';
+import { Part } from '../src/coordination/part.js';
+import type { Source } from '../src/coordination/reportIntake.js';
 import { singlePartView, type ClusterView } from '../src/coordination/teamUsage.js';
 import type { MachineType } from '../src/protocol/cloud.js';
 import type { JobSpec } from '../src/protocol/job.js';
@@ -75,7 +76,7 @@
       tasks: full,
       ...changes,
     };
-    return this.part.apply(machine, report, this.now, from) !== 'older';
+    return this.part.reports.apply(machine, report, this.now, from) !== 'older';
   }
 
   chunk(changes: Partial<JobSpec> = {}): Chunk {
@@ -86,7 +87,7 @@
   }
 
   decide(): void {
-    this.part.decide(this.now, () => false);
+    this.part.scheduler.decide(this.now, () => false);
   }
 
   /** As if every change had been stored. */
@@ -255,9 +256,9 @@
   b.store(chunk);
   b.report(machine, [{}]);
   machine.renewed = b.now;
-  b.part.sweep(b.now + 18);
+  b.part.liveness.sweep(b.now + 18);
   assert.equal(chunk.entries.size, 1);
-  b.part.sweep(b.now + 20);
+  b.part.liveness.sweep(b.now + 20);
   assert.equal(chunk.entries.size, 0);
 });
 
@@ -341,7 +342,7 @@
   for (let n = 0; n < 4; n++) b.machine(`n-${n}`);
   const chunks = [1, 2, 3].map((n) => b.chunk({ id: `wk-${n}` }));
   let looks = 0;
-  b.part.decide(b.now, () => ++looks > 1);
+  b.part.scheduler.decide(b.now, () => ++looks > 1);
   assert.deepEqual(
     chunks.map((c) => c.entries.size),
     [1, 0, 0],
@@ -405,7 +406,7 @@
     if (others === 'answers') for (const m of rest) b.report(m, []);
     b.now += seconds - 2;
     assert.deepEqual(
-      b.part.lostMachines(b.now, () => 30, 1000),
+      b.part.liveness.lostMachines(b.now, () => 30, 1000),
       lost,
       name,
     );
@@ -416,9 +417,13 @@
   const b = new Bench();
   b.machine('n-1', false);
   const boot = (): number => 30;
-  assert.deepEqual(b.part.lostMachines(b.now + 5, boot, 1000), [], 'its worker may be on its way');
-  assert.deepEqual(b.part.lostMachines(b.now + 20, boot, 50), [], 'it may still boot');
-  assert.deepEqual(b.part.lostMachines(b.now + 20, boot, 60), ['n-1']);
+  assert.deepEqual(
+    b.part.liveness.lostMachines(b.now + 5, boot, 1000),
+    [],
+    'its worker may be on its way',
+  );
+  assert.deepEqual(b.part.liveness.lostMachines(b.now + 20, boot, 50), [], 'it may still boot');
+  assert.deepEqual(b.part.liveness.lostMachines(b.now + 20, boot, 60), ['n-1']);
 });
 
 test('a team gets its guarantee back from those who borrowed it, whatever their rank', () => {
@@ -514,7 +519,7 @@
     }
     b.now += 12;
     if (othersAnswer) for (const m of rest) b.report(m, []);
-    return b.part.lostMachines(b.now, () => 30, 100);
+    return b.part.liveness.lostMachines(b.now, () => 30, 100);
   };
   assert.deepEqual(setUp(true), ['n-1']);
   assert.deepEqual(setUp(false), [], 'the fault is ours');
@@ -530,11 +535,11 @@
   b.now += 12;
   b.report(other, []);
   assert.deepEqual(
-    b.part.lostMachines(b.now, () => 30, 100),
+    b.part.liveness.lostMachines(b.now, () => 30, 100),
     [],
   );
   assert.deepEqual(
-    b.part.lostMachines(b.now + 30, () => 30, 100),
+    b.part.liveness.lostMachines(b.now + 30, () => 30, 100),
     ['n-1'],
   );
 });
@@ -606,7 +611,7 @@
     b.report(other, []);
   }
   assert.deepEqual(
-    b.part.lostMachines(b.now, () => 30, 1000),
+    b.part.liveness.lostMachines(b.now, () => 30, 1000),
     ['n-1'],
   );
   b.decide();
@@ -720,10 +725,10 @@
     [small, large, later].map((c) => c.entries.size),
     [1, 0, 0],
   );
-  assert.equal(b.part.starving.size, 0, 'it has not waited for long');
+  assert.equal(b.part.scheduler.starving.size, 0, 'it has not waited for long');
   b.now += 10;
   b.decide();
-  assert.equal(b.part.starving.get('crew')?.at, large.at);
+  assert.equal(b.part.scheduler.starving.get('crew')?.at, large.at);
   allowance = 8;
   b.decide();
   assert.deepEqual(
@@ -737,7 +742,11 @@
   allowance = 100;
   b.decide();
   assert.equal(younger.entries.size, 0);
-  assert.equal(b.part.wanted('crew').cpus, 0, 'it keeps the share that the other waits for');
+  assert.equal(
+    b.part.scheduler.wanted('crew').cpus,
+    0,
+    'it keeps the share that the other waits for',
+  );
   starved = null;
   b.decide();
   assert.equal(younger.entries.size, 1);
@@ -760,7 +769,11 @@
 
 /** Each look at a machine's size asks for its type, so the questions count the visits. */
 const rounds: { name: string; most: number; play: (part: Part, now: number) => void }[] = [
-  { name: 'a round of decisions', most: 12, play: (p, now) => p.decide(now, () => false) },
+  {
+    name: 'a round of decisions',
+    most: 12,
+    play: (p, now) => p.scheduler.decide(now, () => false),
+  },
   { name: 'what may be returned', most: 12, play: (p, now) => void p.needs.spare(now, 1) },
   { name: 'what is asked for', most: 12, play: (p, now) => void p.needs.demands(now) },
   {
@@ -827,7 +840,7 @@
 test('when a cut ends, those that have not been asked since are not lost', () => {
   const b = new Bench();
   const machines = [1, 2, 3, 4].map((n) => b.machine(`n-${n}`));
-  const lost = (): string[] => b.part.lostMachines(b.now, () => 30, 1000);
+  const lost = (): string[] => b.part.liveness.lostMachines(b.now, () => 30, 1000);
   for (const machine of machines) {
     machine.missed = 3;
     machine.missedSince = machine.askedAt = b.now + 1;
@@ -883,7 +896,7 @@
     b.report(machine, [], {}, report ? 'follow' : 'answer');
     b.now += after;
     b.report(machine, [], {}, 'answer');
-    b.part.sweep(b.now);
+    b.part.liveness.sweep(b.now);
     const chunk = b.chunk();
     b.decide();
     assert.equal(chunk.entries.size, used ? 1 : 0);
@@ -913,7 +926,7 @@
   for (const [name, tick, state, warning, says] of told) {
     const tasks = state === null ? [] : [{ ...task, state }];
     assert.equal(
-      b.part.apply(machine, { ...report, tick, warning, tasks }, b.now, 'follow'),
+      b.part.reports.apply(machine, { ...report, tick, warning, tasks }, b.now, 'follow'),
       says,
       name,
     );
@@ -928,7 +941,7 @@
   const b = new Bench();
   const machine = b.machine('n-1', false);
   b.now += 60;
-  b.part.sweep(b.now);
+  b.part.liveness.sweep(b.now);
   const chunk = b.chunk();
   b.report(machine, []);
   b.decide();
--- a/test/storing.test.ts
+++ b/test/storing.test.ts
@@ -131,7 +131,7 @@
     const machine = this.host.part.addMachine(name, record, this.now);
     const report = { machine: name, address: 'h:1', type: 'm8', zone: 'a', spot: false };
     const rest = { session: 1, tick: 1, token: 5, warning: null, tasks: [] };
-    this.host.part.apply(machine, { ...report, ...rest }, this.now, 'answer');
+    this.host.part.reports.apply(machine, { ...report, ...rest }, this.now, 'answer');
   }
 
   job(id: string, tasks = 1): Chunk {
@@ -143,7 +143,7 @@
   /** A round: decides, stores what is due and waits until all answers are in. */
   async round(seconds = 5): Promise<void> {
     this.now += seconds;
-    this.host.part.decide(this.now, () => false);
+    this.host.part.scheduler.decide(this.now, () => false);
     this.bucketWriter.pass(this.host);
     while (this.host.writing > 0) await new Promise((r) => setTimeout(r, 1));
   }
