--- a/src/coordination/liveness.ts
+++ b/src/coordination/liveness.ts
@@ -30,43 +30,63 @@
    * out when the cut was over.
    */
   lostMachines(now: number, bootOf: (machine: Machine) => number, wall: number): string[] {
-    const { report } = this.options;
+    if (this.mostAreSilent()) this.mostSilentAt = now;
     const lost: string[] = [];
+    for (const machine of this.part.machines.values()) {
+      // Its last owner may be alive and answer it: that we can't reach it says nothing of the machine.
+      if (machine.reached === null && machine.renewed > now) continue;
+      const isNew = machine.reached === null && machine.missedSince === null;
+      const isLost = isNew
+        ? this.neverCame(machine, now, wall, bootOf(machine))
+        : this.isLost(machine, now);
+      if (isLost) lost.push(machine.name);
+    }
+    return lost;
+  }
+
+  private mostAreSilent(): boolean {
     let asked = 0;
-    let quiet = 0;
+    let silent = 0;
     for (const { reached, missed } of this.part.machines.values()) {
       if (reached === null && missed === 0) continue;
       asked++;
-      if (missed > 0) quiet++;
+      if (missed > 0) silent++;
     }
-    if (quiet * 2 > asked) this.mostSilentAt = now;
-    for (const machine of this.part.machines.values()) {
-      // Its last owner may be alive and answer it: that we can't reach it says nothing of the machine.
-      if (machine.reached === null && machine.renewed > now) continue;
-      const since = machine.missedSince;
-      if (machine.reached === null && since === null) {
-        // Most are up within 1.5 times the boot time; one that isn't may never come, and is charged.
-        // After a takeover every worker first has to find us; one that has tasks was up before.
-        const age = wall - machine.rentedAt;
-        const overdue = age > bootOf(machine) * 1.6 + report * 2;
-        const watched = now - machine.created > report * 5;
-        if (overdue && watched && machine.entries.size === 0) lost.push(machine.name);
-        continue;
-      }
-      const last = machine.reached ?? machine.created;
-      if (since === null || machine.missed < 2 || now - last < report * 0.8) continue;
-      let silent = 0;
-      let heard = 0;
-      for (const other of this.part.machines.values()) {
-        if (other === machine || other.lost) continue;
-        if (other.reached !== null && other.reached > since) heard++;
-        else if (other.missed > 0) silent++;
-      }
-      const alone = heard === 0 && silent === 0 && now - last > report * 3;
-      // When a cut ends most answer at once. The others have not been asked since, and were released as lost.
-      const askedSince = machine.askedAt >= this.mostSilentAt;
-      if ((heard > silent && askedSince) || alone) lost.push(machine.name);
+    return silent * 2 > asked;
+  }
+
+  /**
+   * Most are up within 1.5 times the boot time; one that isn't may never come, and is charged. After a
+   * takeover every worker first has to find us; one that has tasks was up before.
+   */
+  private neverCame(machine: Machine, now: number, wall: number, boot: number): boolean {
+    const { report } = this.options;
+    const isOverdue = wall - machine.rentedAt > boot * 1.6 + report * 2;
+    const isWatched = now - machine.created > report * 5;
+    return isOverdue && isWatched && machine.entries.size === 0;
+  }
+
+  private isLost(machine: Machine, now: number): boolean {
+    const { report } = this.options;
+    const silentFor = now - (machine.reached ?? machine.created);
+    const since = machine.missedSince;
+    if (since === null || machine.missed < 2 || silentFor < report * 0.8) return false;
+    const { answering, silent } = this.othersSince(machine, since);
+    const isAlone = answering === 0 && silent === 0 && silentFor > report * 3;
+    // When a cut ends most answer at once. The others have not been asked since, and were released as lost.
+    const askedSince = machine.askedAt >= this.mostSilentAt;
+    return isAlone || (answering > silent && askedSince);
+  }
+
+  /** Of the other machines, how many have answered since then, and how many are silent. */
+  private othersSince(machine: Machine, since: number): { answering: number; silent: number } {
+    let answering = 0;
+    let silent = 0;
+    for (const other of this.part.machines.values()) {
+      if (other === machine || other.lost) continue;
+      if (other.reached !== null && other.reached > since) answering++;
+      else if (other.missed > 0) silent++;
     }
-    return lost;
+    return { answering, silent };
   }
 }
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -2,7 +2,7 @@
 import type { MachineType } from '../protocol/cloud.js';
 import type { MachineRecord } from '../storage/records.js';
 import type { Chunk, Entry } from './chunk.js';
-import type { Host, Room } from './placement.js';
+import { takeRoom, type Host, type Room } from './placement.js';
 
 /** An ended attempt that the worker still reports, and from when on it may be forgotten. */
 export interface Leftover {
@@ -188,9 +188,7 @@
     let live = 0;
     let taken = 0;
     for (const { chunk } of this.placed.values()) {
-      free.cpus -= chunk.spec.cpus;
-      free.gpus -= chunk.spec.gpus;
-      free.memory -= chunk.spec.memory;
+      takeRoom(free, chunk.spec);
       taken += chunk.spec.cpus;
       if (chunk.spec.service) live += chunk.spec.cpus;
     }
@@ -260,23 +258,7 @@
    * go along with others or with the answer to a report.
    */
   needsCommand(now: number, again: number): boolean {
-    for (const [task, report] of this.tasks) {
-      const isOver = report.state === 'ended';
-      if (!isOver && this.entries.get(task)?.entry.attempt !== report.attempt) return true;
-    }
-    for (const [task, { chunk, entry }] of this.entries) {
-      const report = this.tasks.get(task);
-      const here = report?.attempt === entry.attempt ? report : undefined;
-      if (entry.stop === null) {
-        if (here === undefined && chunk.isDurable(entry) && !entry.seen) return true;
-      } else if (here !== undefined && here.state !== 'ended') {
-        const { sentAt, wind } = entry.stop;
-        const patience = here.state === 'saving' ? wind + again : again;
-        const isDue = sentAt === null ? here.state !== 'saving' : now - sentAt > patience;
-        if (isDue) return true;
-      }
-    }
-    return false;
+    return this.commands(now, again).next().done !== true;
   }
 
   /**
@@ -293,42 +275,72 @@
     return orders.some(isOld) ? orders : [];
   }
 
-  /** Stops, starts and reaps that the worker should carry out now. */
+  /** Stops, starts and reaps that the worker should carry out now. Stops count as sent. */
   orders(mayStart: boolean, now: number, again: number): Order[] {
-    const orders: Order[] = [];
-    for (const [task, report] of this.tasks) {
-      const known = this.entries.get(task);
-      if (report.state === 'ended') {
-        const leftover = this.leftovers.get(task);
-        const mayReap = leftover?.attempt === report.attempt && leftover.mayReap();
-        // Nothing of ours: an attempt that was given up before; nobody waits for it.
-        const stranger = leftover === undefined && known === undefined;
-        if (mayReap || stranger) orders.push({ verb: 'reap', task, attempt: report.attempt });
-      } else if (known?.entry.attempt !== report.attempt) {
-        orders.push({ verb: 'halt', task, attempt: report.attempt, wind: 0 });
-      }
+    const commands = [...this.commands(now, again)].filter(
+      ({ order }) => mayStart || order.verb !== 'start',
+    );
+    for (const { firstStop } of commands) if (firstStop !== null) firstStop.sentAt = now;
+    return [...this.reaps(), ...commands.map(({ order }) => order)];
+  }
+
+  /** Ended attempts that the worker may forget. */
+  private *reaps(): Generator<Order> {
+    for (const [task, { state, attempt }] of this.tasks) {
+      if (state !== 'ended') continue;
+      const leftover = this.leftovers.get(task);
+      const mayReap = leftover?.attempt === attempt && leftover.mayReap();
+      // Nothing of ours: an attempt that was given up before; nobody waits for it.
+      const isStranger = leftover === undefined && !this.entries.has(task);
+      if (mayReap || isStranger) yield { verb: 'reap', task, attempt };
+    }
+  }
+
+  /** Ends of what is not ours, stops and starts that are due; one without effect is repeated after `again`. */
+  private *commands(now: number, again: number): Generator<Command> {
+    for (const [task, { state, attempt }] of this.tasks) {
+      if (state === 'ended' || this.entries.get(task)?.entry.attempt === attempt) continue;
+      yield { order: { verb: 'halt', task, attempt, wind: 0 }, firstStop: null };
     }
     for (const [task, { chunk, entry }] of this.entries) {
+      const { attempt, stop } = entry;
       const report = this.tasks.get(task);
-      const here = report?.attempt === entry.attempt ? report : undefined;
-      if (entry.stop !== null) {
-        const due = entry.stop.sentAt === null || now - entry.stop.sentAt > again;
-        const saving = here?.state === 'saving';
-        // A second halt would end a task that is still saving; only after its time is up.
-        const late = saving && now - (entry.stop.sentAt ?? now) > entry.stop.wind + again;
-        if (here !== undefined && here.state !== 'ended' && due && (!saving || late)) {
-          orders.push({
-            verb: 'halt',
-            task,
-            attempt: entry.attempt,
-            wind: late ? 0 : entry.stop.wind,
-          });
-          if (!late) entry.stop.sentAt = now;
-        }
-      } else if (here === undefined && mayStart && chunk.isDurable(entry) && !entry.seen) {
-        orders.push({ verb: 'start', task, attempt: entry.attempt });
+      const here = report?.attempt === attempt ? report : undefined;
+      if (stop !== null) {
+        const due = dueStop(stop, here, now, again);
+        if (due === null) continue;
+        const order: Order = { verb: 'halt', task, attempt, wind: due.wind };
+        yield { order, firstStop: due.isLate ? null : stop };
+      } else if (here === undefined && chunk.isDurable(entry) && !entry.seen) {
+        yield { order: { verb: 'start', task, attempt }, firstStop: null };
       }
     }
-    return orders;
   }
 }
+
+type Stop = NonNullable<Entry['stop']>;
+
+/** An order that is due now. */
+interface Command {
+  order: Order;
+  /** The stop that counts as sent with it; the end of a task that saves for too long is sent with each message. */
+  firstStop: Stop | null;
+}
+
+/** How a task is to be stopped now; null while no stop is due. */
+function dueStop(
+  stop: Stop,
+  here: TaskReport | undefined,
+  now: number,
+  again: number,
+): { wind: number; isLate: boolean } | null {
+  if (here === undefined || here.state === 'ended') return null;
+  const { sentAt, wind } = stop;
+  if (here.state === 'saving') {
+    // A second halt would end a task that is still saving; only after its time is up.
+    const isLate = sentAt !== null && now - sentAt > wind + again;
+    return isLate ? { wind: 0, isLate } : null;
+  }
+  const isDue = sentAt === null || now - sentAt > again;
+  return isDue ? { wind, isLate: false } : null;
+}
--- a/src/coordination/needs.ts
+++ b/src/coordination/needs.ts
@@ -1,11 +1,12 @@
 /** What should be rented for a part, and which of its machines may be returned: pure. */
 import type { MachineType } from '../protocol/cloud.js';
+import type { JobSpec } from '../protocol/job.js';
 import type { Demand } from '../protocol/peer.js';
 import type { Chunk } from './chunk.js';
 import { Arrivals } from './estimate.js';
 import type { Machine } from './machine.js';
 import type { Part } from './part.js';
-import { allows, holds, shapeOf, type Room } from './placement.js';
+import { allows, holds, shapeOf, takeRoom, type Room } from './placement.js';
 
 export interface NeedsOptions {
   /** Batch work that waits should be through in this many seconds. */
@@ -151,89 +152,118 @@
 
   /** Work that neither machines that are up nor those on their way can hold in good time. */
   demands(now: number): Demand[] {
-    const rooms: { machine: Machine; room: Room }[] = [];
-    for (const machine of this.part.machines.values()) {
-      if (!this.countsForBatch(machine, now)) continue;
-      rooms.push({ machine, room: { ...machine.size } });
-    }
-    // In the order of the queue: what is placed takes its room before lower ranks do, so work that
-    // would be stopped for a waiting service does not make it ask for a machine.
-    const placed = rooms.flatMap(({ machine, room }) =>
-      [...machine.entries.values()].map((p) => ({ chunk: p.chunk, room })),
+    const rooms = new RoomsByRank(
+      [...this.part.machines.values()].filter((machine) => this.countsForBatch(machine, now)),
     );
-    placed.sort((a, b) => b.chunk.rank - a.chunk.rank);
-    let settled = 0;
-    const settleDownTo = (rank: number): void => {
-      for (; settled < placed.length; settled++) {
-        const next = placed[settled];
-        if (next === undefined || next.chunk.rank < rank) return;
-        next.room.cpus -= next.chunk.spec.cpus;
-        next.room.gpus -= next.chunk.spec.gpus;
-        next.room.memory -= next.chunk.spec.memory;
-      }
-    };
-    const demands = new Map<string, Demand>();
-    const full = new Set<string>();
+    const list = new DemandList();
     const have = this.batchCpus(now);
     let deficit = Math.max(0, this.batchNeed(now) - have);
     // What has piled up, and not what arrives on the average, may have machines at their full price.
     let pressing = Math.max(0, this.backlog() / this.options.dearPatience - have);
     for (const chunk of this.part.queue()) {
-      if (chunk.failures > 2) continue;
-      settleDownTo(chunk.rank);
-      const shape = shapeOf(chunk.spec, chunk.zone);
-      const suits = full.has(shape);
-      let { pending: count } = chunk;
-      let suited = suits ? 1 : 0;
-      for (const { machine, room } of suits ? [] : rooms) {
-        if (count === 0) break;
-        if (!allows(chunk.spec, chunk.zone, machine)) continue;
-        if (holds(machine.size, chunk.spec)) suited++;
-        while (count > 0 && holds(room, chunk.spec)) {
-          count--;
-          room.cpus -= chunk.spec.cpus;
-          room.gpus -= chunk.spec.gpus;
-          room.memory -= chunk.spec.memory;
-        }
-      }
-      if (count > 0 && suited > 0) full.add(shape);
-      if (!chunk.spec.service && suited > 0) {
+      if (chunk.failures > FAILURES_WITHOUT_DEMAND) continue;
+      const { spec } = chunk;
+      const { left, hasSuited } = rooms.take(chunk);
+      let count = left;
+      if (!spec.service && hasSuited) {
         // Short work is through before a machine is up: only what is missing in the long run.
-        count = Math.min(count, Math.ceil(deficit / chunk.spec.cpus));
-        deficit -= count * chunk.spec.cpus;
+        count = Math.min(count, Math.ceil(deficit / spec.cpus));
+        deficit -= count * spec.cpus;
       }
       if (count <= 0) continue;
-      const dear = chunk.spec.service ? 0 : Math.min(count, Math.ceil(pressing / chunk.spec.cpus));
-      pressing = Math.max(0, pressing - dear * chunk.spec.cpus);
-      const { cpus, gpus, memory, types, spot, rank, service, image, imageGb } = chunk.spec;
-      const zone = chunk.zone ?? chunk.spec.zone;
-      const run = service ? 0 : this.part.estimates.expectedRun(chunk.spec);
-      // One demand for all chunks that the same machines suit: thousands of tasks may wait.
-      const key = `${shape} ${rank} ${String(service)}`;
-      const known = demands.get(key);
-      if (known !== undefined) {
-        known.run = (known.run * known.count + run * count) / (known.count + count);
-        known.imageGb = (known.imageGb * known.count + imageGb * count) / (known.count + count);
-        known.count += count;
-        known.pressing += dear;
-        continue;
-      }
-      const demand = {
-        part: this.part.label,
-        cpus,
-        gpus,
-        memory,
-        types,
-        zone,
-        spot,
-        rank,
-        service,
-      };
-      demands.set(key, { ...demand, image, imageGb, count, urgent: service, pressing: dear, run });
+      const dear = spec.service ? 0 : Math.min(count, Math.ceil(pressing / spec.cpus));
+      pressing = Math.max(0, pressing - dear * spec.cpus);
+      list.add(shapeOf(spec, chunk.zone), this.demandOf(chunk, count, dear));
     }
-    const list = [...demands.values()];
     const headroom = this.headroom(now);
-    if (headroom !== null && !list.some((d) => d.service)) list.push(headroom);
-    return list;
+    if (headroom !== null && !list.hasService) list.add('', headroom);
+    return list.all;
+  }
+
+  private demandOf(chunk: Chunk, count: number, pressing: number): Demand {
+    const { cpus, gpus, memory, types, spot, rank, service, image, imageGb } = chunk.spec;
+    const zone = chunk.zone ?? chunk.spec.zone;
+    const run = service ? 0 : this.part.estimates.expectedRun(chunk.spec);
+    const shape = { cpus, gpus, memory, types, zone, spot, rank, service };
+    const rest = { image, imageGb, count, urgent: service, pressing, run };
+    return { part: this.part.label, ...shape, ...rest };
+  }
+}
+
+/** Chunks that have failed more often ask for no machines: the fault is likely theirs. */
+const FAILURES_WITHOUT_DEMAND = 2;
+
+/**
+ * Room on machines for what waits, in the order of the queue: what is placed takes its room before lower
+ * ranks do, so work that would be stopped for a waiting service does not make it ask for a machine.
+ */
+class RoomsByRank {
+  private readonly rooms: { machine: Machine; room: Room }[];
+  /** What is placed, by falling rank, and the room that it takes. */
+  private readonly placed: { spec: JobSpec; rank: number; room: Room }[];
+  private settled = 0;
+  /** Shapes of work for which no room is left. */
+  private readonly full = new Set<string>();
+
+  constructor(machines: Machine[]) {
+    this.rooms = machines.map((machine) => ({ machine, room: { ...machine.size } }));
+    this.placed = this.rooms.flatMap(({ machine, room }) =>
+      [...machine.entries.values()].map(({ chunk: { spec, rank } }) => ({ spec, rank, room })),
+    );
+    this.placed.sort((a, b) => b.rank - a.rank);
+  }
+
+  /** Gives how many of a chunk's tasks find no room, and whether some machine could ever hold one. */
+  take(chunk: Chunk): { left: number; hasSuited: boolean } {
+    this.settleDownTo(chunk.rank);
+    const { spec, zone } = chunk;
+    const shape = shapeOf(spec, zone);
+    if (this.full.has(shape)) return { left: chunk.pending, hasSuited: true };
+    let left = chunk.pending;
+    let hasSuited = false;
+    for (const { machine, room } of this.rooms) {
+      if (left === 0) break;
+      if (!allows(spec, zone, machine)) continue;
+      if (holds(machine.size, spec)) hasSuited = true;
+      for (; left > 0 && holds(room, spec); left--) takeRoom(room, spec);
+    }
+    if (left > 0 && hasSuited) this.full.add(shape);
+    return { left, hasSuited };
+  }
+
+  private settleDownTo(rank: number): void {
+    for (; this.settled < this.placed.length; this.settled++) {
+      const next = this.placed[this.settled];
+      if (next === undefined || next.rank < rank) return;
+      takeRoom(next.room, next.spec);
+    }
+  }
+}
+
+/** One demand for all work that the same machines suit: thousands of tasks may wait. */
+class DemandList {
+  private readonly demands = new Map<string, Demand>();
+
+  get all(): Demand[] {
+    return [...this.demands.values()];
+  }
+
+  get hasService(): boolean {
+    return this.all.some((demand) => demand.service);
+  }
+
+  add(shape: string, demand: Demand): void {
+    const { rank, service, count } = demand;
+    const key = `${shape} ${rank} ${String(service)}`;
+    const known = this.demands.get(key);
+    if (known === undefined) {
+      this.demands.set(key, demand);
+      return;
+    }
+    const all = known.count + count;
+    known.run = (known.run * known.count + demand.run * count) / all;
+    known.imageGb = (known.imageGb * known.count + demand.imageGb * count) / all;
+    known.count = all;
+    known.pressing += demand.pressing;
   }
 }
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -55,6 +55,13 @@
   return zone === null ? shape : `${shape} ${zone}`;
 }
 
+/** Takes room away, or gives it back with -1. */
+export function takeRoom(room: Room, need: Room, times = 1): void {
+  room.cpus -= times * need.cpus;
+  room.gpus -= times * need.gpus;
+  room.memory -= times * need.memory;
+}
+
 /** Samples a few of the machines that have room; those that hold the image are always looked at. */
 export function sampleHosts<T extends Host>(
   hosts: T[],
--- a/src/coordination/replay.ts
+++ b/src/coordination/replay.ts
@@ -7,7 +7,7 @@
  * hundreds of machines is replayed for every submission and every question of a peer.
  */
 import { Heap } from './heap.js';
-import { allows, holds, shapeOf, type Room } from './placement.js';
+import { allows, holds, shapeOf, takeRoom, type Room } from './placement.js';
 import type { JobSpec } from '../protocol/job.js';
 
 export interface ReplayHost {
@@ -129,7 +129,7 @@
       const next = first?.waiting[first.head];
       if (first === null || next === undefined) return;
       const { spec: need, run } = next.item;
-      take(room, need, -1);
+      takeRoom(room, need);
       if (Number.isFinite(run)) ends.add({ at: now + run, host: index, need });
       if (next.item === candidate) own--;
       if (--next.left > 0) continue;
@@ -150,7 +150,7 @@
     const room = rooms[next.host];
     const host = hosts[next.host];
     if (room === undefined || host === undefined) continue;
-    take(room, next.need, 1);
+    takeRoom(room, next.need, -1);
     if (host.ready <= now) fill(host, next.host, room, now);
     if (own === 0) return { wait: now };
   }
@@ -160,12 +160,6 @@
 function everHolds(host: ReplayHost, item: ReplayItem): boolean {
   if (holds(host.free, item.spec)) return true;
   const room = { ...host.free };
-  for (const task of host.running) take(room, task.need, 1);
+  for (const task of host.running) takeRoom(room, task.need, -1);
   return holds(room, item.spec);
 }
-
-function take(room: Room, need: Room, sign: number): void {
-  room.cpus += sign * need.cpus;
-  room.gpus += sign * need.gpus;
-  room.memory += sign * need.memory;
-}
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -6,7 +6,7 @@
 import type { RunTimes } from './estimate.js';
 import type { Machine } from './machine.js';
 import type { Part, PartOptions } from './part.js';
-import { allows, bestFit, holds, sampleHosts, shapeOf } from './placement.js';
+import { allows, bestFit, holds, sampleHosts, shapeOf, takeRoom } from './placement.js';
 import { Preemption } from './preemption.js';
 import { nothing, type Amount, type ClusterView, type Starved } from './teamUsage.js';
 
@@ -216,9 +216,7 @@
       const room = { ...machine.free };
       while (left > 0 && holds(room, spec)) {
         left--;
-        room.cpus -= spec.cpus;
-        room.gpus -= spec.gpus;
-        room.memory -= spec.memory;
+        takeRoom(room, spec);
       }
     }
     return left === 0;
@@ -268,9 +266,7 @@
       let at = now;
       for (const end of ends) {
         if (holds(room, chunk.spec)) break;
-        room.cpus += end.need.cpus;
-        room.gpus += end.need.gpus;
-        room.memory += end.need.memory;
+        takeRoom(room, end.need, -1);
         at = end.at;
       }
       if (holds(room, chunk.spec) && at < (best?.at ?? Infinity)) best = { machine, at };
--- a/src/coordination/waitEstimates.ts
+++ b/src/coordination/waitEstimates.ts
@@ -4,7 +4,7 @@
 import type { RunTimes } from './estimate.js';
 import type { Machine, Placed } from './machine.js';
 import type { Part } from './part.js';
-import { allows, holds, type Room } from './placement.js';
+import { allows, holds, type Room, takeRoom } from './placement.js';
 import { replay, ReplayStart, type ReplayHost, type ReplayItem } from './replay.js';
 
 /** How old a snapshot of the machines may be, as a ratio to the time between reports. */
@@ -87,9 +87,7 @@
         const need = placed.chunk.spec;
         if (placed.chunk.rank < rank) {
           // It would be stopped for the candidate.
-          free.cpus += need.cpus;
-          free.gpus += need.gpus;
-          free.memory += need.memory;
+          takeRoom(free, need, -1);
           continue;
         }
         const ends = this.endOf(placed, now) - now;
@@ -123,9 +121,7 @@
     const room = { ...machine.free };
     for (const { chunk } of machine.entries.values()) {
       if (chunk.rank >= rankOrder[spec.rank]) continue;
-      room.cpus += chunk.spec.cpus;
-      room.gpus += chunk.spec.gpus;
-      room.memory += chunk.spec.memory;
+      takeRoom(room, chunk.spec, -1);
     }
     return room;
   }
