--- /dev/null
+++ b/test/meetingsOfUsers.test.ts
@@ -0,0 +1,248 @@
+/**
+ * Troubles that meet users' requests, on whole controllers: the table in docs/safety.md names the meeting of
+ * each case.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { submission, until, type Cluster } from './support/cluster.js';
+import { accept, service, status, withCluster, type Answer } from './support/users.js';
+
+const pause = (seconds: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, seconds * 1000));
+
+const tasksOf = (cluster: Cluster, id: string): string[] =>
+  [...cluster.cloud.workers.values()].flatMap((worker) =>
+    worker.tasks.filter((task) => task.startsWith(`${id}/`)),
+  );
+
+/** What a node says of a job: its state, the status of an answer without one, or null while it is down. */
+async function ask(
+  cluster: Cluster,
+  label: string,
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<string | number | null> {
+  try {
+    const answer = await cluster.call(label, method, path, body);
+    return answer.status < 300 ? (answer.body as Answer).Status : answer.status;
+  } catch {
+    return null;
+  }
+}
+
+async function cancel(cluster: Cluster, labels: string[], id: string): Promise<void> {
+  let turn = 0;
+  await until(`${id} is cancelled`, async () => {
+    const label = labels[turn++ % labels.length] ?? '';
+    const said = await ask(cluster, label, 'POST', `/v1/jobs/${id}/withdraw`);
+    return said === 'cancelled';
+  });
+}
+
+interface Owner {
+  node: string;
+  token: number;
+}
+
+/** Waits until the part of a node has another owner. */
+async function adopted(cluster: Cluster, label: string): Promise<Owner> {
+  const owner = (): Owner | undefined =>
+    cluster.state.rows.get(`b/own/${label}`)?.value as Owner | undefined;
+  await until('its part is adopted', () => (owner()?.node ?? label) !== label);
+  const adopter = owner();
+  if (adopter === undefined) throw new Error('the part has no owner');
+  return adopter;
+}
+
+interface TxnBody {
+  Then?: { Put?: string; Value?: unknown }[];
+}
+
+/** The transactions that store this key, with this state, are carried out at once; their answers get lost. */
+function loseAnswers(cluster: Cluster, key: string, state: string): { count: number } {
+  const lost = { count: 0 };
+  cluster.state.swallow = (body: TxnBody): boolean => {
+    const put = body.Then?.find((operation) => operation.Put === key);
+    if ((put?.Value as { state?: string } | undefined)?.state !== state) return false;
+    if (lost.count >= 1) return false;
+    lost.count++;
+    cluster.state.apply(body);
+    return true;
+  };
+  return lost;
+}
+
+test('an acceptance is stored and its answer lost: all nodes know the job, and it runs once', () =>
+  withCluster({ nodes: 2, runs: () => 0.5 }, async (cluster) => {
+    const id = 'wk-000801';
+    const job = submission(id, { Pieces: 2 });
+    const lost = loseAnswers(cluster, `b/job/${id}`, 'open');
+    const first = ask(cluster, 'drone-0', 'POST', '/v1/jobs', job);
+    await until('it is stored', () => lost.count === 1);
+    await until('the other node knows it', async () => {
+      const said = await ask(cluster, 'drone-1', 'GET', `/v1/jobs/${id}`);
+      return typeof said === 'string';
+    });
+    await accept(cluster, 'drone-1', job);
+    const said = await first;
+    assert.ok(typeof said === 'string' || said === 503, `the first node said ${said}`);
+    await until('it is done', async () => (await status(cluster, 'drone-0', id)).Status === 'done');
+    assert.deepEqual([...cluster.cloud.starts].sort(), [`${id}/0`, `${id}/1`]);
+  }));
+
+test('a cancellation is stored and its answer lost: once a node has said so, none says otherwise', () =>
+  withCluster({ nodes: 2, runs: () => Infinity }, async (cluster) => {
+    const id = 'wk-000811';
+    await accept(cluster, 'drone-0', submission(id, service));
+    await until('it runs', () => tasksOf(cluster, id).length === 2);
+    const lost = loseAnswers(cluster, `b/job/${id}`, 'cancelled');
+    let isConfirmed = false;
+    const path = `/v1/jobs/${id}`;
+    const cancelling = cancel(cluster, ['drone-0'], id).then(() => (isConfirmed = true));
+    let isOver = false;
+    while (!isConfirmed || !isOver) {
+      for (const label of ['drone-1', 'drone-0']) {
+        const said = await ask(cluster, label, 'GET', path);
+        if (typeof said !== 'string') continue;
+        if (isOver) assert.equal(said, 'cancelled', `${label} went back`);
+        if (said === 'cancelled') isOver = true;
+      }
+    }
+    await cancelling;
+    assert.equal(lost.count, 1);
+    await until('its tasks have gone', () => tasksOf(cluster, id).length === 0);
+  }));
+
+test('users ask at all nodes at once, and repeat their submissions: nobody says anything older', () =>
+  withCluster({ nodes: 3, runs: () => Infinity }, async (cluster) => {
+    const labels = [...cluster.nodes.keys()];
+    const everywhere = (
+      method: string,
+      path: string,
+      body?: unknown,
+    ): Promise<(string | number | null)[]> =>
+      Promise.all(labels.map((label) => ask(cluster, label, method, path, body)));
+    for (const [index, id] of ['wk-000821', 'wk-000822', 'wk-000823'].entries()) {
+      const label = labels[index] ?? '';
+      const job = submission(id, { ...service, Pieces: 1 });
+      const path = `/v1/jobs/${id}`;
+      await accept(cluster, label, job);
+      for (let turn = 0; turn < 4; turn++) {
+        const said = [
+          ...(await everywhere('GET', path)),
+          ...(await everywhere('POST', '/v1/jobs', job)),
+        ];
+        assert.ok(!said.includes(404), `${id} is unknown: ${said.join(' ')}`);
+      }
+      await cancel(cluster, [label], id);
+      for (let turn = 0; turn < 4; turn++) {
+        const said = [
+          ...(await everywhere('GET', path)),
+          ...(await everywhere('POST', '/v1/jobs', job)),
+        ];
+        const other = said.filter((answer) => answer !== 'cancelled' && answer !== 503);
+        assert.deepEqual(other, [], `${id} went back`);
+      }
+    }
+  }));
+
+test('jobs are cancelled while a part changes hands: what is confirmed starts no more and ends in time', () =>
+  withCluster({ nodes: 2, lease: 3, runs: () => Infinity }, async (cluster) => {
+    const ids = ['wk-000831', 'wk-000832', 'wk-000833', 'wk-000834'];
+    for (const id of ids) await accept(cluster, 'drone-0', submission(id, service));
+    const run = (): boolean => ids.every((id) => tasksOf(cluster, id).length === 2);
+    await until('all run', run);
+    // Users go on asking at both nodes while one ends, its part is adopted, and it takes the part back.
+    const confirmed = ids.map(async (id, index) => {
+      await pause(index * 0.5);
+      await cancel(cluster, ['drone-0', 'drone-1'], id);
+      const starts = cluster.cloud.starts.length;
+      const at = performance.now();
+      await until(`${id} has gone`, () => tasksOf(cluster, id).length === 0);
+      assert.ok(performance.now() - at < 5000, `${id} went on for too long`);
+      return { id, starts };
+    });
+    cluster.crash('drone-0');
+    await adopted(cluster, 'drone-0');
+    await cluster.boot('drone-0');
+    for (const { id, starts } of await Promise.all(confirmed)) {
+      const later = cluster.cloud.starts.slice(starts).filter((task) => task.startsWith(id));
+      assert.deepEqual(later, [], `${id} was started after its cancellation was confirmed`);
+    }
+  }));
+
+test('many jobs of one task, a quarter of them cancelled: each of the others runs once', () =>
+  withCluster({ nodes: 2, runs: () => 0.2 }, async (cluster) => {
+    const ids = Array.from({ length: 40 }, (_, n) => `wk-${String(850 + n).padStart(6, '0')}`);
+    const cancelled = new Map<string, number>();
+    await Promise.all(
+      ids.map(async (id, n) => {
+        await pause(n * 0.05);
+        const label = `drone-${n % 2}`;
+        await accept(cluster, label, submission(id, { Pieces: 1 }));
+        if (n % 4 > 0) return;
+        let said: string | number | null = null;
+        await until(`${id} is over`, async () => {
+          said = await ask(cluster, label, 'POST', `/v1/jobs/${id}/withdraw`);
+          return said === 'cancelled' || said === 'done';
+        });
+        if (said === 'cancelled') cancelled.set(id, cluster.cloud.starts.length);
+      }),
+    );
+    const isOver = async (id: string): Promise<boolean> => {
+      const { Status } = await status(cluster, 'drone-1', id);
+      return Status === (cancelled.has(id) ? 'cancelled' : 'done');
+    };
+    for (const id of ids) await until(`${id} is over`, () => isOver(id));
+    for (const id of ids) {
+      const starts = cluster.cloud.starts.filter((task) => task === `${id}/0`).length;
+      assert.ok(cancelled.has(id) ? starts <= 1 : starts === 1, `${id} started ${starts} times`);
+    }
+    for (const [id, from] of cancelled) {
+      const later = cluster.cloud.starts.slice(from).filter((task) => task === `${id}/0`);
+      assert.deepEqual(later, [], `${id} was started after its cancellation was confirmed`);
+    }
+  }));
+
+test('new machines get work while writes lag, and the leader ends: nothing runs twice', () =>
+  withCluster({ nodes: 2, lease: 3, runs: () => Infinity }, async (cluster) => {
+    // Every third transaction gets no answer and is carried out late, after newer ones.
+    let count = 0;
+    cluster.state.swallow = () => ++count % 3 === 0;
+    const ids = ['wk-000901', 'wk-000902', 'wk-000903'];
+    const spread = { ...service, Cores: 4 };
+    for (const id of ids) await accept(cluster, 'drone-0', submission(id, spread));
+    await until('a machine has work', () => cluster.cloud.starts.length > 0);
+    cluster.crash('drone-0');
+    for (const body of cluster.state.late.splice(0)) cluster.state.apply(body);
+    await cluster.boot('drone-0');
+    cluster.state.swallow = null;
+    await until('all run', () => ids.every((id) => tasksOf(cluster, id).length === 2));
+    for (const body of cluster.state.late.splice(0)) cluster.state.apply(body);
+    await until('it is said everywhere', async () => {
+      const said = await Promise.all(ids.map((id) => status(cluster, 'drone-1', id)));
+      return said.every(({ running }) => running === 2);
+    });
+  }));
+
+test('commands of a deposed leader arrive after those of the new one: nothing comes of them', () =>
+  withCluster({ nodes: 2, lease: 3, runs: () => Infinity }, async (cluster) => {
+    await accept(cluster, 'drone-0', submission('wk-000911', { ...service, Pieces: 1 }));
+    await until('a machine is there', () => tasksOf(cluster, 'wk-000911').length === 1);
+    for (const worker of cluster.cloud.workers.values()) worker.holdsCommands = true;
+    const id = 'wk-000912';
+    await accept(cluster, 'drone-0', submission(id, { ...service, Pieces: 3 }));
+    await pause(0.2);
+    cluster.state.refused.add('drone-0');
+    cluster.apart.add('drone-0');
+    const adopter = await adopted(cluster, 'drone-0');
+    await until('the new leader is heard', () =>
+      [...cluster.cloud.workers.values()].some((worker) => worker.seenToken >= adopter.token),
+    );
+    for (const worker of cluster.cloud.workers.values()) worker.holdsCommands = false;
+    await until('all run', () => tasksOf(cluster, id).length === 3);
+    await pause(0.5);
+    assert.deepEqual(tasksOf(cluster, id).sort(), [`${id}/0`, `${id}/1`, `${id}/2`]);
+    assert.equal(tasksOf(cluster, 'wk-000911').length, 1);
+  }));
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -43,6 +43,8 @@
   hanging = false;
   /** Its reports arrive, but no answer, question or order gets to it. */
   deaf = false;
+  /** Direct commands are held up on their way, while reports, answers and questions pass. */
+  holdsCommands = false;
   /** It reaches no controller, while direct commands and questions reach it. */
   cutOff = false;
   /** All reports that it has sent. */
@@ -76,6 +78,11 @@
     return [...this.pieces.values()].filter((p) => p.Status === 'running').map((p) => p.Piece);
   }
 
+  /** The highest token that it has seen. */
+  get seenToken(): number {
+    return this.token;
+  }
+
   private killAll(): void {
     for (const piece of this.pieces.values()) this.end(piece, 'killed');
     this.pieces.clear();
@@ -128,8 +135,9 @@
   }
 
   private async serve(request: HttpMessage): Promise<Reply> {
-    while ((this.hanging || this.deaf) && !this.stopped)
-      await new Promise((r) => setTimeout(r, 20));
+    const isHeld = (): boolean =>
+      this.hanging || this.deaf || (this.holdsCommands && request.target !== '/inspect');
+    while (isHeld() && !this.stopped) await new Promise((r) => setTimeout(r, 20));
     // A machine that was released meanwhile is gone: what was held back for it is carried out nowhere. A
     // command that was let through by the release started its task beside the next machine's.
     if (this.stopped) return new Promise(() => undefined);
