Cases for overload and bad input on whole controllers, and for two crashes of all in a row

A flood of submissions beyond the state service's changes is answered in time (201 or 503 with Retry-After), health checks and reports go on, a live service that comes behind it runs, and nothing of what was accepted is lost; malformed, oversized and half-sent requests keep nobody out.

--- a/test/outages.test.ts
+++ b/test/outages.test.ts
@@ -27,6 +27,16 @@
       for (const label of ['drone-0', 'drone-1', 'drone-2']) await c.boot(label);
     },
   },
+  {
+    name: 'a crash of all, twice in a row',
+    strike: async (c) => {
+      for (let turn = 0; turn < 2; turn++) {
+        for (const label of [...c.nodes.keys()]) c.crash(label);
+        await pause(0.2);
+        for (const label of ['drone-0', 'drone-1', 'drone-2']) await c.boot(label);
+      }
+    },
+  },
   {
     name: 'the state service refuses one node alone, for good',
     strike: (c) => void c.state.refused.add('drone-0'),
--- /dev/null
+++ b/test/overload.test.ts
@@ -0,0 +1,106 @@
+/** More than a node can take, and input that is none: what is answered, and that work goes on meanwhile. */
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import { test } from 'node:test';
+import type { Response } from '../src/transport/httpClient.js';
+import { submission, until, type Cluster } from './support/cluster.js';
+import { accept, service, settled, status, withCluster } from './support/users.js';
+
+function addressOf(cluster: Cluster, label: string): { host: string; port: number } {
+  const address = cluster.nodes.get(label)?.address ?? '';
+  const [host = '', port = ''] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+/** Sends text as it is and gives what comes back until the connection ends. */
+function send(cluster: Cluster, label: string, text: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = net.connect(addressOf(cluster, label));
+    let seen = '';
+    socket.on('data', (data) => (seen += data.toString()));
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      resolve(seen);
+    });
+    socket.write(text);
+  });
+}
+
+const requestOf = (path: string, body: string): string =>
+  `POST ${path} HTTP/1.1\r\nConnection: close\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+
+test('far more submissions than can be stored: each is answered, and work goes on', () =>
+  withCluster({ nodes: 2, runs: () => 0.3, stateWrites: 24 }, async (cluster) => {
+    await accept(cluster, 'drone-0', submission('wk-001000', service));
+    await until('replicas run', async () => {
+      return (await status(cluster, 'drone-0', 'wk-001000')).running === 2;
+    });
+    const ids = Array.from({ length: 60 }, (_, n) => `wk-${String(1001 + n).padStart(6, '0')}`);
+    const flood = ids.map(async (id): Promise<[string, Response]> => {
+      const job = submission(id, { Pieces: 1 });
+      return [id, await cluster.call('drone-0', 'POST', '/v1/jobs', job)];
+    });
+    const ready = await settled(cluster, 'drone-0', 'GET', '/ready');
+    assert.equal(ready.status, 200);
+    const answers = await Promise.all(flood);
+    for (const [id, { status: code, retryAfter }] of answers) {
+      assert.ok([200, 201, 503].includes(code), `${id}: ${code}`);
+      if (code === 503) assert.ok((retryAfter ?? 0) >= 1, `${id} is not told when to come back`);
+    }
+    const accepted = answers.filter(([, { status: code }]) => code < 300).map(([id]) => id);
+    assert.ok(accepted.length > 0, 'none was accepted');
+    // A live service that comes behind the flood does not wait for the batch work to be through.
+    await accept(cluster, 'drone-0', submission('wk-001200', service));
+    await until('the live service runs', async () => {
+      return (await status(cluster, 'drone-1', 'wk-001200')).running === 2;
+    });
+    const isDone = async (id: string): Promise<boolean> =>
+      (await status(cluster, 'drone-0', id)).Status === 'done';
+    for (const id of accepted) await until(`${id} is done`, () => isDone(id));
+    // The live service may have stopped some of them, but nothing was lost for want of answers to workers.
+    for (const task of ['wk-001000/0', 'wk-001000/1', 'wk-001200/0', 'wk-001200/1']) {
+      const starts = cluster.cloud.starts.filter((started) => started === task);
+      assert.equal(starts.length, 1, `${task} was started ${starts.length} times`);
+    }
+  }));
+
+const malformed: { name: string; path: string; body: string; answer: RegExp }[] = [
+  { name: 'no JSON', path: '/v1/jobs', body: '{"Uid":', answer: /^HTTP\/1.1 400 / },
+  { name: 'no object', path: '/v1/jobs', body: '[1,2]', answer: /^HTTP\/1.1 400 / },
+  { name: 'deeply nested', path: '/v1/jobs', body: '['.repeat(30000), answer: /^HTTP\/1.1 400 / },
+  { name: 'oversized', path: '/v1/jobs', body: 'x'.repeat(70000), answer: /^HTTP\/1.1 413 / },
+  { name: 'a report that is none', path: '/hello', body: '{"Drone":7}', answer: /^HTTP\/1.1 400 / },
+  {
+    name: 'a report of no machine of ours',
+    path: '/hello',
+    body: 'null',
+    answer: /^HTTP\/1.1 400 /,
+  },
+];
+
+test('malformed and oversized requests are refused, and work goes on', () =>
+  withCluster({ nodes: 1, runs: () => 0.3 }, async (cluster) => {
+    for (const { name, path, body, answer } of malformed) {
+      for (let turn = 0; turn < 5; turn++) {
+        assert.match(await send(cluster, 'drone-0', requestOf(path, body)), answer, name);
+      }
+    }
+    await accept(cluster, 'drone-0', submission('wk-001301'));
+    await until('it is done', async () => {
+      return (await status(cluster, 'drone-0', 'wk-001301')).Status === 'done';
+    });
+  }));
+
+test('senders that stop half way do not keep others out at the limit of connections', () => {
+  const front = { maxConnections: 20, requestTimeout: 0.3 };
+  return withCluster({ nodes: 1, runs: () => 0.3, front }, async (cluster) => {
+    const halves = Array.from({ length: 60 }, () =>
+      send(cluster, 'drone-0', 'POST /v1/jobs HTTP/1.1\r\nContent-Length: 50\r\n\r\n{"Uid"'),
+    );
+    await accept(cluster, 'drone-0', submission('wk-001311'));
+    await until('it is done', async () => {
+      return (await status(cluster, 'drone-0', 'wk-001311')).Status === 'done';
+    });
+    await Promise.all(halves);
+  });
+});
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -3,10 +3,10 @@
 import { setLogLevel } from '../../src/base/log.js';
 import { seededRandom } from '../../src/base/random.js';
 import { Controller } from '../../src/coordination/controller.js';
-import { Gateway } from '../../src/coordination/gateway.js';
+import { Gateway, isEssential } from '../../src/coordination/gateway.js';
 import { defaultTuning, parseSettings } from '../../src/protocol/settings.js';
 import { HttpClient, type Response } from '../../src/transport/httpClient.js';
-import { HttpServer } from '../../src/transport/httpServer.js';
+import { HttpServer, type ServerOptions } from '../../src/transport/httpServer.js';
 import { PeerServer } from '../../src/transport/peerLink.js';
 import { CloudStandIn } from './fleet.js';
 import { StateStandIn } from './state.js';
@@ -27,6 +27,10 @@
   zones?: string[];
   /** Seconds; short where a test waits for its end. */
   lease?: number;
+  /** Changes a second that the state service takes from all nodes together. */
+  stateWrites?: number;
+  /** What a node's users and workers may take of it. */
+  front?: Partial<ServerOptions>;
 }
 
 const limits = {
@@ -35,6 +39,7 @@
   maxInFlight: 100,
   requestTimeout: 5,
   idleTimeout: 60,
+  essential: isEssential,
 };
 
 export class Cluster {
@@ -75,6 +80,7 @@
     this.cloudAddress = await this.cloud.listen();
     // Listeners stay for the cluster's life, also while their node is down: a port that is given up may
     // be taken by a test that runs beside this one.
+    const front = { ...limits, ...this.options.front };
     for (const label of this.labels()) {
       for (const from of this.labels()) {
         if (from === label) continue;
@@ -88,12 +94,12 @@
         this.backs.set(`${from}>${label}`, port);
         this.listeners.push(peers);
       }
-      const front = new HttpServer((request, follows) => {
+      const server = new HttpServer((request, follows) => {
         const gateway = this.nodes.get(label)?.gateway;
         return gateway?.handle(request, follows) ?? Promise.resolve({ status: 503, body: {} });
-      }, limits);
-      this.fronts.set(label, await front.listen({ host: '127.0.0.1', port: 0 }));
-      this.listeners.push(front);
+      }, front);
+      this.fronts.set(label, await server.listen({ host: '127.0.0.1', port: 0 }));
+      this.listeners.push(server);
     }
     for (const label of this.labels()) await this.boot(label);
   }
@@ -128,7 +134,7 @@
 cancel_s = 5.0
 [settings.state]
 rps = 2000.0
-write_rps = 1000.0
+write_rps = ${(this.options.stateWrites ?? 1000).toFixed(1)}
 value_kb = 32.0
 txn_ops = 16
 [settings.cloud]
