--- a/test/reportIntake.test.ts
+++ b/test/reportIntake.test.ts
@@ -194,12 +194,16 @@
   }
 });
 
+function leaveUnanswered(b: Bench, machine: Machine): void {
+  machine.missed = 2;
+  machine.missedSince = b.now;
+}
+
 const unreached: { name: string; strike: (b: Bench, m: Machine) => void; takesWork: boolean }[] = [
   {
     name: 'its reports arrive, but it answers no question',
     strike: (b, m) => {
-      m.missed = 2;
-      m.missedSince = b.now;
+      leaveUnanswered(b, m);
       b.report(m, [], {}, 'report');
     },
     takesWork: false,
@@ -207,8 +211,7 @@
   {
     name: 'then it answers one',
     strike: (b, m) => {
-      m.missed = 2;
-      m.missedSince = b.now;
+      leaveUnanswered(b, m);
       b.report(m, [], {}, 'report');
       b.report(m, [], {}, 'answer');
     },
@@ -217,8 +220,7 @@
   {
     name: 'then a report follows an answer of ours',
     strike: (b, m) => {
-      m.missed = 2;
-      m.missedSince = b.now;
+      leaveUnanswered(b, m);
       b.report(m, [], {}, 'follow');
     },
     takesWork: true,
