--- a/eslint.config.js
+++ b/eslint.config.js
@@ -43,19 +43,6 @@
       complexity: ['error', 25],
     },
   },
-  {
-    // Promises that nobody waits for, and cases of a union that a switch leaves out.
-    files: ['src/**/*.ts'],
-    languageOptions: { parserOptions: { project: ['./tsconfig.json'] } },
-    rules: {
-      '@typescript-eslint/no-floating-promises': 'error',
-      '@typescript-eslint/no-misused-promises': 'error',
-      '@typescript-eslint/await-thenable': 'error',
-      '@typescript-eslint/only-throw-error': 'error',
-      '@typescript-eslint/prefer-promise-reject-errors': 'error',
-      '@typescript-eslint/switch-exhaustiveness-check': 'error',
-    },
-  },
   ...downwardsOnly,
   {
     files: ['src/{base,transport,storage,coordination}/**/*.ts'],
