--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -137,12 +137,16 @@
     const key = keys.job(job.id);
     const when = [{ key, stamp: job.stamp }];
     const txn: Txn = { when, puts: [{ key, value: next }], removes: [] };
-    const result = await this.write(home, txn, 'urgent');
+    await this.client.turn(1, 'urgent');
+    const wasUnsettled = job.unsettled === true;
+    // From now on others may read a final state and tell users of it, before its answer gets here.
+    if (next.state !== 'open') job.unsettled = true;
+    const result = await this.write(home, txn, 'granted');
     if (result.kind === 'applied') {
       this.applyJob(home, job, next, result.stamp);
       return true;
     }
-    if (result.kind === 'unknown') job.unsettled = true;
+    job.unsettled = wasUnsettled || result.kind === 'unknown';
     if (result.kind === 'conflict') {
       await this.host.doubt(home.part.label);
       // An earlier copy of ours may have been applied after all.
--- a/test/meetingsOfUsers.test.ts
+++ b/test/meetingsOfUsers.test.ts
@@ -99,6 +99,8 @@
     const lost = loseAnswers(cluster, `b/job/${id}`, 'cancelled');
     let isConfirmed = false;
     const path = `/v1/jobs/${id}`;
+    // The owner hears of it last: by the answer that is lost, and not by its watch.
+    cluster.state.unwatched.add('drone-0');
     const cancelling = cancel(cluster, ['drone-0'], id).then(() => (isConfirmed = true));
     let isOver = false;
     while (!isConfirmed || !isOver) {
@@ -110,6 +112,7 @@
       }
     }
     await cancelling;
+    cluster.state.unwatched.clear();
     assert.equal(lost.count, 1);
     await until('its tasks have gone', () => tasksOf(cluster, id).length === 0);
   }));
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -33,6 +33,8 @@
   /** Transactions for which this says yes are kept back and get no answer. */
   swallow: ((body: TxnBody) => boolean) | null = null;
   readonly late: TxnBody[] = [];
+  /** Clients whose watches are told of nothing. */
+  readonly unwatched = new Set<string>();
   writes = 0;
   /** Keys that were read one by one. */
   readonly reads: string[] = [];
@@ -175,7 +177,8 @@
       const refused = this.refused.has(client) || this.refused.has('*');
       const events = this.log.filter((e) => e.stamp > from && e.key.startsWith(prefix));
       const left = ends - performance.now();
-      if (!refused && (events.length > 0 || left <= 0)) {
+      const isTold = !refused && !this.unwatched.has(client);
+      if (isTold && (events.length > 0 || left <= 0)) {
         const changes = events.map((e) =>
           e.removed
             ? { Remove: e.key, Stamp: e.stamp }
