--- a/test/liveness.test.ts
+++ b/test/liveness.test.ts
@@ -6,10 +6,7 @@
 test('a silent machine keeps its tasks until nobody can have renewed its lease', () => {
   const b = new Bench();
   const machine = b.machine();
-  const chunk = b.chunk();
-  b.decide();
-  b.store(chunk);
-  b.report(machine, [{}]);
+  const chunk = b.running(machine);
   machine.renewed = b.now;
   b.part.liveness.sweep(b.now + 18);
   assert.equal(chunk.entries.size, 1);
@@ -29,10 +26,7 @@
     const machine = b.machine('n-1');
     const rest = others === 'none' ? [] : ['n-2', 'n-3'].map((n) => b.machine(n));
     b.now += 1;
-    for (const m of [machine, ...(others === 'silent' ? rest : [])]) {
-      m.missed = 2;
-      m.missedSince = b.now;
-    }
+    for (const m of [machine, ...(others === 'silent' ? rest : [])]) b.leaveUnanswered(m);
     b.now += 1;
     if (others === 'answers') for (const m of rest) b.report(m, []);
     b.now += seconds - 2;
@@ -96,10 +90,7 @@
 test('a machine that reports but answers nothing is returned, and its replicas go elsewhere', () => {
   const b = new Bench();
   const machine = b.machine();
-  const chunk = b.chunk({ service: true, rank: 'prod' });
-  b.decide();
-  b.store(chunk);
-  b.report(machine, [{}]);
+  const chunk = b.running(machine, { service: true, rank: 'prod' });
   const other = b.machine('n-2');
   const since = b.now;
   for (let n = 0; n < 3; n++) {
--- a/test/meetingsOfUsers.test.ts
+++ b/test/meetingsOfUsers.test.ts
@@ -4,11 +4,8 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { submission, until, type Cluster } from './support/cluster.js';
-import { accept, service, status, withCluster, type Answer } from './support/users.js';
-
-const pause = (seconds: number): Promise<void> =>
-  new Promise((resolve) => setTimeout(resolve, seconds * 1000));
+import { pause, submission, until, type Cluster } from './support/cluster.js';
+import { accept, adopted, service, status, withCluster, type Answer } from './support/users.js';
 
 const tasksOf = (cluster: Cluster, id: string): string[] =>
   [...cluster.cloud.workers.values()].flatMap((worker) =>
@@ -40,21 +37,6 @@
   });
 }
 
-interface Owner {
-  node: string;
-  token: number;
-}
-
-/** Waits until the part of a node has another owner. */
-async function adopted(cluster: Cluster, label: string): Promise<Owner> {
-  const owner = (): Owner | undefined =>
-    cluster.state.rows.get(`b/own/${label}`)?.value as Owner | undefined;
-  await until('its part is adopted', () => (owner()?.node ?? label) !== label);
-  const adopter = owner();
-  if (adopter === undefined) throw new Error('the part has no owner');
-  return adopter;
-}
-
 interface TxnBody {
   Then?: { Put?: string; Value?: unknown }[];
 }
--- a/test/outages.test.ts
+++ b/test/outages.test.ts
@@ -1,11 +1,8 @@
 /** What users see while things fail. Each case waits for an outcome. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { submission, until, type Cluster } from './support/cluster.js';
-import { accept, service, status, withCluster } from './support/users.js';
-
-const pause = (seconds: number): Promise<void> =>
-  new Promise((resolve) => setTimeout(resolve, seconds * 1000));
+import { pause, submission, until, type Cluster } from './support/cluster.js';
+import { accept, adopted, service, status, withCluster } from './support/users.js';
 
 const outages: {
   name: string;
@@ -61,10 +58,7 @@
       await until('the load balancer is told', async () => {
         return (await c.call('drone-0', 'GET', '/ready')).status === 503;
       });
-      await until('its part has another owner', () => {
-        const owner = c.state.rows.get('b/own/drone-0')?.value as { node: string } | undefined;
-        return owner !== undefined && owner.node !== 'drone-0';
-      });
+      await adopted(c, 'drone-0');
     },
     mend: (c) => {
       c.state.refused.clear();
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -26,10 +26,7 @@
 test('a chunk that its home has counted as over is not run again by an adopter', () => {
   const b = new Bench();
   const machine = b.machine();
-  const chunk = b.chunk({ tasks: 2 });
-  b.decide();
-  b.store(chunk);
-  b.report(machine, [{}]);
+  const chunk = b.running(machine, { tasks: 2 });
   b.part.overtake(chunk, b.now);
   assert.deepEqual(b.verbs(machine), ['halt wk-1/0 1']);
   b.report(machine, [{ state: 'ended', cause: 'halted' }]);
--- a/test/peerLink.test.ts
+++ b/test/peerLink.test.ts
@@ -40,18 +40,25 @@
 
 const SECOND = 1000;
 
-function withTimers(t: TestContext): void {
+/** A peer and a client that gives a silent connection up after so many seconds; timers are moved by hand. */
+async function connect(
+  t: TestContext,
+  silence: number,
+): Promise<{ peer: HeldAnswers; client: PeerClient }> {
   mock.timers.enable({ apis: ['setTimeout'] });
+  const peer = new HeldAnswers();
+  const client = new PeerClient(await peer.listen(), 16, silence);
   t.after(() => {
+    client.close();
+    peer.server.close();
     mock.timers.reset();
   });
+  return { peer, client };
 }
 
 test('calls that got no answer in time do not cost those that still wait their connection', async (t) => {
   // Two questions without an answer closed the connection, and a relayed request went with it.
-  withTimers(t);
-  const peer = new HeldAnswers();
-  const client = new PeerClient(await peer.listen(), 16, 10);
+  const { peer, client } = await connect(t, 10);
   const patient = client.call(Buffer.from('patient'), 5);
   await peer.received(1);
   for (const [index, name] of ['a', 'b', 'c'].entries()) {
@@ -62,14 +69,10 @@
   }
   peer.answerNext();
   assert.equal((await patient).toString(), 'answer to patient');
-  client.close();
-  peer.server.close();
 });
 
 test('an answer that has arrived is taken, also when the time is up before it is read', async (t) => {
-  withTimers(t);
-  const peer = new HeldAnswers();
-  const client = new PeerClient(await peer.listen(), 16, 10);
+  const { peer, client } = await connect(t, 10);
   const call = client.call(Buffer.from('slow'), 1);
   await peer.received(1);
   await turn();
@@ -78,14 +81,10 @@
   await Promise.resolve();
   mock.timers.tick(SECOND);
   assert.equal((await call).toString(), 'answer to slow');
-  client.close();
-  peer.server.close();
 });
 
 test('a connection on which nothing arrives is given up, and the next call has a new one', async (t) => {
-  withTimers(t);
-  const peer = new HeldAnswers();
-  const client = new PeerClient(await peer.listen(), 16, 2);
+  const { peer, client } = await connect(t, 2);
   const lost = client.call(Buffer.from('lost'), 60);
   await peer.received(1);
   mock.timers.tick(2 * SECOND);
@@ -96,6 +95,4 @@
   await peer.received(2);
   peer.answerNext();
   assert.equal((await next).toString(), 'answer to next');
-  client.close();
-  peer.server.close();
 });
--- a/test/reportIntake.test.ts
+++ b/test/reportIntake.test.ts
@@ -1,21 +1,16 @@
 /** What reports say: stale ones, sessions, starts in doubt, failures. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Machine } from '../src/coordination/machine.js';
+import type { Source } from '../src/coordination/reportIntake.js';
 import type { JobSpec } from '../src/protocol/job.js';
-import type { Report } from '../src/protocol/worker.js';
-import type { TaskReport } from '../src/protocol/worker.js';
-import { Bench } from './support/bench.js';
-import { TOKEN } from './support/bench.js';
+import type { Report, TaskReport } from '../src/protocol/worker.js';
+import { Bench, TOKEN } from './support/bench.js';
 import { spec } from './support/spec.js';
 
 test('done is stored before it is reaped', () => {
   const b = new Bench();
   const machine = b.machine();
-  const chunk = b.chunk();
-  b.decide();
-  b.store(chunk);
-  b.report(machine, [{}]);
+  const chunk = b.running(machine);
   b.report(machine, [{ state: 'ended', cause: 'done' }]);
   assert.ok(chunk.complete);
   assert.deepEqual(b.verbs(machine), []);
@@ -184,61 +179,26 @@
   for (const [name, changes, warning, orders] of cases) {
     const b = new Bench();
     const machine = b.machine();
-    const chunk = b.chunk(changes);
-    b.decide();
-    b.store(chunk);
-    b.report(machine, [{}]);
+    b.running(machine, changes);
     b.report(machine, [{}], { warning });
     assert.deepEqual(b.verbs(machine), orders, name);
     assert.ok(!machine.usable(b.now), name);
   }
 });
 
-function leaveUnanswered(b: Bench, machine: Machine): void {
-  machine.missed = 2;
-  machine.missedSince = b.now;
-}
-
-const unreached: { name: string; strike: (b: Bench, m: Machine) => void; takesWork: boolean }[] = [
-  {
-    name: 'its reports arrive, but it answers no question',
-    strike: (b, m) => {
-      leaveUnanswered(b, m);
-      b.report(m, [], {}, 'report');
-    },
-    takesWork: false,
-  },
-  {
-    name: 'then it answers one',
-    strike: (b, m) => {
-      leaveUnanswered(b, m);
-      b.report(m, [], {}, 'report');
-      b.report(m, [], {}, 'answer');
-    },
-    takesWork: true,
-  },
-  {
-    name: 'then a report follows an answer of ours',
-    strike: (b, m) => {
-      leaveUnanswered(b, m);
-      b.report(m, [], {}, 'follow');
-    },
-    takesWork: true,
-  },
-  {
-    name: 'it was lost, and a late copy comes',
-    strike: (b, m) => {
-      m.lost = true;
-      b.report(m, [], {}, 'report');
-    },
-    takesWork: false,
-  },
+const unreached: { name: string; isLost?: boolean; heard: Source[]; takesWork: boolean }[] = [
+  { name: 'its reports arrive, but it answers no question', heard: ['report'], takesWork: false },
+  { name: 'then it answers one', heard: ['report', 'answer'], takesWork: true },
+  { name: 'then a report follows an answer of ours', heard: ['follow'], takesWork: true },
+  { name: 'it was lost, and a late copy comes', isLost: true, heard: ['report'], takesWork: false },
 ];
-for (const { name, strike, takesWork } of unreached) {
+for (const { name, isLost = false, heard, takesWork } of unreached) {
   test(`being heard is not being reachable: ${name}`, () => {
     const b = new Bench();
     const machine = b.machine();
-    strike(b, machine);
+    if (isLost) machine.lost = true;
+    else b.leaveUnanswered(machine);
+    for (const source of heard) b.report(machine, [], {}, source);
     const chunk = b.chunk();
     b.decide();
     assert.equal(chunk.entries.size, takesWork ? 1 : 0);
--- a/test/support/bench.ts
+++ b/test/support/bench.ts
@@ -85,6 +85,21 @@
     return chunk;
   }
 
+  /** A chunk whose task is placed, stored and reported as running on this machine, the only one. */
+  running(machine: Machine, changes: Partial<JobSpec> = {}): Chunk {
+    const chunk = this.chunk(changes);
+    this.decide();
+    this.store(chunk);
+    this.report(machine, [{}]);
+    return chunk;
+  }
+
+  /** Two questions to it have got no answer. */
+  leaveUnanswered(machine: Machine): void {
+    machine.missed = 2;
+    machine.missedSince = this.now;
+  }
+
   decide(): void {
     this.part.scheduler.decide(this.now, () => false);
   }
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -176,6 +176,9 @@
   }
 }
 
+export const pause = (seconds: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, seconds * 1000));
+
 /** Waits for a condition; how long it takes says nothing, only whether it comes. */
 export async function until(
   what: string,
--- a/test/support/users.ts
+++ b/test/support/users.ts
@@ -83,3 +83,18 @@
     return most;
   };
 }
+
+interface Owner {
+  node: string;
+  token: number;
+}
+
+/** Waits until the part of a node has another owner. */
+export async function adopted(cluster: Cluster, label: string): Promise<Owner> {
+  const owner = (): Owner | undefined =>
+    cluster.state.rows.get(`b/own/${label}`)?.value as Owner | undefined;
+  await until('its part is adopted', () => (owner()?.node ?? label) !== label);
+  const adopter = owner();
+  if (adopter === undefined) throw new Error('the part has no owner');
+  return adopter;
+}
