Team limits: a share never grows beyond what is unshared, nor is it used before it is stored

Causes: (1) an owner gives back the share of tasks that have ended and crashes before their ends are stored; its adopter counts them, reshare raised the part's share to that count although a peer had taken the difference, and once the reports came new tasks filled it. (2) A share that shrank in one kind was put into the node's copy whole, with the other kind's growth, before it was stored. (3) The copy was changed in place, so that a reduction planned for one part was written along with another part's share after the first had been handed over.

--- a/src/coordination/quotas.ts
+++ b/src/coordination/quotas.ts
@@ -3,10 +3,15 @@
  * never passes the limit. A part uses no more than its share, whatever may still run included.
  */
 import { describe, log } from '../base/log.js';
-import type { Team } from '../protocol/settings.js';
+import type { Gossip } from '../protocol/peer.js';
+import type { Settings, Team } from '../protocol/settings.js';
+import type { Txn } from '../protocol/state.js';
 import { keys, type QuotaRecord } from '../storage/records.js';
-import type { Controller } from './controller.js';
-import type { Amount } from './teamUsage.js';
+import type { Replica } from '../storage/replica.js';
+import type { StateClient, TxnResult } from '../storage/stateClient.js';
+import type { OwnedPart } from './ownedPart.js';
+import type { Ownership } from './ownership.js';
+import { nothing, type Amount } from './teamUsage.js';
 
 const LIMITS = ['cpus', 'gpus'] as const;
 
@@ -17,8 +22,10 @@
 });
 
 /**
- * The shares after one part has taken what it needs: from what is unshared first, and only that; a
- * part gives back what it does not use. Pure, so that the sum can be tested.
+ * The shares after one part has taken what it needs, from what is unshared only. What is used may be more than
+ * the part's share: an adopter counts tasks whose ends its predecessor had not stored, and a share raised to
+ * that would be the room for others once the ends are known, beyond the limit. Pure, so that the sum can be
+ * tested.
  */
 export function reshare(
   shares: QuotaRecord,
@@ -27,34 +34,64 @@
   want: Amount,
   limit: Amount,
 ): QuotaRecord {
-  const mine = { cpus: 0, gpus: 0 };
+  const before = shares[part] ?? nothing();
+  const mine = nothing();
   for (const kind of LIMITS) {
     if (!Number.isFinite(limit[kind])) continue;
     let others = 0;
     for (const [label, share] of Object.entries(shares)) if (label !== part) others += share[kind];
-    mine[kind] = Math.max(used[kind], Math.min(limit[kind] - others, used[kind] + want[kind]));
+    const kept = Math.min(used[kind], before[kind]);
+    mine[kind] = Math.max(kept, Math.min(limit[kind] - others, used[kind] + want[kind]));
   }
   return { ...shares, [part]: mine };
 }
 
+/** A smaller share that may be stored already: binds until the record has a higher stamp than `stamp`. */
+interface PendingReduction {
+  share: Amount;
+  stamp: number;
+}
+
+/** What is needed of a node. */
+export interface QuotaNode {
+  settings: Pick<Settings, 'teams'>;
+  ownedParts: ReadonlyMap<string, OwnedPart>;
+  ownership: Pick<Ownership, 'valid'>;
+  peers: { gossips(): Pick<Gossip, 'throttled'>[] };
+  replica: Pick<Replica, 'get' | 'note'>;
+  state: Pick<StateClient, 'get'>;
+  commits: { write(host: OwnedPart, txn: Txn): Promise<TxnResult> };
+}
+
 export class Quotas {
   private busy = false;
+  /** By team and part. */
+  private readonly reductions = new Map<string, PendingReduction>();
 
-  constructor(private readonly node: Controller) {}
+  constructor(private readonly node: QuotaNode) {}
 
+  /** How much of a team's limit a part may use; null: there is no limit. */
   allowance(part: string, name: string): Amount | null {
     const team = this.node.settings.teams.find((t) => t.name === name);
     if (team === undefined) return null;
     const limit = limitOf(team);
-    if (!Number.isFinite(limit.cpus) && !Number.isFinite(limit.gpus)) return null;
-    const record = this.node.replica.get(keys.quota(name))?.value as QuotaRecord | undefined;
-    const share = record?.[part] ?? { cpus: 0, gpus: 0 };
+    if (!isLimited(limit)) return null;
+    const share = this.usableShare(part, name);
     return {
       cpus: Number.isFinite(limit.cpus) ? share.cpus : Infinity,
       gpus: Number.isFinite(limit.gpus) ? share.gpus : Infinity,
     };
   }
 
+  /** The stored share, or less where a reduction of it is on its way. */
+  private usableShare(part: string, team: string): Amount {
+    const stored = this.node.replica.get(keys.quota(team));
+    const share = (stored?.value as QuotaRecord | undefined)?.[part] ?? nothing();
+    const reduction = this.reductions.get(reductionKey(part, team));
+    if (reduction === undefined || (stored?.stamp ?? 0) > reduction.stamp) return share;
+    return smaller(share, reduction.share);
+  }
+
   /** Takes share for what waits here, and gives back what others are short of. */
   async balance(): Promise<void> {
     if (this.busy || !this.node.ownership.valid) return;
@@ -62,7 +99,7 @@
     try {
       for (const team of this.node.settings.teams) {
         const limit = limitOf(team);
-        if (!Number.isFinite(limit.cpus) && !Number.isFinite(limit.gpus)) continue;
+        if (!isLimited(limit)) continue;
         for (const label of this.node.ownedParts.keys()) await this.balanceTeam(team, label, limit);
       }
     } catch (error) {
@@ -76,31 +113,41 @@
     const host = this.node.ownedParts.get(label);
     if (host === undefined) return;
     const { part } = host;
-    const want = part.scheduler.wanted(team.name);
     const key = keys.quota(team.name);
     const stored = this.node.replica.get(key);
+    const stamp = stored?.stamp ?? 0;
     const shares = (stored?.value ?? {}) as QuotaRecord;
-    const wanted = reshare(shares, label, part.teams.usedBy(team.name), want, limit);
-    const before = shares[label] ?? { cpus: 0, gpus: 0 };
+    const used = part.teams.usedBy(team.name);
+    const want = part.scheduler.wanted(team.name);
+    const wanted = reshare(shares, label, used, want, limit);
+    const before = this.usableShare(label, team.name);
     const after = wanted[label] ?? before;
-    const throttledElsewhere = this.node.peers
-      .gossips()
-      .some((g) => g.throttled.includes(team.name));
-    const more = after.cpus > before.cpus || after.gpus > before.gpus;
-    const less = after.cpus < before.cpus || after.gpus < before.gpus;
-    if (!more && !(less && throttledElsewhere)) return;
-    // A smaller share binds at once, before it is stored: nothing new may be placed above it.
-    if (less && stored !== undefined) stored.value = { ...shares, [label]: after };
-    const txn = {
-      when: [{ key, stamp: stored?.stamp ?? 0 }],
-      puts: [{ key, value: wanted }],
-      removes: [],
-    };
+    const isMore = after.cpus > before.cpus || after.gpus > before.gpus;
+    const isLess = after.cpus < before.cpus || after.gpus < before.gpus;
+    if (!isMore && !(isLess && this.isThrottledElsewhere(team.name))) return;
+    // What shrinks binds at once, before it is stored; what grows may be used only once it is stored.
+    this.reductions.set(reductionKey(label, team.name), { share: smaller(before, after), stamp });
+    const txn: Txn = { when: [{ key, stamp }], puts: [{ key, value: wanted }], removes: [] };
     const result = await this.node.commits.write(host, txn);
-    if (result.kind === 'applied') this.node.replica.note(key, wanted, result.stamp);
-    else {
-      const item = await this.node.state.get(key);
-      if (item !== null) this.node.replica.note(key, item.value, item.stamp);
+    if (result.kind === 'applied') {
+      this.node.replica.note(key, wanted, result.stamp);
+      return;
     }
+    const item = await this.node.state.get(key);
+    if (item !== null) this.node.replica.note(key, item.value, item.stamp);
+  }
+
+  private isThrottledElsewhere(team: string): boolean {
+    return this.node.peers.gossips().some((gossip) => gossip.throttled.includes(team));
   }
 }
+
+const isLimited = (limit: Amount): boolean =>
+  Number.isFinite(limit.cpus) || Number.isFinite(limit.gpus);
+
+const reductionKey = (part: string, team: string): string => `${part} ${team}`;
+
+const smaller = (one: Amount, other: Amount): Amount => ({
+  cpus: Math.min(one.cpus, other.cpus),
+  gpus: Math.min(one.gpus, other.gpus),
+});
