Accepting: jobs of a batch that was stored without an answer are taken as they are stored now

Reproduced first in test/accepting.test.ts: 'no answer, and the part is lost meanwhile' printed 'queued' for 'cancelled', and the node's copy had the open record under the stamp of the cancellation. Sequence: the transaction of a batch is carried out and its answer lost; the node stands still or loses its lease; the adopter loads the job and a user cancels it; the node's second copy fails, it reads the stored records and put back what it had sent, under the stamp that it found. The user was told queued after cancelled, and since a copy never goes back by stamps, the job was open there for good: a node that got its part back would have run it again. Also: all jobs of a batch got the first one's stamp, and an answer that came late said queued of a job known here to be over. Each of the three cases failed before and passes now.

--- a/src/coordination/accepting.ts
+++ b/src/coordination/accepting.ts
@@ -6,7 +6,7 @@
 import { sleep, type Clock } from '../base/clock.js';
 import { describe, log } from '../base/log.js';
 import { acceptedAnswer } from '../protocol/job.js';
-import { TXN_BYTES, type Txn } from '../protocol/state.js';
+import { TXN_BYTES, type Item, type Txn } from '../protocol/state.js';
 import { keys, type JobRecord, type BucketRecord } from '../storage/records.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient, TxnResult } from '../storage/stateClient.js';
@@ -236,13 +236,8 @@
     if (result.kind === 'unknown') batch.mayBeStored = true;
     if (result.kind !== 'conflict') return false;
     const found = await Promise.all(jobs.map((job) => node.state.get(keys.job(job.id))));
-    const ours = jobs.some((job, i) => {
-      const stored = found[i]?.value as JobRecord | undefined;
-      return batch.mayBeStored && stored?.at === job.record.at && stored.home === job.record.home;
-    });
-    if (ours) {
-      // A copy without an answer was applied, and that holds for all of it.
-      this.stored(batch, found.find((item) => item !== null)?.stamp ?? 0);
+    if (batch.mayBeStored && jobs.some((job, i) => isStoredCopy(job.record, found[i]))) {
+      this.foundStored(batch, found);
       return true;
     }
     const taken = jobs.filter((_, i) => found[i] !== null);
@@ -261,19 +256,52 @@
   }
 
   private stored(batch: Batch, stamp: number): void {
+    for (const job of batch.jobs) this.takeUp(batch.home, job, job.record, stamp);
+    for (const [key, { value }] of batch.transfers) this.node.replica.note(key, value, stamp);
+    this.settle(batch);
+  }
+
+  /**
+   * A copy without an answer was applied, and that holds for all of the batch. Its jobs may have changed since
+   * then, at an adopter of the part: each is taken as it is stored, under its own stamp. With the record that was
+   * sent, a job that has been cancelled would be open again here, and for good.
+   */
+  private foundStored(batch: Batch, found: (Item | null)[]): void {
+    batch.jobs.forEach((job, i) => {
+      const item = found[i];
+      if (item) this.takeUp(batch.home, job, item.value as JobRecord, item.stamp);
+    });
+    this.settle(batch);
+  }
+
+  private takeUp(home: OwnedPart, submission: Submission, record: JobRecord, stamp: number): void {
     const { node } = this;
-    const { home } = batch;
-    for (const { id, record, first } of batch.jobs) {
-      if (home.alive) {
-        home.jobs.set(id, { id, record, stamp, busy: false });
-        for (const { part, chunk } of first) {
-          if (part === home.part.label) home.part.accept(chunk, node.clock.now());
-        }
+    const { id, first } = submission;
+    if (home.alive && record.state === 'open') {
+      home.jobs.set(id, { id, record, stamp, busy: false });
+      for (const { part, chunk } of first) {
+        if (part === home.part.label) home.part.accept(chunk, node.clock.now());
       }
-      node.replica.note(keys.job(id), record, stamp);
     }
-    for (const [key, { value }] of batch.transfers) node.replica.note(key, value, stamp);
+    node.replica.note(keys.job(id), record, stamp);
+  }
+
+  /** Tells the users, by the newest that is known here: the job may be over by the time that the answer comes. */
+  private settle(batch: Batch): void {
+    const { node } = this;
     node.requestRound();
-    this.answer(batch, ({ id }) => ({ status: 201, body: acceptedAnswer(id, 'queued') }));
+    this.answer(batch, ({ id }) => {
+      const known = node.replica.get(keys.job(id))?.value as JobRecord | undefined;
+      if (known === undefined || known.state === 'open') {
+        return { status: 201, body: acceptedAnswer(id, 'queued') };
+      }
+      return { status: 200, body: acceptedAnswer(id, known.state) };
+    });
   }
 }
+
+/** Whether a stored job is the one that was sent, at whatever state it has arrived. */
+function isStoredCopy(sent: JobRecord, item: Item | null | undefined): boolean {
+  const stored = item?.value as JobRecord | undefined;
+  return stored?.at === sent.at && stored.home === sent.home;
+}
--- a/test/accepting.test.ts
+++ b/test/accepting.test.ts
@@ -16,6 +16,8 @@
   readonly host: OwnedPart;
   readonly accepting: Accepting;
   readonly answers = new Map<string, Reply>();
+  /** What this node has noted of the records. */
+  readonly copies = new Map<string, { value: unknown; stamp: number }>();
 
   constructor(value = 16 * 1024) {
     this.store.limits.value = value;
@@ -29,7 +31,12 @@
       settings: { txnOps: 16, valueBytes: this.store.limits.value },
       clock: { now: () => this.now, wall: () => this.now },
       state: this.store,
-      replica: { get: (key) => rows.get(key), note: () => undefined },
+      replica: {
+        get: (key) => this.copies.get(key) ?? rows.get(key),
+        note: (key, value, stamp) => {
+          if ((this.copies.get(key)?.stamp ?? -1) < stamp) this.copies.set(key, { value, stamp });
+        },
+      },
       ownership: { valid: true, doubt: () => Promise.resolve() },
       commits: { write: (_, txn) => this.store.txn(txn) },
       requestRound: () => undefined,
@@ -173,3 +180,53 @@
   assert.deepEqual(new Set(ids.map((id) => c.status(id))), new Set([201]));
   for (const id of ids) assert.equal(c.transfers(id), 1);
 });
+
+test('no answer, and the part is lost meanwhile: what its adopter stored of the job is not taken back', async () => {
+  for (const state of ['cancelled', 'done'] as const) {
+    const c = new Counter();
+    c.store.loseNext = true;
+    const submitted = c.submit('wk-1');
+    while (!c.store.lost) await new Promise((resolve) => setTimeout(resolve, 1));
+    c.store.late();
+    const key = keys.job('wk-1');
+    const read = c.store.get.bind(c.store);
+    // The second copy fails since the job is known; before its record is read it ends at the adopter.
+    c.store.get = (asked) => {
+      const item = c.store.rows.get(key);
+      const record = item?.value as JobRecord;
+      c.host.alive = false;
+      c.store.rows.set(key, { key, value: { ...record, spec: null, state }, stamp: 50 });
+      return read(asked);
+    };
+    await submitted;
+    assert.deepEqual(c.answers.get('wk-1')?.body, { Uid: 'wk-1', Status: state });
+    assert.equal((c.copies.get(key)?.value as JobRecord).state, state, 'the copy under its stamp');
+  }
+});
+
+test('jobs of a batch that was stored without an answer are each known by their own record', async () => {
+  const c = new Counter();
+  c.store.loseNext = true;
+  const submitted = [c.submit('wk-1'), c.submit('wk-2')];
+  while (!c.store.lost) await new Promise((resolve) => setTimeout(resolve, 1));
+  c.store.late();
+  const first = c.store.rows.get(keys.job('wk-1'));
+  if (first !== undefined) c.store.rows.set(first.key, { ...first, stamp: 60 });
+  await Promise.all(submitted);
+  for (const id of ['wk-1', 'wk-2']) {
+    assert.equal(c.host.jobs.get(id)?.stamp, c.store.rows.get(keys.job(id))?.stamp, id);
+  }
+});
+
+test('the answer to a submission comes late: a job that has ended since is not called queued', async () => {
+  const c = new Counter();
+  const write = c.store.txn.bind(c.store);
+  c.store.txn = async (txn) => {
+    const result = await write(txn);
+    const ended = { state: 'cancelled', spec: null };
+    c.copies.set(keys.job('wk-1'), { value: ended, stamp: 90 });
+    return result;
+  };
+  await c.submit('wk-1');
+  assert.deepEqual(c.answers.get('wk-1')?.body, { Uid: 'wk-1', Status: 'cancelled' });
+});
