--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -7,13 +7,18 @@
 import { describe, log } from '../base/log.js';
 import type { Txn } from '../protocol/state.js';
 import { keys, type JobRecord } from '../storage/records.js';
-import type { Replica } from '../storage/replica.js';
 import type { Buckets } from '../storage/buckets.js';
-import type { StateClient } from '../storage/stateClient.js';
 import { Chunk } from './chunk.js';
 import { chunkRanges, mayCut, totalChunks } from './chunks.js';
+import { missingChunks } from './missingChunks.js';
 import type { HomeJob, OwnedPart } from './ownedPart.js';
-import { BucketWriter, type BucketWriterEvents, type BucketWriterOptions } from './bucketWriter.js';
+import {
+  BucketWriter,
+  type BucketWriterEvents,
+  type BucketWriterOptions,
+  type Copy,
+  type Store,
+} from './bucketWriter.js';
 
 export interface CommitHost extends BucketWriterEvents {
   ownedParts: ReadonlyMap<string, OwnedPart>;
@@ -25,9 +30,9 @@
   private readonly bucketWriter: BucketWriter;
 
   constructor(
-    private readonly client: StateClient,
-    private readonly replica: Replica,
-    private readonly buckets: Buckets,
+    private readonly client: Store,
+    private readonly replica: Copy,
+    private readonly buckets: Pick<Buckets, 'entries'>,
     private readonly clock: Clock,
     private readonly host: CommitHost,
     private readonly options: BucketWriterOptions,
@@ -103,7 +108,9 @@
         puts: [{ key, value }],
       });
       if (result.kind === 'applied') this.applyJob(host, job, value, result.stamp);
-      else if (result.kind === 'conflict') await this.reread(host, job);
+      else if (result.kind === 'conflict') {
+        await this.reread(host, job, job.unsettled === true);
+      }
     } finally {
       job.busy = false;
     }
@@ -123,7 +130,9 @@
         finished.length >= totalChunks(record)
           ? { ...record, spec: null, state: 'done', zones: [], finished: [], away: [] }
           : { ...record, finished };
-      return await this.writeJob(home, job, next);
+      await this.writeJob(home, job, next);
+      // By the record: the change that a conflict was with may have been another one.
+      return job.record.state !== 'open' || job.record.finished.includes(index);
     } catch (error) {
       log.debug(`finish: ${describe(error)}`);
       return false;
@@ -146,24 +155,39 @@
       this.applyJob(home, job, next, result.stamp);
       return true;
     }
-    job.unsettled = wasUnsettled || result.kind === 'unknown';
     if (result.kind === 'conflict') {
+      // Somebody has changed the record, or an earlier copy of ours did: others may know more than this node.
+      job.unsettled = true;
       await this.host.doubt(home.part.label);
-      // An earlier copy of ours may have been applied after all.
-      return this.reread(home, job);
+      return this.reread(home, job, wasUnsettled);
     }
+    job.unsettled = wasUnsettled || result.kind === 'unknown';
     await sleep(this.options.retry);
     return false;
   }
 
   /** True when the stored record was not as we thought, and is now. */
-  private async reread(home: OwnedPart, job: HomeJob): Promise<boolean> {
+  private async reread(home: OwnedPart, job: HomeJob, wasUnsettled: boolean): Promise<boolean> {
     const item = await this.client.get(keys.job(job.id));
-    if (!home.alive || item === null || item.stamp === job.stamp) return false;
+    if (!home.alive || item === null) return false;
+    if (item.stamp === job.stamp) {
+      job.unsettled = wasUnsettled;
+      return false;
+    }
     this.applyJob(home, job, item.value as JobRecord, item.stamp);
+    this.acceptMissing(home, job);
     return true;
   }
 
+  /** A change that cut a chunk may have got no answer, and another have found the record changed. */
+  private acceptMissing(home: OwnedPart, job: HomeJob): void {
+    const now = this.clock.now();
+    for (const chunk of missingChunks(job.id, job.record, home.part.chunks, now)) {
+      home.part.accept(chunk, now);
+      if (this.host.isBeingCancelled(job.id)) home.part.prepareCancel(chunk, now);
+    }
+  }
+
   private applyJob(home: OwnedPart, job: HomeJob, record: JobRecord, stamp: number): void {
     job.record = record;
     job.stamp = stamp;
@@ -219,8 +243,8 @@
     try {
       const next = { ...job.record, cut: job.record.cut + 1 };
       if (!(await this.writeJob(home, job, next))) return;
-      const cut = job.record.state === 'open' && job.record.cut === next.cut;
-      if (!cut || !home.alive) return;
+      const isCut = job.record.state === 'open' && job.record.cut === next.cut;
+      if (!isCut || !home.alive || home.part.chunks.has(chunk.id)) return;
       home.part.accept(chunk, this.clock.now());
     } catch (error) {
       log.debug(`cut: ${describe(error)}`);
--- /dev/null
+++ b/src/coordination/missingChunks.ts
@@ -0,0 +1,22 @@
+/** Chunks of a home job that nobody has stored: its record says that they were cut, and nothing of them was started. */
+import type { JobRecord } from '../storage/records.js';
+import { Chunk } from './chunk.js';
+import { chunkRanges } from './chunks.js';
+
+/** Made anew where the home part does not have them; `record` is as stored, with all that it says of moves. */
+export function missingChunks(
+  id: string,
+  record: JobRecord,
+  present: { has(chunk: string): boolean },
+  now: number,
+): Chunk[] {
+  const { spec, size, zones, cut, finished, away, at, home } = record;
+  if (spec === null || record.state !== 'open') return [];
+  return chunkRanges(spec.tasks, size, zones)
+    .slice(0, cut)
+    .flatMap(({ from, to, zone }, index) => {
+      const isElsewhere = finished.includes(index) || away.includes(index);
+      if (isElsewhere || present.has(`${id}/${index}`)) return [];
+      return [new Chunk(spec, index, home, at, from, to, zone, now)];
+    });
+}
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -49,8 +49,8 @@
   private stopped = false;
 
   constructor(
-    private readonly client: StateClient,
-    private readonly replica: Replica,
+    private readonly client: Pick<StateClient, 'grant' | 'extend' | 'get' | 'txn'>,
+    private readonly replica: Pick<Replica, 'get' | 'note' | 'noteRemoved' | 'catchUp' | 'loaded'>,
     private readonly clock: Clock,
     private readonly options: OwnershipOptions,
     private readonly events: OwnershipEvents,
@@ -185,6 +185,7 @@
   }
 
   private async claim(part: string): Promise<void> {
+    const { hold } = this;
     const held = await this.writeOwner(
       part,
       (owner) => owner?.node === this.options.label || !owner,
@@ -192,7 +193,9 @@
     if (held === null) return;
     // Asked for after the key was written: no earlier owner's transaction can be applied any more.
     await this.replica.catchUp(held.stamp);
-    if (!this.valid || this.held.has(part)) return;
+    // The key goes with the lease that it was written under. After a stretch in which this process did not get to
+    // run, another lease may be valid by now, and a peer the owner.
+    if (!this.valid || this.hold !== hold || this.held.has(part)) return;
     this.held.set(part, held);
     log.info(`part ${part} is ours with token ${held.token}`);
     this.events.gained(part, held);
--- a/src/coordination/partLoader.ts
+++ b/src/coordination/partLoader.ts
@@ -5,8 +5,7 @@
 import type { Fleet } from '../storage/fleet.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient } from '../storage/stateClient.js';
-import { Chunk } from './chunk.js';
-import { chunkRanges } from './chunks.js';
+import { missingChunks } from './missingChunks.js';
 import { ownPart, type OwnedPart } from './ownedPart.js';
 import type { Held } from './ownership.js';
 import type { Part } from './part.js';
@@ -52,11 +51,11 @@
       if (record.state !== 'open' || record.home !== host.part.label) continue;
       const id = key.slice(prefix.length);
       host.jobs.set(id, { id, record, stamp, busy: false });
-      this.loadUnstored(host, record);
+      this.loadUnstored(host, id, record);
     }
   }
 
-  /** Takes up one bucket of a part, but for chunks that are over; those go with its next change. */
+  /** Takes up one bucket of a part, but for chunks that are over and run nowhere; those go with its next change. */
   loadBucket(host: OwnedPart, name: string, value: BucketRecord, stamp: number): void {
     const { node } = this;
     const now = node.clock.now();
@@ -66,30 +65,23 @@
       const index = Number(id.slice(id.lastIndexOf('/') + 1));
       const job = node.replica.get(keys.job(record.spec.id))?.value as JobRecord | undefined;
       const isOver = job?.state === 'done' || job?.finished.includes(index) === true;
-      if (isOver || host.part.chunks.has(id)) {
+      // What was started of it, perhaps once more, is on a machine until that is known to be over.
+      if ((isOver && record.entries.length === 0) || host.part.chunks.has(id)) {
         bucket.stale = true;
         continue;
       }
       const chunk = host.part.loadChunk(index, record, host.token, now);
       bucket.add(chunk);
       node.cancelPreparations.apply(host, chunk);
-      if (job?.state === 'cancelled') host.part.cancel(chunk, now);
+      if (isOver || job?.state === 'cancelled') host.part.cancel(chunk, now);
     }
     if (bucket.chunks.size === 0) bucket.stale = true;
   }
 
   /** Chunks of a home job that nobody has stored yet: nothing of them was started. */
-  private loadUnstored(host: OwnedPart, record: JobRecord): void {
-    const { spec, size, zones, cut, finished, away, at, home } = record;
-    if (spec === null) return;
+  private loadUnstored(host: OwnedPart, id: string, record: JobRecord): void {
     const now = this.node.clock.now();
-    const ranges = chunkRanges(spec.tasks, size, zones);
-    for (let k = 0; k < cut; k++) {
-      const range = ranges[k];
-      const isElsewhere = finished.includes(k) || away.includes(k);
-      if (range === undefined || isElsewhere || host.part.chunks.has(`${spec.id}/${k}`)) continue;
-      const { from, to, zone } = range;
-      const chunk = new Chunk(spec, k, home, at, from, to, zone, now);
+    for (const chunk of missingChunks(id, record, host.part.chunks, now)) {
       host.part.accept(chunk, now);
       this.node.cancelPreparations.apply(host, chunk);
     }
--- a/src/coordination/reportIntake.ts
+++ b/src/coordination/reportIntake.ts
@@ -45,6 +45,7 @@
     const before = machine.usable(now);
     const isHello = from !== 'answer';
     const newSession = report.session > machine.session && machine.heard !== null;
+    const isFirstOfSession = newSession || machine.heard === null;
     // The first that is known stays: a late copy must not send orders elsewhere.
     if (machine.address === '') machine.address = report.address;
     machine.session = report.session;
@@ -65,6 +66,9 @@
       this.settle(machine, placed, report.session, isHello, now);
     }
     this.claimOrphans(machine, now);
+    // A worker's lease counts from when its session began, also one that reaches no controller and only answers.
+    if (isFirstOfSession && machine.entries.size === 0)
+      machine.renewed = Math.max(machine.renewed, now);
     if (machine.goneBy !== null) this.drain(machine, now);
     if (machine.entries.size > 0) machine.idleSince = now;
     const news = changed || newSession || before !== machine.usable(now);
--- /dev/null
+++ b/test/commits.test.ts
@@ -0,0 +1,143 @@
+/** Jobs' records: what is kept of chunks when another change of the record is found, and what its owner may say. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Chunk } from '../src/coordination/chunk.js';
+import { Commits } from '../src/coordination/commits.js';
+import { ownPart, type HomeJob, type OwnedPart } from '../src/coordination/ownedPart.js';
+import { Buckets } from '../src/storage/buckets.js';
+import { keys, type JobRecord } from '../src/storage/records.js';
+import { Replica } from '../src/storage/replica.js';
+import { emptyPart } from './support/part.js';
+import { spec } from './support/spec.js';
+import { MemoryStore } from './support/store.js';
+
+const ID = 'wk-1';
+const KEY = keys.job(ID);
+
+/** A part with one job of three chunks of eight tasks, of which some have been cut. */
+class Home {
+  readonly store = new MemoryStore();
+  readonly owned: OwnedPart;
+  readonly job: HomeJob;
+  readonly commits: Commits;
+  now = 100;
+
+  constructor(cut: number) {
+    const part = emptyPart(3);
+    this.owned = ownPart(part, { token: 5, stamp: 1 }, 0);
+    this.store.rows.set(keys.owner('p'), { key: keys.owner('p'), value: {}, stamp: 1 });
+    const clock = { now: () => this.now, wall: () => this.now };
+    const silent = {
+      range: () => Promise.reject(new Error()),
+      changes: () => Promise.reject(new Error()),
+    };
+    const replica = new Replica(silent, 'b/', clock, { hold: 1, pause: 1 }, () => undefined);
+    const ownedParts = new Map([['p', this.owned]]);
+    this.commits = new Commits(
+      this.store,
+      replica,
+      new Buckets(),
+      clock,
+      {
+        ownedParts,
+        isBeingCancelled: () => false,
+        valid: () => true,
+        doubt: () => Promise.resolve(),
+        stored: () => undefined,
+      },
+      { txnOps: 16, valueBytes: 16384, linger: 2, retry: 0.001, process: 'x' },
+    );
+    const record: JobRecord = {
+      spec: spec({ id: ID, tasks: 24 }),
+      home: 'p',
+      state: 'open',
+      tasks: 24,
+      at: 1,
+      size: 8,
+      zones: [],
+      cut,
+      finished: [],
+      away: [],
+    };
+    this.store.rows.set(KEY, { key: KEY, value: record, stamp: 3 });
+    this.store.epoch = 3;
+    this.job = { id: ID, record, stamp: 3, busy: false };
+    this.owned.jobs.set(ID, this.job);
+    for (let index = 0; index < cut; index++) this.accept(index);
+  }
+
+  private accept(index: number): void {
+    const from = index * 8;
+    const chunk = new Chunk(spec({ id: ID, tasks: 24 }), index, 'p', 1, from, from + 8, null, 0);
+    this.owned.part.accept(chunk, this.now);
+  }
+
+  /** All tasks of a chunk are done. */
+  complete(index: number): void {
+    const chunk = this.owned.part.chunks.get(`${ID}/${index}`);
+    if (chunk === undefined) throw new Error('no such chunk');
+    for (let task = chunk.from; task < chunk.to; task++) chunk.done.add(task);
+    this.owned.part.changed(chunk, this.now);
+  }
+
+  /** Some passes, each with all of its answers. */
+  async passes(count: number): Promise<void> {
+    for (let i = 0; i < count; i++) {
+      this.now += 3;
+      this.commits.pass();
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+  }
+
+  get stored(): JobRecord {
+    return this.store.rows.get(KEY)?.value as JobRecord;
+  }
+
+  get chunks(): string[] {
+    return [...this.owned.part.chunks.keys()].sort();
+  }
+}
+
+test('the end of a chunk that meets another change of the record is noted, not forgotten with the chunk', async () => {
+  const home = new Home(2);
+  // A move of the other chunk was stored and its answer lost.
+  home.store.rows.set(KEY, { key: KEY, value: { ...home.job.record, away: [1] }, stamp: 8 });
+  home.complete(0);
+  await home.passes(4);
+  assert.deepEqual(home.stored.finished, [0]);
+  assert.deepEqual(home.stored.away, [1]);
+});
+
+test('a chunk that was cut without an answer is taken up, whichever change finds that out', async () => {
+  const home = new Home(1);
+  home.store.loseNext = true;
+  home.commits.review();
+  while (!home.store.lost) await new Promise((resolve) => setTimeout(resolve, 1));
+  await new Promise((resolve) => setTimeout(resolve, 5));
+  assert.equal(home.store.late().kind, 'applied');
+  home.complete(0);
+  await home.passes(4);
+  assert.equal(home.stored.cut, 2);
+  assert.ok(home.chunks.includes(`${ID}/1`), home.chunks.join(' '));
+});
+
+test('after a conflict the owner answers by the store until the record has been read', async () => {
+  const home = new Home(1);
+  const ended = { ...home.job.record, spec: null, state: 'cancelled' as const };
+  home.store.rows.set(KEY, { key: KEY, value: ended, stamp: 8 });
+  const readRecord = home.store.get.bind(home.store);
+  let reads = 0;
+  home.store.get = (key) => {
+    reads++;
+    return reads < 3 ? Promise.reject(new Error('the state service refuses')) : readRecord(key);
+  };
+  home.complete(0);
+  await home.passes(1);
+  assert.equal(
+    home.job.unsettled,
+    true,
+    'others may have told users of the record that we could not read',
+  );
+  await home.passes(4);
+  assert.equal(home.job.record.state, 'cancelled');
+});
--- a/test/liveness.test.ts
+++ b/test/liveness.test.ts
@@ -151,3 +151,23 @@
     assert.equal(chunk.entries.size, used ? 1 : 0);
   });
 }
+
+test('a worker that is only known by its answers: its lease counts from the first of its session', () => {
+  for (const firstSession of [true, false]) {
+    const b = new Bench();
+    const machine = b.machine('n-1', false);
+    if (!firstSession) b.report(machine, []);
+    b.now += 8;
+    if (!firstSession) b.session++;
+    b.report(machine, [], {}, 'answer');
+    const chunk = b.chunk();
+    b.decide();
+    b.store(chunk);
+    b.report(machine, [{}], {}, 'answer');
+    assert.equal(chunk.entries.size, 1);
+    b.part.liveness.sweep(b.now + 17);
+    assert.equal(chunk.entries.size, 1, 'the worker may have begun just before its answer');
+    b.part.liveness.sweep(b.now + 20);
+    assert.equal(chunk.entries.size, 0);
+  }
+});
--- /dev/null
+++ b/test/ownership.test.ts
@@ -0,0 +1,88 @@
+/** Ownership of parts: what a node may believe to own when answers come late. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Ownership } from '../src/coordination/ownership.js';
+import { keys } from '../src/storage/records.js';
+import { until } from './support/cluster.js';
+import { MemoryStore } from './support/store.js';
+
+const LEASE_S = 4;
+
+/** A node that claims its part, with leases that the test ends. */
+class Claimant {
+  now = 0;
+  readonly store = new MemoryStore();
+  readonly gained: string[] = [];
+  /** Holds up the reading of the records after a claim. */
+  catchUp: () => Promise<void> = () => Promise.resolve();
+  private hold = 0;
+  private readonly ended = new Set<number>();
+  readonly ownership: Ownership;
+
+  constructor() {
+    const client = {
+      grant: () => Promise.resolve(++this.hold),
+      extend: (hold: number) => Promise.resolve(!this.ended.has(hold)),
+      get: this.store.get.bind(this.store),
+      txn: this.store.txn.bind(this.store),
+    };
+    const replica = {
+      loaded: true,
+      get: (key: string) => this.store.rows.get(key),
+      note: () => undefined,
+      noteRemoved: () => undefined,
+      catchUp: () => this.catchUp(),
+    };
+    this.ownership = new Ownership(
+      client,
+      replica,
+      { now: () => this.now, wall: () => this.now },
+      { label: 'p', process: 'x', parts: ['p'], ttl: LEASE_S, grace: 10 },
+      {
+        gained: (part) => {
+          this.gained.push(part);
+        },
+        lost: () => undefined,
+        quiet: () => Promise.resolve(),
+        wantsBack: () => false,
+      },
+    );
+  }
+
+  /** The lease ends at the service, and with it the keys that it holds. */
+  endLease(): void {
+    this.ended.add(this.hold);
+    this.store.rows.delete(keys.owner('p'));
+  }
+
+  get leases(): number {
+    return this.hold;
+  }
+}
+
+test('a claim under a lease that has ended meanwhile is none, although a new lease is valid', async (t) => {
+  const c = new Claimant();
+  t.after(() => {
+    c.ownership.stop();
+  });
+  let readAll: () => void = () => undefined;
+  let claims = 0;
+  c.catchUp = () =>
+    ++claims === 1 ? new Promise((resolve) => (readAll = resolve)) : new Promise(() => undefined);
+  void c.ownership.run();
+  await until('the claim is written', () => claims === 1);
+  c.endLease();
+  await until('a new lease is granted', () => c.leases === 2 && c.ownership.valid);
+  readAll();
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.deepEqual(c.gained, [], 'its key went with the lease, and a peer may own the part');
+});
+
+test('a claim whose lease lasts is one', async (t) => {
+  const c = new Claimant();
+  t.after(() => {
+    c.ownership.stop();
+  });
+  void c.ownership.run();
+  await until('it owns its part', () => c.gained.includes('p'));
+});
