Answers to users and the copy of the records never go back

Reproduced first: users.test (eight cases) printed 'running' or 'queued' for 'done' and 'cancelled', and 404 for an accepted job, where the answer of the store or of a peer had been overtaken by the watch: a node that had told one user of a job's end told another who waited 'running'. replica.test: a read that was overtaken by a removal brought the record back (an owner's key, a bucket that had moved), and a slow reading of all records set the revision back.

All places where a copy is noted or an answer waits were gone through: accepting (last commits), users read, submit, known and cancel, commits applyJob and reread, bucketWriter resolve, groupStore reread, partLoader adopt, ownership writeOwner; the ones not changed note a record under the stamp that it was read or written with.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -43,8 +43,8 @@
 
 /** Connections of this node's own making. */
 export interface Links {
-  services: HttpClient;
-  machines: HttpClient;
+  services: Pick<HttpClient, 'call'>;
+  machines: Pick<HttpClient, 'call'>;
 }
 
 export class Controller {
--- a/src/coordination/provisioning/cloudClient.ts
+++ b/src/coordination/provisioning/cloudClient.ts
@@ -24,7 +24,7 @@
   private failedUntil = 0;
 
   constructor(
-    private readonly http: HttpClient,
+    private readonly http: Pick<HttpClient, 'call'>,
     private readonly clock: Clock,
     private readonly endpoint: string,
     rate: number,
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -180,13 +180,20 @@
 
   // ---- Reading ----
 
-  /** The stored record; null when there is none, undefined when that can't be told. */
+  /** This node's copy of a job's record. */
+  private copyOf(id: string): JobRecord | undefined {
+    return this.node.replica.get(keys.job(id))?.value as JobRecord | undefined;
+  }
+
+  /**
+   * The stored record; null when there is none, undefined when that can't be told. An answer may be overtaken by
+   * the watch: by then this node may have told users of what is newer.
+   */
   private async stored(id: string): Promise<JobRecord | null | undefined> {
     try {
       const item = await this.node.state.get(keys.job(id));
-      if (item === null) return null;
-      this.node.replica.note(item.key, item.value, item.stamp);
-      return item.value as JobRecord;
+      if (item !== null) this.node.replica.note(item.key, item.value, item.stamp);
+      return this.copyOf(id) ?? ((item?.value ?? null) as JobRecord | null);
     } catch {
       return undefined;
     }
@@ -201,16 +208,20 @@
     return { status: 404, body: { error: 'no such job' } };
   }
 
+  /** What users are told of a job: how it ended, if this node has heard of that by the time that it answers. */
+  private async view(id: string, mayRelay: boolean): Promise<FoundView> {
+    const answer = await this.lookUp(id, mayRelay);
+    const copy = this.copyOf(id);
+    return copy === undefined || copy.state === 'open' ? answer : found(final(copy));
+  }
+
   /**
    * A final state never changes, so any copy of it will do. All else comes from the owner of the
    * job's home part, whose word is the latest while its ownership is valid, or from the store.
    */
-  private async view(
-    id: string,
-    mayRelay: boolean,
-  ): Promise<{ view: JobView | null; unavailable: boolean; relay?: Reply }> {
+  private async lookUp(id: string, mayRelay: boolean): Promise<FoundView> {
     const { node } = this;
-    const copy = node.replica.get(keys.job(id))?.value as JobRecord | undefined;
+    const copy = this.copyOf(id);
     if (copy !== undefined && copy.state !== 'open') return found(final(copy));
     if (copy !== undefined && node.ownership.valid) {
       const host = node.ownedParts.get(copy.home);
@@ -287,7 +298,7 @@
   async cancel(id: string, relayed: boolean): Promise<Reply> {
     const { node } = this;
     if (!idPattern.test(id)) return { status: 404, body: { error: 'no such job' } };
-    let record = node.replica.get(keys.job(id))?.value as JobRecord | undefined | null;
+    let record: JobRecord | null | undefined = this.copyOf(id);
     if (record && record.state !== 'open') return over(id, record.state);
     if (node.isolated) return cutOff();
     if (record === undefined) record = await this.stored(id);
@@ -340,7 +351,14 @@
   }
 }
 
-const found = (view: JobView): { view: JobView; unavailable: false } => ({
+/** What could be found out of a job; `relay` is a peer's answer to the user. */
+interface FoundView {
+  view: JobView | null;
+  unavailable: boolean;
+  relay?: Reply;
+}
+
+const found = (view: JobView): FoundView => ({
   view,
   unavailable: false,
 });
--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -56,11 +56,14 @@
     return items;
   }
 
-  /** Notes a change that we made or read ourselves, ahead of the watch. */
+  /**
+   * Notes a change that we made or read ourselves, ahead of the watch. The copy holds all up to its revision: what
+   * it does not have of that time has been removed since, and the answer that tells of it was overtaken.
+   */
   note(key: string, value: unknown, stamp: number): void {
     const items = this.of(key);
     const known = items.get(key);
-    if (known !== undefined && known.stamp >= stamp) return;
+    if (stamp <= (known?.stamp ?? this.epoch)) return;
     items.set(key, { value, stamp });
     this.changed({ key, value, stamp, removed: false });
   }
@@ -113,7 +116,8 @@
         if (!present.has(key) && stored.stamp <= epoch) this.noteRemoved(key, epoch);
       }
     }
-    this.epoch = epoch;
+    // Another reading, or the watch, may have gone further meanwhile.
+    this.epoch = Math.max(this.epoch, epoch);
     this.loaded = true;
     this.syncedAt = Math.max(this.syncedAt, sent);
   }
--- a/src/storage/stateClient.ts
+++ b/src/storage/stateClient.ts
@@ -37,7 +37,7 @@
   lastFailed = -Infinity;
 
   constructor(
-    private readonly http: HttpClient,
+    private readonly http: Pick<HttpClient, 'call'>,
     private readonly clock: Clock,
     private readonly options: StateClientOptions,
   ) {
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -103,3 +103,42 @@
   assert.equal(replica.get('b/run/p/1'), undefined);
   replica.stop();
 });
+
+test('a read that was overtaken by the watch does not bring back what has been removed', async () => {
+  const { replica } = await loaded([
+    { epoch: 20, changes: [put('b/own/p', 15), remove('b/own/p', 18)] },
+  ]);
+  await replica.catchUp(20);
+  // The answer to a read of one key, sent before its removal.
+  replica.note('b/own/p', {}, 15);
+  assert.equal(replica.get('b/own/p'), undefined);
+  replica.note('b/own/p', {}, 21);
+  assert.equal(replica.get('b/own/p')?.stamp, 21);
+});
+
+test('a reading of all records that was overtaken does not set the copy back', async () => {
+  type Read = { items: { key: string; value: unknown; stamp: number }[]; epoch: number };
+  const reads: ((read: Read) => void)[] = [];
+  const asked: number[] = [];
+  const client = {
+    range: () => new Promise<Read>((resolve) => reads.push(resolve)),
+    changes: (_: string, from: number) => {
+      asked.push(from);
+      return new Promise<never>(() => undefined);
+    },
+  };
+  const options = { hold: 5, pause: 0 };
+  const replica = new Replica(client, 'b/', { now: () => 0 }, options, () => undefined);
+  const slow = replica.load();
+  const quick = replica.load();
+  const job = { key: 'b/job/1', value: {}, stamp: 5 };
+  reads[1]?.({ items: [job], epoch: 30 });
+  await quick;
+  reads[0]?.({ items: [job, { key: 'b/run/p/1', value: {}, stamp: 9 }], epoch: 10 });
+  await slow;
+  assert.equal(replica.get('b/run/p/1'), undefined, 'its chunks are at another part by now');
+  void replica.run();
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.deepEqual(asked, [30]);
+  replica.stop();
+});
--- /dev/null
+++ b/test/users.test.ts
@@ -0,0 +1,148 @@
+/** Answers to users: never older than what the node that answers knows by then. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { seededRandom } from '../src/base/random.js';
+import { Controller } from '../src/coordination/controller.js';
+import { Users } from '../src/coordination/users.js';
+import { defaultTuning, parseSettings } from '../src/protocol/settings.js';
+import { keys, type JobRecord } from '../src/storage/records.js';
+import type { Response } from '../src/transport/httpClient.js';
+import type { Reply } from '../src/transport/httpServer.js';
+import { submission } from './support/cluster.js';
+import { spec } from './support/spec.js';
+
+const ID = 'wk-000901';
+
+const SETTINGS = parseSettings(`
+label = "p"
+site = "a"
+client_listen = "127.0.0.1:1"
+back = "127.0.0.1:1"
+[[peers]]
+label = "q"
+site = "a"
+endpoint = "127.0.0.1:1"
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:1"
+[settings]
+zones = ["a"]
+skew_ms = 100.0
+[[settings.teams]]
+name = "crew"
+[settings.workers]
+report_s = 3.0
+lease_s = 18.0
+cancel_s = 43.0
+[settings.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 32.0
+txn_ops = 16
+[settings.cloud]
+rps = 8.0
+list_lag_s = 8.0
+[settings.limits]
+cores = 1.0
+ram_mb = 200.0
+fd_limit = 1000
+`);
+
+const record = (state: JobRecord['state']): JobRecord => ({
+  spec: state === 'open' ? spec({ id: ID }) : null,
+  home: 'q',
+  state,
+  tasks: 3,
+  at: 1,
+  size: 8,
+  zones: [],
+  cut: 0,
+  finished: [],
+  away: [],
+});
+
+/** A node whose reads of the state service are answered when the test says so, and which hears a peer. */
+class Asked {
+  readonly node: Controller;
+  readonly users: Users;
+  readonly reads: ((response: Response) => void)[] = [];
+  relays: ((answer: { status: number; body: string; retryAfter: null }) => void)[] = [];
+
+  constructor(state: JobRecord['state'] | null) {
+    const call = (_: string, method: string, target: string): Promise<Response> =>
+      method === 'GET' && target.startsWith('/kv/')
+        ? new Promise((resolve) => this.reads.push(resolve))
+        : Promise.reject(new Error('refused'));
+    const clock = { now: () => 100, wall: () => 1000 };
+    const links = { services: { call }, machines: { call } };
+    this.node = new Controller(SETTINGS, defaultTuning, clock, seededRandom(1), links, 'x');
+    Object.defineProperty(this.node, 'isolated', { value: false });
+    Object.defineProperty(this.node.ownership, 'valid', { value: true });
+    this.node.peers.relay = () => new Promise((resolve) => this.relays.push(resolve));
+    this.users = new Users(this.node);
+    if (state !== null) this.node.replica.note(keys.job(ID), record(state), 5);
+    this.node.replica.note(keys.owner('q'), { node: 'q', token: 1, process: 'y' }, 1);
+  }
+
+  /** Meanwhile the record of the job's end reaches this node. */
+  hearEnd(state: JobRecord['state']): void {
+    this.node.replica.note(keys.job(ID), record(state), 9);
+  }
+}
+
+const until = async (test: () => boolean): Promise<void> => {
+  for (let turns = 0; !test() && turns < 100; turns++) await new Promise((r) => setImmediate(r));
+  assert.ok(test());
+};
+
+const statusOf = (reply: Reply): unknown => (reply.body as { Status?: string }).Status;
+
+const cases: {
+  name: string;
+  ask: (users: Users) => Promise<Reply>;
+  by: 'store' | 'peer';
+}[] = [
+  { name: 'a question', by: 'peer', ask: (users) => users.read(ID, false) },
+  { name: 'a question that a peer passed on', by: 'store', ask: (users) => users.read(ID, true) },
+  {
+    name: 'a repeated submission',
+    by: 'store',
+    ask: (users) => users.submit(JSON.stringify(submission(ID)), false),
+  },
+];
+
+for (const { name, ask, by } of cases) {
+  for (const end of ['done', 'cancelled'] as const) {
+    test(`${name}, answered by the ${by} before the job was ${end}, tells what this node has heard since`, async () => {
+      const asked = new Asked('open');
+      const reply = ask(asked.users);
+      await until(() => asked.reads.length + asked.relays.length > 0);
+      asked.hearEnd(end);
+      const item = { K: keys.job(ID), Value: record('open'), Stamp: 5 };
+      const body = JSON.stringify({ Uid: ID, Status: 'running', done: 0, running: 3 });
+      asked.reads[0]?.({ status: 200, body: item, retryAfter: null });
+      asked.relays[0]?.({ status: 200, body, retryAfter: null });
+      assert.equal(statusOf(await reply), end);
+    });
+  }
+}
+
+test('a question about a job that is unknown here, and accepted while the store is asked, is no 404', async () => {
+  const asked = new Asked(null);
+  const reply = asked.users.read(ID, true);
+  await until(() => asked.reads.length > 0);
+  asked.hearEnd('open');
+  asked.reads[0]?.({ status: 404, body: { Epoch: 4 }, retryAfter: null });
+  const { status } = await reply;
+  assert.equal(status, 200);
+});
+
+test('a cancellation of a job that has ended while the store was read says how it ended', async () => {
+  const asked = new Asked(null);
+  const reply = asked.users.cancel(ID, true);
+  await until(() => asked.reads.length > 0);
+  asked.hearEnd('done');
+  const item = { K: keys.job(ID), Value: record('open'), Stamp: 5 };
+  asked.reads[0]?.({ status: 200, body: item, retryAfter: null });
+  assert.equal(statusOf(await reply), 'done');
+});
