--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -204,6 +204,11 @@
   }
 }
 
+export interface TaskWatch {
+  started(task: string, machine: string): void;
+  left(task: string, machine: string): void;
+}
+
 export class CloudStandIn {
   readonly workers = new Map<string, WorkerStandIn>();
   /** task -> machines that run it now; more than one is a broken rule. */
@@ -235,7 +240,11 @@
     this.server.close();
   }
 
+  /** Told of every task that comes to a machine or leaves it. */
+  watch: TaskWatch | null = null;
+
   started(task: string, machine: string): void {
+    this.watch?.started(task, machine);
     this.starts.push(task);
     this.startZones.push(this.workers.get(machine)?.zone);
     const on = this.running.get(task) ?? new Set();
@@ -245,6 +254,7 @@
   }
 
   left(task: string, machine: string): void {
+    this.watch?.left(task, machine);
     this.running.get(task)?.delete(machine);
   }
 
--- /dev/null
+++ b/test/support/history.ts
@@ -0,0 +1,114 @@
+/**
+ * What users were told and what ran where, in the order in which it happened, and which rules that breaks. It knows
+ * nothing of how the controllers work.
+ */
+
+/** What an answer says of a job; an answer that says nothing (503, none at all) is not recorded. */
+export type Told = 'unknown' | 'refused' | 'open' | 'done' | 'cancelled';
+
+export type Rule = 'went_back' | 'forgotten' | 'quota' | 'ran_twice';
+
+export interface Violation {
+  rule: Rule;
+  detail: string;
+}
+
+/** A request on its way. */
+export interface Question {
+  job: string;
+  node: string;
+  sentAt: number;
+}
+
+interface Answer extends Question {
+  at: number;
+  told: Told;
+}
+
+interface TeamWork {
+  team: string;
+  cpus: number;
+}
+
+const isFinal = (told: Told): boolean => told === 'done' || told === 'cancelled';
+
+/** How far a job has come by an answer: known to nobody, accepted, over. */
+const progressOf = (told: Told): number => (isFinal(told) ? 2 : told === 'open' ? 1 : 0);
+
+export class History {
+  readonly violations: Violation[] = [];
+  /** Older answers to questions that were on their way when the newer one was given: listed apart. */
+  readonly overtaken: string[] = [];
+  private readonly answers = new Map<string, Answer[]>();
+  private readonly cancelAsked = new Set<string>();
+  private readonly work = new Map<string, TeamWork>();
+  /** Machines that each task is on. */
+  private readonly machines = new Map<string, Set<string>>();
+  private readonly used = new Map<string, number>();
+  /** The most that each team has used at once. */
+  readonly peaks = new Map<string, number>();
+
+  /** `limits`: processors that each team's tasks may use at once. */
+  constructor(private readonly limits: ReadonlyMap<string, number>) {}
+
+  submitted(job: string, work: TeamWork): void {
+    this.work.set(job, work);
+  }
+
+  askedToCancel(job: string): void {
+    this.cancelAsked.add(job);
+  }
+
+  answered(question: Question, at: number, told: Told): void {
+    const answer: Answer = { ...question, at, told };
+    const earlier = this.answers.get(question.job) ?? [];
+    this.answers.set(question.job, earlier);
+    for (const before of earlier) this.compare(before, answer);
+    if (told === 'cancelled' && !this.cancelAsked.has(question.job)) {
+      this.break('went_back', `${question.job} is called cancelled, and nobody has asked for that`);
+    }
+    earlier.push(answer);
+  }
+
+  /** `before` was given first. */
+  private compare(before: Answer, after: Answer): void {
+    const isOther = isFinal(before.told) && isFinal(after.told) && before.told !== after.told;
+    if (!isOther && progressOf(after.told) >= progressOf(before.told)) return;
+    const detail =
+      `${after.job}: ${after.told} by ${after.node} (asked at ${after.sentAt.toFixed(3)}, answered at ` +
+      `${after.at.toFixed(3)}) after ${before.told} by ${before.node} at ${before.at.toFixed(3)}`;
+    if (!isOther && after.sentAt < before.at) this.overtaken.push(detail);
+    else this.break(progressOf(after.told) === 0 ? 'forgotten' : 'went_back', detail);
+  }
+
+  /** A task is on a machine from now on. */
+  started(task: string, machine: string): void {
+    const on = this.machines.get(task) ?? new Set<string>();
+    this.machines.set(task, on);
+    if (on.has(machine)) return;
+    if (on.size > 0) this.break('ran_twice', `${task} on ${machine} and ${[...on].join(' ')}`);
+    on.add(machine);
+    this.use(task, 1);
+  }
+
+  /** It has exited, or the machine is gone. */
+  left(task: string, machine: string): void {
+    if (this.machines.get(task)?.delete(machine) === true) this.use(task, -1);
+  }
+
+  private use(task: string, count: number): void {
+    const work = this.work.get(task.slice(0, task.lastIndexOf('/')));
+    if (work === undefined) return;
+    const { team, cpus } = work;
+    const used = (this.used.get(team) ?? 0) + count * cpus;
+    this.used.set(team, used);
+    this.peaks.set(team, Math.max(used, this.peaks.get(team) ?? 0));
+    const limit = this.limits.get(team) ?? Infinity;
+    if (count > 0 && used > limit)
+      this.break('quota', `${team} uses ${used} of ${limit} with ${task}`);
+  }
+
+  private break(rule: Rule, detail: string): void {
+    this.violations.push({ rule, detail });
+  }
+}
