Rounds: the rest after a round is at most half a report

A process that stands still for 14 s in the middle of a round rested for 42 s, in which nothing was stored or started. decisionRounds.test failed before (second case) and passes now.

--- a/src/coordination/decisionRounds.ts
+++ b/src/coordination/decisionRounds.ts
@@ -17,6 +17,12 @@
  */
 const REST = 3;
 
+/**
+ * The longest rest, as a ratio to the time between reports: a process that stood still for seconds in the middle of
+ * a round would else rest for three times that, and nothing would be stored or started meanwhile.
+ */
+const LONGEST_REST = 1 / 2;
+
 export class DecisionRounds {
   private isRequested = false;
   private isStopped = false;
@@ -58,7 +64,8 @@
 
   /** Seconds until the next round may begin, whoever asks for it. */
   private get restLeft(): number {
-    return this.lastEnd + this.duration * REST - this.clock.now();
+    const rest = Math.min(this.duration * REST, this.report * LONGEST_REST);
+    return this.lastEnd + rest - this.clock.now();
   }
 
   private perform(): void {
