--- a/src/coordination/accepting.ts
+++ b/src/coordination/accepting.ts
@@ -13,6 +13,7 @@
 import type { Reply } from '../transport/httpServer.js';
 import type { Chunk } from './chunk.js';
 import type { OwnedPart } from './ownedPart.js';
+import { unavailable } from './replies.js';
 import { FRAME_BYTES } from './bucket.js';
 
 export interface Submission {
@@ -43,7 +44,7 @@
   clock: Clock;
   state: Pick<StateClient, 'turn' | 'charge' | 'get' | 'writeDelay' | 'writeRate' | 'healthy'>;
   replica: Pick<Replica, 'get' | 'note'>;
-  ownership: { readonly valid: boolean; doubt(part: string): Promise<void> };
+  ownership: { readonly valid: boolean; verifyOwner(part: string): Promise<void> };
   commits: { write(host: OwnedPart, txn: Txn, urgency: 'granted'): Promise<TxnResult> };
   requestRound(): void;
 }
@@ -51,12 +52,6 @@
 const TRANSACTIONS = 3;
 const RETRY = 0.15;
 
-const later = (reason: string, retryAfter: number): Reply => ({
-  status: 503,
-  body: { error: reason },
-  retryAfter,
-});
-
 /**
  * What a batch takes of the limits of a transaction and of each transfer's record. Beyond them the state
  * service calls it malformed, and all of its users would be turned away together, again and again.
@@ -115,7 +110,7 @@
           at >= 0
             ? 'the state service could not store the job'
             : 'the state service has not confirmed the job yet';
-        resolve(later(reason, 2));
+        resolve(unavailable(reason, 2));
       }, patience * 1000);
       const settle = (reply: Reply): void => {
         clearTimeout(timer);
@@ -186,7 +181,7 @@
     const { home } = batch;
     while (batch.jobs.length > 0) {
       if (!home.alive || (!node.ownership.valid && !batch.mayBeStored)) {
-        this.answer(batch, () => later('this node lost its part', 1));
+        this.answer(batch, () => unavailable('this node lost its part', 1));
         return;
       }
       try {
@@ -196,7 +191,7 @@
       }
       if (!batch.mayBeStored && !node.state.healthy) {
         // Trying on until their patience is over would only keep the users from a node that is served.
-        this.answer(batch, () => later('the state service is out of reach', 1));
+        this.answer(batch, () => unavailable('the state service is out of reach', 1));
         return;
       }
       await sleep(RETRY);
@@ -242,9 +237,9 @@
     }
     const taken = jobs.filter((_, i) => found[i] !== null);
     if (taken.length === 0) {
-      await node.ownership.doubt(home.part.label);
+      await node.ownership.verifyOwner(home.part.label);
       if (batch.mayBeStored && home.alive) return false;
-      this.answer(batch, () => later('a peer has changed; try again', 1));
+      this.answer(batch, () => unavailable('a peer has changed; try again', 1));
       return true;
     }
     // Jobs' records are kept for good, so no earlier copy of this batch can be applied any more.
--- a/src/coordination/bucketWriter.ts
+++ b/src/coordination/bucketWriter.ts
@@ -17,7 +17,7 @@
 export interface BucketWriterEvents {
   valid(): boolean;
   /** An ownership key was not as we thought. */
-  doubt(part: string): Promise<void>;
+  verifyOwner(part: string): Promise<void>;
   /** Chunks were stored: their starts may go out. */
   stored(host: OwnedPart, chunks: Chunk[]): void;
 }
@@ -224,7 +224,7 @@
 
   /** Copies of ours that got no answer may have been applied: take what they left. */
   async resolve(host: OwnedPart, buckets: Bucket[]): Promise<void> {
-    await this.host.doubt(host.part.label);
+    await this.host.verifyOwner(host.part.label);
     for (const bucket of buckets) {
       const item = await this.client.get(this.key(host, bucket));
       if (!host.alive) return;
--- a/src/coordination/chunk.ts
+++ b/src/coordination/chunk.ts
@@ -19,7 +19,7 @@
    * A start sent straight to the worker without an answer may be carried out later, while the worker
    * has seen no token above this one. Null: nothing is in doubt.
    */
-  doubt: number | null;
+  inDoubtUpTo: number | null;
   /** A start rides in the answer to a report; the worker's next report settles it. */
   sentInAnswer: boolean;
   stop: { wind: number; sentAt: number | null } | null;
--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -158,7 +158,7 @@
     if (result.kind === 'conflict') {
       // Somebody has changed the record, or an earlier copy of ours did: others may know more than this node.
       job.unsettled = true;
-      await this.host.doubt(home.part.label);
+      await this.host.verifyOwner(home.part.label);
       return this.reread(home, job, wasUnsettled);
     }
     job.unsettled = wasUnsettled || result.kind === 'unknown';
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -161,7 +161,7 @@
         ownedParts: this.ownedParts,
         isBeingCancelled: (job) => this.cancelPreparations.has(job),
         valid: () => this.ownership.valid,
-        doubt: (part) => this.ownership.doubt(part),
+        verifyOwner: (part) => this.ownership.verifyOwner(part),
         stored: (host, chunks) => {
           this.orders.queueStarts(host, chunks);
         },
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -76,7 +76,7 @@
   /** When it was last asked a question. */
   askedAt = -Infinity;
   /** Since when a start sent here is without an answer. */
-  doubtSince: number | null = null;
+  inDoubtSince: number | null = null;
 
   constructor(
     readonly name: string,
@@ -124,7 +124,7 @@
     return this.reached !== null && !this.lost;
   }
   /** It reports, perhaps, but does not answer: its lease is running out, and it gets no work. */
-  get deaf(): boolean {
+  get isUnresponsive(): boolean {
     return this.missed >= 2;
   }
 
@@ -212,7 +212,7 @@
   }
 
   usable(now: number): boolean {
-    const able = this.up && !this.deaf && !this.cutOff && !this.leaving;
+    const able = this.up && !this.isUnresponsive && !this.cutOff && !this.leaving;
     return able && this.goneBy === null && this.shunnedUntil <= now;
   }
 
--- a/src/coordination/needs.ts
+++ b/src/coordination/needs.ts
@@ -58,7 +58,8 @@
   }
 
   private countsForBatch(machine: Machine, now: number): boolean {
-    if (machine.lost || machine.deaf || machine.leaving || machine.goneBy !== null) return false;
+    if (machine.lost || machine.isUnresponsive || machine.leaving || machine.goneBy !== null)
+      return false;
     if (machine.up && machine.cutOff) return false;
     return !machine.up || machine.shunnedUntil <= now;
   }
@@ -93,7 +94,7 @@
   liveRoom(): number {
     let cpus = 0;
     for (const machine of this.part.machines.values()) {
-      if (machine.spot || machine.lost || machine.deaf || machine.leaving) continue;
+      if (machine.spot || machine.lost || machine.isUnresponsive || machine.leaving) continue;
       cpus += machine.size.cpus - machine.live;
     }
     return cpus;
@@ -127,7 +128,7 @@
       if (now - machine.idleSince < patience || surplus < cpus) continue;
       if (!machine.spot && liveRoom - cpus < reserve) continue;
       if (this.countsForBatch(machine, now)) surplus -= cpus;
-      if (!machine.spot && !machine.deaf) liveRoom -= cpus;
+      if (!machine.spot && !machine.isUnresponsive) liveRoom -= cpus;
       machine.leaving = true;
     }
     return idle.filter((m) => m.leaving).map((m) => m.name);
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -58,7 +58,7 @@
         if (machine.inFlight || machine.address === '') continue;
         host.part.pendingCommands.delete(machine);
         // Questions go on until it answers one; orders meanwhile would only hold sockets.
-        if (machine.deaf || !this.isDue(machine)) continue;
+        if (machine.isUnresponsive || !this.isDue(machine)) continue;
         this.turns.add(() => {
           void this.command(host, machine);
         }, true);
@@ -89,7 +89,7 @@
       return placed === undefined ? [] : [placed.entry];
     });
     // In doubt from now on: without an answer it may be carried out minutes later.
-    for (const entry of started) entry.doubt = Math.max(token, entry.doubt ?? 0);
+    for (const entry of started) entry.inDoubtUpTo = Math.max(token, entry.inDoubtUpTo ?? 0);
     for (const order of orders)
       log.debug(`${order.verb} ${order.task} ${order.attempt} at ${machine.name}`);
     machine.inFlight = true;
@@ -105,7 +105,7 @@
       );
       // Carried out (200) or certainly not (409).
       if (answer.status === 200 || answer.status === 409) {
-        for (const entry of started) if (entry.doubt === token) entry.doubt = null;
+        for (const entry of started) if (entry.inDoubtUpTo === token) entry.inDoubtUpTo = null;
       }
       const parsed = parseReport(answer.body);
       if (parsed !== null && host.alive) {
@@ -114,8 +114,8 @@
       }
     } catch (error) {
       if (error instanceof CallFailed && error.unsent) {
-        for (const entry of started) if (entry.doubt === token) entry.doubt = null;
-      } else if (started.length > 0) machine.doubtSince ??= this.node.clock.now();
+        for (const entry of started) if (entry.inDoubtUpTo === token) entry.inDoubtUpTo = null;
+      } else if (started.length > 0) machine.inDoubtSince ??= this.node.clock.now();
       log.debug(`orders to ${machine.name}: ${describe(error)}`);
     } finally {
       machine.inFlight = false;
@@ -244,11 +244,12 @@
     const { report } = this.node.settings;
     let stuck = false;
     for (const machine of host.part.machines.values()) {
-      if (machine.doubtSince === null) continue;
+      if (machine.inDoubtSince === null) continue;
       // One that our answers do not reach would not see the new token either.
       const heard = machine.reached !== null && now - machine.reached < report * 2;
-      if (heard && now - machine.doubtSince > report) stuck = true;
-      machine.doubtSince = heard && now - machine.doubtSince > report ? null : machine.doubtSince;
+      if (heard && now - machine.inDoubtSince > report) stuck = true;
+      machine.inDoubtSince =
+        heard && now - machine.inDoubtSince > report ? null : machine.inDoubtSince;
     }
     if (!stuck || now - host.raisedAt < report) return;
     host.raisedAt = now;
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -110,7 +110,7 @@
   }
 
   /** A transaction of ours failed on the ownership key: look, and give the part up if it's true. */
-  async doubt(part: string): Promise<void> {
+  async verifyOwner(part: string): Promise<void> {
     const held = this.held.get(part);
     if (held === undefined) return;
     const item = await this.client.get(keys.owner(part));
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -170,7 +170,7 @@
         placedAt: now,
         runningSince: null,
         // Whatever the last owner sent is settled once the worker has seen our token.
-        doubt: token - 1,
+        inDoubtUpTo: token - 1,
         sentInAnswer: false,
         stop: null,
       };
@@ -239,7 +239,7 @@
       this.stop(machine, entry, 0);
       entry.stop = { wind: 0, sentAt: null };
       // Never sent, so nothing can come of it.
-      if (!entry.seen && entry.doubt === null && !entry.sentInAnswer && !machine.inFlight) {
+      if (!entry.seen && entry.inDoubtUpTo === null && !entry.sentInAnswer && !machine.inFlight) {
         this.release(machine, { chunk, entry }, now);
       }
     }
--- a/src/coordination/provisioning/groupStore.ts
+++ b/src/coordination/provisioning/groupStore.ts
@@ -104,7 +104,7 @@
     if (item === undefined) return false;
     if (item !== null) node.replica.note(key, item.value, item.stamp);
     // Neither our key nor our ownership is as we thought: a new provisioner will find them.
-    else await node.ownership.doubt(PROVISIONER).catch(() => undefined);
+    else await node.ownership.verifyOwner(PROVISIONER).catch(() => undefined);
     return true;
   }
 
@@ -150,7 +150,7 @@
       if (result.kind === 'conflict') {
         // An earlier copy was applied, or the watch is late: look again.
         for (const name of groups.keys()) await this.reread(name);
-        await ownership.doubt(PROVISIONER);
+        await ownership.verifyOwner(PROVISIONER);
       }
       if (result.kind !== 'applied') await sleep(settings.report / 12);
     }
--- a/src/coordination/provisioning/renter.ts
+++ b/src/coordination/provisioning/renter.ts
@@ -187,7 +187,7 @@
     const result = await this.groups.replace(stored, 'rental');
     if (result.kind !== 'conflict') return;
     await this.groups.reread(name);
-    await ownership.doubt(PROVISIONER);
+    await ownership.verifyOwner(PROVISIONER);
   }
 
   private refuse(kind: string, part: string): void {
--- a/src/coordination/reportIntake.ts
+++ b/src/coordination/reportIntake.ts
@@ -89,15 +89,16 @@
       this.part.release(machine, placed, now);
       return;
     }
-    if (entry.doubt !== null && machine.seenToken > entry.doubt) entry.doubt = null;
+    if (entry.inDoubtUpTo !== null && machine.seenToken > entry.inDoubtUpTo)
+      entry.inDoubtUpTo = null;
     if (isHello) entry.sentInAnswer = false;
     const report = machine.tasks.get(chunk.taskName(entry.task));
     if (report?.attempt === entry.attempt) {
       this.progress(machine, placed, report, now);
       return;
     }
-    const unsettled = entry.doubt !== null || entry.sentInAnswer;
-    if (entry.seen ? entry.doubt === null : entry.stop !== null && !unsettled) {
+    const unsettled = entry.inDoubtUpTo !== null || entry.sentInAnswer;
+    if (entry.seen ? entry.inDoubtUpTo === null : entry.stop !== null && !unsettled) {
       // It was here and is no more, or it never came and is not wanted any longer.
       this.part.release(machine, placed, now);
     }
@@ -148,14 +149,14 @@
   /** The attempt's end stays in the worker's reports until it may be forgotten. */
   private leave(machine: Machine, chunk: Chunk, entry: Entry, now: number): void {
     const version = chunk.version;
-    const { doubt, attempt, task } = entry;
+    const { inDoubtUpTo, attempt, task } = entry;
     machine.leftovers.set(chunk.taskName(task), {
       attempt,
       since: now,
       // Its end must be stored first; and a start that may still come would run it once more.
       mayReap: () =>
         (chunk.stored >= version || chunk.dropped) &&
-        (doubt === null || machine.seenToken > doubt) &&
+        (inDoubtUpTo === null || machine.seenToken > inDoubtUpTo) &&
         !entry.sentInAnswer,
     });
   }
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -196,14 +196,9 @@
   private gangFits(chunk: Chunk, round: Round, now: number): boolean {
     if (chunk.entries.size > 0) return false;
     const { spec } = chunk;
-    const allowance = this.cluster.allowance(spec.team);
-    const used = this.part.teams.usedBy(spec.team);
-    if (allowance !== null) {
-      const short =
-        used.cpus + chunk.pending * spec.cpus > allowance.cpus + 1e-6 ||
-        used.gpus + chunk.pending * spec.gpus > allowance.gpus + 1e-6;
-      if (short) this.noteCapped(chunk, round, now);
-      if (short) return false;
+    if (!this.part.teams.withinAllowance(spec, chunk.pending)) {
+      this.noteCapped(chunk, round, now);
+      return false;
     }
     let left = chunk.pending;
     for (const machine of this.part.machines.values()) {
@@ -231,7 +226,7 @@
       state: 'fetching',
       placedAt: now,
       runningSince: null,
-      doubt: null,
+      inDoubtUpTo: null,
       sentInAnswer: false,
       stop: null,
     };
--- a/src/coordination/teamUsage.ts
+++ b/src/coordination/teamUsage.ts
@@ -46,14 +46,14 @@
 
   constructor(private readonly cluster: ClusterView) {}
 
-  /** One more task of it stays within this part's share of its team's limit. */
-  withinAllowance(spec: JobSpec): boolean {
+  /** So many more tasks of it stay within this part's share of its team's limit. */
+  withinAllowance(spec: JobSpec, tasks = 1): boolean {
     const allowance = this.cluster.allowance(spec.team);
     if (allowance === null) return true;
     const used = this.usedBy(spec.team);
     return (
-      used.cpus + spec.cpus <= allowance.cpus + EPSILON &&
-      used.gpus + spec.gpus <= allowance.gpus + EPSILON
+      used.cpus + tasks * spec.cpus <= allowance.cpus + EPSILON &&
+      used.gpus + tasks * spec.gpus <= allowance.gpus + EPSILON
     );
   }
 
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -1,41 +1,28 @@
 /** What users ask: submissions, states, cancellations. Any node answers for any job. */
-import {
-  acceptedAnswer,
-  idPattern,
-  jobAnswer,
-  parseJob,
-  type JobSpec,
-  type JobStatus,
-  type JobView,
-} from '../protocol/job.js';
+import { acceptedAnswer, idPattern, jobAnswer, parseJob, type JobSpec } from '../protocol/job.js';
 import { keys, type JobRecord } from '../storage/records.js';
 import type { Reply } from '../transport/httpServer.js';
 import { Accepting } from './accepting.js';
 import { Chunk } from './chunk.js';
 import { chunkRanges, chunkSize, mayCut, zonesFor } from './chunks.js';
 import type { Controller } from './controller.js';
+import { fromRelay, JobLookup, PATIENCE } from './jobLookup.js';
 import type { OwnedPart } from './ownedPart.js';
 import { allows, holds } from './placement.js';
 import { limitOf } from './quotas.js';
-import { reasonFor } from './reasons.js';
+import { unavailable } from './replies.js';
 
-const later = (reason: string, retryAfter = 1): Reply => ({
-  status: 503,
-  body: { error: reason },
-  retryAfter,
-});
-
-const cutOff = (): Reply => later('this node is cut off from the others and the state service', 2);
-
-/** Seconds in which a user is answered; PROTOCOL has them give up after five. */
-const PATIENCE = 4;
+const cutOff = (): Reply =>
+  unavailable('this node is cut off from the others and the state service', 2);
 
 export class Users {
   private readonly accepting = new Map<string, Promise<Reply>>();
 
   private readonly storing: Accepting;
+  private readonly lookup: JobLookup;
 
   constructor(private readonly node: Controller) {
+    this.lookup = new JobLookup(node);
     this.storing = new Accepting(node, (id) => this.known(id));
   }
 
@@ -51,19 +38,22 @@
     if (node.isolated) return cutOff();
     if (!node.ownership.valid) {
       if (!relayed) {
-        const answer = await this.relayAny({ method: 'POST', target: '/v1/jobs', body });
+        const answer = await this.lookup.relayAny({ method: 'POST', target: '/v1/jobs', body });
         if (answer !== null) return answer;
       }
-      return later('no node can store the job now');
+      return unavailable('no node can store the job now');
     }
     if (node.replica.get(keys.job(job.id)) !== undefined) return this.known(job.id);
-    if (node.types.size === 0) return later('machine types are not known yet');
+    if (node.types.size === 0) return unavailable('machine types are not known yet');
     const host = node.ownedParts.get(node.settings.label) ?? [...node.ownedParts.values()][0];
-    if (host === undefined) return later('this node is starting');
+    if (host === undefined) return unavailable('this node is starting');
     // More waits for the state service than it can take in the time that a user waits.
     const delay = this.storing.delay;
     if (delay > PATIENCE / 2) {
-      return later('too many requests just now', Math.max(1, Math.ceil(delay - PATIENCE / 4)));
+      return unavailable(
+        'too many requests just now',
+        Math.max(1, Math.ceil(delay - PATIENCE / 4)),
+      );
     }
     const promise = this.accept(host, job);
     this.accepting.set(job.id, promise);
@@ -75,9 +65,9 @@
   }
 
   private async known(id: string): Promise<Reply> {
-    const { view, unavailable } = await this.view(id, false);
+    const { view, isUnavailable } = await this.lookup.view(id, false);
     if (view === null)
-      return later(unavailable ? 'the state service is out of reach' : 'try again');
+      return unavailable(isUnavailable ? 'the state service is out of reach' : 'try again');
     return { status: 200, body: acceptedAnswer(id, view.status) };
   }
 
@@ -133,8 +123,8 @@
     // only where there may be no transaction.
     if (reason !== null || !node.state.healthy) {
       // A job may have been accepted before its retry reached us: that is never refused.
-      const before = await this.stored(spec.id);
-      if (before === undefined) return later('the state service is out of reach');
+      const before = await this.lookup.stored(spec.id);
+      if (before === undefined) return unavailable('the state service is out of reach');
       if (before !== null) return this.known(spec.id);
       if (reason !== null) return { status: 422, body: { error: reason } };
     }
@@ -178,135 +168,29 @@
     return this.storing.accept(home, { id: spec.id, record, first }, PATIENCE);
   }
 
-  // ---- Reading ----
-
-  /** This node's copy of a job's record. */
-  private copyOf(id: string): JobRecord | undefined {
-    return this.node.replica.get(keys.job(id))?.value as JobRecord | undefined;
-  }
-
-  /**
-   * The stored record; null when there is none, undefined when that can't be told. An answer may be overtaken by
-   * the watch: by then this node may have told users of what is newer.
-   */
-  private async stored(id: string): Promise<JobRecord | null | undefined> {
-    try {
-      const item = await this.node.state.get(keys.job(id));
-      if (item !== null) this.node.replica.note(item.key, item.value, item.stamp);
-      return this.copyOf(id) ?? ((item?.value ?? null) as JobRecord | null);
-    } catch {
-      return undefined;
-    }
-  }
-
   async read(id: string, relayed: boolean): Promise<Reply> {
     if (!idPattern.test(id)) return { status: 404, body: { error: 'no such job' } };
-    const { view, unavailable, relay } = await this.view(id, !relayed);
+    const { view, isUnavailable, relay } = await this.lookup.view(id, !relayed);
     if (relay !== undefined) return relay;
     if (view !== null) return { status: 200, body: jobAnswer(id, view) };
-    if (unavailable) return later('the state service is out of reach');
+    if (isUnavailable) return unavailable('the state service is out of reach');
     return { status: 404, body: { error: 'no such job' } };
   }
 
-  /** What users are told of a job: how it ended, if this node has heard of that by the time that it answers. */
-  private async view(id: string, mayRelay: boolean): Promise<FoundView> {
-    const answer = await this.lookUp(id, mayRelay);
-    const copy = this.copyOf(id);
-    return copy === undefined || copy.state === 'open' ? answer : found(final(copy));
-  }
-
-  /**
-   * A final state never changes, so any copy of it will do. All else comes from the owner of the
-   * job's home part, whose word is the latest while its ownership is valid, or from the store.
-   */
-  private async lookUp(id: string, mayRelay: boolean): Promise<FoundView> {
-    const { node } = this;
-    const copy = this.copyOf(id);
-    if (copy !== undefined && copy.state !== 'open') return found(final(copy));
-    if (copy !== undefined && node.ownership.valid) {
-      const host = node.ownedParts.get(copy.home);
-      const job = host?.jobs.get(id);
-      if (job !== undefined && job.unsettled !== true) return found(this.describe(job.record));
-    }
-    if (copy !== undefined && mayRelay) {
-      const owner = node.ownerOf(copy.home);
-      if (owner !== null && owner !== node.settings.label) {
-        const request = { method: 'GET', target: `/v1/jobs/${id}`, body: '' };
-        const answer = await node.peers.relay(owner, request, 0.6);
-        if (answer?.status === 200) {
-          const relay = { status: 200, body: JSON.parse(answer.body) as unknown };
-          return { view: null, unavailable: false, relay };
-        }
-      }
-    }
-    // Nobody could be asked, and a user waits two seconds only.
-    if (node.isolated) return { view: null, unavailable: true };
-    const record = await this.stored(id);
-    if (record === null) return { view: null, unavailable: false };
-    if (record !== undefined) {
-      return found(record.state === 'open' ? this.describe(record) : final(record));
-    }
-    if (mayRelay) {
-      const request = { method: 'GET', target: `/v1/jobs/${id}`, body: '' };
-      const relay = await this.relayAny(request, PATIENCE / 5);
-      if (relay !== null && (relay.status === 200 || relay.status === 404)) {
-        return { view: null, unavailable: false, relay };
-      }
-    }
-    return { view: null, unavailable: true };
-  }
-
-  /** An open job, its counts gathered from wherever its chunks are. */
-  private describe(record: JobRecord): JobView {
-    const { node } = this;
-    const { spec } = record;
-    if (spec === null) return final(record);
-    const ranges = chunkRanges(spec.tasks, record.size, record.zones);
-    let done = 0;
-    let running = 0;
-    const chunks: Chunk[] = [];
-    for (let k = 0; k < record.cut; k++) {
-      const range = ranges[k];
-      if (range === undefined) continue;
-      if (record.finished.includes(k)) {
-        done += range.to - range.from;
-        continue;
-      }
-      const id = `${spec.id}/${k}`;
-      const local = [...node.ownedParts.values()]
-        .map((h) => h.part.chunks.get(id))
-        .find((c) => c !== undefined);
-      const stored = node.buckets.find(id)?.record;
-      if (local !== undefined) {
-        done += local.done.size;
-        running += local.running;
-        chunks.push(local);
-      } else if (stored !== undefined) {
-        for (let i = 0; i + 1 < stored.done.length; i += 2) {
-          done += (stored.done[i + 1] ?? 0) - (stored.done[i] ?? 0);
-        }
-        running += stored.entries.length;
-      }
-    }
-    // Done is said only once it is stored: the last tasks may be over already.
-    const reason = done + running >= spec.tasks ? null : reasonFor(node, record, chunks);
-    return { status: running > 0 ? 'running' : 'queued', done, running, reason };
-  }
-
   // ---- Cancelling ----
 
   async cancel(id: string, relayed: boolean): Promise<Reply> {
     const { node } = this;
     if (!idPattern.test(id)) return { status: 404, body: { error: 'no such job' } };
-    let record: JobRecord | null | undefined = this.copyOf(id);
+    let record: JobRecord | null | undefined = this.lookup.copyOf(id);
     if (record && record.state !== 'open') return over(id, record.state);
     if (node.isolated) return cutOff();
-    if (record === undefined) record = await this.stored(id);
+    if (record === undefined) record = await this.lookup.stored(id);
     if (record === null) return { status: 404, body: { error: 'no such job' } };
     if (record !== undefined && record.state !== 'open') return over(id, record.state);
     const request = { method: 'POST', target: `/v1/jobs/${id}/withdraw`, body: '' };
     if (record === undefined) {
-      return (relayed ? null : await this.relayAny(request)) ?? later('out of reach');
+      return (relayed ? null : await this.lookup.relayAny(request)) ?? unavailable('out of reach');
     }
     const host = node.ownedParts.get(record.home);
     const job = host?.jobs.get(id);
@@ -316,66 +200,22 @@
         job.record.state === 'open' &&
         !(await node.cancelPreparations.prepareEverywhere(id, job.record))
       ) {
-        return later('a node that may run tasks of the job cannot be asked just now', 2);
+        return unavailable('a node that may run tasks of the job cannot be asked just now', 2);
       }
       const state = await node.commits.cancel(host, job, node.clock.now() + PATIENCE);
       if (state !== null && state !== 'open') return over(id, state);
-      return later('the cancellation could not be stored');
+      return unavailable('the cancellation could not be stored');
     }
     const owner = node.ownerOf(record.home);
     if (!relayed && owner !== null && owner !== node.settings.label) {
       const answer = await node.peers.relay(owner, request, 4.2);
       if (answer !== null) return fromRelay(answer);
     }
-    return later('the job has no owner just now');
-  }
-
-  // ---- Passing on ----
-
-  /** Asks nodes that the state service serves, one after the other, while the user still waits. */
-  private async relayAny(
-    request: { method: string; target: string; body: string },
-    patience = PATIENCE,
-  ): Promise<Reply | null> {
-    const { clock, peers } = this.node;
-    const deadline = clock.now() + patience;
-    const labels = peers.served();
-    for (const [i, label] of labels.entries()) {
-      // A silent peer must leave time for the next.
-      const left = (deadline - clock.now()) / Math.min(2, labels.length - i);
-      if (left <= 0) break;
-      const answer = await peers.relay(label, request, left);
-      if (answer !== null && answer.status !== 503) return fromRelay(answer);
-    }
-    return null;
+    return unavailable('the job has no owner just now');
   }
 }
 
-/** What could be found out of a job; `relay` is a peer's answer to the user. */
-interface FoundView {
-  view: JobView | null;
-  unavailable: boolean;
-  relay?: Reply;
-}
-
-const found = (view: JobView): FoundView => ({
-  view,
-  unavailable: false,
-});
-
-function final(record: JobRecord): JobView {
-  const status: JobStatus = record.state === 'cancelled' ? 'cancelled' : 'done';
-  const done = status === 'done' ? record.tasks : 0;
-  return { status, done, running: 0, reason: null };
-}
-
 const over = (id: string, state: 'done' | 'cancelled'): Reply => ({
   status: 200,
   body: acceptedAnswer(id, state),
 });
-
-function fromRelay(answer: { status: number; body: string; retryAfter: number | null }): Reply {
-  const body = JSON.parse(answer.body) as unknown;
-  const { status, retryAfter } = answer;
-  return retryAfter === null ? { status, body } : { status, body, retryAfter };
-}
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -65,7 +65,7 @@
     // The worker has seen a token above ours: another owner is entitled now, and would be ignored
     // for as long as we held the worker here.
     if (report.token > host.token) {
-      void node.ownership.doubt(host.part.label).catch(() => undefined);
+      void node.ownership.verifyOwner(host.part.label).catch(() => undefined);
       return elsewhere(null);
     }
     // Our own lease has lapsed and a peer says that it has adopted the part: send the worker there,
--- a/test/accepting.test.ts
+++ b/test/accepting.test.ts
@@ -37,7 +37,7 @@
           if ((this.copies.get(key)?.stamp ?? -1) < stamp) this.copies.set(key, { value, stamp });
         },
       },
-      ownership: { valid: true, doubt: () => Promise.resolve() },
+      ownership: { valid: true, verifyOwner: () => Promise.resolve() },
       commits: { write: (_, txn) => this.store.txn(txn) },
       requestRound: () => undefined,
     };
--- a/test/commits.test.ts
+++ b/test/commits.test.ts
@@ -42,7 +42,7 @@
         ownedParts,
         isBeingCancelled: () => false,
         valid: () => true,
-        doubt: () => Promise.resolve(),
+        verifyOwner: () => Promise.resolve(),
         stored: () => undefined,
       },
       { txnOps: 16, valueBytes: 16384, linger: 2, retry: 0.001, process: 'x' },
--- a/test/storing.test.ts
+++ b/test/storing.test.ts
@@ -112,7 +112,7 @@
       { now: () => this.now, wall: () => this.now },
       {
         valid: () => true,
-        doubt: () => Promise.resolve(),
+        verifyOwner: () => Promise.resolve(),
         stored: (_, chunks) => {
           for (const chunk of chunks) {
             for (const entry of chunk.entries.values()) {
