--- a/test/meetingsOfUsers.test.ts
+++ b/test/meetingsOfUsers.test.ts
@@ -4,8 +4,17 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { BucketRecord } from '../src/storage/records.js';
 import { pause, submission, until, type Cluster } from './support/cluster.js';
-import { accept, adopted, service, status, withCluster, type Answer } from './support/users.js';
+import {
+  accept,
+  adopted,
+  service,
+  status,
+  watchUse,
+  withCluster,
+  type Answer,
+} from './support/users.js';
 
 const tasksOf = (cluster: Cluster, id: string): string[] =>
   [...cluster.cloud.workers.values()].flatMap((worker) =>
@@ -231,3 +240,39 @@
     assert.deepEqual(tasksOf(cluster, id).sort(), [`${id}/0`, `${id}/1`, `${id}/2`]);
     assert.equal(tasksOf(cluster, 'wk-000911').length, 1);
   }));
+
+test('an owner crashes before the ends of tasks are stored: its adopter fills no more than the limit', () =>
+  withCluster(
+    {
+      nodes: 2,
+      runs: (task) => (task === 'wk-000851/0' || !task.startsWith('wk-000851') ? Infinity : 0.5),
+      teams: '[[settings.teams]]\nname = "crew"\ncpus_max = 8.0',
+    },
+    async (cluster) => {
+      const finish = watchUse(cluster);
+      const running = (id: string): number => tasksOf(cluster, id).length;
+      await accept(cluster, 'drone-0', submission('wk-000851', { Pieces: 4 }));
+      // From now on nothing is stored of the ends of its first job's tasks.
+      cluster.state.swallow = (body: TxnBody): boolean =>
+        body.Then?.some(
+          ({ Put: key, Value: value }) =>
+            key?.startsWith('b/run/') === true && hasDone(value as BucketRecord, 'wk-000851/0'),
+        ) === true;
+      await until('three of its tasks have ended', () => running('wk-000851') === 1);
+      await accept(cluster, 'drone-1', submission('wk-000852', { Pieces: 3 }));
+      await until('a peer has the rest of the limit', () => running('wk-000852') === 3);
+      await accept(cluster, 'drone-0', submission('wk-000853', { Pieces: 3 }));
+      cluster.crash('drone-0');
+      cluster.state.swallow = null;
+      await cluster.boot('drone-0');
+      await until('the ends are known', async () => {
+        return (await status(cluster, 'drone-0', 'wk-000851')).done === 3;
+      });
+      await pause(2);
+      assert.ok(finish() <= 8, 'processors in use at once');
+      assert.equal(running('wk-000853'), 0);
+    },
+  ));
+
+const hasDone = (bucket: BucketRecord, chunk: string): boolean =>
+  (bucket.chunks[chunk]?.done.length ?? 0) > 0;
