Adoption: a loaded attempt that is not on its machine is over, not started again

Cause as read from the code: an owner that gives up an attempt (stopped before its start, cancelled before it was sent) frees its room and gives the share back at once, but stores that later. After a crash its adopter loaded the attempt, did not find it on the machine, and started it, beyond the share. The room is used by a peer by then.

--- a/src/coordination/chunk.ts
+++ b/src/coordination/chunk.ts
@@ -12,6 +12,11 @@
   /** The chunk's version that first held it; once that is stored, the start may be sent. */
   version: number;
   seen: boolean;
+  /**
+   * It was loaded from a record: whether its start was ever sent is not known, and the last owner may have known it
+   * to be over and given its room away. It is never started here; what is not on its machine is placed anew.
+   */
+  isAdopted: boolean;
   state: TaskState;
   placedAt: number;
   runningSince: number | null;
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -311,7 +311,7 @@
         if (due === null) continue;
         const order: Order = { verb: 'halt', task, attempt, wind: due.wind };
         yield { order, firstStop: due.isLate ? null : stop };
-      } else if (here === undefined && chunk.isDurable(entry) && !entry.seen) {
+      } else if (here === undefined && chunk.isDurable(entry) && !entry.seen && !entry.isAdopted) {
         yield { order: { verb: 'start', task, attempt }, firstStop: null };
       }
     }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -166,6 +166,7 @@
         ...e,
         version: 0,
         seen: false,
+        isAdopted: true,
         state: 'fetching',
         placedAt: now,
         runningSince: null,
--- a/src/coordination/reportIntake.ts
+++ b/src/coordination/reportIntake.ts
@@ -98,8 +98,9 @@
       return;
     }
     const unsettled = entry.inDoubtUpTo !== null || entry.sentInAnswer;
-    if (entry.seen ? entry.inDoubtUpTo === null : entry.stop !== null && !unsettled) {
-      // It was here and is no more, or it never came and is not wanted any longer.
+    const isUnwanted = entry.stop !== null || entry.isAdopted;
+    if (entry.seen ? entry.inDoubtUpTo === null : isUnwanted && !unsettled) {
+      // It was here and is no more, or it never came and is not to be started any longer.
       this.part.release(machine, placed, now);
     }
   }
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -223,6 +223,7 @@
       session: machine.session,
       version: chunk.version + 1,
       seen: false,
+      isAdopted: false,
       state: 'fetching',
       placedAt: now,
       runningSince: null,
--- a/test/reportIntake.test.ts
+++ b/test/reportIntake.test.ts
@@ -295,3 +295,24 @@
   b.decide();
   assert.equal(chunk.entries.size, 1);
 });
+
+test("what an adopter loads and does not find is over, not started: the room it had may be a peer's by now", () => {
+  for (const { name, tasks, entries } of [
+    { name: 'it is there', tasks: [{ task: 'wk-1/0', attempt: 1 }], entries: 1 },
+    { name: 'it is not', tasks: [], entries: 0 },
+  ]) {
+    const b = new Bench();
+    const machine = b.machine('n-1', false);
+    const entry = { task: 0, attempt: 1, machine: 'n-1', session: 1 };
+    const record = { spec: spec({ tasks: 1 }), home: 'p', at: 0, from: 0, to: 1, zone: null };
+    const stored = { ...record, next: 2, done: [], entries: [entry], moves: 0 };
+    const chunk = b.part.loadChunk(0, stored, TOKEN, b.now);
+    b.report(machine, tasks, { token: TOKEN - 1 });
+    assert.equal(chunk.entries.size, 1, `${name}: the last owner's start may still come`);
+    assert.deepEqual(b.verbs(machine), [], name);
+    b.report(machine, tasks, { token: TOKEN });
+    assert.equal(chunk.entries.size, entries, name);
+    assert.equal(b.part.teams.usedBy('crew').cpus, entries * 2, name);
+    assert.deepEqual(b.verbs(machine), [], name);
+  }
+});
