--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -23,6 +23,11 @@
   /** By kind (`b/job/`, `b/run/`, …): final jobs are kept for good, and nobody should walk past them. */
   private readonly kinds = new Map<string, Map<string, Stored>>();
   private epoch = -1;
+  /**
+   * Removals that are known here ahead of the watch, by key: until it has caught up, its answers still tell of the
+   * record as it was before.
+   */
+  private readonly removals = new Map<string, number>();
   private stopped = false;
   loaded = false;
   /** Steady time up to which all changes are known here. */
@@ -63,7 +68,7 @@
   note(key: string, value: unknown, stamp: number): void {
     const items = this.of(key);
     const known = items.get(key);
-    if (stamp <= (known?.stamp ?? this.epoch)) return;
+    if (stamp <= Math.max(known?.stamp ?? this.epoch, this.removals.get(key) ?? -1)) return;
     items.set(key, { value, stamp });
     this.changed({ key, value, stamp, removed: false });
   }
@@ -73,6 +78,7 @@
     const known = items.get(key);
     if (known === undefined || known.stamp > stamp) return;
     items.delete(key);
+    if (Number.isFinite(stamp) && stamp > this.epoch) this.removals.set(key, stamp);
     this.changed({ key, value: null, stamp, removed: true });
   }
 
@@ -99,10 +105,18 @@
       if (change.removed) this.noteRemoved(change.key, change.stamp);
       else this.note(change.key, change.value, change.stamp);
     }
-    this.epoch = Math.max(this.epoch, log.epoch);
+    this.reach(log.epoch);
     this.syncedAt = Math.max(this.syncedAt, sent);
   }
 
+  /** The copy holds all up to this revision. */
+  private reach(epoch: number): void {
+    this.epoch = Math.max(this.epoch, epoch);
+    for (const [key, stamp] of this.removals) {
+      if (stamp <= this.epoch) this.removals.delete(key);
+    }
+  }
+
   async load(): Promise<void> {
     const sent = this.clock.now();
     const { items, epoch } = await this.client.range(this.prefix);
@@ -117,7 +131,7 @@
       }
     }
     // Another reading, or the watch, may have gone further meanwhile.
-    this.epoch = Math.max(this.epoch, epoch);
+    this.reach(epoch);
     this.loaded = true;
     this.syncedAt = Math.max(this.syncedAt, sent);
   }
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -142,3 +142,16 @@
   assert.deepEqual(asked, [30]);
   replica.stop();
 });
+
+test('a removal of our own is not undone by an answer of the watch that only reaches up to before it', async () => {
+  const { replica } = await loaded([
+    { epoch: 15, changes: [put('b/run/p/1', 15)] },
+    { epoch: 30, changes: [remove('b/run/p/1', 20), put('b/run/p/1', 30)] },
+  ]);
+  replica.note('b/run/p/1', {}, 15);
+  replica.noteRemoved('b/run/p/1', 20);
+  await replica.catchUp(15);
+  assert.equal(replica.get('b/run/p/1'), undefined, 'its chunks are at another part by now');
+  await replica.catchUp(30);
+  assert.equal(replica.get('b/run/p/1')?.stamp, 30, 'made anew after that');
+});
