--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -5,6 +5,7 @@
 import { defaultTuning, parseSettings, parseTuning } from '../src/protocol/settings.js';
 import { parseReport } from '../src/protocol/worker.js';
 import { submission } from './support/cluster.js';
+import { settingsText } from './support/settings.js';
 
 const text = (changes: Record<string, unknown>): string =>
   JSON.stringify(submission('wk-000001', changes));
@@ -58,36 +59,7 @@
   });
 }
 
-const settings = `
-label = "drone-0"
-site = "a"
-client_listen = "127.0.0.1:1"
-back = "127.0.0.1:2"
-unheard_of = 1
-[services]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[settings]
-zones = ["a"]
-[[settings.teams]]
-name = "crew"
-[settings.workers]
-report_s = 3.0
-lease_s = 18.0
-cancel_s = 43.0
-[settings.state]
-rps = 100.0
-write_rps = 25.0
-value_kb = 32.0
-txn_ops = 16
-[settings.cloud]
-rps = 8.0
-list_lag_s = 8.0
-[settings.limits]
-cores = 0.4
-ram_mb = 178.0
-fd_limit = 1800
-`;
+const settings = settingsText();
 
 test('settings: unknown ones are ignored, bad ones are named', () => {
   const parsed = parseSettings(settings);
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -9,44 +9,14 @@
 import type { Response } from '../src/transport/httpClient.js';
 import type { Reply } from '../src/transport/httpServer.js';
 import { submission } from './support/cluster.js';
+import { settingsText } from './support/settings.js';
 import { spec } from './support/spec.js';
 
 const ID = 'wk-000901';
 
-const SETTINGS = parseSettings(`
-label = "p"
-site = "a"
-client_listen = "127.0.0.1:1"
-back = "127.0.0.1:1"
-[[peers]]
-label = "q"
-site = "a"
-endpoint = "127.0.0.1:1"
-[services]
-cloud = "127.0.0.1:1"
-state = "127.0.0.1:1"
-[settings]
-zones = ["a"]
-skew_ms = 100.0
-[[settings.teams]]
-name = "crew"
-[settings.workers]
-report_s = 3.0
-lease_s = 18.0
-cancel_s = 43.0
-[settings.state]
-rps = 100.0
-write_rps = 25.0
-value_kb = 32.0
-txn_ops = 16
-[settings.cloud]
-rps = 8.0
-list_lag_s = 8.0
-[settings.limits]
-cores = 1.0
-ram_mb = 200.0
-fd_limit = 1000
-`);
+const PEER = '[[peers]]\nlabel = "q"\nsite = "a"\nendpoint = "127.0.0.1:1"\n';
+
+const SETTINGS = parseSettings(settingsText(PEER));
 
 const record = (state: JobRecord['state']): JobRecord => ({
   spec: state === 'open' ? spec({ id: ID }) : null,
