--- a/test/reportIntake.test.ts
+++ b/test/reportIntake.test.ts
@@ -5,7 +5,7 @@
 import type { JobSpec } from '../src/protocol/job.js';
 import type { Report, TaskReport } from '../src/protocol/worker.js';
 import { Bench, TOKEN } from './support/bench.js';
-import { spec } from './support/spec.js';
+import { startedRecord } from './support/spec.js';
 
 test('done is stored before it is reaped', () => {
   const b = new Bench();
@@ -117,19 +117,7 @@
   for (const [name, tasks, report, left] of cases) {
     const b = new Bench();
     const machine = b.machine('n-1', false);
-    const record = {
-      spec: spec({ tasks: 1 }),
-      home: 'p',
-      at: 1,
-      from: 0,
-      to: 1,
-      zone: null,
-      next: 2,
-      done: [],
-      entries: [{ task: 0, attempt: 1, machine: 'n-1', session: 1 }],
-      moves: 0,
-    };
-    const chunk = b.part.loadChunk(0, record, TOKEN, b.now);
+    const chunk = b.part.loadChunk(0, startedRecord(), TOKEN, b.now);
     // The entry was stored before it was sent, but whether it was sent nobody knows.
     b.report(machine, tasks, report);
     const entry = chunk.entries.get(0);
@@ -221,23 +209,7 @@
     const b = new Bench();
     const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0, address: '127.0.0.1:1' };
     const machine = b.part.addMachine('n-1', record, b.now, b.now + 36);
-    const chunk = b.part.loadChunk(
-      0,
-      {
-        spec: spec({ tasks: 1 }),
-        home: 'p',
-        at: 0,
-        from: 0,
-        to: 1,
-        zone: null,
-        next: 2,
-        done: [],
-        entries: [{ task: 0, attempt: 1, machine: 'n-1', session: 1 }],
-        moves: 0,
-      },
-      TOKEN,
-      b.now,
-    );
+    const chunk = b.part.loadChunk(0, startedRecord(), TOKEN, b.now);
     b.report(machine, tasks, { tick: 3, address: '127.0.0.9:9', ...copy }, 'report');
     assert.equal(chunk.entries.get(0)?.attempt, 1, 'the attempt in doubt was given up');
     assert.equal(machine.address, '127.0.0.1:1', 'the copy moved its address');
@@ -303,10 +275,7 @@
   ]) {
     const b = new Bench();
     const machine = b.machine('n-1', false);
-    const entry = { task: 0, attempt: 1, machine: 'n-1', session: 1 };
-    const record = { spec: spec({ tasks: 1 }), home: 'p', at: 0, from: 0, to: 1, zone: null };
-    const stored = { ...record, next: 2, done: [], entries: [entry], moves: 0 };
-    const chunk = b.part.loadChunk(0, stored, TOKEN, b.now);
+    const chunk = b.part.loadChunk(0, startedRecord(), TOKEN, b.now);
     b.report(machine, tasks, { token: TOKEN - 1 });
     assert.equal(chunk.entries.size, 1, `${name}: the last owner's start may still come`);
     assert.deepEqual(b.verbs(machine), [], name);
--- a/test/support/spec.ts
+++ b/test/support/spec.ts
@@ -1,4 +1,5 @@
 import type { JobSpec } from '../../src/protocol/job.js';
+import type { ChunkRecord } from '../../src/storage/records.js';
 
 export const spec = (changes: Partial<JobSpec> = {}): JobSpec => ({
   id: 'wk-1',
@@ -24,3 +25,17 @@
   due: null,
   ...changes,
 });
+
+/** The stored record of a chunk of one task, whose first attempt an owner has placed on `n-1`. */
+export const startedRecord = (): ChunkRecord => ({
+  spec: spec({ tasks: 1 }),
+  home: 'p',
+  at: 1,
+  from: 0,
+  to: 1,
+  zone: null,
+  next: 2,
+  done: [],
+  entries: [{ task: 0, attempt: 1, machine: 'n-1', session: 1 }],
+  moves: 0,
+});
