--- a/src/coordination/accepting.ts
+++ b/src/coordination/accepting.ts
@@ -8,13 +8,15 @@
 import { acceptedAnswer } from '../protocol/job.js';
 import { TXN_BYTES, type Item, type Txn } from '../protocol/state.js';
 import { keys, type JobRecord, type BucketRecord } from '../storage/records.js';
+import type { RecordLayout } from '../storage/recordLayout.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient, TxnResult } from '../storage/stateClient.js';
 import type { Reply } from '../transport/httpServer.js';
 import type { Chunk } from './chunk.js';
-import type { OwnedPart } from './ownedPart.js';
+import type { HomeJob, OwnedPart } from './ownedPart.js';
 import { unavailable } from './replies.js';
-import { FRAME_BYTES } from './bucket.js';
+import { potentialOf } from './bucket.js';
+import type { Commits } from './commits.js';
 
 export interface Submission {
   id: string;
@@ -40,12 +42,15 @@
 export interface AcceptingNode {
   process: string;
   parts: string[];
-  settings: { txnOps: number; valueBytes: number };
+  settings: { txnOps: number };
+  layout: RecordLayout;
   clock: Clock;
   state: Pick<StateClient, 'turn' | 'charge' | 'get' | 'writeDelay' | 'writeRate' | 'healthy'>;
   replica: Pick<Replica, 'get' | 'note'>;
   ownership: { readonly valid: boolean; verifyOwner(part: string): Promise<void> };
-  commits: { write(host: OwnedPart, txn: Txn, urgency: 'granted'): Promise<TxnResult> };
+  commits: Pick<Commits, 'acceptMissing'> & {
+    write(host: OwnedPart, txn: Txn, urgency: 'granted'): Promise<TxnResult>;
+  };
   requestRound(): void;
 }
 
@@ -58,21 +63,26 @@
  */
 class Size {
   private all = 0;
+  private operations = 0;
   private readonly transfers = new Map<string, number>();
 
   constructor(
     private readonly most: number,
     private readonly mostTransfer: number,
+    private readonly mostOperations: number,
     private readonly home: string,
+    private readonly layout: RecordLayout,
   ) {}
 
   /** Counts one more; false when it does not fit any more. */
-  take({ record, first }: Submission): boolean {
-    this.all += JSON.stringify(record).length;
-    let fits = true;
+  take({ id, record, first }: Submission): boolean {
+    const { layout } = this;
+    this.all += layout.bytes(keys.job(id), record);
+    this.operations += layout.operations(keys.job(id), record);
+    let fits = this.operations <= this.mostOperations;
     for (const { part, chunk } of first) {
       if (part === this.home) continue;
-      const bytes = chunk.specBytes + FRAME_BYTES;
+      const bytes = potentialOf(chunk, layout);
       const transfer = (this.transfers.get(part) ?? 0) + bytes;
       this.transfers.set(part, transfer);
       this.all += bytes;
@@ -142,11 +152,11 @@
   private gather(): Batch | null {
     const home = this.queue[0]?.home;
     if (home === undefined) return null;
-    const { settings, parts } = this.node;
+    const { settings, parts, layout } = this.node;
     const most = Math.max(1, settings.txnOps - (parts.length - 1));
     const jobs: Waiting[] = [];
-    const size = new Size(TXN_BYTES * 0.8, settings.valueBytes * 0.9, home.part.label);
-    for (let i = 0; i < this.queue.length && jobs.length < most; i++) {
+    const size = new Size(TXN_BYTES * 0.8, layout.valueBytes * 0.9, most, home.part.label, layout);
+    for (let i = 0; i < this.queue.length; i++) {
       const next = this.queue[i];
       if (next?.home !== home) continue;
       if (!size.take(next) && jobs.length > 0) break;
@@ -272,20 +282,28 @@
   private takeUp(home: OwnedPart, submission: Submission, record: JobRecord, stamp: number): void {
     const { node } = this;
     const { id, first } = submission;
-    if (home.alive && record.state === 'open') {
-      home.jobs.set(id, { id, record, stamp, busy: false });
+    const job: HomeJob = { id, record, stamp, busy: false };
+    const isOurs = home.alive && record.state === 'open';
+    if (isOurs) {
+      home.jobs.set(id, job);
       for (const { part, chunk } of first) {
         if (part === home.part.label) home.part.accept(chunk, node.clock.now());
       }
     }
     node.replica.note(keys.job(id), record, stamp);
+    // What it waits for may have been done while it was being stored.
+    if (isOurs) node.commits.acceptMissing(home, job);
   }
 
   /** Tells the users, by the newest that is known here: the job may be over by the time that the answer comes. */
   private settle(batch: Batch): void {
     const { node } = this;
     node.requestRound();
-    this.answer(batch, ({ id }) => {
+    this.answer(batch, ({ id, record }) => {
+      // It needs a cancelled job, and was stored as cancelled with it.
+      if (record.state === 'cancelled') {
+        return { status: 201, body: acceptedAnswer(id, record.state) };
+      }
       const known = node.replica.get(keys.job(id))?.value as JobRecord | undefined;
       if (known === undefined || known.state === 'open') {
         return { status: 201, body: acceptedAnswer(id, 'queued') };
--- a/src/coordination/bucket.ts
+++ b/src/coordination/bucket.ts
@@ -1,12 +1,11 @@
+/** Some chunks of a part that are stored in one record. */
 import type { BucketRecord } from '../storage/records.js';
+import type { RecordLayout } from '../storage/recordLayout.js';
 import type { Chunk } from './chunk.js';
 
-/** Of a chunk's record, what its description and numbers take beside its entries. */
-export const FRAME_BYTES = 260;
-/** One task, as an entry or between two gaps of what is done. */
-export const ENTRY_BYTES = 66;
+/** Bytes of the numbers around a gap in what is done. */
+const GAP_BYTES = 8;
 
-/** Some chunks of a part that are stored in one record. */
 export class Bucket {
   readonly chunks = new Set<Chunk>();
   /** A transaction that changes it is on its way, or waits for its turn. */
@@ -19,11 +18,19 @@
    * be, for as long as the ownership that the transaction is conditional on.
    */
   unsettled = false;
+  /**
+   * Chunks that were here when the record turned out to be beyond the limit. It is not written again, and removed once
+   * all of them are stored elsewhere.
+   */
+  private readonly retired = new Map<Chunk, number>();
+  /** It was looked at whether its record may grow beyond the limit. */
+  isMeasured = false;
 
   constructor(
     readonly name: string,
     /** The record's stamp; 0 while there is none. */
     public stamp: number,
+    private readonly layout: RecordLayout,
   ) {}
 
   add(chunk: Chunk): void {
@@ -40,24 +47,48 @@
   /** What its record may grow to while all tasks of all its chunks run. */
   get potential(): number {
     let bytes = 0;
-    for (const chunk of this.chunks) bytes += potentialOf(chunk);
+    for (const chunk of this.chunks) bytes += potentialOf(chunk, this.layout);
     return bytes;
   }
 
   /** About what its record takes now. */
   get bytes(): number {
+    const { frame, task } = this.layout.sizes;
     let bytes = 0;
-    for (const chunk of this.chunks) {
-      bytes +=
-        chunk.specBytes + FRAME_BYTES + ENTRY_BYTES * chunk.entries.size + 8 * chunk.done.size;
+    for (const { spec, entries, done } of this.chunks) {
+      bytes += this.layout.specBytes(spec) + frame + task * entries.size + GAP_BYTES * done.size;
     }
     return bytes;
   }
 
+  /** Chunks of it are not stored elsewhere yet, so that its record has to stay. */
+  get holdsRetired(): boolean {
+    for (const [chunk, version] of this.retired) {
+      if (!chunk.dropped && chunk.stored < version) return true;
+    }
+    return false;
+  }
+
+  /** Takes a chunk off it, to be stored in another bucket; the version from which on it is. */
+  retire(chunk: Chunk): void {
+    this.remove(chunk);
+    this.retired.set(chunk, chunk.version);
+    chunk.retiredFrom = this;
+  }
+
+  /** Its record is gone, and with it the copies of chunks that are in others. */
+  forgetRetired(): void {
+    for (const chunk of this.retired.keys()) chunk.retiredFrom = null;
+    this.retired.clear();
+  }
+
   record(): BucketRecord {
     return { chunks: Object.fromEntries([...this.chunks].map((c) => [c.id, c.record()])) };
   }
 }
 
-export const potentialOf = (chunk: Chunk): number =>
-  chunk.specBytes + FRAME_BYTES + ENTRY_BYTES * chunk.size;
+/** What a chunk may take of a record while all of its tasks run. */
+export function potentialOf(chunk: Chunk, layout: RecordLayout): number {
+  const { frame, task } = layout.sizes;
+  return layout.specBytes(chunk.spec) + frame + task * chunk.size;
+}
--- a/src/coordination/bucketWriter.ts
+++ b/src/coordination/bucketWriter.ts
@@ -8,6 +8,7 @@
 import { TXN_BYTES, type Txn } from '../protocol/state.js';
 import type { Urgency } from '../storage/budget.js';
 import { keys, type BucketRecord } from '../storage/records.js';
+import type { RecordLayout } from '../storage/recordLayout.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient, TxnResult } from '../storage/stateClient.js';
 import type { Chunk } from './chunk.js';
@@ -28,7 +29,7 @@
 
 export interface BucketWriterOptions {
   txnOps: number;
-  valueBytes: number;
+  layout: RecordLayout;
   /** Seconds that changes which nobody waits for are gathered. */
   linger: number;
   retry: number;
@@ -73,12 +74,34 @@
 
   /** Starts the storing of what is due. */
   pass(host: OwnedPart): void {
+    if (this.options.layout.isCompact) this.retireLargeBuckets(host);
     for (const chunk of host.part.dirty) {
       if (chunk.accepted && chunk.bucket === null) this.assignBucket(host, chunk);
     }
     this.flushAll(host, this.dueBuckets(host));
   }
 
+  /**
+   * Buckets from before the present limits, whose records may not be written any more: their chunks go to others, as
+   * the state service allows (safety, V5). A single chunk that is too large is stored in pieces.
+   */
+  private retireLargeBuckets(host: OwnedPart): void {
+    for (const bucket of host.buckets.values()) {
+      if (bucket.isMeasured || bucket.busy) continue;
+      bucket.isMeasured = true;
+      if (bucket.chunks.size < 2 || bucket.potential <= this.room) continue;
+      for (const chunk of [...bucket.chunks]) {
+        host.part.changed(chunk, this.clock.now());
+        bucket.retire(chunk);
+      }
+    }
+  }
+
+  /** What chunks may take of one record. */
+  private get room(): number {
+    return Math.min(this.options.layout.valueBytes, TXN_BYTES * TXN_SHARE) * VALUE_SHARE;
+  }
+
   /** Buckets that should be stored now. */
   private dueBuckets(host: OwnedPart): Map<Bucket, Urgency> {
     const now = this.clock.now();
@@ -97,7 +120,8 @@
     }
     if (isBusy) return due;
     for (const bucket of host.buckets.values()) {
-      if (bucket.chunks.size === 0 && bucket.stale && !bucket.busy) due.set(bucket, 'later');
+      const isEmpty = bucket.chunks.size === 0 && !bucket.holdsRetired;
+      if (isEmpty && bucket.stale && !bucket.busy) due.set(bucket, 'later');
     }
     return due;
   }
@@ -107,28 +131,38 @@
     const most = Math.max(1, this.options.txnOps - 1);
     let batch: Bucket[] = [];
     let bytes = 0;
+    let operations = 0;
     let urgency: Urgency = 'later';
     const send = (): void => {
       if (batch.length === 0) return;
       void this.flush(host, batch, urgency);
-      [batch, bytes, urgency] = [[], 0, 'later'];
+      [batch, bytes, operations, urgency] = [[], 0, 0, 'later'];
     };
     for (const [bucket, how] of due) {
       if (host.writing >= TRANSACTIONS) break;
       const size = bucket.bytes;
-      const isFull = batch.length >= most || bytes + size > TXN_BYTES * TXN_SHARE;
+      const cost = this.operationsFor(size);
+      const isFull = operations + cost > most || bytes + size > TXN_BYTES * TXN_SHARE;
       if (batch.length > 0 && isFull) send();
       batch.push(bucket);
       bytes += size;
+      operations += cost;
       if (how === 'urgent') urgency = 'urgent';
     }
     if (host.writing < TRANSACTIONS) send();
   }
 
+  /** Puts that a bucket of this size takes: a large one is stored in pieces. */
+  private operationsFor(bytes: number): number {
+    const { layout } = this.options;
+    return layout.isCompact ? Math.max(1, Math.ceil(bytes / (layout.valueBytes * VALUE_SHARE))) : 1;
+  }
+
   /** Onto the fullest bucket of its kind that is sure to hold it, or a new one. */
   private assignBucket(host: OwnedPart, chunk: Chunk): void {
-    const room = Math.min(this.options.valueBytes, TXN_BYTES * TXN_SHARE) * VALUE_SHARE;
-    const need = potentialOf(chunk);
+    const { layout, process } = this.options;
+    const { room } = this;
+    const need = potentialOf(chunk, layout);
     let best: Bucket | null = null;
     let most = -1;
     for (const bucket of host.buckets.values()) {
@@ -136,11 +170,12 @@
       // Replicas seldom change, tasks often: apart, so that the ones are not written for the others.
       const [first] = bucket.chunks;
       if (first !== undefined && first.spec.service !== chunk.spec.service) continue;
+      if (bucket === chunk.retiredFrom || bucket.holdsRetired) continue;
       const used = bucket.potential;
       if (used + need <= room && used > most) [best, most] = [bucket, used];
     }
     if (best === null) {
-      best = new Bucket(`${this.options.process}-${++this.named}`, 0);
+      best = new Bucket(`${process}-${++this.named}`, 0, layout);
       host.buckets.set(best.name, best);
     }
     best.add(chunk);
@@ -182,6 +217,8 @@
         if (result.kind === 'unknown' && bucket.stamp === 0) bucket.unsettled = true;
       }
       if (result.kind === 'conflict') await this.resolve(host, buckets);
+      // Sent again at once it would be refused again, and keep others from their turn.
+      else if (result.kind === 'malformed') await sleep(this.options.linger);
       else await sleep(this.options.retry);
     } catch (error) {
       log.debug(`store: ${describe(error)}`);
@@ -209,6 +246,7 @@
     for (const put of puts) this.replica.note(put.key, put.value, stamp);
     for (const bucket of buckets) {
       const key = this.key(host, bucket);
+      bucket.forgetRetired();
       if (puts.some((p) => p.key === key)) bucket.stamp = stamp;
       else {
         this.replica.noteRemoved(key, stamp);
--- a/src/coordination/cancelPreparations.ts
+++ b/src/coordination/cancelPreparations.ts
@@ -19,6 +19,8 @@
   ownedParts: ReadonlyMap<string, OwnedPart>;
   replica: Pick<Replica, 'get' | 'syncedAt'>;
   peers: Pick<Peers, 'prepareCancel'>;
+  /** The job waits for others: nothing of it was started, nor is there any chunk of it. */
+  isHeld(job: string): boolean;
   requestRound(): void;
 }
 
@@ -82,7 +84,9 @@
       }
       return missing.size === 0;
     };
-    if (note(this.prepare(id))) return true;
+    const here = this.prepare(id);
+    // Should it be released from now on, its chunks are made as prepared ones, by this node.
+    if (this.node.isHeld(id) || note(here)) return true;
     return this.node.peers.prepareCancel(id, this.node.settings.report / 12, note);
   }
 
--- a/src/coordination/chunk.ts
+++ b/src/coordination/chunk.ts
@@ -43,6 +43,10 @@
   bucket: Bucket | null = null;
   /** A move to another part got no answer: until its bucket is written again it may have gone. */
   leaving = false;
+  /** A record beyond the limit that it was in before, which still has a copy of it. */
+  retiredFrom: Bucket | null = null;
+  /** It has been released and its peers are to be asked for it, as at a submission. */
+  isNewlyReleased = false;
   dirtySince: number | null = null;
   cancelled = false;
   /** Steady time at which its job's cancellation was announced; null: nobody wants it cancelled. */
@@ -64,9 +68,9 @@
   /** Since when there was room nowhere; null when all is placed. */
   blockedSince: number | null = null;
   readonly id: string;
-  readonly rank: number;
+  /** Its own rank, or a higher one of a job that needs its job. */
+  rank: number;
   private cursor: number;
-  private bytes: number | null = null;
 
   constructor(
     readonly spec: JobSpec,
@@ -116,17 +120,12 @@
     return count;
   }
 
-  /** Bytes of its description in a record. */
-  get specBytes(): number {
-    this.bytes ??= JSON.stringify(this.spec).length;
-    return this.bytes;
-  }
-
   /** Stored as it is here, with nothing of it on any machine or on its way. */
   get movable(): boolean {
     const { bucket } = this;
     const settled = bucket !== null && !bucket.busy && bucket.stamp > 0 && this.stored > 0;
-    return settled && this.accepted && !this.leaving && !this.unwanted && this.entries.size === 0;
+    const isFree = !this.leaving && this.retiredFrom === null && !this.unwanted;
+    return settled && this.accepted && isFree && this.entries.size === 0;
   }
 
   taskName(task: number): string {
--- a/src/coordination/chunks.ts
+++ b/src/coordination/chunks.ts
@@ -66,14 +66,14 @@
 export function chunkSize(
   spec: JobSpec,
   partCpus: number,
-  valueBytes: number,
+  /** The most tasks whose entries a record holds. */
+  mostTasks: number,
   parts: number,
 ): number {
   // A gang starts whole, so one part must hold it whole.
   if (spec.gang) return spec.tasks;
   const fits = partCpus > 0 ? Math.floor(partCpus / spec.cpus) : spec.tasks;
   const least = Math.max(8, Math.ceil(spec.tasks / (2 * parts)));
-  // An entry of a running task is some 60 bytes; half the record is left for the rest.
-  const most = Math.max(8, Math.floor(valueBytes / 2 / 60));
+  const most = Math.max(8, mostTasks);
   return Math.max(1, Math.min(Math.max(fits, least), most));
 }
--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -24,6 +24,8 @@
   ownedParts: ReadonlyMap<string, OwnedPart>;
   /** The job is about to be cancelled. */
   isBeingCancelled(job: string): boolean;
+  /** The job waits for others: it has no chunks before these are done. */
+  isHeld(job: string): boolean;
 }
 
 export class Commits {
@@ -129,7 +131,7 @@
       const next: JobRecord =
         finished.length >= totalChunks(record)
           ? { ...record, spec: null, state: 'done', zones: [], finished: [], away: [] }
-          : { ...record, finished };
+          : { ...record, finished, away: record.away.filter((k) => !finished.includes(k)) };
       await this.writeJob(home, job, next);
       // By the record: the change that a conflict was with may have been another one.
       return job.record.state !== 'open' || job.record.finished.includes(index);
@@ -179,10 +181,16 @@
     return true;
   }
 
-  /** A change that cut a chunk may have got no answer, and another have found the record changed. */
-  private acceptMissing(home: OwnedPart, job: HomeJob): void {
+  /**
+   * Takes up the chunks of a home job that are neither here nor stored: nothing of them was started. So it is where a
+   * part is loaded, where a change that cut a chunk got no answer, and where a job no longer waits for others.
+   */
+  acceptMissing(home: OwnedPart, job: HomeJob): void {
+    if (!home.alive || this.host.isHeld(job.id)) return;
     const now = this.clock.now();
+    const isReleased = (job.record.spec?.waitsOn.length ?? 0) > 0;
     for (const chunk of missingChunks(job.id, job.record, home.part.chunks, now)) {
+      chunk.isNewlyReleased = isReleased;
       home.part.accept(chunk, now);
       if (this.host.isBeingCancelled(job.id)) home.part.prepareCancel(chunk, now);
     }
@@ -225,6 +233,7 @@
   private cutMore(home: OwnedPart, job: HomeJob): void {
     const { record } = job;
     if (job.busy || record.spec === null || record.state !== 'open') return;
+    if (this.host.isHeld(job.id)) return;
     const open = record.cut - record.finished.length;
     if (open >= 4 || record.cut >= totalChunks(record) || !mayCut(record, record.cut)) return;
     if (this.host.isBeingCancelled(job.id)) return;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -13,8 +13,11 @@
   type JobRecord,
   type OwnerRecord,
   type BucketRecord,
+  type NodeRecord,
 } from '../storage/records.js';
 import { Fleet } from '../storage/fleet.js';
+import { NodeMarks } from '../storage/nodeMarks.js';
+import { RecordLayout } from '../storage/recordLayout.js';
 import { Replica } from '../storage/replica.js';
 import { Buckets } from '../storage/buckets.js';
 import { StateClient } from '../storage/stateClient.js';
@@ -32,6 +35,7 @@
 import { Part } from './part.js';
 import { PartLoader } from './partLoader.js';
 import { Peers } from './peers.js';
+import { Pipelines } from './pipelines/pipelines.js';
 import { Provisioner } from './provisioning/provisioner.js';
 import { Quotas } from './quotas.js';
 import { Sender } from './sender.js';
@@ -52,6 +56,8 @@
   readonly replica: Replica;
   readonly fleet = new Fleet();
   readonly buckets = new Buckets();
+  readonly layout: RecordLayout;
+  readonly marks: NodeMarks;
   readonly state: StateClient;
   readonly ownership: Ownership;
   readonly commits: Commits;
@@ -64,6 +70,7 @@
   readonly sender: Sender;
   readonly orders: Orders;
   readonly cancelPreparations: CancelPreparations;
+  readonly pipelines: Pipelines;
   private readonly quotas: Quotas;
   private readonly provisioner: Provisioner;
   readonly totals: ClusterTotals;
@@ -83,14 +90,17 @@
     this.parts = [settings.label, ...settings.peers.map((p) => p.label)].sort();
     this.zoneOf.set(settings.label, settings.zone);
     for (const peer of settings.peers) this.zoneOf.set(peer.label, peer.zone);
+    this.layout = new RecordLayout(settings);
     this.state = this.createState();
     this.replica = this.createReplica();
+    this.marks = new NodeMarks(this.state, this.replica, this.layout, settings.label, this.parts);
     this.ownership = this.createOwnership();
     this.commits = this.createCommits();
     this.peers = this.createPeers();
     this.sender = new Sender(this);
     this.orders = new Orders(this);
     this.cancelPreparations = new CancelPreparations(this);
+    this.pipelines = new Pipelines(this);
     this.quotas = new Quotas(this);
     this.provisioner = new Provisioner(this, process);
     this.totals = new ClusterTotals(this.ownedParts, this.peers, this.zoneOf);
@@ -104,7 +114,7 @@
   }
 
   private createState(): StateClient {
-    return new StateClient(this.links.services, this.clock, {
+    const options = {
       endpoint: this.settings.stateEndpoint,
       rate: this.settings.stateRate,
       writeRate: this.settings.stateWriteRate,
@@ -112,13 +122,16 @@
       // Long enough for a service that answers slowly: what gets no answer is asked for again, and makes it
       // slower still.
       timeout: this.stateTtl / 2,
-    });
+    };
+    return new StateClient(this.links.services, this.clock, options, this.layout);
   }
 
   private createReplica(): Replica {
     // Watches may take a tenth of the requests.
     const pause = Math.max(0.05, this.parts.length / (this.settings.stateRate * 0.1));
-    const watch = { hold: this.settings.report * 2, pause };
+    // A watch that waits long leaves it open how old the copy is, and with that what users may be told (P4).
+    const hold = Math.min(this.settings.report * 2, this.settings.cancel / 6);
+    const watch = { hold, pause };
     return new Replica(this.state, ROOT, this.clock, watch, (change) => {
       this.onChange(change);
     });
@@ -160,6 +173,7 @@
       {
         ownedParts: this.ownedParts,
         isBeingCancelled: (job) => this.cancelPreparations.has(job),
+        isHeld: (job) => this.isHeld(job),
         valid: () => this.ownership.valid,
         verifyOwner: (part) => this.ownership.verifyOwner(part),
         stored: (host, chunks) => {
@@ -168,7 +182,7 @@
       },
       {
         txnOps: this.settings.txnOps,
-        valueBytes: this.settings.valueBytes,
+        layout: this.layout,
         linger: this.settings.report / 2,
         retry: this.settings.report / 15,
         process: this.process,
@@ -222,6 +236,11 @@
     );
   }
 
+  /** The job waits for others: nothing of it may start. */
+  isHeld(job: string): boolean {
+    return this.pipelines.isHeld(job);
+  }
+
   start(): void {
     void this.ownership.run();
     void this.replica.run();
@@ -233,6 +252,7 @@
       this.cancelPreparations.sweep();
       this.adoptUnmatched();
       this.sender.review();
+      void this.marks.ensure();
       this.orders.sweep();
       void this.quotas.balance();
     });
@@ -294,6 +314,7 @@
         host.part.scheduler.decide(now, () => this.clock.now() > deadline);
       }
       this.commits.pass();
+      this.pipelines.cancelDoomed(this.settings.report);
     }
   }
 
@@ -335,6 +356,7 @@
       },
       usedElsewhere: (team) => this.totals.usedElsewhere(team, label),
       starvedElsewhere: (team) => this.totals.starvedElsewhere(team, label),
+      inheritedRank: (job) => this.pipelines.inheritedRank(job),
     };
   }
 
@@ -357,9 +379,10 @@
       this.types = new Map((change.value as MachineType[]).map((t) => [t.name, t]));
     } else if (kind === 'fleet') this.onGroup(name, change);
     else if (kind === 'job' && !change.removed) this.onJob(name, change.value as JobRecord);
+    else if (kind === 'node' && !change.removed) this.marks.note(name, change.value as NodeRecord);
     else if (kind === 'run') {
       const value = change.value as BucketRecord | null;
-      this.buckets.note(name, bucket, value);
+      this.buckets.note(name, bucket, value, change.stamp);
       const host = this.ownedParts.get(name);
       if (host !== undefined && value !== null) {
         this.loader.noteBucket(host, bucket, value, change.stamp);
@@ -369,6 +392,7 @@
 
   private onJob(id: string, record: JobRecord): void {
     const now = this.clock.now();
+    this.pipelines.note(id, record);
     if (record.state === 'open' && record.finished.length === 0) return;
     for (const host of this.ownedParts.values()) {
       for (const chunk of host.part.chunksOf(id)) {
--- a/src/coordination/jobLookup.ts
+++ b/src/coordination/jobLookup.ts
@@ -56,7 +56,12 @@
   async view(id: string, mayRelay: boolean): Promise<FoundView> {
     const answer = await this.lookUp(id, mayRelay);
     const copy = this.copyOf(id);
-    return copy === undefined || copy.state === 'open' ? answer : found(final(copy));
+    if (copy !== undefined && copy.state !== 'open') return found(final(copy));
+    // It may have been cancelled with a job that it needs, and this node have missed that (safety, P4).
+    if (answer.view !== null && !this.node.pipelines.mayCallOpen(id)) {
+      return { view: null, isUnavailable: true };
+    }
+    return answer;
   }
 
   /**
--- a/src/coordination/needs.ts
+++ b/src/coordination/needs.ts
@@ -1,6 +1,6 @@
 /** What should be rented for a part, and which of its machines may be returned: pure. */
 import type { MachineType } from '../protocol/cloud.js';
-import type { JobSpec } from '../protocol/job.js';
+import { rankName, type JobSpec } from '../protocol/job.js';
 import type { Demand } from '../protocol/peer.js';
 import type { Chunk } from './chunk.js';
 import { Arrivals } from './estimate.js';
@@ -182,7 +182,8 @@
   }
 
   private demandOf(chunk: Chunk, count: number, pressing: number): Demand {
-    const { cpus, gpus, memory, types, spot, rank, service, image, imageGb } = chunk.spec;
+    const { cpus, gpus, memory, types, spot, service, image, imageGb } = chunk.spec;
+    const rank = rankName(chunk.rank);
     const zone = chunk.zone ?? chunk.spec.zone;
     const run = service ? 0 : this.part.estimates.expectedRun(chunk.spec);
     const shape = { cpus, gpus, memory, types, zone, spot, rank, service };
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -4,6 +4,7 @@
  */
 import type { Random } from '../base/random.js';
 import type { MachineType } from '../protocol/cloud.js';
+import { rankOrder } from '../protocol/job.js';
 import type { ChunkRecord, MachineRecord } from '../storage/records.js';
 import { byOrder, Chunk, type Entry } from './chunk.js';
 import type { RunTimes } from './estimate.js';
@@ -46,7 +47,7 @@
     private readonly types: () => Map<string, MachineType>,
     runTimes: RunTimes,
     random: Random,
-    cluster: ClusterView = singlePartView,
+    private readonly cluster: ClusterView = singlePartView,
   ) {
     this.teams = new TeamUsage(cluster);
     this.estimates = new WaitEstimates(this, runTimes, options.report);
@@ -143,10 +144,20 @@
 
   addChunk(chunk: Chunk, now: number): void {
     this.chunks.set(chunk.id, chunk);
+    chunk.rank = this.rankOf(chunk);
     this.needs.noteArrival(chunk, 1, now);
     if (chunk.complete) this.settled.add(chunk);
   }
 
+  /** Jobs that need it have come, or are over. */
+  rerank(job: string): void {
+    for (const chunk of this.chunksOf(job)) chunk.rank = this.rankOf(chunk);
+  }
+
+  private rankOf({ spec }: Chunk): number {
+    return Math.max(rankOrder[spec.rank], this.cluster.inheritedRank(spec.id));
+  }
+
   /** Takes in a chunk whose job is stored, and which is not yet itself. */
   accept(chunk: Chunk, now: number): void {
     chunk.accepted = true;
--- a/src/coordination/partLoader.ts
+++ b/src/coordination/partLoader.ts
@@ -5,8 +5,9 @@
 import type { Fleet } from '../storage/fleet.js';
 import type { Replica } from '../storage/replica.js';
 import type { StateClient } from '../storage/stateClient.js';
-import { missingChunks } from './missingChunks.js';
-import { ownPart, type OwnedPart } from './ownedPart.js';
+import type { RecordLayout } from '../storage/recordLayout.js';
+import type { Commits } from './commits.js';
+import { ownPart, type HomeJob, type OwnedPart } from './ownedPart.js';
 import type { Held } from './ownership.js';
 import type { Part } from './part.js';
 import { Bucket } from './bucket.js';
@@ -19,6 +20,8 @@
   replica: Pick<Replica, 'get' | 'under' | 'noteRemoved'>;
   state: Pick<StateClient, 'get'>;
   cancelPreparations: Pick<CancelPreparations, 'apply'>;
+  commits: Pick<Commits, 'acceptMissing'>;
+  layout: RecordLayout;
   requestRound(): void;
 }
 
@@ -36,7 +39,9 @@
     const host = ownPart(part, held, now, renewed);
     for (const [name, record] of node.fleet.of(label)) part.addMachine(name, record, now, renewed);
     const prefix = keys.runs(label);
-    for (const [key, { value, stamp }] of node.replica.under(prefix)) {
+    // Of two records that hold a chunk the newer one counts: the other is about to be removed (safety, V5).
+    const stored = [...node.replica.under(prefix)].sort(([, a], [, b]) => b.stamp - a.stamp);
+    for (const [key, { value, stamp }] of stored) {
       this.loadBucket(host, key.slice(prefix.length), value as BucketRecord, stamp);
     }
     this.loadJobs(host);
@@ -50,8 +55,9 @@
       const record = value as JobRecord;
       if (record.state !== 'open' || record.home !== host.part.label) continue;
       const id = key.slice(prefix.length);
-      host.jobs.set(id, { id, record, stamp, busy: false });
-      this.loadUnstored(host, id, record);
+      const job: HomeJob = { id, record, stamp, busy: false };
+      host.jobs.set(id, job);
+      this.node.commits.acceptMissing(host, job);
     }
   }
 
@@ -59,7 +65,7 @@
   loadBucket(host: OwnedPart, name: string, value: BucketRecord, stamp: number): void {
     const { node } = this;
     const now = node.clock.now();
-    const bucket = new Bucket(name, stamp);
+    const bucket = new Bucket(name, stamp, node.layout);
     host.buckets.set(name, bucket);
     for (const [id, record] of Object.entries(value.chunks)) {
       const index = Number(id.slice(id.lastIndexOf('/') + 1));
@@ -78,15 +84,6 @@
     if (bucket.chunks.size === 0) bucket.stale = true;
   }
 
-  /** Chunks of a home job that nobody has stored yet: nothing of them was started. */
-  private loadUnstored(host: OwnedPart, id: string, record: JobRecord): void {
-    const now = this.node.clock.now();
-    for (const chunk of missingChunks(id, record, host.part.chunks, now)) {
-      host.part.accept(chunk, now);
-      this.node.cancelPreparations.apply(host, chunk);
-    }
-  }
-
   /**
    * A stored bucket has changed. Only what was just sent here is taken up: nothing of it can have been started
    * by this part's owners.
--- /dev/null
+++ b/src/coordination/pipelines/dependencyGraph.ts
@@ -0,0 +1,162 @@
+/**
+ * Which jobs wait for others, worked out from the stored states of jobs alone. A final state never changes, so every
+ * node that has read a record comes to the same result, without a message. Pure: it is told of records as they change,
+ * in any order, and each change costs work in proportion to what it changes.
+ */
+
+/** What the store says of a job; a job that is not known here yet is open. */
+export type StoredState = 'open' | 'done' | 'cancelled';
+
+/** An open job that names others. */
+interface Dependent {
+  /** Those of the jobs it names that are not known to be done. */
+  readonly pending: Set<string>;
+  /** Its own rank; larger goes first. */
+  readonly rank: number;
+  /** Steady time at which it was found to need a cancelled job; null: it does not. */
+  doomedAt: number | null;
+}
+
+export interface DependencyEvents {
+  /** All jobs that it needs are done. */
+  released(job: string): void;
+  /** It needs a cancelled job, directly or through others. */
+  doomed(job: string): void;
+  /** The highest rank of those that need it has changed. */
+  ranked(job: string): void;
+}
+
+export class DependencyGraph {
+  private readonly dependents = new Map<string, Dependent>();
+  /** By a job that is not done: those that name it. */
+  private readonly waiters = new Map<string, Set<string>>();
+  /** By a job that is not done: the highest rank of those that need it, directly or through others. */
+  private readonly inherited = new Map<string, number>();
+  private readonly doomed = new Set<string>();
+
+  constructor(
+    private readonly stateOf: (job: string) => StoredState | undefined,
+    private readonly events: DependencyEvents,
+  ) {}
+
+  /** It may not start: it waits for others, or is cancelled with one of them. */
+  isHeld(job: string): boolean {
+    return this.dependents.has(job);
+  }
+
+  /** Steady time at which it was found to need a cancelled job; null: it does not. */
+  doomedAt(job: string): number | null {
+    return this.dependents.get(job)?.doomedAt ?? null;
+  }
+
+  /** Open jobs that need a cancelled one. */
+  get doomedJobs(): ReadonlySet<string> {
+    return this.doomed;
+  }
+
+  /** The jobs that it waits for. */
+  blockersOf(job: string): string[] {
+    return [...(this.dependents.get(job)?.pending ?? [])];
+  }
+
+  /** The highest rank of the jobs that need it; below every rank when none does. */
+  inheritedRank(job: string): number {
+    return this.inherited.get(job) ?? -Infinity;
+  }
+
+  /** A job as the store has it. `now` is when this node learned of it; -Infinity: it may be long ago. */
+  note(job: string, state: StoredState, needs: readonly string[], rank: number, now: number): void {
+    if (state === 'open') this.add(job, needs, rank, now);
+    else this.finish(job, state, now);
+  }
+
+  private add(job: string, needs: readonly string[], rank: number, now: number): void {
+    if (needs.length === 0 || this.dependents.has(job)) return;
+    const pending = new Set<string>();
+    let isDoomed = false;
+    for (const need of needs) {
+      const state = this.stateOf(need);
+      if (state === 'done') continue;
+      pending.add(need);
+      isDoomed ||= state === 'cancelled' || this.doomed.has(need);
+    }
+    if (pending.size === 0) return;
+    this.dependents.set(job, { pending, rank, doomedAt: null });
+    for (const need of pending) {
+      const waiters = this.waiters.get(need) ?? new Set<string>();
+      this.waiters.set(need, waiters.add(job));
+    }
+    if (isDoomed) this.doom([job], now);
+    else this.rerank(pending);
+  }
+
+  private finish(job: string, state: 'done' | 'cancelled', now: number): void {
+    const waiters = this.waiters.get(job) ?? new Set<string>();
+    if (state === 'cancelled') this.doom(waiters, now);
+    this.waiters.delete(job);
+    this.inherited.delete(job);
+    this.remove(job);
+    if (state === 'cancelled') return;
+    for (const waiter of waiters) this.satisfy(waiter, job);
+  }
+
+  /** One of the jobs that it needs is done. */
+  private satisfy(job: string, need: string): void {
+    const dependent = this.dependents.get(job);
+    if (dependent === undefined) return;
+    dependent.pending.delete(need);
+    if (dependent.pending.size > 0 || dependent.doomedAt !== null) return;
+    this.dependents.delete(job);
+    this.events.released(job);
+  }
+
+  /** It is over itself, and needs nothing any more. */
+  private remove(job: string): void {
+    const dependent = this.dependents.get(job);
+    if (dependent === undefined) return;
+    this.dependents.delete(job);
+    this.doomed.delete(job);
+    for (const need of dependent.pending) {
+      const waiters = this.waiters.get(need);
+      if (waiters?.delete(job) === true && waiters.size === 0) this.waiters.delete(need);
+    }
+    this.rerank(dependent.pending);
+  }
+
+  /** They, and all that need them, are cancelled with a job that they need. */
+  private doom(jobs: Iterable<string>, now: number): void {
+    const open = [...jobs];
+    for (let job = open.pop(); job !== undefined; job = open.pop()) {
+      const dependent = this.dependents.get(job);
+      if (dependent === undefined || dependent.doomedAt !== null) continue;
+      dependent.doomedAt = now;
+      this.doomed.add(job);
+      this.events.doomed(job);
+      open.push(...(this.waiters.get(job) ?? []));
+      this.rerank(dependent.pending);
+    }
+  }
+
+  /** Works out anew what some jobs inherit, and, where that changes, what those that they need do. */
+  private rerank(jobs: Iterable<string>): void {
+    const open = [...jobs];
+    for (let job = open.pop(); job !== undefined; job = open.pop()) {
+      const before = this.inheritedRank(job);
+      let highest = -Infinity;
+      for (const waiter of this.waiters.get(job) ?? []) {
+        highest = Math.max(highest, this.effectiveRank(waiter));
+      }
+      if (highest === before) continue;
+      if (highest === -Infinity) this.inherited.delete(job);
+      else this.inherited.set(job, highest);
+      this.events.ranked(job);
+      open.push(...(this.dependents.get(job)?.pending ?? []));
+    }
+  }
+
+  private effectiveRank(job: string): number {
+    const dependent = this.dependents.get(job);
+    if (dependent === undefined || dependent.doomedAt !== null) return -Infinity;
+    return Math.max(dependent.rank, this.inheritedRank(job));
+  }
+}
--- a/src/coordination/reasons.ts
+++ b/src/coordination/reasons.ts
@@ -12,6 +12,8 @@
   if (!node.ownership.valid) {
     return `This node cannot reach the state service, so it starts nothing new for now.${tail}`;
   }
+  const held = node.pipelines.reason(spec.id);
+  if (held !== null) return `${held}${tail}`;
   const chunk = chunks.find((c) => c.pending > 0 || c.entries.size > c.running);
   if (chunk === undefined) {
     const total = chunks.length;
--- a/src/coordination/sender.ts
+++ b/src/coordination/sender.ts
@@ -1,6 +1,6 @@
 /** Sends jobs on: the sender-initiated path of the paper, for new chunks and for those that wait. */
 import { describe, log } from '../base/log.js';
-import type { JobSpec } from '../protocol/job.js';
+import { rankName, type JobSpec } from '../protocol/job.js';
 import type { Estimate } from '../protocol/peer.js';
 import { keys } from '../storage/records.js';
 import type { Chunk } from './chunk.js';
@@ -98,11 +98,13 @@
       // and again, and those behind them never.
       for (const chunk of nextToAsk(host.part.chunks.values(), 2, (chunk) => {
         const pause = this.threshold(chunk.spec);
+        if (chunk.isNewlyReleased) return chunk.movable && !this.asking.has(chunk);
         if (chunk.blockedSince === null || now - chunk.blockedSince < pause) return false;
         if (now - chunk.askedAt < Math.max(pause, node.settings.report)) return false;
         return chunk.movable && !this.asking.has(chunk);
       })) {
         chunk.askedAt = now;
+        chunk.isNewlyReleased = false;
         void this.sendOn(host, chunk);
       }
     }
@@ -113,7 +115,8 @@
     this.asking.add(chunk);
     try {
       const zone = chunk.zone ?? chunk.spec.zone;
-      const part = await this.choose(host, chunk.spec, zone, chunk.pending, chunk);
+      const spec: JobSpec = { ...chunk.spec, rank: rankName(chunk.rank) };
+      const part = await this.choose(host, spec, zone, chunk.pending, chunk);
       if (part === host.part.label || !host.alive || chunk.dropped) return;
       if (!chunk.movable) return;
       log.info(`sending ${chunk.id} from ${host.part.label} to ${part}`);
--- a/src/coordination/teamUsage.ts
+++ b/src/coordination/teamUsage.ts
@@ -17,6 +17,8 @@
   usedElsewhere(team: string): Amount;
   /** The first of a team's jobs that waits too long for the team's limit at another part. */
   starvedElsewhere(team: string): Starved | null;
+  /** The highest rank of the jobs that need a job; below every rank when none does. */
+  inheritedRank(job: string): number;
 }
 
 /** A job that has long been kept waiting by its team's limit. */
@@ -35,6 +37,7 @@
   guarantee: nothing,
   usedElsewhere: nothing,
   starvedElsewhere: () => null,
+  inheritedRank: () => -Infinity,
 };
 
 /** Room for rounding where amounts are added and taken away again. */
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -2,13 +2,14 @@
 import { acceptedAnswer, idPattern, jobAnswer, parseJob, type JobSpec } from '../protocol/job.js';
 import { keys, type JobRecord } from '../storage/records.js';
 import type { Reply } from '../transport/httpServer.js';
-import { Accepting } from './accepting.js';
+import { Accepting, type Submission } from './accepting.js';
 import { Chunk } from './chunk.js';
-import { chunkRanges, chunkSize, mayCut, zonesFor } from './chunks.js';
+import { chunkRanges, chunkSize, mayCut, zonesFor, type Range } from './chunks.js';
 import type { Controller } from './controller.js';
 import { fromRelay, JobLookup, PATIENCE } from './jobLookup.js';
 import type { OwnedPart } from './ownedPart.js';
 import { allows, holds } from './placement.js';
+import { checkNeeds, type Needs } from './pipelines/admission.js';
 import { limitOf } from './quotas.js';
 import { unavailable } from './replies.js';
 
@@ -85,7 +86,7 @@
       return `all of the gang together need more than the limit of team ${spec.team}`;
     }
     // Its record holds an entry for each task that runs.
-    if (spec.gang && spec.tasks * 120 > node.settings.valueBytes) {
+    if (spec.gang && spec.tasks * node.layout.sizes.task * 2 > node.layout.capacity(1)) {
       return 'a gang of this size cannot be recorded';
     }
     if (spec.zone !== null && !node.settings.zones.includes(spec.zone)) {
@@ -128,24 +129,83 @@
       if (before !== null) return this.known(spec.id);
       if (reason !== null) return { status: 422, body: { error: reason } };
     }
-    const { valueBytes, stateWriteRate } = node.settings;
-    const record: JobRecord = {
+    if (spec.waitsOn.length === 0) return this.store(home, spec, []);
+    if (!node.marks.isUpgraded) return unavailable('the service is being upgraded', 2);
+    const needs = await checkNeeds(spec, this.lookup);
+    return this.acceptDependent(home, spec, needs);
+  }
+
+  /** A job that names others, as they stand. */
+  private async acceptDependent(home: OwnedPart, spec: JobSpec, needs: Needs): Promise<Reply> {
+    switch (needs.kind) {
+      case 'unavailable':
+        return unavailable('the state service is out of reach');
+      case 'refused': {
+        // It may have been accepted before its retry reached us: that is never refused.
+        const before = await this.lookup.stored(spec.id);
+        if (before === undefined) return unavailable('the state service is out of reach');
+        if (before !== null) return this.known(spec.id);
+        return { status: 422, body: { error: needs.reason } };
+      }
+      case 'cancelled': {
+        // Accepted, and cancelled with the job that it names.
+        const record: JobRecord = { ...this.recordFor(home, spec), spec: null, state: 'cancelled' };
+        return this.storing.accept(home, { id: spec.id, record, first: [] }, PATIENCE);
+      }
+      case 'open':
+        // What is done already is done for good.
+        return this.store(home, { ...spec, waitsOn: needs.pending }, needs.pending);
+    }
+  }
+
+  private recordFor(home: OwnedPart, spec: JobSpec): JobRecord {
+    const { node } = this;
+    const most = node.layout.tasksFor(spec);
+    return {
       spec,
       home: home.part.label,
       state: 'open',
       tasks: spec.tasks,
       at: node.clock.wall(),
-      size: chunkSize(spec, home.part.cpus, valueBytes, node.parts.length),
+      size: chunkSize(spec, home.part.cpus, most, node.parts.length),
       zones: zonesFor(spec, this.zones(spec)),
       cut: 0,
       finished: [],
       away: [],
     };
+  }
+
+  /** Stores a job, with the chunks that go to peers; one that waits for others has none yet. */
+  private async store(home: OwnedPart, spec: JobSpec, waitsFor: string[]): Promise<Reply> {
+    const { node } = this;
+    const record = this.recordFor(home, spec);
     const ranges = chunkRanges(spec.tasks, record.size, record.zones);
-    const most = Math.min(4, node.settings.txnOps - 2, Math.floor(stateWriteRate / 4));
+    const { txnOps, stateWriteRate } = node.settings;
+    const most = Math.min(4, txnOps - 2, Math.floor(stateWriteRate / 4));
+    const atOnce = ranges.slice(0, Math.max(2, most)).filter((_, k) => mayCut(record, k));
+    record.cut = atOnce.length;
+    const key = keys.job(spec.id);
+    if (node.layout.isCompact && node.layout.bytes(key, record) > node.layout.capacity(1)) {
+      return { status: 400, body: { error: 'the description is too large to be stored' } };
+    }
+    const isLarge = node.layout.operations(key, record) > 1;
+    // A record in pieces leaves no room in its transaction for chunks of peers.
+    const first =
+      waitsFor.length > 0 || isLarge ? [] : await this.place(home, spec, record.at, atOnce);
+    record.away = first.flatMap((f, k) => (f.part === home.part.label ? [] : [k]));
+    return this.storing.accept(home, { id: spec.id, record, first }, PATIENCE);
+  }
+
+  /** Chooses a part for each of the first chunks. */
+  private place(
+    home: OwnedPart,
+    spec: JobSpec,
+    at: number,
+    atOnce: Range[],
+  ): Promise<Submission['first']> {
+    const { node } = this;
     const now = node.clock.now();
     const { label } = home.part;
-    const atOnce = ranges.slice(0, Math.max(2, most)).filter((_, k) => mayCut(record, k));
     // Most chunks of a job are of one size, and the same question has the same answer: it is asked once.
     const choices = new Map<string, Promise<string>>();
     const choose = (zone: string | null, count: number): Promise<string> => {
@@ -154,18 +214,15 @@
       choices.set(question, choice);
       return choice;
     };
-    const first = await Promise.all(
+    return Promise.all(
       atOnce.map(async (range, index) => {
         const { from, to, zone } = range;
         const part = await choose(zone ?? spec.zone, to - from);
-        const chunk = new Chunk(spec, index, label, record.at, from, to, zone, now);
+        const chunk = new Chunk(spec, index, label, at, from, to, zone, now);
         if (part !== label) chunk.moves = 1;
         return { part, chunk };
       }),
     );
-    record.cut = first.length;
-    record.away = first.flatMap((f, k) => (f.part === label ? [] : [k]));
-    return this.storing.accept(home, { id: spec.id, record, first }, PATIENCE);
   }
 
   async read(id: string, relayed: boolean): Promise<Reply> {
--- a/src/protocol/job.ts
+++ b/src/protocol/job.ts
@@ -5,6 +5,12 @@
 /** Larger goes first. */
 export const rankOrder: Record<Rank, number> = { prod: 3, high: 2, normal: 1, idle: 0 };
 
+/** The rank's name. */
+export function rankName(order: number): Rank {
+  const names = Object.keys(rankOrder) as Rank[];
+  return names.find((name) => rankOrder[name] === order) ?? 'idle';
+}
+
 export interface JobSpec {
   id: string;
   jobClass: string;
@@ -28,6 +34,8 @@
   checkpoint: number;
   save: number;
   due: number | null;
+  /** Jobs that have to be done before any task of this one starts. */
+  waitsOn: string[];
 }
 
 const LIMIT = 1e12;
@@ -38,8 +46,10 @@
 /** The form of an id, which also makes it safe inside a key of the state service. */
 export const idPattern = /^wk-[0-9A-Za-z_.-]{1,100}$/;
 
+const jobId = v.pipe(v.string(), v.regex(idPattern));
+
 const schema = v.object({
-  Uid: v.pipe(v.string(), v.regex(idPattern)),
+  Uid: jobId,
   Jobclass: name,
   Owner: name,
   Shape: v.picklist(['sweep', 'daemon', 'ensemble']),
@@ -59,6 +69,7 @@
   SnapshotS: amount,
   FlushS: amount,
   DueS: v.nullish(amount),
+  WaitsOn: v.nullish(v.array(jobId)),
 });
 
 export type Parsed = { job: JobSpec } | { error: string };
@@ -99,6 +110,7 @@
       checkpoint: w.SnapshotS,
       save: w.FlushS,
       due: w.DueS ?? null,
+      waitsOn: [...new Set(w.WaitsOn)],
     },
   };
 }
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -274,5 +274,10 @@
   return value;
 }
 
-export const encodeSpec = (spec: JobSpec): string => JSON.stringify(spec);
-export const decodeSpec = (text: string): JobSpec => JSON.parse(text) as JobSpec;
+/** A description as questions hold it. What it waits for is over by the time that anybody is asked. */
+export const encodeSpec = (spec: JobSpec): string =>
+  JSON.stringify({ ...spec, waitsOn: undefined });
+export const decodeSpec = (text: string): JobSpec => ({
+  ...(JSON.parse(text) as Omit<JobSpec, 'waitsOn'>),
+  waitsOn: [],
+});
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -15,6 +15,9 @@
 );
 const name = v.pipe(v.string(), v.nonEmpty());
 
+// A chunk that moves changes two buckets and its job's record at once.
+const txnOps = v.pipe(v.number(), v.integer(), v.minValue(3));
+
 const schema = v.object({
   label: name,
   site: name,
@@ -50,8 +53,17 @@
       rps: positive,
       write_rps: positive,
       value_kb: positive,
-      // A chunk that moves changes two buckets and its job's record at once.
-      txn_ops: v.pipe(v.number(), v.integer(), v.minValue(3)),
+      txn_ops: txnOps,
+      // Limits that come into force at some later moment, without notice.
+      next: v.optional(
+        v.object({
+          rps: v.optional(positive),
+          write_rps: v.optional(positive),
+          value_kb: v.optional(positive),
+          txn_ops: v.optional(txnOps),
+        }),
+        {},
+      ),
     }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     limits: v.object({ cores: positive, ram_mb: positive, fd_limit: positive }),
@@ -89,6 +101,7 @@
   report: number;
   lease: number;
   cancel: number;
+  /** Limits of the state service: of those in force and those to come, the smaller. */
   stateRate: number;
   stateWriteRate: number;
   valueBytes: number;
@@ -99,6 +112,10 @@
   cores: number;
 }
 
+/** The limit that holds now and later. */
+const smaller = (present: number, next: number | undefined): number =>
+  Math.min(present, next ?? present);
+
 export function parseSettings(text: string): Settings {
   let raw: unknown;
   try {
@@ -139,10 +156,10 @@
     report: s.workers.report_s,
     lease: s.workers.lease_s,
     cancel: s.workers.cancel_s,
-    stateRate: s.state.rps,
-    stateWriteRate: s.state.write_rps,
-    valueBytes: s.state.value_kb * 1024,
-    txnOps: s.state.txn_ops,
+    stateRate: smaller(s.state.rps, s.state.next.rps),
+    stateWriteRate: smaller(s.state.write_rps, s.state.next.write_rps),
+    valueBytes: smaller(s.state.value_kb, s.state.next.value_kb) * 1024,
+    txnOps: smaller(s.state.txn_ops, s.state.next.txn_ops),
     cloudRate: s.cloud.rps,
     listLag: s.cloud.list_lag_s,
     maxSockets: s.limits.fd_limit,
--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -73,6 +73,14 @@
   return result.success ? result.output.failed : [];
 }
 
+const errorSchema = v.object({ error: v.string() });
+
+/** What an answer says of its refusal; empty when it says nothing. */
+export function parseError(raw: unknown): string {
+  const result = v.safeParse(errorSchema, raw);
+  return result.success ? result.output.error : '';
+}
+
 export function parseGrant(raw: unknown): number | null {
   const result = v.safeParse(grantSchema, raw);
   return result.success ? result.output.Hold : null;
--- a/src/storage/buckets.ts
+++ b/src/storage/buckets.ts
@@ -8,6 +8,8 @@
   part: string;
   bucket: string;
   record: ChunkRecord;
+  /** The revision of the bucket's record. */
+  stamp: number;
 }
 
 export class Buckets {
@@ -24,7 +26,7 @@
   }
 
   /** Follows one bucket's record; null: it has been removed. */
-  note(part: string, bucket: string, value: BucketRecord | null): void {
+  note(part: string, bucket: string, value: BucketRecord | null, stamp: number): void {
     const key = `${part}/${bucket}`;
     for (const id of this.members.get(key) ?? []) {
       const known = this.chunks.get(id);
@@ -38,7 +40,10 @@
     }
     this.members.set(key, Object.keys(value.chunks));
     for (const [id, record] of Object.entries(value.chunks)) {
-      this.chunks.set(id, { part, bucket, record });
+      const known = this.chunks.get(id);
+      // A record beyond the limit keeps old copies of chunks until it is removed (safety, V5).
+      const isOlder = known?.part === part && known.stamp > stamp;
+      if (!isOlder) this.chunks.set(id, { part, bucket, record, stamp });
     }
   }
 }
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -8,20 +8,27 @@
  *   b/run/PART/SHELF     some chunks of jobs, at the part that runs them
  *   b/fleet/ASK          a rental that was or will be sent, then its machines, and their part
  *   b/quota/TEAM         how a team's limit is shared out to the parts
+ *   b/node/LABEL         which layout a node can read; a node of the first version has none
+ *   b/piece/KEY/N        what did not fit in the record under KEY
  */
 import type { JobSpec } from '../protocol/job.js';
 
 export const ROOT = 'b/';
+export const JOBS = 'b/job/';
+export const BUCKETS = 'b/run/';
+export const PIECES = 'b/piece/';
 
 export const keys = {
   token: 'b/token',
   types: 'b/types',
   owner: (part: string): string => `b/own/${part}`,
-  job: (id: string): string => `b/job/${id}`,
-  run: (part: string, bucket: string): string => `b/run/${part}/${bucket}`,
-  runs: (part: string): string => `b/run/${part}/`,
+  job: (id: string): string => `${JOBS}${id}`,
+  run: (part: string, bucket: string): string => `${BUCKETS}${part}/${bucket}`,
+  runs: (part: string): string => `${BUCKETS}${part}/`,
   group: (ask: string): string => `b/fleet/${ask}`,
   quota: (team: string): string => `b/quota/${team}`,
+  node: (label: string): string => `b/node/${label}`,
+  piece: (key: string, index: number): string => `${PIECES}${key}/${index}`,
 };
 
 /**
@@ -45,6 +52,11 @@
   process: string;
 }
 
+/** Tells that a node has the version that it names, or a later one. */
+export interface NodeRecord {
+  layout: number;
+}
+
 export interface JobRecord {
   /** Dropped once the job is over, so that final states, which are kept for good, stay small. */
   spec: JobSpec | null;
--- a/src/storage/stateClient.ts
+++ b/src/storage/stateClient.ts
@@ -1,8 +1,11 @@
 import type { Clock } from '../base/clock.js';
 import { sleep } from '../base/clock.js';
+import { log } from '../base/log.js';
 import { CallFailed, type HttpClient, type Response } from '../transport/httpClient.js';
 import * as wire from '../protocol/state.js';
 import { Budget, shareOf, type Urgency } from './budget.js';
+import { isPiece, joinPieces, pieceCount, type RecordLayout } from './recordLayout.js';
+import { keys } from './records.js';
 
 /** The state service could not be asked, or refused: nothing is known to have been carried out. */
 export class Unavailable extends Error {}
@@ -14,7 +17,9 @@
   | { kind: 'unknown' }
   | { kind: 'refused' }
   /** A put named a lease that has ended. */
-  | { kind: 'no-lease' };
+  | { kind: 'no-lease' }
+  /** Malformed, or beyond a limit: as it is, it will never be taken. */
+  | { kind: 'malformed' };
 
 export interface StateClientOptions {
   endpoint: string;
@@ -25,6 +30,12 @@
   timeout: number;
 }
 
+/** How often a record in pieces is read while others change it between the reads. */
+const PIECE_TRIES = 5;
+
+/** What the state service answers to a put under a lease that has ended. */
+const NO_LEASE = 'no such lease';
+
 /** What is left of the limits for what the others' word, being old, does not tell of. */
 const CAUTION = 0.92;
 
@@ -35,11 +46,14 @@
   lastServed = -Infinity;
   /** Steady time of the last refusal or silence. */
   lastFailed = -Infinity;
+  /** How many pieces each record had when it was last read or written, if any. */
+  private readonly pieces = new Map<string, number>();
 
   constructor(
     private readonly http: Pick<HttpClient, 'call'>,
     private readonly clock: Clock,
     private readonly options: StateClientOptions,
+    private readonly layout: RecordLayout,
   ) {
     const { rate, writeRate, sharers } = options;
     this.requests = new Budget(clock, rate / sharers, rate / sharers);
@@ -119,7 +133,20 @@
     }
   }
 
+  /** One record, its pieces joined. */
   async get(key: string): Promise<wire.Item | null> {
+    for (let tries = 0; tries < PIECE_TRIES; tries++) {
+      const head = await this.getRow(key);
+      if (head === null) return null;
+      const indexes = Array.from({ length: pieceCount(head.value) }, (_, i) => i + 1);
+      const pieces = await Promise.all(indexes.map((i) => this.getRow(keys.piece(key, i))));
+      const item = this.join(head, pieces);
+      if (item !== null) return item;
+    }
+    throw new Unavailable('a record keeps changing');
+  }
+
+  private async getRow(key: string): Promise<wire.Item | null> {
     const response = await this.ask('GET', wire.paths.key(key));
     if (response.status === 404) return null;
     const item = wire.parseItem(response.body);
@@ -127,21 +154,57 @@
     return item;
   }
 
+  /** A head with its pieces, all of one revision; null when they are not. */
+  private join(head: wire.Item, pieces: (wire.Item | null | undefined)[]): wire.Item | null {
+    const { key, stamp } = head;
+    if (pieces.some((piece) => piece?.stamp !== stamp)) return null;
+    this.notePieces(key, pieces.length);
+    const value =
+      pieces.length === 0
+        ? head.value
+        : joinPieces(
+            head.value,
+            pieces.map((piece) => piece?.value),
+          );
+    return { key, value: this.layout.decode(key, value), stamp };
+  }
+
+  private notePieces(key: string, count: number): void {
+    if (count > 0) this.pieces.set(key, count);
+    else this.pieces.delete(key);
+  }
+
   /** All items below a prefix, with a revision not newer than any of them was read at. */
   async range(prefix: string): Promise<{ items: wire.Item[]; epoch: number }> {
-    const items: wire.Item[] = [];
+    const rows = new Map<string, wire.Item>();
     let epoch: number | null = null;
-    for (let after = ''; ;) {
+    for (let after = '', more = true; more;) {
       const target = wire.paths.range(prefix, after, wire.RANGE_PAGE);
       const response = await this.ask('GET', target, undefined, this.options.timeout * 3);
       const page = wire.parseRange(response.body);
       if (response.status !== 200 || page === null) throw new Unavailable('odd answer');
-      items.push(...page.items);
+      for (const item of page.items) rows.set(item.key, item);
       epoch ??= page.epoch;
       const last = page.items[page.items.length - 1];
-      if (!page.more || last === undefined) return { items, epoch };
-      after = last.key;
+      more = page.more && last !== undefined;
+      after = last?.key ?? '';
+    }
+    return { items: await this.joinAll(rows), epoch: epoch ?? 0 };
+  }
+
+  /** The records of many rows; what changed between the pages is read again by itself. */
+  private async joinAll(rows: Map<string, wire.Item>): Promise<wire.Item[]> {
+    const items: wire.Item[] = [];
+    for (const row of rows.values()) {
+      if (isPiece(row.key)) continue;
+      const joined = this.join(
+        row,
+        piecesOf(row, (key) => rows.get(key)),
+      );
+      const item = joined ?? (await this.get(row.key));
+      if (item !== null) items.push(item);
     }
+    return items;
   }
 
   /** Waits for the turn of a transaction that will be made, with `granted`, from what is known then. */
@@ -155,23 +218,61 @@
   }
 
   async txn(txn: wire.Txn, urgency: Urgency | 'granted' = 'later'): Promise<TxnResult> {
-    const cost = txn.puts.length + txn.removes.length;
+    const stored = this.encodeTxn(txn);
+    const cost = stored.puts.length + stored.removes.length;
     if (cost > 0 && urgency !== 'granted') await this.writes.take(cost, urgency);
+    // Pieces are not part of the turn that was waited for.
+    const extra = cost - txn.puts.length - txn.removes.length;
+    if (extra > 0 && urgency === 'granted') this.writes.charge(extra, 'urgent');
     await this.requests.take(1, urgency === 'granted' ? 'ownership' : urgency);
     let response: Response;
     try {
-      response = await this.call('POST', wire.paths.txn, wire.txnRequest(txn));
+      response = await this.call('POST', wire.paths.txn, wire.txnRequest(stored));
     } catch (error) {
       if (error instanceof CallFailed && error.unsent) return { kind: 'refused' };
       return { kind: 'unknown' };
     }
+    const result = this.resultOf(response);
+    if (result.kind === 'applied') this.noteWritten(txn);
+    if (result.kind === 'malformed') logMalformed(stored);
+    return result;
+  }
+
+  /** The transaction as it is sent: values in their layout, large ones in pieces. */
+  private encodeTxn(txn: wire.Txn): wire.Txn {
+    const puts: wire.Txn['puts'] = [];
+    const removes = [...txn.removes];
+    const removePieces = (key: string, from: number): void => {
+      for (let i = from; i <= (this.pieces.get(key) ?? 0); i++) removes.push(keys.piece(key, i));
+    };
+    for (const { key, value, hold } of txn.puts) {
+      const [head, ...pieces] = this.layout.encodePuts(key, value);
+      puts.push(hold === undefined ? head : { ...head, hold }, ...pieces);
+      removePieces(key, pieces.length + 1);
+    }
+    for (const key of txn.removes) removePieces(key, 1);
+    return { when: txn.when, puts, removes };
+  }
+
+  private noteWritten(txn: wire.Txn): void {
+    for (const { key, value } of txn.puts) {
+      if (!this.layout.isCompact && !this.pieces.has(key)) continue;
+      this.notePieces(key, this.layout.operations(key, value) - 1);
+    }
+    for (const key of txn.removes) this.pieces.delete(key);
+  }
+
+  private resultOf(response: Response): TxnResult {
     if (response.status === 200) {
       return { kind: 'applied', stamp: wire.parseEpoch(response.body) ?? 0 };
     }
     if (response.status === 409) {
       return { kind: 'conflict', failed: wire.parseFailed(response.body) };
     }
-    if (response.status === 400) return { kind: 'no-lease' };
+    if (response.status === 400) {
+      const isLease = wire.parseError(response.body).includes(NO_LEASE);
+      return { kind: isLease ? 'no-lease' : 'malformed' };
+    }
     if (response.status === 429) {
       this.writes.punish();
       this.requests.punish();
@@ -208,8 +309,45 @@
     const target = wire.paths.changes(prefix, from, hold);
     const response = await this.ask('GET', target, undefined, hold + this.options.timeout);
     if (response.status === 410) return null;
-    const log = wire.parseLog(response.body);
-    if (response.status !== 200 || log === null) throw new Unavailable('odd answer');
-    return log;
+    const told = wire.parseLog(response.body);
+    if (response.status !== 200 || told === null) throw new Unavailable('odd answer');
+    return { epoch: told.epoch, changes: await this.joinChanges(told.changes) };
   }
+
+  /** A head and its pieces are changed together, so a log that has the one has the others. */
+  private async joinChanges(changes: wire.Change[]): Promise<wire.Change[]> {
+    const pieces = new Map<string, wire.Item>();
+    const versioned = (key: string, stamp: number): string => `${key}@${stamp}`;
+    for (const change of changes) {
+      if (isPiece(change.key)) pieces.set(versioned(change.key, change.stamp), change);
+    }
+    const joined: wire.Change[] = [];
+    for (const change of changes) {
+      if (isPiece(change.key)) continue;
+      if (change.removed) {
+        this.pieces.delete(change.key);
+        joined.push(change);
+        continue;
+      }
+      const found = piecesOf(change, (key) => pieces.get(versioned(key, change.stamp)));
+      const item = this.join(change, found) ?? (await this.get(change.key));
+      if (item !== null) joined.push({ ...item, removed: false });
+    }
+    return joined;
+  }
+}
+
+/** The pieces that a head names, as far as they are known. */
+const piecesOf = (
+  head: wire.Item,
+  find: (key: string) => wire.Item | undefined,
+): (wire.Item | undefined)[] =>
+  Array.from({ length: pieceCount(head.value) }, (_, i) => find(keys.piece(head.key, i + 1)));
+
+function logMalformed({ puts, removes }: wire.Txn): void {
+  const sizes = puts.map(({ key, value }) => `${key} ${JSON.stringify(value).length}`);
+  log.error(
+    `the state service calls a change malformed: ${puts.length + removes.length} operations, ` +
+      `bytes of ${sizes.join(', ')}`,
+  );
 }
--- a/test/accepting.test.ts
+++ b/test/accepting.test.ts
@@ -6,6 +6,7 @@
 import { ownPart, type OwnedPart } from '../src/coordination/ownedPart.js';
 import { keys, type JobRecord, type BucketRecord } from '../src/storage/records.js';
 import type { Reply } from '../src/transport/httpServer.js';
+import { layoutFor } from './support/layout.js';
 import { emptyPart } from './support/part.js';
 import { spec } from './support/spec.js';
 import { MemoryStore } from './support/store.js';
@@ -28,7 +29,8 @@
     const node: AcceptingNode = {
       process: 'x',
       parts: ['p', 'q'],
-      settings: { txnOps: 16, valueBytes: this.store.limits.value },
+      settings: { txnOps: 16 },
+      layout: layoutFor(this.store.limits.value),
       clock: { now: () => this.now, wall: () => this.now },
       state: this.store,
       replica: {
@@ -38,7 +40,7 @@
         },
       },
       ownership: { valid: true, verifyOwner: () => Promise.resolve() },
-      commits: { write: (_, txn) => this.store.txn(txn) },
+      commits: { write: (_, txn) => this.store.txn(txn), acceptMissing: () => undefined },
       requestRound: () => undefined,
     };
     this.accepting = new Accepting(node, (id) =>
--- a/test/cancelling.test.ts
+++ b/test/cancelling.test.ts
@@ -147,6 +147,7 @@
     ownedParts: new Map([['p', host]]),
     replica: { get: () => undefined, syncedAt: NOW },
     peers: { prepareCancel: () => Promise.resolve(false) },
+    isHeld: () => false,
     requestRound: () => undefined,
   });
   return { cancelPreparations, chunk };
@@ -204,6 +205,7 @@
         prepareCancel: (_job, _timeout, note) =>
           Promise.resolve(found.map(note).some((done) => done)),
       },
+      isHeld: () => false,
       requestRound: () => undefined,
     });
     const finished = name.endsWith('is done') ? [0] : [];
--- a/test/commits.test.ts
+++ b/test/commits.test.ts
@@ -7,6 +7,7 @@
 import { Buckets } from '../src/storage/buckets.js';
 import { keys, type JobRecord } from '../src/storage/records.js';
 import { Replica } from '../src/storage/replica.js';
+import { layoutFor } from './support/layout.js';
 import { emptyPart } from './support/part.js';
 import { spec } from './support/spec.js';
 import { MemoryStore } from './support/store.js';
@@ -41,11 +42,12 @@
       {
         ownedParts,
         isBeingCancelled: () => false,
+        isHeld: () => false,
         valid: () => true,
         verifyOwner: () => Promise.resolve(),
         stored: () => undefined,
       },
-      { txnOps: 16, valueBytes: 16384, linger: 2, retry: 0.001, process: 'x' },
+      { txnOps: 16, layout: layoutFor(), linger: 2, retry: 0.001, process: 'x' },
     );
     const record: JobRecord = {
       spec: spec({ id: ID, tasks: 24 }),
--- a/test/meetingsOfUsers.test.ts
+++ b/test/meetingsOfUsers.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { BucketRecord } from '../src/storage/records.js';
+import { layoutFor } from './support/layout.js';
 import { pause, submission, until, type Cluster } from './support/cluster.js';
 import {
   accept,
@@ -256,7 +257,7 @@
       cluster.state.swallow = (body: TxnBody): boolean =>
         body.Then?.some(
           ({ Put: key, Value: value }) =>
-            key?.startsWith('b/run/') === true && hasDone(value as BucketRecord, 'wk-000851/0'),
+            key?.startsWith('b/run/') === true && hasDone(key, value, 'wk-000851/0'),
         ) === true;
       await until('three of its tasks have ended', () => running('wk-000851') === 1);
       await accept(cluster, 'drone-1', submission('wk-000852', { Pieces: 3 }));
@@ -274,5 +275,8 @@
     },
   ));
 
-const hasDone = (bucket: BucketRecord, chunk: string): boolean =>
-  (bucket.chunks[chunk]?.done.length ?? 0) > 0;
+/** Whether a stored bucket, in either layout, tells of ended tasks of a chunk. */
+function hasDone(key: string, value: unknown, chunk: string): boolean {
+  const { chunks } = layoutFor().decode(key, value) as BucketRecord;
+  return (chunks[chunk]?.done.length ?? 0) > 0;
+}
--- a/test/partLoader.test.ts
+++ b/test/partLoader.test.ts
@@ -9,6 +9,7 @@
   type MachineRecord,
 } from '../src/storage/records.js';
 import type { Stored } from '../src/storage/replica.js';
+import { layoutFor } from './support/layout.js';
 import { emptyPart, m8 } from './support/part.js';
 import { spec } from './support/spec.js';
 
@@ -60,6 +61,8 @@
     },
     state: { get: () => Promise.resolve(null) },
     cancelPreparations: { apply: () => undefined },
+    commits: { acceptMissing: () => undefined },
+    layout: layoutFor(),
     requestRound: () => undefined,
   };
 }
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -160,14 +160,14 @@
 
 test('chunks fit a part and a record', () => {
   const cases: [string, number, number, number, number, number, number][] = [
-    ['what the part can run at once', 4, 60, 128, 32768, 3, 32],
-    ['what a record can hold', 1, 100_000, 100_000, 16384, 5, 136],
-    ['a part without machines gets the job whole', 4, 60, 0, 32768, 3, 60],
-    ['a small part: no more than two chunks for each part', 4, 60, 8, 32768, 3, 10],
-    ['never less than eight', 4, 12, 8, 32768, 3, 8],
+    ['what the part can run at once', 4, 60, 128, 273, 3, 32],
+    ['what a record can hold', 1, 100_000, 100_000, 136, 5, 136],
+    ['a part without machines gets the job whole', 4, 60, 0, 273, 3, 60],
+    ['a small part: no more than two chunks for each part', 4, 60, 8, 273, 3, 10],
+    ['never less than eight', 4, 12, 8, 273, 3, 8],
   ];
-  for (const [name, cpus, tasks, partCpus, bytes, parts, size] of cases) {
-    assert.equal(chunkSize(spec({ cpus, tasks }), partCpus, bytes, parts), size, name);
+  for (const [name, cpus, tasks, partCpus, mostTasks, parts, size] of cases) {
+    assert.equal(chunkSize(spec({ cpus, tasks }), partCpus, mostTasks, parts), size, name);
   }
 });
 
--- a/test/sizes.test.ts
+++ b/test/sizes.test.ts
@@ -3,8 +3,11 @@
 import { test } from 'node:test';
 import { chunkRanges, chunkSize } from '../src/coordination/chunks.js';
 import { groupLimit } from '../src/coordination/provisioning/machinePool.js';
-import { ENTRY_BYTES, FRAME_BYTES } from '../src/coordination/bucket.js';
 import { RENT_LIMIT } from '../src/protocol/cloud.js';
+import type { JobSpec } from '../src/protocol/job.js';
+import { Chunk } from '../src/coordination/chunk.js';
+import { keys, type BucketRecord } from '../src/storage/records.js';
+import { layoutFor } from './support/layout.js';
 import { submission, until } from './support/cluster.js';
 import { spec } from './support/spec.js';
 import { accept, status, withCluster } from './support/users.js';
@@ -33,9 +36,25 @@
     ));
 }
 
-for (const kilobytes of [4, 16, 32, 64]) {
+/** The record of a chunk whose tasks all run, each on a machine of its own, with numbers as long as they get. */
+function fullRecord(job: JobSpec, size: number): BucketRecord {
+  const chunk = new Chunk(job, 0, 'drone-100', 1764637200.123, 0, size, 'zone', 0);
+  const entries = Array.from({ length: size }, (_, i) => ({
+    task: 90_000 + i,
+    attempt: 1000,
+    machine: 'n-000000000',
+    session: 10 + (i % 90),
+  }));
+  return { chunks: { 'wk-000000/0': { ...chunk.record(), entries, next: 1000, moves: 3 } } };
+}
+
+for (const [kilobytes, isCompact] of [
+  ...[4, 16, 32, 64].map((size) => [size, false] as const),
+  ...[2, 4, 16, 32, 64].map((size) => [size, true] as const),
+]) {
   const value = kilobytes * 1024;
-  test(`records stay within values of ${kilobytes} KiB`, () => {
+  const layout = layoutFor(value, 16, isCompact);
+  test(`records stay within values of ${kilobytes} KiB, layout ${isCompact ? 2 : 1}`, () => {
     assert.ok(groupLimit(value) >= 1 && groupLimit(value) <= RENT_LIMIT);
     const machine = { 'n-000000000': { at: 1764637200.123, address: '10.255.255.255:65535' } };
     assert.ok(groupLimit(value) * JSON.stringify(machine).length < value);
@@ -43,14 +62,14 @@
       for (const cpus of [0, 8, 64, 8000]) {
         for (const tasks of [1, 120, 5000]) {
           const job = spec({ tasks, cpus: 4 });
-          const size = chunkSize(job, cpus, value, parts);
+          const size = chunkSize(job, cpus, layout.tasksFor(job), parts);
           const ranges = chunkRanges(tasks, size, []);
           assert.equal(
             ranges.reduce((n, r) => n + r.to - r.from, 0),
             tasks,
           );
           // All tasks of a chunk may run at once, each an entry of its record.
-          const bytes = JSON.stringify(job).length + FRAME_BYTES + size * ENTRY_BYTES;
+          const bytes = layout.bytes(keys.run('p', 's'), fullRecord(job, size));
           assert.ok(bytes < value, `${size} tasks take ${bytes} bytes`);
         }
       }
--- a/test/storing.test.ts
+++ b/test/storing.test.ts
@@ -9,6 +9,7 @@
 import { Fleet } from '../src/storage/fleet.js';
 import { keys, type GroupRecord, type BucketRecord } from '../src/storage/records.js';
 import { Buckets } from '../src/storage/buckets.js';
+import { layoutFor } from './support/layout.js';
 import { emptyPart, m8 } from './support/part.js';
 import { spec } from './support/spec.js';
 import { MemoryStore } from './support/store.js';
@@ -48,13 +49,13 @@
   const buckets = new Buckets();
   const chunk = new Chunk(spec(), 0, 'p', 1, 0, 4, null, 0);
   const record = { chunks: { 'wk-1/0': chunk.record() } };
-  buckets.note('p', 's1', record);
+  buckets.note('p', 's1', record, 1);
   assert.equal(buckets.find('wk-1/0')?.part, 'p');
   // It moves: the new bucket may be heard of before the old one is changed.
-  buckets.note('q', 's9', record);
-  buckets.note('p', 's1', { chunks: {} });
+  buckets.note('q', 's9', record, 2);
+  buckets.note('p', 's1', { chunks: {} }, 2);
   assert.equal(buckets.find('wk-1/0')?.part, 'q');
-  buckets.note('q', 's9', null);
+  buckets.note('q', 's9', null, 3);
   assert.equal(buckets.find('wk-1/0'), undefined);
 });
 
@@ -122,7 +123,7 @@
           }
         },
       },
-      { txnOps: 16, valueBytes: 16384, linger: 2, retry: 0.001, process: 'x' },
+      { txnOps: 16, layout: layoutFor(), linger: 2, retry: 0.001, process: 'x' },
     );
   }
 
--- /dev/null
+++ b/test/support/layout.ts
@@ -0,0 +1,8 @@
+import { RecordLayout } from '../../src/storage/recordLayout.js';
+
+/** A layout of records for these limits of the state service; compact once every node has the present version. */
+export function layoutFor(valueBytes = 16 * 1024, txnOps = 16, isCompact = false): RecordLayout {
+  const layout = new RecordLayout({ valueBytes, txnOps });
+  if (isCompact) layout.useCompact();
+  return layout;
+}
--- a/test/support/spec.ts
+++ b/test/support/spec.ts
@@ -23,6 +23,7 @@
   checkpoint: 0,
   save: 0,
   due: null,
+  waitsOn: [],
   ...changes,
 });
 
