--- a/src/coordination/bucketWriter.ts
+++ b/src/coordination/bucketWriter.ts
@@ -24,7 +24,10 @@
 }
 
 /** What is needed of the state service and of our copy of the records. */
-export type Store = Pick<StateClient, 'txn' | 'get' | 'turn' | 'writeRate' | 'writeDelay'>;
+export type Store = Pick<
+  StateClient,
+  'txn' | 'get' | 'turn' | 'writeRate' | 'writeDelay' | 'operations'
+>;
 export type Copy = Pick<Replica, 'get' | 'note' | 'noteRemoved'>;
 
 export interface BucketWriterOptions {
@@ -141,7 +144,7 @@
     for (const [bucket, how] of due) {
       if (host.writing >= TRANSACTIONS) break;
       const size = bucket.bytes;
-      const cost = this.operationsFor(size);
+      const cost = this.operationsFor(host, bucket, size);
       const isFull = operations + cost > most || bytes + size > TXN_BYTES * TXN_SHARE;
       if (batch.length > 0 && isFull) send();
       batch.push(bucket);
@@ -153,9 +156,12 @@
   }
 
   /** Puts that a bucket of this size takes: a large one is stored in pieces. */
-  private operationsFor(bytes: number): number {
+  private operationsFor(host: OwnedPart, bucket: Bucket, bytes: number): number {
     const { layout } = this.options;
-    return layout.isCompact ? Math.max(1, Math.ceil(bytes / (layout.valueBytes * VALUE_SHARE))) : 1;
+    if (!layout.isCompact) return 1;
+    // The record is made when its turn comes, and may be a little larger by then.
+    const most = Math.ceil(bytes / (layout.valueBytes * VALUE_SHARE));
+    return Math.max(most, this.client.operations(this.key(host, bucket), null));
   }
 
   /** Onto the fullest bucket of its kind that is sure to hold it, or a new one. */
--- a/src/coordination/provisioning/groupStore.ts
+++ b/src/coordination/provisioning/groupStore.ts
@@ -156,10 +156,11 @@
     }
   }
 
-  /** The groups that hold any of the machines, without them: as many as fit a transaction. */
+  /** The groups that hold any of the machines, without them: as many as fit a transaction, or one. */
   private withoutMachines(machines: string[]): Map<string, GroupRecord | null> {
-    const { fleet, replica, settings } = this.node;
-    const groups = new Map<string, GroupRecord>();
+    const { fleet, replica, settings, state } = this.node;
+    const groups = new Map<string, GroupRecord | null>();
+    const operations = new Map<string, number>();
     let bytes = 0;
     for (const machine of machines) {
       const name = fleet.groupOf(machine);
@@ -167,14 +168,16 @@
       const stored = replica.get(keys.group(name))?.value as GroupRecord | undefined;
       const before = groups.get(name) ?? stored;
       if (before === undefined) continue;
-      if (!groups.has(name)) {
-        bytes += JSON.stringify(before).length;
-        if (groups.size >= settings.txnOps || bytes > TXN_BYTES) break;
-      }
+      if (!groups.has(name)) bytes += JSON.stringify(before).length;
       const rest = Object.entries(before.machines).filter(([other]) => other !== machine);
-      groups.set(name, { ...before, machines: Object.fromEntries(rest) });
+      const after = rest.length === 0 ? null : { ...before, machines: Object.fromEntries(rest) };
+      const others = [...operations].filter(([other]) => other !== name);
+      const cost = state.operations(keys.group(name), after);
+      const all = others.reduce((sum, [, count]) => sum + count, cost);
+      if (groups.size > 0 && (all > settings.txnOps || bytes > TXN_BYTES)) break;
+      groups.set(name, after);
+      operations.set(name, cost);
     }
-    const isEmpty = (group: GroupRecord): boolean => Object.keys(group.machines).length === 0;
-    return new Map([...groups].map(([name, group]) => [name, isEmpty(group) ? null : group]));
+    return groups;
   }
 }
--- a/src/storage/stateClient.ts
+++ b/src/storage/stateClient.ts
@@ -254,6 +254,12 @@
     return { when: txn.when, puts, removes };
   }
 
+  /** Operations that a change of one record takes, those on its pieces included; null: its removal. */
+  operations(key: string, value: unknown): number {
+    const before = 1 + (this.pieces.get(key) ?? 0);
+    return value === null ? before : Math.max(before, this.layout.operations(key, value));
+  }
+
   private noteWritten(txn: wire.Txn): void {
     for (const { key, value } of txn.puts) {
       if (!this.layout.isCompact && !this.pieces.has(key)) continue;
--- /dev/null
+++ b/test/limits.test.ts
@@ -0,0 +1,224 @@
+/** Limits of the state service that have fallen: what is stored larger is taken apart, and nothing is lost in between. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { BucketWriter } from '../src/coordination/bucketWriter.js';
+import type { Commits } from '../src/coordination/commits.js';
+import type { OwnedPart } from '../src/coordination/ownedPart.js';
+import { PartLoader } from '../src/coordination/partLoader.js';
+import { groupLimit } from '../src/coordination/provisioning/machinePool.js';
+import type { RecordLayout } from '../src/storage/recordLayout.js';
+import {
+  keys,
+  type BucketRecord,
+  type ChunkRecord,
+  type EntryRecord,
+  type GroupRecord,
+  type JobRecord,
+  type TokenRecord,
+} from '../src/storage/records.js';
+import { layoutFor } from './support/layout.js';
+import { emptyPart, m8 } from './support/part.js';
+import { spec } from './support/spec.js';
+import { MemoryStore } from './support/store.js';
+
+const LIMITS = { value: 2048, txn: 64 * 1024 };
+const TXN_OPS = 5;
+const SERVICE_COUNT = 30;
+const REPLICAS = 6;
+
+const service = (id: string): ChunkRecord => ({
+  ...{ spec: spec({ id, service: true, rank: 'prod', tasks: REPLICAS }), home: 'p', at: 5 },
+  ...{ from: 0, to: REPLICAS, zone: null, next: 50, done: [], moves: 0 },
+  entries: Array.from({ length: REPLICAS }, (_, task): EntryRecord => {
+    return { task, attempt: task + 1, machine: `n-${task}`, session: 1 };
+  }),
+});
+
+/** One part whose bucket was stored under larger limits, on a store whose limits have fallen. */
+class FallenLimits {
+  now = 100;
+  readonly store = new MemoryStore();
+  readonly layout: RecordLayout = layoutFor(LIMITS.value, TXN_OPS, true);
+  host: OwnedPart;
+  private writer: BucketWriter;
+  private processes = 0;
+
+  constructor(chunks: Record<string, ChunkRecord>) {
+    const { rows } = this.store;
+    rows.set(keys.owner('p'), { key: keys.owner('p'), value: {}, stamp: 1 });
+    rows.set(keys.owner('q'), { key: keys.owner('q'), value: {}, stamp: 2 });
+    const key = keys.run('p', 'old');
+    rows.set(key, { key, value: { chunks }, stamp: 3 });
+    this.store.epoch = 3;
+    this.store.layout = this.layout;
+    this.store.limits = LIMITS;
+    this.store.txnOps = TXN_OPS;
+    [this.host, this.writer] = this.adopt();
+  }
+
+  /** Loads the part from what is stored, as an adopter would. */
+  adopt(): [OwnedPart, BucketWriter] {
+    const { rows } = this.store;
+    const commits: Pick<Commits, 'acceptMissing'> = { acceptMissing: () => undefined };
+    const machine = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0 };
+    const machines = Array.from({ length: REPLICAS }, (_, i) => [`n-${i}`, machine] as const);
+    const loader = new PartLoader({
+      clock: { now: () => this.now, wall: () => this.now },
+      fleet: { of: () => new Map(machines).entries() },
+      replica: {
+        get: (name) => rows.get(name),
+        *under(prefix) {
+          for (const row of rows) if (row[0].startsWith(prefix)) yield row;
+        },
+        noteRemoved: () => undefined,
+      },
+      state: this.store,
+      cancelPreparations: { apply: () => undefined },
+      commits,
+      layout: this.layout,
+      requestRound: () => undefined,
+    });
+    const part = emptyPart(3, new Map([['m8', m8]]));
+    this.host = loader.load(part, { token: 7, stamp: 1, lostAt: 0 }, 0);
+    this.writer = new BucketWriter(
+      this.store,
+      { get: (name) => rows.get(name), note: () => undefined, noteRemoved: () => undefined },
+      { now: () => this.now, wall: () => this.now },
+      {
+        valid: () => true,
+        verifyOwner: () => Promise.resolve(),
+        stored: () => undefined,
+      },
+      {
+        ...{ txnOps: TXN_OPS, layout: this.layout, linger: 1, retry: 0.001 },
+        process: `x${++this.processes}`,
+      },
+    );
+    return [this.host, this.writer];
+  }
+
+  async pass(): Promise<void> {
+    this.now += 10;
+    this.writer.pass(this.host);
+    for (let i = 0; i < 20; i++) await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+
+  async settle(): Promise<void> {
+    for (let i = 0; i < 40; i++) await this.pass();
+  }
+
+  /** The chunks by the newest record that holds each. */
+  get stored(): Map<string, ChunkRecord> {
+    const found = new Map<string, ChunkRecord>();
+    const rows = [...this.store.rows.values()].filter(({ key }) => key.startsWith('b/run/p/'));
+    for (const { value } of rows.sort((a, b) => a.stamp - b.stamp)) {
+      for (const [id, chunk] of Object.entries((value as BucketRecord).chunks))
+        found.set(id, chunk);
+    }
+    return found;
+  }
+
+  get hasOld(): boolean {
+    return this.store.rows.has(keys.run('p', 'old'));
+  }
+}
+
+const services = (): Record<string, ChunkRecord> =>
+  Object.fromEntries(
+    Array.from({ length: SERVICE_COUNT }, (_, i) => [`wk-${i}/0`, service(`wk-${i}`)]),
+  );
+
+test('a bucket beyond the limit is emptied into others and then removed', async () => {
+  const site = new FallenLimits(services());
+  await site.settle();
+  assert.ok(!site.hasOld);
+  assert.equal(site.stored.size, SERVICE_COUNT);
+  for (const [id, chunk] of site.stored) {
+    assert.equal(chunk.entries.length, REPLICAS, id);
+    assert.equal(site.host.part.chunks.get(id)?.entries.size, REPLICAS, id);
+  }
+  assert.ok([...site.host.part.chunks.values()].every((chunk) => chunk.retiredFrom === null));
+});
+
+for (const passes of [1, 2, 3, 4, 5]) {
+  test(`an adopter that finds it half emptied, after ${passes} pass(es), has all of it once`, async () => {
+    const site = new FallenLimits(services());
+    // One ends for good meanwhile, and one changes: the old record does not know of either.
+    const changed = site.host.part.chunks.get('wk-3/0');
+    for (let i = 0; i < passes; i++) await site.pass();
+    if (changed !== undefined) {
+      changed.entries.delete(0);
+      site.host.part.changed(changed, site.now);
+    }
+    await site.pass();
+    const known = site.stored.get('wk-3/0')?.entries.length;
+    site.adopt();
+    assert.equal(site.host.part.chunks.size, SERVICE_COUNT);
+    assert.equal(site.host.part.chunks.get('wk-3/0')?.entries.size, known);
+    await site.settle();
+    assert.ok(!site.hasOld);
+    assert.equal(site.stored.size, SERVICE_COUNT);
+    assert.equal(site.stored.get('wk-3/0')?.entries.length, known);
+  });
+}
+
+test('a chunk that is still in the old record goes to no other part', async () => {
+  const waiting = { ...service('wk-0'), entries: [] };
+  const site = new FallenLimits({ ...services(), 'wk-0/0': waiting });
+  const chunk = site.host.part.chunks.get('wk-0/0');
+  assert.ok(chunk?.movable);
+  await site.pass();
+  const isMovable: boolean[] = [];
+  for (let i = 0; i < 40; i++) {
+    isMovable.push(chunk.movable);
+    assert.ok(!chunk.movable || !site.hasOld);
+    await site.pass();
+  }
+  assert.ok(isMovable.includes(false) && chunk.movable, 'it may go once the old record is gone');
+});
+
+test('one chunk with more tasks than a record holds is stored in pieces and changes', async () => {
+  const entries = Array.from({ length: 150 }, (_, task): EntryRecord => {
+    return { task, attempt: task + 1, machine: `n-${task % REPLICAS}`, session: 1 };
+  });
+  const large = { ...service('wk-0'), to: 150, next: 200, entries };
+  const site = new FallenLimits({ 'wk-0/0': large });
+  const chunk = site.host.part.chunks.get('wk-0/0');
+  chunk?.entries.delete(4);
+  if (chunk !== undefined) site.host.part.changed(chunk, site.now);
+  await site.settle();
+  assert.equal(site.stored.get('wk-0/0')?.entries.length, 149);
+});
+
+test('the largest records at about 4,000 machines stay within 2 KiB, or a transaction of five', () => {
+  const layout = layoutFor(LIMITS.value, TXN_OPS, true);
+  const machines = Array.from({ length: groupLimit(LIMITS.value) }, (_, i) => [
+    `n-${String(i).padStart(9, '0')}`,
+    { at: 1764637200.123, address: '10.255.255.255:65535' },
+  ]);
+  const group: GroupRecord = {
+    ...{ part: 'drone-100', type: 'panyard-large', zone: 'port-of-spain', spot: true },
+    machines: Object.fromEntries(machines),
+  };
+  const labels = Array.from({ length: 12 }, (_, i) => `drone-${i}`);
+  const lost = Object.fromEntries(labels.map((label) => [label, 1764637200.123]));
+  const owners = labels.map((label) => [label, { node: 'drone-11', lost: { ...lost } }]);
+  const token: TokenRecord = { last: 99_999, owners: Object.fromEntries(owners) };
+  const shares = Object.fromEntries(labels.map((label) => [label, { cpus: 123456.5, gpus: 123 }]));
+  const job: JobRecord = {
+    ...{ spec: spec({ tasks: 100_000 }), home: 'drone-11', state: 'open', tasks: 100_000 },
+    ...{ at: 1764637200.123, size: 50, zones: ['zagreb-core', 'split-coast'], cut: 2000 },
+    finished: Array.from({ length: 2000 }, (_, i) => i).filter((i) => i % 400 !== 7),
+    away: [7, 407],
+  };
+  const cases: [string, string, unknown, number][] = [
+    ['a rental', keys.group('x'), group, 1],
+    ['shares of a limit', keys.quota('crew'), shares, 1],
+    ['a job of 100,000 tasks', keys.job('wk-1'), job, 1],
+    // With the ownership key that is written beside it.
+    ['the token counter of 12 nodes, each lost by all', keys.token, token, TXN_OPS - 1],
+  ];
+  for (const [name, key, value, most] of cases) {
+    assert.ok(layout.operations(key, value) <= most, `${name}: ${layout.bytes(key, value)} bytes`);
+  }
+});
--- /dev/null
+++ b/test/mixed/fixtures.ts
@@ -0,0 +1,86 @@
+/**
+ * Writes test/fixtures/production.json: records and messages as the version in production makes them, by its own
+ * modules. Run by `npm run fixtures`; test/compatibility.test.ts reads them with the present code.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+import type { JobSpec } from '../../src/protocol/job.js';
+import type { PeerAnswer, PeerRequest } from '../../src/protocol/peer.js';
+import type { ChunkRecord, EntryRecord, JobRecord } from '../../src/storage/records.js';
+import { productionAnswers, productionRequests } from '../support/messages.js';
+import { buildProduction, loadModule, productionCommit } from './productionBuild.js';
+
+/** What is used of the version in production. */
+interface ProductionPeer {
+  encodeRequest(request: PeerRequest): Buffer;
+  encodeAnswer(answer: PeerAnswer): Buffer;
+}
+interface ProductionChunk {
+  Chunk: {
+    load(index: number, record: ChunkRecord, now: number): { record(): ChunkRecord };
+  };
+}
+interface ProductionJob {
+  parseJob(body: string): { job: JobSpec };
+}
+
+const body = {
+  ...{ Uid: 'wk-000001', Jobclass: 'batch', Owner: 'crew', Shape: 'sweep', Rank: 'normal' },
+  ...{ Pieces: 300, Cores: 8, Accelerators: 0, MemoryGb: 28, Flavours: ['m8'], Yard: 'a' },
+  ...{ SamePlace: false, Apart: false, Loaners: true, Bundle: 'img', PullGb: 1.5 },
+  ...{ ExpectS: 15, SnapshotS: 20, FlushS: 4, DueS: 300 },
+};
+
+const entries = (count: number): EntryRecord[] =>
+  Array.from({ length: count }, (_, i) => ({
+    task: 40 + i,
+    attempt: 1 + i,
+    machine: `n-${String(100 + (i >> 2)).padStart(6, '0')}`,
+    session: 1 + (i % 2),
+  }));
+
+function records(spec: JobSpec, { Chunk }: ProductionChunk): Record<string, unknown> {
+  const job: JobRecord = {
+    ...{ spec, home: 'drone-0', state: 'open', tasks: 300, at: 1764637200.25 },
+    ...{ size: 100, zones: [], cut: 3, finished: [1], away: [1, 2] },
+  };
+  const chunk: ChunkRecord = {
+    ...{ spec, home: 'drone-0', at: 1764637200.25, from: 0, to: 100, zone: 'a', next: 61 },
+    ...{ done: [0, 12, 30, 40], entries: entries(60), moves: 1 },
+  };
+  const written = Chunk.load(0, chunk, 0).record();
+  const machines = Object.fromEntries(
+    Array.from({ length: 50 }, (_, i) => [
+      `n-${String(100 + i).padStart(6, '0')}`,
+      { at: 1764637200.25, address: `10.1.0.${i}:9000` },
+    ]),
+  );
+  return {
+    'b/job/wk-000001': job,
+    'b/job/wk-000002': { ...job, spec: null, state: 'done', finished: [], away: [] },
+    'b/run/drone-0/s1': { chunks: { 'wk-000001/0': { ...written, entries: entries(60) } } },
+    'b/fleet/r-1': { part: 'drone-0', type: 'm8', zone: 'a', spot: true, machines },
+    'b/quota/crew': { 'drone-0': { cpus: 8, gpus: 0 } },
+    'b/token': {
+      last: 7,
+      owners: { 'drone-0': { node: 'drone-1', lost: { 'drone-0': 1764637200 } } },
+    },
+    'b/own/drone-0': { node: 'drone-1', token: 7, process: 'x' },
+  };
+}
+
+const compiled = buildProduction();
+const peer = await loadModule<ProductionPeer>(compiled, 'protocol/peer.js');
+const job = await loadModule<ProductionJob>(compiled, 'protocol/job.js');
+const chunk = await loadModule<ProductionChunk>(compiled, 'coordination/chunk.js');
+const { job: spec } = job.parseJob(JSON.stringify(body));
+const fixtures = {
+  commit: productionCommit(),
+  submission: body,
+  records: records(spec, chunk),
+  requests: productionRequests.map((request) => peer.encodeRequest(request).toString('base64')),
+  answers: productionAnswers.map((answer) => peer.encodeAnswer(answer).toString('base64')),
+};
+const folder = resolve(import.meta.dirname, '../../../../test/fixtures');
+mkdirSync(folder, { recursive: true });
+writeFileSync(join(folder, 'production.json'), `${JSON.stringify(fixtures, null, 2)}\n`);
--- /dev/null
+++ b/test/mixed/productionBuild.ts
@@ -0,0 +1,40 @@
+/**
+ * The version that deploy/service.toml names as in production, built from the history into a scratch folder. It needs
+ * the whole history and takes a while, so CI runs nothing of this folder.
+ */
+import { execFileSync } from 'node:child_process';
+import { existsSync, mkdirSync, readFileSync, rmSync, symlinkSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import { pathToFileURL } from 'node:url';
+import { parse } from 'smol-toml';
+
+const ROOT = resolve(import.meta.dirname, '../../../..');
+
+/** The commit in production. */
+export function productionCommit(): string {
+  const deploy = parse(readFileSync(join(ROOT, 'deploy/service.toml'), 'utf8'));
+  const { production } = deploy;
+  if (typeof production !== 'string') throw new Error('deploy/service.toml names no production');
+  return production;
+}
+
+/** Builds it, unless that was done before, and gives the folder with the compiled modules. */
+export function buildProduction(): string {
+  const commit = productionCommit();
+  const folder = join(tmpdir(), `barrowlb-production-${commit.slice(0, 12)}`);
+  const compiled = join(folder, 'target');
+  if (existsSync(join(compiled, 'main.js'))) return compiled;
+  rmSync(folder, { recursive: true, force: true });
+  mkdirSync(folder, { recursive: true });
+  const archive = execFileSync('git', ['archive', commit], { cwd: ROOT, maxBuffer: 1 << 30 });
+  execFileSync('tar', ['-x', '-C', folder, '--exclude=journal'], { input: archive });
+  symlinkSync(join(ROOT, 'node_modules'), join(folder, 'node_modules'));
+  execFileSync('npx', ['tsc', '--outDir', 'target'], { cwd: folder, stdio: 'inherit' });
+  return compiled;
+}
+
+/** One module of the compiled version; the caller names the shape that it had in that version. */
+export async function loadModule<Exports>(compiled: string, path: string): Promise<Exports> {
+  return (await import(pathToFileURL(join(compiled, path)).href)) as Exports;
+}
--- /dev/null
+++ b/test/pieces.test.ts
@@ -0,0 +1,119 @@
+/** Records beyond the state service's limit: stored in pieces by one transaction, and read whole or not at all. */
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { systemClock } from '../src/base/clock.js';
+import type { GroupRecord } from '../src/storage/records.js';
+import { keys } from '../src/storage/records.js';
+import { StateClient } from '../src/storage/stateClient.js';
+import { HttpClient } from '../src/transport/httpClient.js';
+import { layoutFor } from './support/layout.js';
+import { StateStandIn } from './support/state.js';
+
+const LIMITS = { valueBytes: 2048, txnOps: 5 };
+const KEY = keys.group('r-1');
+
+let state: StateStandIn;
+let endpoint = '';
+
+before(async () => {
+  state = new StateStandIn();
+  endpoint = await state.listenFor('x');
+});
+after(() => {
+  state.close();
+});
+
+function client(isCompact = true): StateClient {
+  const options = { endpoint, rate: 1e4, writeRate: 1e4, sharers: 1, timeout: 5 };
+  const layout = layoutFor(LIMITS.valueBytes, LIMITS.txnOps, isCompact);
+  return new StateClient(new HttpClient(10, 5), systemClock, options, layout);
+}
+
+const group = (machines: number): GroupRecord => ({
+  ...{ part: 'p', type: 'm8', zone: 'a', spot: true },
+  machines: Object.fromEntries(
+    Array.from({ length: machines }, (_, i) => [
+      `n-${1000 + i}`,
+      { at: 5.5, address: '10.255.255.255:65535' },
+    ]),
+  ),
+});
+
+const stored = (): string[] => [...state.rows.keys()].filter((key) => key.includes('r-1')).sort();
+
+test('a large record of before is read, shrinks in pieces, and goes with all of them', async () => {
+  state.limits = { valueBytes: Infinity, txnOps: Infinity };
+  const old = client(false);
+  const puts = [{ key: KEY, value: group(50) }];
+  assert.equal((await old.txn({ when: [], puts, removes: [] })).kind, 'applied');
+  // The limits fall without notice.
+  state.limits = { ...LIMITS };
+  const now = client();
+  const sizes: [number, number][] = [
+    [49, 2],
+    [30, 1],
+    [45, 2],
+    [20, 1],
+  ];
+  for (const [machines, records] of sizes) {
+    const before = await now.get(KEY);
+    const when = [{ key: KEY, stamp: before?.stamp ?? 0 }];
+    const change = [{ key: KEY, value: group(machines) }];
+    assert.equal((await now.txn({ when, puts: change, removes: [] })).kind, 'applied');
+    assert.equal(stored().length, records, `${machines} machines`);
+    for (const reader of [now, client(), client(false)]) {
+      assert.deepEqual((await reader.get(KEY))?.value, group(machines));
+      const { items } = await reader.range('b/');
+      assert.deepEqual(
+        items.map(({ key, value }) => [key, value]),
+        [[KEY, group(machines)]],
+      );
+    }
+  }
+  const large = [{ key: KEY, value: group(50) }];
+  await now.txn({ when: [], puts: large, removes: [] });
+  assert.equal((await now.txn({ when: [], puts: [], removes: [KEY] })).kind, 'applied');
+  assert.deepEqual(stored(), []);
+  assert.equal(state.malformed, 0);
+});
+
+test('changes tell of whole records, also of those that have changed again since', async () => {
+  state.limits = { ...LIMITS };
+  const writer = client();
+  const from = state.epoch;
+  for (const machines of [50, 10, 48]) {
+    await writer.txn({ when: [], puts: [{ key: KEY, value: group(machines) }], removes: [] });
+  }
+  const log = await client().changes('b/', from, 0);
+  assert.deepEqual(
+    log?.changes.map((change) => Object.keys((change.value as GroupRecord).machines).length),
+    [50, 10, 48],
+  );
+  await writer.txn({ when: [], puts: [], removes: [KEY] });
+});
+
+test('a head whose pieces are of another revision is read again', async () => {
+  state.limits = { ...LIMITS };
+  const writer = client();
+  await writer.txn({ when: [], puts: [{ key: KEY, value: group(50) }], removes: [] });
+  const half = state.rows.get(KEY);
+  await writer.txn({ when: [], puts: [{ key: KEY, value: group(48) }], removes: [] });
+  const whole = state.rows.get(KEY);
+  // The head as it was before, beside the pieces of now.
+  if (half !== undefined) state.rows.set(KEY, half);
+  setTimeout(() => {
+    if (whole !== undefined) state.rows.set(KEY, whole);
+  }, 0);
+  const read = await client().get(KEY);
+  assert.equal(Object.keys((read?.value as GroupRecord).machines).length, 48);
+  await writer.txn({ when: [], puts: [], removes: [KEY] });
+});
+
+test('a change that is malformed is told from a lease that has ended', async () => {
+  state.limits = { valueBytes: 100, txnOps: 5 };
+  const puts = [{ key: KEY, value: group(50) }];
+  assert.equal((await client(false).txn({ when: [], puts, removes: [] })).kind, 'malformed');
+  state.limits = { valueBytes: Infinity, txnOps: Infinity };
+  const held = [{ key: KEY, value: 1, hold: 999 }];
+  assert.equal((await client().txn({ when: [], puts: held, removes: [] })).kind, 'no-lease');
+});
--- /dev/null
+++ b/test/pipelines.test.ts
@@ -0,0 +1,167 @@
+/** Jobs that wait for others, on whole controllers: nothing starts too early, and what is cancelled takes along what needs it. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { pause, submission, until, type Cluster } from './support/cluster.js';
+import { accept, adopted, service, settled, status, withCluster } from './support/users.js';
+
+const [FIRST, SECOND, THIRD] = ['wk-000901', 'wk-000902', 'wk-000903'];
+
+const startsOf = (cluster: Cluster, id: string): number =>
+  cluster.cloud.starts.filter((task) => task.startsWith(`${id}/`)).length;
+
+/** What a node says of a job: its state, or the status of an answer without one. */
+async function told(cluster: Cluster, label: string, id: string): Promise<string | number> {
+  const answer = await cluster.call(label, 'GET', `/v1/jobs/${id}`);
+  return answer.status === 200 ? (answer.body as { Status: string }).Status : answer.status;
+}
+
+const cancel = (cluster: Cluster, label: string, id: string): Promise<void> =>
+  until(`${id} is cancelled`, async () => {
+    const answer = await cluster.call(label, 'POST', `/v1/jobs/${id}/withdraw`);
+    return (answer.body as { Status?: string }).Status === 'cancelled';
+  });
+
+/** Three stages, each at another node: the first runs until it is cancelled, or for a while. */
+async function chain(cluster: Cluster): Promise<void> {
+  await accept(cluster, 'drone-0', submission(FIRST, { Pieces: 2 }));
+  await accept(cluster, 'drone-1', submission(SECOND, { WaitsOn: [FIRST] }));
+  await accept(cluster, 'drone-2', submission(THIRD, { WaitsOn: [SECOND, FIRST, SECOND] }));
+}
+
+const endless = (task: string): number => (task.startsWith(FIRST) ? Infinity : 0.2);
+
+test('stages run one after the other, wherever they were submitted', () =>
+  withCluster({ nodes: 3, runs: () => 0.5 }, async (cluster) => {
+    const order: string[] = [];
+    cluster.cloud.watch = {
+      started: (task) => order.push(`${task} starts`),
+      left: (task) => order.push(`${task} ends`),
+    };
+    await chain(cluster);
+    const waiting = await status(cluster, 'drone-2', THIRD);
+    assert.equal(waiting.Status, 'queued');
+    assert.match(waiting.Reason ?? '', /waits for \d job\(s\) to be done first: .*wk-00090/);
+    for (const label of cluster.nodes.keys()) {
+      await until(`all are done at ${label}`, async () => {
+        return (await told(cluster, label, THIRD)) === 'done';
+      });
+    }
+    for (const [before, after] of [
+      [FIRST, SECOND],
+      [SECOND, THIRD],
+    ]) {
+      const lastEnd = order.findLastIndex((e) => e.startsWith(before) && e.endsWith('ends'));
+      const firstStart = order.findIndex((e) => e.startsWith(after) && e.endsWith('starts'));
+      assert.ok(lastEnd < firstStart, `${after} after ${before}: ${order.join(', ')}`);
+    }
+    // Jobs that are over are named like any other.
+    await accept(cluster, 'drone-1', submission('wk-000904', { WaitsOn: [FIRST, THIRD] }));
+    await until(
+      'it runs at once',
+      async () => (await told(cluster, 'drone-0', 'wk-000904')) === 'done',
+    );
+  }));
+
+test('a cancelled job takes along all that need it, also what is submitted later', () =>
+  withCluster({ nodes: 3, runs: endless }, async (cluster) => {
+    await chain(cluster);
+    await cancel(cluster, 'drone-1', FIRST);
+    for (const id of [SECOND, THIRD]) {
+      for (const label of cluster.nodes.keys()) {
+        await until(`${id} is cancelled at ${label}`, async () => {
+          return (await told(cluster, label, id)) === 'cancelled';
+        });
+      }
+    }
+    const late = submission('wk-000904', { WaitsOn: [SECOND] });
+    const answer = await settled(cluster, 'drone-0', 'POST', '/v1/jobs', late);
+    assert.ok(answer.status === 201 || answer.status === 200);
+    await until('it is cancelled too', async () => {
+      return (await told(cluster, 'drone-2', 'wk-000904')) === 'cancelled';
+    });
+    for (const id of [SECOND, THIRD, 'wk-000904']) assert.equal(startsOf(cluster, id), 0, id);
+  }));
+
+test('a job that names what can never be done is refused, and an accepted one never', () =>
+  withCluster({ nodes: 3, runs: endless }, async (cluster) => {
+    await accept(cluster, 'drone-0', submission('wk-000911', service));
+    await chain(cluster);
+    const cases: [string, unknown, number][] = [
+      ['an unknown job', ['wk-999999'], 422],
+      ['a known and an unknown one', [FIRST, 'wk-999999'], 422],
+      ['itself', ['wk-000912'], 422],
+      ['a service', ['wk-000911'], 422],
+      ['no list', FIRST, 400],
+    ];
+    for (const [name, WaitsOn, expected] of cases) {
+      const body = submission('wk-000912', { WaitsOn });
+      assert.equal(
+        (await settled(cluster, 'drone-1', 'POST', '/v1/jobs', body)).status,
+        expected,
+        name,
+      );
+    }
+    // A repetition is answered as such, whatever it names now.
+    for (const label of cluster.nodes.keys()) {
+      const again = submission(SECOND, { WaitsOn: ['wk-999999'] });
+      assert.equal((await settled(cluster, label, 'POST', '/v1/jobs', again)).status, 200);
+    }
+    // That a job was never accepted can't be told without the store.
+    cluster.state.refused.add('*');
+    const answer = await cluster.call(
+      'drone-1',
+      'POST',
+      '/v1/jobs',
+      submission('wk-000912', { WaitsOn: ['wk-999999'] }),
+    );
+    assert.equal(answer.status, 503);
+    cluster.state.refused.clear();
+  }));
+
+test('the owner of a waiting job ends when the job before it is done', () =>
+  withCluster({ nodes: 3, runs: () => 0.8 }, async (cluster) => {
+    await chain(cluster);
+    await until(
+      'the first is done',
+      async () => (await told(cluster, 'drone-0', FIRST)) === 'done',
+    );
+    cluster.crash('drone-1');
+    await adopted(cluster, 'drone-1');
+    await until(
+      'the last is done',
+      async () => (await told(cluster, 'drone-0', THIRD)) === 'done',
+      30,
+    );
+    assert.ok(startsOf(cluster, SECOND) >= 3);
+  }));
+
+for (const refused of ['*', 'drone-1']) {
+  const who = refused === '*' ? 'all nodes' : 'the owner of the next job';
+  test(`a job is cancelled, and ${who} cannot reach the store: nobody calls the next one open for long`, () =>
+    withCluster({ nodes: 3, runs: endless }, async (cluster) => {
+      await chain(cluster);
+      await until('the first runs', () => startsOf(cluster, FIRST) === 2);
+      if (refused !== '*') cluster.state.refused.add(refused);
+      await cancel(cluster, 'drone-0', FIRST);
+      cluster.state.refused.add(refused);
+      // The users of these clusters are promised five seconds.
+      await pause(5);
+      for (let i = 0; i < 5; i++) {
+        for (const label of cluster.nodes.keys()) {
+          for (const id of [SECOND, THIRD]) {
+            const said = await told(cluster, label, id).catch(() => 503);
+            assert.ok(said === 'cancelled' || said === 503, `${label} says ${said} of ${id}`);
+          }
+        }
+        await pause(0.2);
+      }
+      cluster.state.refused.clear();
+      for (const id of [SECOND, THIRD]) {
+        await until(
+          `${id} is cancelled`,
+          async () => (await told(cluster, 'drone-1', id)) === 'cancelled',
+        );
+        assert.equal(startsOf(cluster, id), 0);
+      }
+    }));
+}
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -5,6 +5,7 @@
 import { defaultTuning, parseSettings, parseTuning } from '../src/protocol/settings.js';
 import { parseReport } from '../src/protocol/worker.js';
 import { submission } from './support/cluster.js';
+import { productionAnswers, productionRequests } from './support/messages.js';
 import { settingsText } from './support/settings.js';
 
 const text = (changes: Record<string, unknown>): string =>
@@ -49,6 +50,30 @@
   }
 });
 
+test('jobs to wait for: names once each; null, absent and empty mean none', () => {
+  const cases: [unknown, string[] | null][] = [
+    [undefined, []],
+    [null, []],
+    [[], []],
+    [['wk-2'], ['wk-2']],
+    [
+      ['wk-2', 'wk-3', 'wk-2'],
+      ['wk-2', 'wk-3'],
+    ],
+    ['wk-2', null],
+    [[2], null],
+    [[null], null],
+    [['job-2'], null],
+    [['wk-1/0'], null],
+    [{ 0: 'wk-2' }, null],
+  ];
+  for (const [given, names] of cases) {
+    const parsed = parseJob(text({ WaitsOn: given }));
+    assert.deepEqual('job' in parsed ? parsed.job.waitsOn : null, names, JSON.stringify(given));
+    if ('error' in parsed) assert.match(parsed.error, /WaitsOn/);
+  }
+});
+
 const optional = ['Flavours', 'Yard', 'DueS'];
 for (const field of Object.keys(submission('wk-000001') as Record<string, unknown>)) {
   test(`a submission without ${field}, or with one of another type`, () => {
@@ -80,6 +105,32 @@
   }
 });
 
+test('limits to come: the smaller ones count, bad ones are named, absent ones change nothing', () => {
+  const limitsWith = (next: string): number[] => {
+    const text = settings.replace('[settings.cloud]', `${next}\n[settings.cloud]`);
+    const { stateRate, stateWriteRate, valueBytes, txnOps } = parseSettings(text);
+    return [stateRate, stateWriteRate, valueBytes, txnOps];
+  };
+  const cases: [string, number[]][] = [
+    ['', [100, 25, 32768, 16]],
+    ['[settings.state.next]', [100, 25, 32768, 16]],
+    ['[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 5\nwrite_rps = 18.0', [100, 18, 2048, 5]],
+    ['[settings.state.next]\nvalue_kb = 64.0\ntxn_ops = 32\nrps = 50.0', [50, 25, 32768, 16]],
+  ];
+  for (const [next, limits] of cases) assert.deepEqual(limitsWith(next), limits, next);
+  for (const [name, value] of [
+    ['value_kb', '0.0'],
+    ['value_kb', '"2"'],
+    ['write_rps', '-1.0'],
+    ['rps', 'nan'],
+    ['txn_ops', '2'],
+    ['txn_ops', '5.5'],
+  ]) {
+    const next = `[settings.state.next]\n${name} = ${value}`;
+    assert.throws(() => limitsWith(next), new RegExp(`settings\\.state\\.next\\.${name}`), next);
+  }
+});
+
 test('properties: defaults, changes and errors', () => {
   assert.deepEqual(parseTuning('# nothing\n'), defaultTuning);
   const changed = parseTuning('migration.threshold = 20\nmigration.enabled: false\nother=1\n');
@@ -108,56 +159,10 @@
 });
 
 test('what peers tell each other survives the way', () => {
-  const requests = [
-    { Ask: { spec: '{}', zone: null, tasks: 3 } },
-    { Ask: { spec: '{}', zone: 'a', tasks: 3 } },
-    { Relay: { method: 'GET', target: '/v1/jobs/wk-1', body: '' } },
-    {
-      Gossip: {
-        from: 'drone-1',
-        process: 'p1',
-        sequence: 3,
-        at: 1000.5,
-        need: { requests: 4, writes: 2.5 },
-        served: true,
-        hosts: [{ part: 'drone-1', token: 7, utilisation: 0.5, waiting: 2, liveRoom: 8 }],
-        demands: [
-          {
-            part: 'drone-1',
-            cpus: 1,
-            gpus: 0,
-            memory: 2,
-            types: ['m8'],
-            zone: null,
-            spot: true,
-            rank: 'normal',
-            service: false,
-            image: 'i',
-            imageGb: 1,
-            count: 4,
-            urgent: false,
-            pressing: 0,
-            run: 9,
-          },
-        ],
-        spare: ['n-1'],
-        lost: [],
-        used: [{ team: 'crew', cpus: 4, gpus: 0 }],
-        throttled: ['crew'],
-        starving: [{ team: 'crew', at: 12.5, rank: 1 }],
-      },
-    },
-  ];
-  for (const request of requests) {
+  for (const request of productionRequests) {
     assert.deepEqual(JSON.parse(JSON.stringify(decodeRequest(encodeRequest(request)))), request);
   }
-  const answers = [
-    { Relayed: { status: 503, body: '{}', retryAfter: 2 } },
-    { Relayed: { status: 200, body: '{}', retryAfter: null } },
-    { Estimates: { of: [{ part: 'p', wait: Infinity, turnaround: 1, utilisation: 0 }] } },
-    { Noted: {} },
-  ];
-  for (const answer of answers) {
+  for (const answer of productionAnswers) {
     assert.deepEqual(
       JSON.parse(JSON.stringify(decodeAnswer(encodeAnswer(answer)))),
       JSON.parse(JSON.stringify(answer)),
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -36,6 +36,10 @@
   /** Clients whose watches are told of nothing. */
   readonly unwatched = new Set<string>();
   writes = 0;
+  /** Beyond these a transaction is malformed; they may fall while it serves. */
+  limits = { valueBytes: Infinity, txnOps: Infinity };
+  /** Transactions beyond the limits. */
+  malformed = 0;
   /** Keys that were read one by one. */
   readonly reads: string[] = [];
 
@@ -96,6 +100,10 @@
   /** Applies a transaction as the service would, also one that was kept back. */
   apply(body: TxnBody): Reply {
     this.expire();
+    if (this.isBeyondLimits(body)) {
+      this.malformed++;
+      return { status: 400, body: { error: 'too large' } };
+    }
     const failed = (body.When ?? [])
       .filter((c) => (this.rows.get(c.K)?.stamp ?? 0) !== c.Stamp)
       .map((c) => c.K);
@@ -117,6 +125,12 @@
     return { status: 200, body: { Epoch: stamp } };
   }
 
+  private isBeyondLimits({ When = [], Then = [] }: TxnBody): boolean {
+    const { valueBytes, txnOps } = this.limits;
+    if (Then.length > txnOps || When.length > txnOps * 4) return true;
+    return Then.some(({ Value }) => Buffer.byteLength(JSON.stringify(Value ?? null)) > valueBytes);
+  }
+
   private async answer(client: string, request: HttpMessage): Promise<Reply> {
     const url = new URL(request.target, 'http://state');
     if (url.pathname === '/changes') return this.watch(client, url);
--- a/test/support/store.ts
+++ b/test/support/store.ts
@@ -1,5 +1,6 @@
 /** The state service in memory, for tests of what writes to it: conditions hold, answers can get lost. */
 import type { Txn, Item } from '../../src/protocol/state.js';
+import type { RecordLayout } from '../../src/storage/recordLayout.js';
 import type { TxnResult } from '../../src/storage/stateClient.js';
 
 export class MemoryStore {
@@ -25,6 +26,15 @@
     // Changes are not limited here.
   }
 
+  operations(key: string, value: unknown): number {
+    const rowsOf = (any: unknown): number => this.layout?.operations(key, any) ?? 1;
+    const before = this.rows.get(key);
+    return Math.max(
+      before === undefined ? 1 : rowsOf(before.value),
+      value === null ? 1 : rowsOf(value),
+    );
+  }
+
   turn(): Promise<void> {
     return Promise.resolve();
   }
@@ -56,11 +66,20 @@
     return this.apply(this.kept);
   }
 
+  /** How values are laid out, where their sizes there matter. */
+  layout: RecordLayout | null = null;
+  /** Most operations of a transaction. */
+  txnOps = Infinity;
+
   private apply(txn: Txn): TxnResult {
-    const sizes = txn.puts.map((put) => JSON.stringify(put.value).length);
+    const { layout } = this;
+    const puts =
+      layout === null ? txn.puts : txn.puts.flatMap((p) => layout.encodePuts(p.key, p.value));
+    if (puts.length + txn.removes.length > this.txnOps) return { kind: 'malformed' };
+    const sizes = puts.map((put) => JSON.stringify(put.value).length);
     const all = sizes.reduce((a, b) => a + b, 0);
     if (all > this.limits.txn || sizes.some((size) => size > this.limits.value)) {
-      return { kind: 'no-lease' };
+      return { kind: 'malformed' };
     }
     const failed = txn.when.filter((c) => (this.rows.get(c.key)?.stamp ?? 0) !== c.stamp);
     if (failed.length > 0) return { kind: 'conflict', failed: failed.map((c) => c.key) };
