--- a/src/coordination/provisioning/groupStore.ts
+++ b/src/coordination/provisioning/groupStore.ts
@@ -25,7 +25,7 @@
   | 'zoneOf'
 >;
 
-/** How often the records of released machines are tried to be removed. */
+/** How often the removal of released machines from their records may fail. */
 const REMOVAL_TRIES = 20;
 
 export class GroupStore {
@@ -142,7 +142,7 @@
   /** The cloud has said that they are gone: what ran there is over. */
   async removeMachines(machines: string[]): Promise<void> {
     const { ownership, settings } = this.node;
-    for (let tries = 0; tries < REMOVAL_TRIES; tries++) {
+    for (let failures = 0; failures < REMOVAL_TRIES;) {
       const groups = this.withoutMachines(machines);
       if (groups.size === 0) return;
       const result = await this.replace(groups, 'urgent');
@@ -152,7 +152,9 @@
         for (const name of groups.keys()) await this.reread(name);
         await ownership.verifyOwner(PROVISIONER);
       }
-      if (result.kind !== 'applied') await sleep(settings.report / 12);
+      if (result.kind === 'applied') continue;
+      failures++;
+      await sleep(settings.report / 12);
     }
   }
 
--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -4,9 +4,12 @@
 import { History, type Rule, type Told } from './support/history.js';
 
 type Step =
-  | ['told', Told, { sent: number; at: number; node?: string }]
+  | ['told', Told, { sent: number; at: number; node?: string; job?: string }]
   | ['cancel']
   | ['submit']
+  /** A job of one task that needs another. */
+  | ['needs', string, string]
+  | ['done', string]
   | ['start', string, string]
   | ['leave', string, string];
 
@@ -97,16 +100,81 @@
     steps: [['submit'], ['start', 'wk-1/0', 'n-1'], ['start', 'wk-1/0', 'n-2']],
     broken: ['ran_twice'],
   },
+  {
+    name: 'a stage starts when the one before is done',
+    steps: [
+      ['submit'],
+      ['needs', 'wk-2', 'wk-1'],
+      ...[0, 1, 2].map((task): Step => ['done', `wk-1/${task}`]),
+      ['start', 'wk-2/0', 'n-1'],
+    ],
+    broken: [],
+  },
+  {
+    name: 'a stage starts with one task of the one before to come',
+    steps: [
+      ['submit'],
+      ['needs', 'wk-2', 'wk-1'],
+      ['done', 'wk-1/0'],
+      ['done', 'wk-1/1'],
+      ['done', 'wk-1/1'],
+      ['start', 'wk-2/0', 'n-1'],
+    ],
+    broken: ['too_early'],
+  },
+  {
+    name: 'cancelled with the job before the one before',
+    steps: [
+      ['submit'],
+      ['needs', 'wk-2', 'wk-1'],
+      ['needs', 'wk-3', 'wk-2'],
+      ['cancel'],
+      ['told', 'cancelled', { sent: 1, at: 2 }],
+      ['told', 'open', { sent: 6, at: 7, job: 'wk-3' }],
+      ['told', 'cancelled', { sent: 8, at: 9, job: 'wk-3' }],
+    ],
+    broken: [],
+  },
+  {
+    name: 'still open too long after the job before was cancelled',
+    steps: [
+      ['submit'],
+      ['needs', 'wk-2', 'wk-1'],
+      ['needs', 'wk-3', 'wk-2'],
+      ['cancel'],
+      ['told', 'cancelled', { sent: 1, at: 2 }],
+      ['told', 'open', { sent: 6, at: 7.1, job: 'wk-3' }],
+    ],
+    broken: ['orphaned'],
+  },
+  {
+    name: 'cancelled, although only a job that needs it was',
+    steps: [
+      ['submit'],
+      ['needs', 'wk-0', 'wk-1'],
+      ['needs', 'wk-1', 'wk-9'],
+      ['cancel'],
+      ['told', 'cancelled', { sent: 1, at: 2, job: 'wk-9' }],
+    ],
+    broken: ['went_back'],
+  },
 ];
 
+const CANCEL_WITHIN = 5;
+
 for (const { name, steps, broken, overtaken = 0 } of cases) {
   test(`a history: ${name}`, () => {
-    const history = new History(new Map([['crew', 4]]));
+    const history = new History(new Map([['crew', 4]]), CANCEL_WITHIN);
     for (const step of steps) {
       if (step[0] === 'told') {
-        const { sent, at, node = 'p' } = step[2];
-        history.answered({ job: 'wk-1', node, sentAt: sent }, at, step[1]);
-      } else if (step[0] === 'submit') history.submitted('wk-1', { team: 'crew', cpus: 2 });
+        const { sent, at, node = 'p', job = 'wk-1' } = step[2];
+        history.answered({ job, node, sentAt: sent }, at, step[1]);
+      } else if (step[0] === 'submit') {
+        history.submitted('wk-1', { team: 'crew', cpus: 2, tasks: 3 });
+      } else if (step[0] === 'needs') {
+        const work = { team: 'crew', cpus: 2, tasks: 1, waitsOn: [step[2]] };
+        history.submitted(step[1], work);
+      } else if (step[0] === 'done') history.done(step[1]);
       else if (step[0] === 'cancel') history.askedToCancel('wk-1');
       else if (step[0] === 'start') history.started(step[1], step[2]);
       else history.left(step[1], step[2]);
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -126,6 +126,7 @@
         const seconds = this.fleet.settings.runs(name);
         if (Number.isFinite(seconds)) {
           piece.timer = setTimeout(() => {
+            if (piece.Status === 'running') this.fleet.watch?.done?.(name);
             this.end(piece, 'done');
           }, seconds * 1000);
         }
@@ -206,6 +207,8 @@
 
 export interface TaskWatch {
   started(task: string, machine: string): void;
+  /** It has run to its end. */
+  done?(task: string): void;
   left(task: string, machine: string): void;
 }
 
--- a/test/support/history.ts
+++ b/test/support/history.ts
@@ -6,7 +6,7 @@
 /** What an answer says of a job; an answer that says nothing (503, none at all) is not recorded. */
 export type Told = 'unknown' | 'refused' | 'open' | 'done' | 'cancelled';
 
-export type Rule = 'went_back' | 'forgotten' | 'quota' | 'ran_twice';
+export type Rule = 'went_back' | 'forgotten' | 'quota' | 'ran_twice' | 'too_early' | 'orphaned';
 
 export interface Violation {
   rule: Rule;
@@ -28,10 +28,15 @@
 interface TeamWork {
   team: string;
   cpus: number;
+  /** How many tasks the job has, and which jobs it waits for. */
+  tasks: number;
+  waitsOn?: readonly string[];
 }
 
 const isFinal = (told: Told): boolean => told === 'done' || told === 'cancelled';
 
+const jobOf = (task: string): string => task.slice(0, task.lastIndexOf('/'));
+
 /** How far a job has come by an answer: known to nobody, accepted, over. */
 const progressOf = (told: Told): number => (isFinal(told) ? 2 : told === 'open' ? 1 : 0);
 
@@ -49,7 +54,16 @@
   readonly peaks = new Map<string, number>();
 
   /** `limits`: processors that each team's tasks may use at once. */
-  constructor(private readonly limits: ReadonlyMap<string, number>) {}
+  /** Tasks of each job that have run to their end. */
+  private readonly completed = new Map<string, Set<string>>();
+  /** When a user was first told that a job is cancelled. */
+  private readonly cancelledAt = new Map<string, number>();
+
+  constructor(
+    private readonly limits: ReadonlyMap<string, number>,
+    /** Seconds within which what needs a cancelled job has to be cancelled too. */
+    private readonly cancelWithin = Infinity,
+  ) {}
 
   submitted(job: string, work: TeamWork): void {
     this.work.set(job, work);
@@ -64,12 +78,38 @@
     const earlier = this.answers.get(question.job) ?? [];
     this.answers.set(question.job, earlier);
     for (const before of earlier) this.compare(before, answer);
-    if (told === 'cancelled' && !this.cancelAsked.has(question.job)) {
+    if (told === 'cancelled' && !this.cancelledAt.has(question.job)) {
+      this.cancelledAt.set(question.job, at);
+    }
+    if (told === 'open') this.checkOrphaned(question, at);
+    if (told === 'cancelled' && !this.mayBeCancelled(question.job)) {
       this.break('went_back', `${question.job} is called cancelled, and nobody has asked for that`);
     }
     earlier.push(answer);
   }
 
+  /** The jobs that a job needs, directly or through others. */
+  private needsOf(job: string): Set<string> {
+    const found = new Set(this.work.get(job)?.waitsOn);
+    for (const need of found) {
+      for (const further of this.work.get(need)?.waitsOn ?? []) found.add(further);
+    }
+    return found;
+  }
+
+  private mayBeCancelled(job: string): boolean {
+    return [job, ...this.needsOf(job)].some((any) => this.cancelAsked.has(any));
+  }
+
+  private checkOrphaned(question: Question, at: number): void {
+    for (const need of this.needsOf(question.job)) {
+      const since = this.cancelledAt.get(need);
+      if (since === undefined || at - since <= this.cancelWithin) continue;
+      const detail = `${question.job} is open at ${question.node} ${(at - since).toFixed(1)} s after ${need} was cancelled`;
+      this.break('orphaned', detail);
+    }
+  }
+
   /** `before` was given first. */
   private compare(before: Answer, after: Answer): void {
     const isOther = isFinal(before.told) && isFinal(after.told) && before.told !== after.told;
@@ -86,18 +126,35 @@
     const on = this.machines.get(task) ?? new Set<string>();
     this.machines.set(task, on);
     if (on.has(machine)) return;
+    this.checkTooEarly(task);
     if (on.size > 0) this.break('ran_twice', `${task} on ${machine} and ${[...on].join(' ')}`);
     on.add(machine);
     this.use(task, 1);
   }
 
+  private checkTooEarly(task: string): void {
+    const job = jobOf(task);
+    for (const need of this.work.get(job)?.waitsOn ?? []) {
+      const done = this.completed.get(need)?.size ?? 0;
+      if (done < (this.work.get(need)?.tasks ?? 0)) {
+        this.break('too_early', `${task} starts with ${done} tasks of ${need} done`);
+      }
+    }
+  }
+
+  /** It has run to its end. */
+  done(task: string): void {
+    const job = jobOf(task);
+    this.completed.set(job, (this.completed.get(job) ?? new Set<string>()).add(task));
+  }
+
   /** It has exited, or the machine is gone. */
   left(task: string, machine: string): void {
     if (this.machines.get(task)?.delete(machine) === true) this.use(task, -1);
   }
 
   private use(task: string, count: number): void {
-    const work = this.work.get(task.slice(0, task.lastIndexOf('/')));
+    const work = this.work.get(jobOf(task));
     if (work === undefined) return;
     const { team, cpus } = work;
     const used = (this.used.get(team) ?? 0) + count * cpus;
--- a/test/trials/trial.ts
+++ b/test/trials/trial.ts
@@ -26,6 +26,13 @@
 const SETTLE_S = 30;
 const JOBS_PER_S = 4;
 const CANCELLED_SHARE = 0.25;
+/** Of the jobs, those that are the first of a pipeline, and how many stages follow at the most. */
+const PIPELINE_SHARE = 0.25;
+const MOST_STAGES = 4;
+/** Pipelines whose last stage is submitted only when the others are over. */
+const LATE_SHARE = 0.2;
+/** What the cluster's users are promised of cancellations, and time for an answer to arrive. */
+const CANCEL_WITHIN_S = 5 + 1;
 
 export interface TrialResult {
   seed: number;
@@ -47,7 +54,7 @@
 class Trial {
   private readonly random: Random;
   private readonly cluster: Cluster;
-  private readonly history = new History(LIMITS);
+  private readonly history = new History(LIMITS, CANCEL_WITHIN_S);
   private readonly accepted = new Set<string>();
   private readonly over = new Set<string>();
   private isOver = false;
@@ -73,7 +80,8 @@
       const faults = this.strikeAll();
       const count = TROUBLED_S * JOBS_PER_S;
       for (let job = 0; job < count; job++) {
-        users.push(this.user(`wk-${String(this.seed * 1000 + job).padStart(6, '0')}`));
+        const id = `wk-${String(this.seed * 1000 + job).padStart(6, '0')}`;
+        users.push(this.random() < PIPELINE_SHARE ? this.pipeline(id) : this.user(id));
         await pause((0.5 + this.random()) / JOBS_PER_S);
       }
       await faults;
@@ -119,15 +127,16 @@
   }
 
   /** Submits, perhaps cancels, and asks until the job is over; each step at several nodes within milliseconds. */
-  private async user(id: string): Promise<void> {
+  private async user(id: string, waitsOn: string[] = []): Promise<void> {
     const draw = this.random();
     const team = draw < 0.6 ? 'crew' : 'guests';
     const pieces = 1 + Math.floor(this.random() * 3);
     const cancelAfter = this.random() < CANCELLED_SHARE ? this.random() * 4 : Infinity;
     const first = Math.floor(this.random() * NODES);
-    const body = submission(id, { Owner: team, Pieces: pieces, Cores: CPUS_PER_TASK });
+    const work = { Owner: team, Pieces: pieces, Cores: CPUS_PER_TASK };
+    const body = submission(id, waitsOn.length === 0 ? work : { ...work, WaitsOn: waitsOn });
     const began = performance.now();
-    this.history.submitted(id, { team, cpus: CPUS_PER_TASK });
+    this.history.submitted(id, { team, cpus: CPUS_PER_TASK, tasks: pieces, waitsOn });
     for (let turn = first; !this.isOver && !this.over.has(id); turn++) {
       const seconds = (performance.now() - began) / 1000;
       const node = this.nodeAt(turn);
@@ -145,6 +154,24 @@
     }
   }
 
+  /** Jobs that need others, each submitted once those are accepted, by a user of its own. */
+  private async pipeline(first: string): Promise<void> {
+    const stages = 1 + Math.floor(this.random() * MOST_STAGES);
+    const isLate = this.random() < LATE_SHARE;
+    const submitted = [first];
+    const users = [this.user(first)];
+    for (let stage = 1; stage <= stages && !this.isOver; stage++) {
+      const needs = submitted.filter((_, i) => i === submitted.length - 1 || this.random() < 0.3);
+      const mayGoOn = (need: string): boolean =>
+        this.over.has(need) || (this.accepted.has(need) && !(isLate && stage === stages));
+      while (!this.isOver && !needs.every(mayGoOn)) await pause(0.05);
+      const id = `${first}-${stage}`;
+      submitted.push(id);
+      users.push(this.user(id, needs));
+    }
+    await Promise.all(users);
+  }
+
   private async askEverywhere(id: string, body: unknown): Promise<void> {
     const questions = Array.from({ length: NODES }, (_, index) =>
       this.ask(id, this.nodeAt(index), 'GET', `/v1/jobs/${id}`),
