--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -13,13 +13,27 @@
 
 setLogLevel(process.env['LOG_LEVEL'] ?? 'error');
 
-interface Node {
-  label: string;
+/** One controller as a build of the service makes it. */
+export interface BuiltNode {
   controller: Controller;
   gateway: Gateway;
+}
+
+/** Makes a controller from its settings file; `run` sets one start apart from every other. */
+export type Build = (settings: string, run: string) => BuiltNode;
+
+interface Node extends BuiltNode {
   address: string;
 }
 
+export const presentBuild: Build = (text, run) => {
+  const settings = parseSettings(text);
+  const links = { services: new HttpClient(50, 1), machines: new HttpClient(50, 1) };
+  const tuning = { ...defaultTuning, peerTimeout: 0.3 };
+  const controller = new Controller(settings, tuning, systemClock, seededRandom(7), links, run);
+  return { controller, gateway: new Gateway(controller) };
+};
+
 export interface ClusterOptions {
   nodes: number;
   teams?: string;
@@ -29,6 +43,8 @@
   lease?: number;
   /** Changes a second that the state service takes from all nodes together. */
   stateWrites?: number;
+  /** Limits that the state service will have, as lines of the settings. */
+  nextLimits?: string;
   /** What a node's users and workers may take of it. */
   front?: Partial<ServerOptions>;
 }
@@ -45,6 +61,8 @@
 export class Cluster {
   readonly state = new StateStandIn();
   readonly nodes = new Map<string, Node>();
+  /** The build that each node starts with, where that is not the present one. */
+  readonly builds = new Map<string, Build>();
   readonly cloud: CloudStandIn;
   private readonly http = new HttpClient(200, 1);
   /** Ports for calls from one node to another, `from>to`: each way can be cut by itself. */
@@ -111,7 +129,7 @@
     const peers = this.labels()
       .filter((l) => l !== label)
       .map((l) => ({ label: l, zone: zone(l), port: this.backs.get(`${label}>${l}`) }));
-    const settings = parseSettings(`
+    const settings = `
 label = "${label}"
 site = "${zone(label)}"
 client_listen = "${front}"
@@ -137,6 +155,7 @@
 write_rps = ${(this.options.stateWrites ?? 1000).toFixed(1)}
 value_kb = 32.0
 txn_ops = 16
+${this.options.nextLimits === undefined ? '' : `[settings.state.next]\n${this.options.nextLimits}`}
 [settings.cloud]
 rps = 50.0
 list_lag_s = 1.0
@@ -144,15 +163,11 @@
 cores = 1.0
 ram_mb = 200.0
 fd_limit = 1000
-`);
+`;
     const run = `${label}${Math.floor(systemClock.now() * 1e6).toString(36)}`;
-    const links = { services: new HttpClient(50, 1), machines: new HttpClient(50, 1) };
-    const tuning = { ...defaultTuning, peerTimeout: 0.3 };
-    const random = seededRandom(7);
-    const controller = new Controller(settings, tuning, systemClock, random, links, run);
-    const gateway = new Gateway(controller);
-    controller.start();
-    this.nodes.set(label, { label, controller, gateway, address: front });
+    const node = (this.builds.get(label) ?? presentBuild)(settings, run);
+    node.controller.start();
+    this.nodes.set(label, { ...node, address: front });
   }
 
   /** Ends a node as a crash would: it says nothing more to anybody. */
--- /dev/null
+++ b/test/trials/faults.ts
@@ -0,0 +1,69 @@
+/** Faults that strike a cluster of a trial for a while. */
+import type { Random } from '../../src/base/random.js';
+import { pause, type Cluster } from '../support/cluster.js';
+
+export const NODES = 3;
+
+export type Fault = (cluster: Cluster, random: Random, seconds: number) => Promise<void>;
+
+export const someNode = (random: Random): string => `drone-${Math.floor(random() * NODES)}`;
+
+/** Ends a node, and starts it again after a while. */
+export async function restart(cluster: Cluster, label: string, seconds: number): Promise<void> {
+  if (!cluster.nodes.has(label)) return;
+  cluster.crash(label);
+  await pause(seconds);
+  if (!cluster.nodes.has(label)) await cluster.boot(label);
+}
+
+/** Sets a flag of some machines for a while. */
+function onMachines(flag: 'hanging' | 'deaf' | 'cutOff' | 'holdsCommands'): Fault {
+  return async (cluster, random, seconds) => {
+    const struck = [...cluster.cloud.workers.values()].filter(() => random() < 0.3);
+    for (const worker of struck) worker[flag] = true;
+    await pause(seconds);
+    for (const worker of struck) worker[flag] = false;
+  };
+}
+
+async function refuse(cluster: Cluster, client: string, seconds: number): Promise<void> {
+  cluster.state.refused.add(client);
+  await pause(seconds);
+  cluster.state.refused.delete(client);
+}
+
+/** Some transactions get no answer; half of them are carried out at once, the others late. */
+const loseTransactions: Fault = async (cluster, random, seconds) => {
+  const { state } = cluster;
+  state.swallow = (body) => {
+    if (random() > 0.3) return false;
+    if (random() < 0.5) state.apply(body);
+    else setTimeout(() => state.apply(body), random() * 2000).unref();
+    return true;
+  };
+  await pause(seconds);
+  state.swallow = null;
+};
+
+export const FAULTS: readonly Fault[] = [
+  (cluster, random, seconds) => restart(cluster, someNode(random), seconds),
+  (cluster, random) => restart(cluster, someNode(random), 0.05),
+  async (cluster, _, seconds) => {
+    const labels = Array.from({ length: NODES }, (__, index) => `drone-${index}`);
+    await Promise.all(labels.map((label) => restart(cluster, label, seconds / 3)));
+  },
+  (cluster, random, seconds) => refuse(cluster, someNode(random), seconds),
+  (cluster, _, seconds) => refuse(cluster, '*', seconds),
+  async (cluster, random, seconds) => {
+    const label = someNode(random);
+    cluster.apart.add(label);
+    await refuse(cluster, label, seconds);
+    cluster.apart.delete(label);
+  },
+  loseTransactions,
+  loseTransactions,
+  onMachines('hanging'),
+  onMachines('deaf'),
+  onMachines('cutOff'),
+  onMachines('holdsCommands'),
+];
--- /dev/null
+++ b/test/trials/trialUsers.ts
@@ -0,0 +1,133 @@
+/** Users of a trial: they submit, ask at all nodes at once, repeat, cancel, and build pipelines. */
+import type { Random } from '../../src/base/random.js';
+import type { Response } from '../../src/transport/httpClient.js';
+import { pause, submission, type Cluster } from '../support/cluster.js';
+import { History, type Question, type Told } from '../support/history.js';
+import { NODES } from './faults.js';
+
+/** Processors that the teams' tasks may use at once: below what the jobs ask for. */
+const LIMITS = new Map([
+  ['crew', 12],
+  ['guests', 6],
+]);
+
+/** The teams as the settings have them. */
+export const TEAMS = [...LIMITS]
+  .map(([name, cpus]) => `[[settings.teams]]\nname = "${name}"\ncpus_max = ${cpus.toFixed(1)}`)
+  .join('\n');
+
+const CPUS_PER_TASK = 2;
+const CANCELLED_SHARE = 0.25;
+/** How many stages follow the first job of a pipeline at the most. */
+const MOST_STAGES = 4;
+/** Pipelines whose last stage is submitted only when the others are over. */
+const LATE_SHARE = 0.2;
+/** What the cluster's users are promised of cancellations, and time for an answer to arrive. */
+const CANCEL_WITHIN_S = 5 + 1;
+
+/** What an answer says; null: nothing, ask again. */
+function toldBy(response: Response): Told | null {
+  if (response.status === 404) return 'unknown';
+  if (response.status === 400 || response.status === 422) return 'refused';
+  if (response.status >= 300) return null;
+  const { Status: status } = response.body as { Status?: string };
+  return status === 'done' || status === 'cancelled' ? status : 'open';
+}
+
+export class TrialUsers {
+  readonly history = new History(LIMITS, CANCEL_WITHIN_S);
+  private readonly accepted = new Set<string>();
+  private readonly over = new Set<string>();
+  /** Nothing is asked any more. */
+  isOver = false;
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly random: Random,
+  ) {}
+
+  /** Accepted jobs of which no final state was told. */
+  get unfinished(): string[] {
+    return [...this.accepted].filter((id) => !this.over.has(id));
+  }
+
+  private nodeAt(index: number): string {
+    return `drone-${index % NODES}`;
+  }
+
+  private async ask(
+    id: string,
+    node: string,
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<Told | null> {
+    const question: Question = { job: id, node, sentAt: performance.now() / 1000 };
+    try {
+      const told = toldBy(await this.cluster.call(node, method, path, body));
+      if (told === null || this.isOver) return null;
+      this.history.answered(question, performance.now() / 1000, told);
+      if (told === 'open') this.accepted.add(id);
+      if (told === 'done' || told === 'cancelled') this.over.add(id);
+      return told;
+    } catch {
+      return null;
+    }
+  }
+
+  /** Submits, perhaps cancels, and asks until the job is over; each step at several nodes within milliseconds. */
+  async user(id: string, waitsOn: string[] = []): Promise<void> {
+    const draw = this.random();
+    const team = draw < 0.6 ? 'crew' : 'guests';
+    const pieces = 1 + Math.floor(this.random() * 3);
+    const cancelAfter = this.random() < CANCELLED_SHARE ? this.random() * 4 : Infinity;
+    const first = Math.floor(this.random() * NODES);
+    const work = { Owner: team, Pieces: pieces, Cores: CPUS_PER_TASK };
+    const body = submission(id, waitsOn.length === 0 ? work : { ...work, WaitsOn: waitsOn });
+    const began = performance.now();
+    this.history.submitted(id, { team, cpus: CPUS_PER_TASK, tasks: pieces, waitsOn });
+    for (let turn = first; !this.isOver && !this.over.has(id); turn++) {
+      const seconds = (performance.now() - began) / 1000;
+      const node = this.nodeAt(turn);
+      if (!this.accepted.has(id)) await this.ask(id, node, 'POST', '/v1/jobs', body);
+      else if (seconds > cancelAfter) {
+        this.history.askedToCancel(id);
+        await this.ask(id, node, 'POST', `/v1/jobs/${id}/withdraw`);
+      }
+      await this.askEverywhere(id, body);
+      await pause(0.25);
+    }
+    for (let again = 0; again < 3 && !this.isOver; again++) {
+      await this.askEverywhere(id, body);
+      await pause(0.5);
+    }
+  }
+
+  /** Jobs that need others, each submitted once those are accepted, by a user of its own. */
+  async pipeline(first: string): Promise<void> {
+    const stages = 1 + Math.floor(this.random() * MOST_STAGES);
+    const isLate = this.random() < LATE_SHARE;
+    const submitted = [first];
+    const users = [this.user(first)];
+    for (let stage = 1; stage <= stages && !this.isOver; stage++) {
+      const needs = submitted.filter((_, i) => i === submitted.length - 1 || this.random() < 0.3);
+      const mayGoOn = (need: string): boolean =>
+        this.over.has(need) || (this.accepted.has(need) && !(isLate && stage === stages));
+      while (!this.isOver && !needs.every(mayGoOn)) await pause(0.05);
+      const id = `${first}-${stage}`;
+      submitted.push(id);
+      users.push(this.user(id, needs));
+    }
+    await Promise.all(users);
+  }
+
+  private async askEverywhere(id: string, body: unknown): Promise<void> {
+    const questions = Array.from({ length: NODES }, (_, index) =>
+      this.ask(id, this.nodeAt(index), 'GET', `/v1/jobs/${id}`),
+    );
+    const repeated = this.accepted.has(id)
+      ? [this.ask(id, this.nodeAt(id.charCodeAt(id.length - 1)), 'POST', '/v1/jobs', body)]
+      : [];
+    await Promise.all([...questions, ...repeated]);
+  }
+}
