--- a/src/coordination/bucketWriter.ts
+++ b/src/coordination/bucketWriter.ts
@@ -164,7 +164,10 @@
     return Math.max(most, this.client.operations(this.key(host, bucket), null));
   }
 
-  /** Onto the fullest bucket of its kind that is sure to hold it, or a new one. */
+  /**
+   * Onto the fullest bucket of its kind that is sure to hold it, or a new one. An empty bucket whose record is still
+   * stored serves as well: it takes one change, where removing it and creating another takes two.
+   */
   private assignBucket(host: OwnedPart, chunk: Chunk): void {
     const { layout, process } = this.options;
     const { room } = this;
@@ -172,7 +175,7 @@
     let best: Bucket | null = null;
     let most = -1;
     for (const bucket of host.buckets.values()) {
-      if ((bucket.chunks.size === 0 && !bucket.unsettled) || bucket.busy) continue;
+      if (bucket.busy) continue;
       // Replicas seldom change, tasks often: apart, so that the ones are not written for the others.
       const [first] = bucket.chunks;
       if (first !== undefined && first.spec.service !== chunk.spec.service) continue;
--- a/test/storing.test.ts
+++ b/test/storing.test.ts
@@ -182,6 +182,29 @@
   assert.deepEqual(desk.where(next), ['p']);
 });
 
+test('an empty bucket is written anew by what comes next, also where its removal got no answer', async () => {
+  for (const removal of ['none', 'applied', 'late'] as const) {
+    const desk = new Desk();
+    desk.machine('n-1');
+    const first = desk.job('wk-1');
+    await desk.round();
+    desk.host.part.dropChunk(first);
+    if (removal !== 'none') {
+      desk.store.loseNext = true;
+      await desk.round();
+      if (removal === 'applied') assert.equal(desk.store.late().kind, 'applied');
+    }
+    const before = desk.store.changes;
+    const next = desk.job('wk-2');
+    await desk.round();
+    await desk.round();
+    if (removal === 'late') assert.equal(desk.store.late().kind, 'conflict');
+    assert.deepEqual([desk.where(first), desk.where(next)], [[], ['p']], removal);
+    assert.ok(desk.started.includes('wk-2/0@n-1'), removal);
+    assert.equal(desk.store.changes, before + 1, `${removal}: one change, no removal`);
+  }
+});
+
 test('a start waits for an answer, also when the first copy was applied without one', async () => {
   for (const applied of [true, false]) {
     const desk = new Desk();
