--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -106,6 +106,16 @@
       const again = submission(SECOND, { WaitsOn: ['wk-999999'] });
       assert.equal((await settled(cluster, label, 'POST', '/v1/jobs', again)).status, 200);
     }
+    // A node that has not heard of the others yet asks the store.
+    cluster.state.unwatched.add('drone-2');
+    await accept(cluster, 'drone-0', submission('wk-000913'));
+    const next = submission('wk-000914', { WaitsOn: ['wk-000913'] });
+    const named = await settled(cluster, 'drone-2', 'POST', '/v1/jobs', next);
+    assert.equal(named.status, 201);
+    const repeated = submission('wk-000913', { WaitsOn: ['wk-999999'] });
+    const known = await settled(cluster, 'drone-2', 'POST', '/v1/jobs', repeated);
+    assert.equal(known.status, 200);
+    cluster.state.unwatched.clear();
     // That a job was never accepted can't be told without the store.
     cluster.state.refused.add('*');
     const answer = await cluster.call(
