--- a/src/coordination/bucketWriter.ts
+++ b/src/coordination/bucketWriter.ts
@@ -26,7 +26,7 @@
 /** What is needed of the state service and of our copy of the records. */
 export type Store = Pick<
   StateClient,
-  'txn' | 'get' | 'turn' | 'writeRate' | 'writeDelay' | 'operations'
+  'txn' | 'get' | 'turn' | 'writeRate' | 'writeDelay' | 'writeLoad' | 'operations'
 >;
 export type Copy = Pick<Replica, 'get' | 'note' | 'noteRemoved'>;
 
@@ -50,6 +50,9 @@
 /** How much longer changes that nobody waits for are gathered while others queue for the state service. */
 const BUSY_PATIENCE = 4;
 
+/** Of the changes that are ours, what is asked for when they are counted as scarce. */
+const BUSY_LOAD = 1 / 2;
+
 /** Of the changes that are ours, what starts of batch work may use. */
 const GATHER_SHARE = 0.4;
 
@@ -108,10 +111,12 @@
   /** Buckets that should be stored now. */
   private dueBuckets(host: OwnedPart): Map<Bucket, Urgency> {
     const now = this.clock.now();
-    // Ends can wait while users and starts are queueing for the state service's changes: a crash
-    // meanwhile loses nothing that the workers do not still report.
-    const isBusy = this.client.writeDelay('later') > this.options.linger / 2;
-    const patience = this.options.linger * (isBusy ? BUSY_PATIENCE : 1);
+    // Ends can wait while users and starts need the state service's changes: a crash meanwhile loses nothing
+    // that the workers do not still report. A chunk whose tasks end one by one would be written for each few.
+    const { linger } = this.options;
+    const isBusy =
+      this.client.writeDelay('later') > linger / 2 || this.client.writeLoad > BUSY_LOAD;
+    const patience = linger * (isBusy ? BUSY_PATIENCE : 1);
     const isGathering = now < host.gatherUntil;
     const due = new Map<Bucket, Urgency>();
     for (const chunk of host.part.dirty) {
--- a/src/storage/stateClient.ts
+++ b/src/storage/stateClient.ts
@@ -79,6 +79,11 @@
     return this.writes.pace;
   }
 
+  /** What this node asks of its share of the changes, as a ratio to it. */
+  get writeLoad(): number {
+    return this.writes.need / this.writes.pace;
+  }
+
   /** Seconds that a change of this urgency would wait for its turn. */
   writeDelay(urgency: Urgency): number {
     return this.writes.delay(urgency);
--- a/test/support/store.ts
+++ b/test/support/store.ts
@@ -13,6 +13,8 @@
   refuseNext = 0;
   private kept: Txn | null = null;
   readonly writeRate = 1000;
+  /** What is asked for of the changes, as a ratio to them. */
+  writeLoad = 0;
   /** False in an outage: its last answer was a refusal. */
   healthy = true;
   /** Bytes of a value and of a transaction, beyond which one is malformed. */
