A job's chunks are found whichever of them are at other parts

Found by reading: where the second chunk of a job had gone to a peer, the third was passed over by cancellations and ends. Its cancellation could not be confirmed (503) until its tasks had ended. Smaller chunks make that more frequent.

--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -26,6 +26,7 @@
 export class Part {
   readonly machines = new Map<string, Machine>();
   readonly chunks = new Map<string, Chunk>();
+  private readonly byJob = new Map<string, Set<Chunk>>();
   /** Chunks that changed and are not stored yet. */
   readonly dirty = new Set<Chunk>();
   /** Machines that should be sent orders now. */
@@ -83,17 +84,9 @@
     for (const placed of [...machine.entries.values()]) this.release(machine, placed, now);
   }
 
-  chunksOf(id: string): Chunk[] {
-    const found: Chunk[] = [];
-    for (let k = 0, misses = 0; misses < 1 || k === 0; k++) {
-      const chunk = this.chunks.get(`${id}/${k}`);
-      if (chunk === undefined) misses++;
-      else found.push(chunk);
-      if (k > 2 && misses > 0) break;
-    }
-    if (found.length > 0) return found;
-    for (const chunk of this.chunks.values()) if (chunk.spec.id === id) found.push(chunk);
-    return found;
+  /** The chunks of a job that are here; any of them may be at other parts. */
+  chunksOf(job: string): Chunk[] {
+    return [...(this.byJob.get(job) ?? [])];
   }
 
   stop(machine: Machine, entry: Entry, wind: number): void {
@@ -143,7 +136,12 @@
   // ---- Chunks ----
 
   addChunk(chunk: Chunk, now: number): void {
+    const replaced = this.chunks.get(chunk.id);
     this.chunks.set(chunk.id, chunk);
+    const { id: job } = chunk.spec;
+    const ofJob = this.byJob.get(job) ?? new Set<Chunk>();
+    if (replaced !== undefined) ofJob.delete(replaced);
+    this.byJob.set(job, ofJob.add(chunk));
     chunk.rank = this.rankOf(chunk);
     this.needs.noteArrival(chunk, 1, now);
     if (chunk.complete) this.settled.add(chunk);
@@ -207,6 +205,8 @@
     chunk.dropped = true;
     chunk.bucket?.remove(chunk);
     this.chunks.delete(chunk.id);
+    const ofJob = this.byJob.get(chunk.spec.id);
+    if (ofJob?.delete(chunk) === true && ofJob.size === 0) this.byJob.delete(chunk.spec.id);
     this.dirty.delete(chunk);
     this.settled.delete(chunk);
     for (const entry of chunk.entries.values()) {
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -1,7 +1,9 @@
 /** A part: starts once they are stored, cancellations, adoption. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Chunk } from '../src/coordination/chunk.js';
 import { Bench } from './support/bench.js';
+import { spec } from './support/spec.js';
 
 test('a start goes out only after its placement is stored, and only while it may', () => {
   const b = new Bench();
@@ -14,6 +16,20 @@
   assert.deepEqual(b.verbs(machine), ['start wk-1/0 1']);
 });
 
+test("a job's chunks are found, whichever of them are at other parts", () => {
+  // The third was passed over where the second had gone: a cancellation of the job neither ended nor confirmed it.
+  for (const here of [[0, 1, 2], [0, 2], [1], [3], [0, 3, 5], []]) {
+    const b = new Bench();
+    const job = spec({ tasks: 6 });
+    const chunks = here.map((k) => new Chunk(job, k, 'p', b.now, k, k + 1, null, b.now));
+    for (const chunk of chunks) b.part.accept(chunk, b.now);
+    b.chunk({ id: 'wk-2' });
+    assert.deepEqual(b.part.chunksOf(job.id), chunks);
+    for (const chunk of chunks) b.part.dropChunk(chunk);
+    assert.deepEqual(b.part.chunksOf(job.id), []);
+  }
+});
+
 test('a machine that is known to be gone frees its tasks at once', () => {
   const b = new Bench();
   b.machine();
