--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -5,16 +5,7 @@
 import type { Gossip } from '../protocol/peer.js';
 import type { Settings, Tuning } from '../protocol/settings.js';
 import { parseTypes, paths as cloudPaths, type MachineType } from '../protocol/cloud.js';
-import type { Change } from '../protocol/state.js';
-import {
-  keys,
-  ROOT,
-  type GroupRecord,
-  type JobRecord,
-  type OwnerRecord,
-  type BucketRecord,
-  type NodeRecord,
-} from '../storage/records.js';
+import { keys, ROOT, type OwnerRecord } from '../storage/records.js';
 import { Fleet } from '../storage/fleet.js';
 import { NodeMarks } from '../storage/nodeMarks.js';
 import { RecordLayout } from '../storage/recordLayout.js';
@@ -38,6 +29,7 @@
 import { Pipelines } from './pipelines/pipelines.js';
 import { Provisioner } from './provisioning/provisioner.js';
 import { Quotas } from './quotas.js';
+import { RecordFollower } from './recordFollower.js';
 import { Sender } from './sender.js';
 import type { ClusterView } from './teamUsage.js';
 import { CancelPreparations } from './cancelPreparations.js';
@@ -77,6 +69,7 @@
   readonly gossiper: Gossiper;
   private readonly rounds: DecisionRounds;
   private readonly loader: PartLoader;
+  private readonly follower: RecordFollower;
   private stopped = false;
 
   constructor(
@@ -106,6 +99,7 @@
     this.totals = new ClusterTotals(this.ownedParts, this.peers, this.zoneOf);
     this.gossiper = new Gossiper(this);
     this.loader = new PartLoader(this);
+    this.follower = new RecordFollower(this, this.loader);
     this.rounds = new DecisionRounds(clock, settings.report, () => {
       this.decide();
       this.orders.send();
@@ -133,7 +127,7 @@
     const hold = Math.min(this.settings.report * 2, this.settings.cancel / 6);
     const watch = { hold, pause };
     return new Replica(this.state, ROOT, this.clock, watch, (change) => {
-      this.onChange(change);
+      this.follower.follow(change);
     });
   }
 
@@ -371,59 +365,11 @@
     this.ownedParts.delete(label);
   }
 
-  /** Follows the stored records. */
-  private onChange(change: Change): void {
-    const [, kind, name = '', bucket = ''] = change.key.split('/');
-    if (change.key === keys.types && this.types.size === 0) {
-      // Restarted while the cloud is down: what it told before will do.
-      this.types = new Map((change.value as MachineType[]).map((t) => [t.name, t]));
-    } else if (kind === 'fleet') this.onGroup(name, change);
-    else if (kind === 'job' && !change.removed) this.onJob(name, change.value as JobRecord);
-    else if (kind === 'node' && !change.removed) this.marks.note(name, change.value as NodeRecord);
-    else if (kind === 'run') {
-      const value = change.value as BucketRecord | null;
-      this.buckets.note(name, bucket, value, change.stamp);
-      const host = this.ownedParts.get(name);
-      if (host !== undefined && value !== null) {
-        this.loader.noteBucket(host, bucket, value, change.stamp);
-      }
-    }
-  }
-
-  private onJob(id: string, record: JobRecord): void {
-    const now = this.clock.now();
-    this.pipelines.note(id, record);
-    if (record.state === 'open' && record.finished.length === 0) return;
-    for (const host of this.ownedParts.values()) {
-      for (const chunk of host.part.chunksOf(id)) {
-        if (record.state === 'cancelled') host.part.cancel(chunk, now);
-        // Its home has counted it as over.
-        else if (record.state === 'done' || record.finished.includes(chunk.index)) {
-          host.part.overtake(chunk, now);
-        }
-      }
-    }
-    this.requestRound();
-  }
-
   private adoptUnmatched(): void {
     if (!this.ownership.valid) return;
     for (const host of this.ownedParts.values()) this.loader.adoptUnmatched(host);
   }
 
-  private onGroup(group: string, change: Change): void {
-    const now = this.clock.now();
-    const { present, gone } = this.fleet.note(group, change.value as GroupRecord | null);
-    for (const host of this.ownedParts.values()) {
-      // The record goes only after the cloud has said that the machine is gone.
-      for (const name of gone) host.part.removeMachine(name, now);
-      for (const [name, record] of present) {
-        if (record.part === host.part.label) host.part.addMachine(name, record, now);
-      }
-    }
-    this.requestRound();
-  }
-
   ownerOf(part: string): string | null {
     const stored = this.replica.get(keys.owner(part))?.value as OwnerRecord | undefined;
     const told = this.peers.hostOf(part);
--- /dev/null
+++ b/src/coordination/recordFollower.ts
@@ -0,0 +1,91 @@
+/** What changes of the stored records mean to this node: machines, jobs and chunks of its parts follow them. */
+import type { Clock } from '../base/clock.js';
+import type { MachineType } from '../protocol/cloud.js';
+import type { Change } from '../protocol/state.js';
+import type { Buckets } from '../storage/buckets.js';
+import type { Fleet } from '../storage/fleet.js';
+import type { NodeMarks } from '../storage/nodeMarks.js';
+import {
+  keys,
+  type BucketRecord,
+  type GroupRecord,
+  type JobRecord,
+  type NodeRecord,
+} from '../storage/records.js';
+import type { OwnedPart } from './ownedPart.js';
+import type { PartLoader } from './partLoader.js';
+import type { Pipelines } from './pipelines/pipelines.js';
+
+/** What is needed of a node. */
+export interface FollowingNode {
+  clock: Pick<Clock, 'now'>;
+  types: Map<string, MachineType>;
+  fleet: Fleet;
+  buckets: Buckets;
+  marks: NodeMarks;
+  pipelines: Pick<Pipelines, 'note'>;
+  ownedParts: ReadonlyMap<string, OwnedPart>;
+  requestRound(): void;
+}
+
+export class RecordFollower {
+  constructor(
+    private readonly node: FollowingNode,
+    private readonly loader: Pick<PartLoader, 'noteBucket'>,
+  ) {}
+
+  /** One record has changed in this node's copy. */
+  follow(change: Change): void {
+    const { node } = this;
+    const [, kind, name = '', bucket = ''] = change.key.split('/');
+    if (change.removed && (change.key === keys.types || kind === 'job' || kind === 'node')) return;
+    if (change.key === keys.types) this.onTypes(change.value as MachineType[]);
+    else if (kind === 'fleet') this.onGroup(name, change);
+    else if (kind === 'job') this.onJob(name, change.value as JobRecord);
+    else if (kind === 'node') node.marks.note(name, change.value as NodeRecord);
+    else if (kind === 'run') this.onBucket(name, bucket, change);
+  }
+
+  private onTypes(types: MachineType[]): void {
+    // Restarted while the cloud is down: what it told before will do.
+    if (this.node.types.size === 0) this.node.types = new Map(types.map((t) => [t.name, t]));
+  }
+
+  private onBucket(part: string, bucket: string, change: Change): void {
+    const value = change.value as BucketRecord | null;
+    this.node.buckets.note(part, bucket, value, change.stamp);
+    const host = this.node.ownedParts.get(part);
+    if (host !== undefined && value !== null) {
+      this.loader.noteBucket(host, bucket, value, change.stamp);
+    }
+  }
+
+  private onJob(id: string, record: JobRecord): void {
+    const now = this.node.clock.now();
+    this.node.pipelines.note(id, record);
+    if (record.state === 'open' && record.finished.length === 0) return;
+    for (const host of this.node.ownedParts.values()) {
+      for (const chunk of host.part.chunksOf(id)) {
+        if (record.state === 'cancelled') host.part.cancel(chunk, now);
+        // Its home has counted it as over.
+        else if (record.state === 'done' || record.finished.includes(chunk.index)) {
+          host.part.overtake(chunk, now);
+        }
+      }
+    }
+    this.node.requestRound();
+  }
+
+  private onGroup(group: string, change: Change): void {
+    const now = this.node.clock.now();
+    const { present, gone } = this.node.fleet.note(group, change.value as GroupRecord | null);
+    for (const host of this.node.ownedParts.values()) {
+      // The record goes only after the cloud has said that the machine is gone.
+      for (const name of gone) host.part.removeMachine(name, now);
+      for (const [name, record] of present) {
+        if (record.part === host.part.label) host.part.addMachine(name, record, now);
+      }
+    }
+    this.node.requestRound();
+  }
+}
