--- a/src/main.ts
+++ b/src/main.ts
@@ -25,7 +25,7 @@
 import { HttpServer } from './transport/httpServer.js';
 import { PeerServer } from './transport/peerLink.js';
 
-const VERSION = '0.2.0';
+const VERSION = '0.3.0';
 const BODY_LIMIT = 64 * 1024;
 
 function load(config: string, properties: string | undefined): [Settings, Tuning] {
