--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -192,3 +192,64 @@
       }
     }));
 }
+
+test('a job that is submitted while the one it needs is being cancelled is cancelled too', () =>
+  withCluster({ nodes: 3, runs: endless }, async (cluster) => {
+    await accept(cluster, 'drone-0', submission(FIRST, { Pieces: 2 }));
+    const ids = Array.from({ length: 6 }, (_, i) => `wk-00092${i}`);
+    const submitted = ids.map((id, i) =>
+      accept(cluster, `drone-${i % 3}`, submission(id, { WaitsOn: [FIRST] })),
+    );
+    await Promise.all([cancel(cluster, 'drone-1', FIRST), ...submitted]);
+    for (const id of ids) {
+      await until(`${id} is cancelled`, async () => {
+        return (await told(cluster, 'drone-2', id)) === 'cancelled';
+      });
+      assert.equal(startsOf(cluster, id), 0, id);
+    }
+  }));
+
+test('a cancellation that meets the end of a job: done, and the next goes on, or both are cancelled', () =>
+  withCluster({ nodes: 3, runs: () => 0.4 }, async (cluster) => {
+    const pairs = Array.from({ length: 5 }, (_, i) => [`wk-00093${i}`, `wk-00094${i}`]);
+    for (const [i, [first, next]] of pairs.entries()) {
+      await accept(cluster, 'drone-0', submission(first, { Pieces: 1 }));
+      await accept(cluster, 'drone-1', submission(next, { Pieces: 1, WaitsOn: [first] }));
+      // Before, about and after the time that its end takes to be stored.
+      await pause(0.3 * i);
+      const path = `/v1/jobs/${first}/withdraw`;
+      const answer = await settled(cluster, 'drone-2', 'POST', path);
+      const end = (answer.body as { Status: string }).Status;
+      await until(`${next} is ${end}`, async () => (await told(cluster, 'drone-0', next)) === end);
+      assert.equal(startsOf(cluster, next), end === 'done' ? 1 : 0, `${next} is ${end}`);
+    }
+  }));
+
+test('stages on both sides of a cut: the next starts once the end of the one before is stored', () =>
+  withCluster({ nodes: 2, zones: ['a', 'b'], runs: () => 0.6 }, async (cluster) => {
+    await accept(cluster, 'drone-1', submission(FIRST, { Pieces: 2, Yard: 'b' }));
+    await accept(
+      cluster,
+      'drone-0',
+      submission(SECOND, { Pieces: 2, Yard: 'a', WaitsOn: [FIRST] }),
+    );
+    await until('the first runs', () => startsOf(cluster, FIRST) === 2);
+    cluster.apart.add('drone-1');
+    cluster.state.refused.add('drone-1');
+    const isStored = (): boolean => {
+      const record = cluster.state.rows.get(`b/job/${FIRST}`)?.value as { state?: string };
+      return record.state === 'done';
+    };
+    for (let i = 0; i < 40; i++) {
+      assert.ok(isStored() || startsOf(cluster, SECOND) === 0, 'too early');
+      await pause(0.05);
+    }
+    cluster.apart.clear();
+    cluster.state.refused.clear();
+    await until(
+      'both are done',
+      async () => (await told(cluster, 'drone-0', SECOND)) === 'done',
+      40,
+    );
+    assert.equal(startsOf(cluster, SECOND), 2);
+  }));
