--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -1,4 +1,5 @@
 /** Stops lower-ranked work, and what teams have borrowed, where others need the room. */
+import { rankOrder } from '../protocol/job.js';
 import type { Chunk } from './chunk.js';
 import { Heap } from './heap.js';
 import type { Machine, Placed } from './machine.js';
@@ -16,6 +17,9 @@
   loss: number;
 }
 
+/** What work may be stopped for it: it is of its own rank, whatever it has inherited. */
+const claimOf = (chunk: Chunk): number => rankOrder[chunk.spec.rank];
+
 /** Added to the loss, in seconds of work, where the image is missing: machines that hold it come first. */
 const FETCH_LOSS = 1e6;
 
@@ -33,7 +37,9 @@
     const { lowestRank, ending } = this.running();
     let making = ending;
     // Where nothing of a lower rank runs there is nothing to look for on hundreds of machines.
-    const claimants = blocked.filter((c) => c.rank > lowestRank || this.teams.isEntitled(c.spec));
+    const claimants = blocked.filter(
+      (c) => claimOf(c) > lowestRank || this.teams.isEntitled(c.spec),
+    );
     const offers = new Map<string, Heap<Offer>>();
     for (const chunk of claimants) {
       // One task's room at a time for each that waits; more would stop work for nothing.
@@ -41,7 +47,8 @@
       making = Math.max(0, making - chunk.pending);
       if (left === 0) continue;
       if (outOfTime()) return;
-      const key = [shapeOf(chunk.spec, chunk.zone), chunk.rank, chunk.spec.team, chunk.spec.image];
+      const claim = claimOf(chunk);
+      const key = [shapeOf(chunk.spec, chunk.zone), claim, chunk.spec.team, chunk.spec.image];
       const shape = key.join(' ');
       let heap = offers.get(shape);
       if (heap === undefined) {
@@ -90,7 +97,7 @@
       machine.free,
       chunk.spec,
       this.stoppable(machine, chunk, now),
-      chunk.rank,
+      claimOf(chunk),
     );
     if (victims === null || victims.length === 0) return;
     const fetch = machine.hasImage(chunk.spec.image) ? 0 : FETCH_LOSS;
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -5,6 +5,7 @@
 import type { Machine } from '../src/coordination/machine.js';
 import { Part } from '../src/coordination/part.js';
 import type { MachineType } from '../src/protocol/cloud.js';
+import { rankOrder } from '../src/protocol/job.js';
 import type { TaskReport } from '../src/protocol/worker.js';
 import { singlePartView } from '../src/coordination/teamUsage.js';
 import { Bench } from './support/bench.js';
@@ -313,3 +314,37 @@
     for (const d of demands) assert.ok(d.pressing < d.count || d.count === 0);
   });
 }
+
+test('a job that an urgent one needs goes first, stops nothing for that, and is not stopped for less', () => {
+  const inherited = new Map<string, number>();
+  const view = {
+    ...singlePartView,
+    inheritedRank: (job: string) => inherited.get(job) ?? -Infinity,
+  };
+  const b = new Bench(view);
+  const machine = b.machine();
+  const ordinary = b.running(machine, { id: 'wk-1', tasks: 1, cpus: 5 });
+  const other = b.chunk({ id: 'wk-2', cpus: 5 });
+  b.now += 1;
+  const stage = b.chunk({ id: 'wk-3', rank: 'idle', cpus: 5 });
+  inherited.set('wk-3', rankOrder.high);
+  b.part.rerank('wk-3');
+  assert.deepEqual(b.part.queue(), [stage, other]);
+  b.decide();
+  assert.deepEqual(b.verbs(machine), [], 'what runs goes on');
+  b.report(machine, [{ task: 'wk-1/0', state: 'ended', cause: 'done' }]);
+  assert.ok(ordinary.complete);
+  b.decide();
+  assert.equal(stage.entries.size, 1);
+  b.store(stage);
+  b.report(machine, [{ task: 'wk-3/0' }]);
+  const urgent = b.chunk({ id: 'wk-4', rank: 'high', cpus: 5 });
+  b.decide();
+  assert.equal(stage.entries.get(0)?.stop, null, 'it is as urgent as the job that needs it');
+  assert.equal(urgent.entries.size, 0);
+  // Nobody needs it any more.
+  inherited.clear();
+  b.part.rerank('wk-3');
+  b.decide();
+  assert.notEqual(stage.entries.get(0)?.stop, null);
+});
