--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -78,3 +78,39 @@
     cluster.close();
   }
 });
+
+test('three stages as a new user tries them: why the second waits, and what cancelling the first does', async () => {
+  const cluster = new Cluster({ nodes: 1, runs: () => Infinity });
+  try {
+    await cluster.start();
+    const stages: [string, string[]][] = [
+      ['wk-000001', []],
+      ['wk-000002', ['wk-000001']],
+      ['wk-000003', ['wk-000001', 'wk-000002']],
+    ];
+    for (const [id, WaitsOn] of stages) {
+      await until(`${id} is accepted`, async () => {
+        const body = submission(id, { WaitsOn });
+        return (await cluster.call('drone-0', 'POST', '/v1/jobs', body)).status < 300;
+      });
+    }
+    const server = cluster.nodes.get('drone-0')?.address ?? '';
+    const why = async (id: string): Promise<string> =>
+      (await run('why', id, '--server', server)).out;
+    const second = await why('wk-000002');
+    assert.match(
+      second,
+      /^wk-000002: queued.*\nIt waits for 1 job\(s\) to be done first: wk-000001\./,
+    );
+    assert.match(await why('wk-000003'), /2 job\(s\) to be done first: wk-000001, wk-000002\./);
+    await until('the first is cancelled', async () => {
+      const path = '/v1/jobs/wk-000001/withdraw';
+      return (await cluster.call('drone-0', 'POST', path)).status === 200;
+    });
+    await until('the last is cancelled too', async () => {
+      return (await why('wk-000003')).startsWith('wk-000003: cancelled');
+    });
+  } finally {
+    cluster.close();
+  }
+});
