--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,7 +11,7 @@
       {
         patterns: [
           {
-            group: [...layers.slice(0, depth).map((l) => `**/${l}/**`), '../main.js', '../cli.js'],
+            group: [...layers.slice(0, depth).map((l) => `**/${l}/**`), '../main.js', '**/cli/**'],
             message: 'Imports go downwards only.',
           },
         ],
@@ -25,7 +25,7 @@
 const wireSelector = `Identifier[name=/^(${wireNames.join('|')})$/]`;
 
 export default ts.config(
-  { ignores: ['target/', 'node_modules/', 'journal/'] },
+  { ignores: ['**/target/', '**/node_modules/', 'journal/'] },
   js.configs.recommended,
   ...ts.configs.strict,
   {
@@ -43,6 +43,19 @@
       complexity: ['error', 25],
     },
   },
+  {
+    // A package stands by itself: src/ adapts it, and it knows nothing of src/.
+    files: ['packages/*/src/**/*.ts'],
+    rules: {
+      'max-lines': ['error', { max: 300, skipComments: true, skipBlankLines: true }],
+      'max-lines-per-function': ['error', { max: 45, skipComments: true, skipBlankLines: true }],
+      complexity: ['error', 12],
+      'no-restricted-imports': [
+        'error',
+        { patterns: [{ regex: '^(\\.\\./){3,}', message: 'Packages import nothing of src/.' }] },
+      ],
+    },
+  },
   ...downwardsOnly,
   {
     files: ['src/{base,transport,storage,coordination}/**/*.ts'],
--- /dev/null
+++ b/packages/rollout/src/driver/rolloutMachine.ts
@@ -0,0 +1,342 @@
+/**
+ * What a rollout does next: a pure function of its stored record, its plan and what was seen of the controllers. The
+ * driver stores the new record before it acts on it.
+ */
+import {
+  isAway,
+  type Baseline,
+  type ControllerHealth,
+  type ControllerProgress,
+  type ControllerState,
+  type DriverPermit,
+  type DriverRecord,
+} from './driverRecord.js';
+import type { RolloutPlan } from './plan.js';
+
+/** How the command that replaces a controller is getting on, at this driver. */
+export type CommandResult =
+  { kind: 'running' } | { kind: 'ended' } | { kind: 'failed'; reason: string };
+
+export interface Observation {
+  /** Null: it does not answer. */
+  controllers: ReadonlyMap<string, ControllerHealth | null>;
+  commands: ReadonlyMap<string, CommandResult>;
+  /** The cluster's level; null: nobody tells. */
+  level: number | null;
+  /** Time of day in seconds. */
+  wall: number;
+}
+
+export type RolloutAction =
+  | { kind: 'drain'; label: string }
+  | { kind: 'replace'; label: string }
+  /** Lets the cluster's level rise. */
+  | { kind: 'finalize' };
+
+export interface Advance {
+  record: DriverRecord;
+  actions: RolloutAction[];
+}
+
+const freshProgress = (wall: number): ControllerProgress => ({
+  state: 'waiting',
+  since: wall,
+  process: null,
+  conditionSince: null,
+});
+
+/** The record of a rollout that has done nothing yet. */
+export function startRecord(
+  plan: RolloutPlan,
+  permit: DriverPermit,
+  level: number,
+  wall: number,
+): DriverRecord {
+  return {
+    name: plan.name,
+    plan: plan.digest,
+    order: plan.order,
+    phase: 'running',
+    direction: 'forward',
+    cause: { text: 'it has just begun', since: wall },
+    permit,
+    baseline: null,
+    levelAtStart: level,
+    controllers: Object.fromEntries(plan.order.map((label) => [label, freshProgress(wall)])),
+  };
+}
+
+/** Turns round: the controllers that were touched go back, the last one first. */
+export function turnBack(record: DriverRecord, cause: string, wall: number): DriverRecord {
+  const controllers = Object.entries(record.controllers).map(([label, progress]) => {
+    const isUntouched = record.direction === 'forward' && progress.state === 'waiting';
+    const next: ControllerProgress = {
+      ...freshProgress(wall),
+      state: isUntouched ? 'done' : 'waiting',
+    };
+    return [label, next] as const;
+  });
+  return {
+    ...record,
+    phase: 'running',
+    direction: 'back',
+    baseline: null,
+    cause: { text: cause, since: wall },
+    controllers: Object.fromEntries(controllers),
+  };
+}
+
+/** Why a rollout cannot go back; null: it can. */
+export function rollbackObstacle(
+  record: DriverRecord,
+  plan: RolloutPlan,
+  level: number | null,
+): string | null {
+  if (plan.rollbackCommand === null) return 'the plan has no rollback.command';
+  if (level !== null && level > record.levelAtStart) {
+    return `the cluster has gone from level ${record.levelAtStart} to ${level} since; lower it first (rollout lower)`;
+  }
+  return null;
+}
+
+/** Goes on after a pause; the times of what is under way count anew. */
+export function resumeRecord(record: DriverRecord, wall: number): DriverRecord {
+  const controllers = Object.entries(record.controllers).map(
+    ([label, progress]) => [label, { ...progress, since: wall, conditionSince: null }] as const,
+  );
+  const cause = { text: 'it was resumed', since: wall };
+  return { ...record, phase: 'running', cause, controllers: Object.fromEntries(controllers) };
+}
+
+export function pauseRecord(record: DriverRecord, text: string, wall: number): DriverRecord {
+  return { ...record, phase: 'paused', cause: { text, since: wall } };
+}
+
+/** What one controller should become, or why the rollout stops at it. */
+type Step =
+  | { kind: 'stay'; reason: string; conditionSince?: number | null }
+  | { kind: 'go'; to: ControllerState; process?: string }
+  | { kind: 'fail'; reason: string };
+
+/** One step of the rollout. */
+export function advance(record: DriverRecord, plan: RolloutPlan, seen: Observation): Advance {
+  if (record.phase !== 'running') return { record, actions: [] };
+  return new StepPlanner(record, plan, seen).plan();
+}
+
+class StepPlanner {
+  constructor(
+    private record: DriverRecord,
+    private readonly rollout: RolloutPlan,
+    private readonly seen: Observation,
+  ) {}
+
+  plan(): Advance {
+    const reasons: string[] = [];
+    for (const label of this.inOrder()) {
+      const step = this.stepOf(label);
+      if (step.kind === 'fail') return this.fail(`${label}: ${step.reason}`);
+      if (step.kind === 'go') this.move(label, step);
+      else {
+        if (step.conditionSince !== undefined)
+          this.set(label, { conditionSince: step.conditionSince });
+        if (step.reason !== '') reasons.push(`${label}: ${step.reason}`);
+      }
+    }
+    return this.finish(reasons);
+  }
+
+  private inOrder(): string[] {
+    const { order, direction } = this.record;
+    return direction === 'forward' ? order : [...order].reverse();
+  }
+
+  private progressOf(label: string): ControllerProgress {
+    return this.record.controllers[label] ?? freshProgress(this.seen.wall);
+  }
+
+  private set(label: string, changes: Partial<ControllerProgress>): void {
+    const progress = { ...this.progressOf(label), ...changes };
+    const controllers = { ...this.record.controllers, [label]: progress };
+    this.record = { ...this.record, controllers };
+  }
+
+  private move(label: string, { to, process }: Extract<Step, { kind: 'go' }>): void {
+    const kept = process === undefined ? {} : { process };
+    this.set(label, { state: to, since: this.seen.wall, conditionSince: null, ...kept });
+  }
+
+  private get wantedVersion(): string | null {
+    return this.record.direction === 'forward'
+      ? this.rollout.version
+      : this.rollout.rollbackVersion;
+  }
+
+  private stepOf(label: string): Step {
+    const progress = this.progressOf(label);
+    switch (progress.state) {
+      case 'waiting':
+        return this.begin(label, progress);
+      case 'draining':
+        return this.drain(label, progress);
+      case 'replacing':
+        return this.replace(label);
+      case 'starting':
+        return this.start(label, progress);
+      case 'settling':
+        return this.settle(progress);
+      case 'done':
+        return { kind: 'stay', reason: '' };
+    }
+  }
+
+  private begin(label: string, { conditionSince }: ControllerProgress): Step {
+    const { controllers } = this.record;
+    const away = Object.keys(controllers).filter((other) => isAway(this.progressOf(other)));
+    if (away.length >= this.rollout.concurrency) return { kind: 'stay', reason: '' };
+    // One that has crashed is replaced as well, but no other is taken away beside it.
+    const down = this.notReady().filter((other) => other !== label && !away.includes(other));
+    if (down.length + away.length >= this.rollout.concurrency) {
+      const from = conditionSince ?? this.seen.wall;
+      const reason = `waits until ${down.join(', ')} is ready`;
+      if (this.isOver(from, this.rollout.startTimeout)) return { kind: 'fail', reason };
+      return { kind: 'stay', reason, conditionSince: from };
+    }
+    this.record = { ...this.record, baseline: this.totals() };
+    const before = this.seen.controllers.get(label) ?? null;
+    const isDrained = this.rollout.drains && before !== null;
+    return { kind: 'go', to: isDrained ? 'draining' : 'replacing', process: before?.process ?? '' };
+  }
+
+  private notReady(): string[] {
+    return [...this.seen.controllers]
+      .filter(([, health]) => health?.isReady !== true)
+      .map(([label]) => label);
+  }
+
+  private drain(label: string, { since }: ControllerProgress): Step {
+    const health = this.seen.controllers.get(label) ?? null;
+    // It went by itself: there is nothing left to be handed over.
+    if (health === null || health.isDrained) return { kind: 'go', to: 'replacing' };
+    if (this.isOver(since, this.rollout.drainTimeout)) {
+      return {
+        kind: 'fail',
+        reason: `it still owns ${health.parts.join(', ') || 'a duty'} after the drain timeout`,
+      };
+    }
+    return { kind: 'stay', reason: `gives up ${health.parts.join(', ') || 'its duties'}` };
+  }
+
+  private replace(label: string): Step {
+    const result = this.seen.commands.get(label);
+    if (result?.kind === 'ended') return { kind: 'go', to: 'starting' };
+    if (result?.kind === 'failed')
+      return { kind: 'fail', reason: `the command failed: ${result.reason}` };
+    return { kind: 'stay', reason: 'its command is running' };
+  }
+
+  private start(label: string, progress: ControllerProgress): Step {
+    const missing = this.missingAfterStart(label, progress);
+    if (missing === null) return { kind: 'go', to: 'settling' };
+    if (this.isOver(progress.since, this.rollout.startTimeout)) {
+      return { kind: 'fail', reason: `${missing} after the start timeout` };
+    }
+    return { kind: 'stay', reason: missing };
+  }
+
+  private missingAfterStart(label: string, { process }: ControllerProgress): string | null {
+    const health = this.seen.controllers.get(label) ?? null;
+    if (health === null) return 'it does not answer';
+    if (health.process === process) return 'it is still the process from before';
+    if (this.wantedVersion !== null && health.version !== this.wantedVersion) {
+      return `it runs ${health.version} and not ${this.wantedVersion}`;
+    }
+    if (!health.isReady) return 'it is not ready';
+    return health.parts.includes(label) ? null : 'it does not have its part back';
+  }
+
+  private settle({ since, conditionSince }: ControllerProgress): Step {
+    const { wall } = this.seen;
+    const unwell = this.unwell();
+    if (unwell === null) {
+      const from = conditionSince ?? wall;
+      if (wall - from >= this.rollout.soak) return { kind: 'go', to: 'done' };
+      return { kind: 'stay', reason: 'the cluster is well; soaking', conditionSince: from };
+    }
+    if (this.isOver(since, this.rollout.startTimeout + this.rollout.soak)) {
+      return { kind: 'fail', reason: `${unwell} after the start timeout` };
+    }
+    return { kind: 'stay', reason: unwell, conditionSince: null };
+  }
+
+  /** How the cluster is worse off than before; null: it is not. */
+  private unwell(): string | null {
+    const down = this.notReady();
+    if (down.length > 0) return `${down.join(', ')} is not ready`;
+    const { baseline } = this.record;
+    if (baseline === null) return null;
+    const now = this.totals();
+    if (now.liveReplicas < baseline.liveReplicas * this.rollout.replicaShare) {
+      return `${now.liveReplicas} of ${baseline.liveReplicas} live replicas are up`;
+    }
+    const most =
+      Math.max(baseline.waitingTasks, baseline.liveReplicas) * this.rollout.waitingFactor;
+    if (now.waitingTasks > most && now.waitingTasks > baseline.waitingTasks) {
+      return `${now.waitingTasks} tasks wait, ${baseline.waitingTasks} did before`;
+    }
+    return null;
+  }
+
+  private totals(): Baseline {
+    const all = [...this.seen.controllers.values()].flatMap((health) => health ?? []);
+    const sum = (amount: (health: ControllerHealth) => number): number =>
+      all.reduce((total, health) => total + amount(health), 0);
+    return {
+      liveReplicas: sum((health) => health.liveReplicas),
+      waitingTasks: sum((health) => health.waitingTasks),
+    };
+  }
+
+  private isOver(since: number, seconds: number): boolean {
+    return this.seen.wall - since > seconds;
+  }
+
+  private fail(cause: string): Advance {
+    const { record, rollout, seen } = this;
+    const obstacle = rollbackObstacle(record, rollout, seen.level);
+    const isTurned =
+      rollout.onFailure === 'rollback' && record.direction === 'forward' && obstacle === null;
+    const next = isTurned
+      ? turnBack(record, cause, seen.wall)
+      : pauseRecord(record, cause, seen.wall);
+    return { record: next, actions: [] };
+  }
+
+  private finish(reasons: string[]): Advance {
+    const isOver = Object.values(this.record.controllers).every(({ state }) => state === 'done');
+    if (isOver) {
+      const phase = this.record.direction === 'forward' ? 'done' : 'rolled-back';
+      const cause = {
+        text: phase === 'done' ? 'all controllers were replaced' : 'all controllers are back',
+        since: this.seen.wall,
+      };
+      const actions: RolloutAction[] = this.rollout.finalizes ? [{ kind: 'finalize' }] : [];
+      return { record: { ...this.record, phase, cause }, actions };
+    }
+    const text = reasons.join('; ') || this.record.cause.text;
+    if (text !== this.record.cause.text) {
+      this.record = { ...this.record, cause: { text, since: this.seen.wall } };
+    }
+    return { record: this.record, actions: this.actions() };
+  }
+
+  private actions(): RolloutAction[] {
+    return Object.entries(this.record.controllers).flatMap(
+      ([label, { state }]): RolloutAction[] => {
+        if (state === 'draining') return [{ kind: 'drain', label }];
+        if (state === 'replacing') return [{ kind: 'replace', label }];
+        return [];
+      },
+    );
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/participant.ts
@@ -0,0 +1,85 @@
+/** One node's part in it: publishes what the node reads and writes, and answers proposals. */
+import { isDeepStrictEqual } from 'node:util';
+import type { LevelRange } from './levels.js';
+import { rolloutKeys, type ClusterVersion, type Member, type Presence } from './records.js';
+import { applyChange, unchanged, type RecordCopy, type RecordStore } from './store.js';
+
+export interface ParticipantOptions {
+  label: string;
+  /** Sets this start of the process apart from every other. */
+  process: string;
+  range: LevelRange;
+  /** The highest level that this node is switched to. */
+  wants: number;
+  /** Makes this node do as the version says, before it answers; false: not done yet. */
+  comply: (version: ClusterVersion) => Promise<boolean>;
+}
+
+/** What a participant needs to know of its node. */
+export interface ParticipantNode {
+  /** The node's lease at the store; null while it has none. */
+  readonly hold: number | null;
+  readonly version: ClusterVersion;
+}
+
+export class Participant {
+  private isBusy = false;
+  /** The lease that the presence record was written under. */
+  private writtenUnder: number | null = null;
+  private answered: Presence | null = null;
+
+  constructor(
+    private readonly store: RecordStore,
+    private readonly copy: RecordCopy,
+    private readonly node: ParticipantNode,
+    private readonly options: ParticipantOptions,
+  ) {}
+
+  /** Whether this process's record is stored under its present lease. */
+  get isPublished(): boolean {
+    return this.writtenUnder !== null && this.writtenUnder === this.node.hold;
+  }
+
+  /** Stores what is not stored yet. */
+  async reconcile(): Promise<void> {
+    if (this.isBusy || this.node.hold === null) return;
+    this.isBusy = true;
+    try {
+      await this.publish(this.node.hold);
+    } finally {
+      this.isBusy = false;
+    }
+  }
+
+  private async publish(hold: number): Promise<void> {
+    const { version } = this.node;
+    const isAnswered = this.answered?.answer === version.proposal;
+    if (isAnswered && this.writtenUnder === hold && this.isStored()) return;
+    if (!isAnswered && !(await this.options.comply(version))) return;
+    const { label, process, range, wants } = this.options;
+    const member: Member = { ...range, wants, process };
+    const presence: Presence = { ...member, answer: version.proposal };
+    const key = rolloutKeys.presence(label);
+    const memberKey = rolloutKeys.member(label);
+    const isNewMember = !isDeepStrictEqual(this.copy.get(memberKey)?.value, member);
+    const outcome = await applyChange(this.store, this.copy, {
+      when: [unchanged(this.copy, key), ...(isNewMember ? [unchanged(this.copy, memberKey)] : [])],
+      puts: [
+        { key, value: presence, hold },
+        ...(isNewMember ? [{ key: memberKey, value: member }] : []),
+      ],
+      removes: [],
+    });
+    if (outcome.kind !== 'applied') return;
+    this.writtenUnder = hold;
+    this.answered = presence;
+  }
+
+  /** It may have been overwritten, by a late transaction of an earlier process. */
+  private isStored(): boolean {
+    return isDeepStrictEqual(
+      this.copy.get(rolloutKeys.presence(this.options.label))?.value,
+      this.answered,
+    );
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/status.ts
@@ -0,0 +1,117 @@
+/** The state of the cluster's version for operators: what it is, and what holds it back since when. */
+import type { FeatureTable } from './levels.js';
+import { readProgress } from './migration/migrator.js';
+import type { ClusterVersion } from './records.js';
+import type { RecordCopy } from './store.js';
+import {
+  planVersion,
+  type Blocker,
+  type ClusterSnapshot,
+  type PlanOptions,
+} from './versionPlan.js';
+
+/** How far a feature has come. */
+export type FeatureStep = 'can be read' | 'may be written' | 'migrated' | 'being taken back';
+
+export interface FeatureStatus {
+  name: string;
+  level: number;
+  writes: string;
+  step: FeatureStep;
+  isReversible: boolean;
+}
+
+export interface NodeStatus {
+  label: string;
+  /** Levels that it reads, or null while it publishes none. */
+  reads: { min: number; max: number } | null;
+  wants: number | null;
+  process: string | null;
+  answer: number | null;
+}
+
+export interface PartStatus {
+  part: string;
+  isFinished: boolean;
+  converted: number;
+  quarantined: Record<string, string>;
+  unnamed: number;
+}
+
+export interface RolloutStatus {
+  version: ClusterVersion;
+  damage: string | null;
+  features: FeatureStatus[];
+  nodes: NodeStatus[];
+  parts: PartStatus[];
+  /** What the next change of the level waits for. */
+  blockers: (Blocker & { since: number })[];
+}
+
+/** Remembers since when each thing holds the cluster back, as far as this node has seen. */
+export class BlockerHistory {
+  private readonly since = new Map<string, number>();
+
+  /** The blockers with the time of day at which each was first seen without a break. */
+  note(blockers: Blocker[], wall: number): (Blocker & { since: number })[] {
+    const keyOf = ({ cause, subject }: Blocker): string => `${cause} ${subject}`;
+    const present = new Set(blockers.map(keyOf));
+    for (const key of [...this.since.keys()]) if (!present.has(key)) this.since.delete(key);
+    return blockers.map((blocker) => {
+      const since = this.since.get(keyOf(blocker)) ?? wall;
+      this.since.set(keyOf(blocker), since);
+      return { ...blocker, since };
+    });
+  }
+}
+
+function stepOf(level: number, version: ClusterVersion): FeatureStep {
+  if (level > version.level) return 'can be read';
+  if (level > version.target) return 'being taken back';
+  const isVerified = version.walk > 0 && version.verified === version.proposal;
+  return isVerified ? 'migrated' : 'may be written';
+}
+
+/** What holds the next change back. */
+export function blockersOf(snapshot: ClusterSnapshot, options: PlanOptions): Blocker[] {
+  const decision = planVersion(snapshot, options);
+  return decision.kind === 'wait' ? decision.blockers : [];
+}
+
+export interface StatusSource {
+  copy: Pick<RecordCopy, 'get'>;
+  snapshot: ClusterSnapshot;
+  features: FeatureTable;
+  parts: string[];
+  blockers: (Blocker & { since: number })[];
+}
+
+export function rolloutStatus(source: StatusSource): RolloutStatus {
+  const { snapshot, features, blockers } = source;
+  const { version, damage } = snapshot;
+  return {
+    version,
+    damage,
+    features: features.features.map(({ name, level, writes, undo }) => ({
+      ...{ name, level, writes },
+      step: stepOf(level, version),
+      isReversible: undo !== null,
+    })),
+    nodes: snapshot.nodes.map(({ label, presence }) => ({
+      label,
+      reads: presence === null ? null : { min: presence.value.min, max: presence.value.max },
+      wants: presence?.value.wants ?? null,
+      process: presence?.value.process ?? null,
+      answer: presence?.value.answer ?? null,
+    })),
+    parts: source.parts.map((part) => {
+      const { isFinished, converted, quarantined, unnamed } = readProgress(
+        source.copy,
+        part,
+        version.walk,
+      );
+      return { part, isFinished, converted, quarantined, unnamed };
+    }),
+    blockers,
+  };
+}
--- /dev/null
+++ b/packages/rollout/src/store.ts
@@ -0,0 +1,58 @@
+/** The records that the nodes share, as this package needs them; the service adapts its own client and copy. */
+
+export interface StoredRecord {
+  value: unknown;
+  /** The revision of the record's last change; it never stands for two values. */
+  stamp: number;
+}
+
+/** A node's copy of the records, a little behind the store. */
+export interface RecordCopy {
+  get(key: string): StoredRecord | undefined;
+  under(prefix: string): Iterable<[string, StoredRecord]>;
+  /** Takes up a change that this node made itself, ahead of the watch. */
+  note(key: string, value: unknown, stamp: number): void;
+}
+
+/** A key and the stamp that it must have; 0: it must not exist. */
+export interface Condition {
+  key: string;
+  stamp: number;
+}
+
+/** An atomic change, applied only if every condition holds. */
+export interface RecordChange {
+  when: Condition[];
+  puts: { key: string; value: unknown; hold?: number }[];
+  removes: string[];
+}
+
+export type ChangeOutcome =
+  | { kind: 'applied'; stamp: number }
+  | { kind: 'conflict'; failed: string[] }
+  /** No answer: it may have been applied, or may still be. */
+  | { kind: 'unknown' }
+  | { kind: 'refused' | 'no-lease' | 'malformed' };
+
+export interface RecordStore {
+  txn(change: RecordChange): Promise<ChangeOutcome>;
+}
+
+/** The condition that a record is as the copy shows it. */
+export const unchanged = (copy: Pick<RecordCopy, 'get'>, key: string): Condition => ({
+  key,
+  stamp: copy.get(key)?.stamp ?? 0,
+});
+
+/** Applies a change and takes it up in the copy. */
+export async function applyChange(
+  store: RecordStore,
+  copy: Pick<RecordCopy, 'note'>,
+  change: RecordChange,
+): Promise<ChangeOutcome> {
+  const outcome = await store.txn(change);
+  if (outcome.kind === 'applied') {
+    for (const { key, value } of change.puts) copy.note(key, value, outcome.stamp);
+  }
+  return outcome;
+}
--- /dev/null
+++ b/packages/rollout/test/plan.test.ts
@@ -0,0 +1,51 @@
+/** The plan of a rollout: what is read, and what is refused before anything is touched. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { checkControllers, commandFor, parsePlan, PlanError } from '../src/driver/plan.js';
+import { planFor, planText } from './support/simulatedControllers.js';
+
+test('a plan is read, with its usual values', () => {
+  const plan = planFor(['a', 'b'], { concurrency: '', 'drain.timeout': '' });
+  assert.deepEqual(plan.order, ['a', 'b']);
+  assert.deepEqual(plan.command, ['replace', '{controller}', '{version}']);
+  const { concurrency, drains, drainTimeout, onFailure, finalizes } = plan;
+  assert.deepEqual(
+    { concurrency, drains, drainTimeout, onFailure, finalizes },
+    { concurrency: 1, drains: true, drainTimeout: 30, onFailure: 'pause', finalizes: true },
+  );
+  assert.deepEqual(commandFor(plan.command, 'a', plan.version), ['replace', 'a', '2.0']);
+  assert.notEqual(plan.digest, planFor(['b', 'a']).digest);
+});
+
+test('a faulty plan is refused with what is wrong with it', () => {
+  const cases: [Record<string, string>, RegExp][] = [
+    [{ order: 'a, b, a' }, /order names a twice/],
+    [{ order: 'a, c' }, /order names c, and address\.c is missing/],
+    [{ order: '' }, /order is missing/],
+    [{ command: '' }, /command is missing/],
+    [{ version: '' }, /version is missing/],
+    [{ concurency: '1' }, /unknown key "concurency"; did you mean "concurrency"\?/],
+    [{ concurrency: '0' }, /concurrency: expected a number of at least 1/],
+    [{ concurrency: '1.5' }, /concurrency: expected a whole number/],
+    [{ soak: 'long' }, /soak: expected a number of at least 0/],
+    [{ 'on.failure': 'panic' }, /on\.failure: expected one of pause, rollback/],
+    [{ drain: 'maybe' }, /drain: expected one of true, false/],
+    [{ 'on.failure': 'rollback', 'rollback.command': '' }, /rollback\.command is missing/],
+  ];
+  for (const [changes, message] of cases) {
+    assert.throws(
+      () => parsePlan(planText(['a', 'b'], changes)),
+      (error) => {
+        assert.ok(error instanceof PlanError);
+        assert.match(error.message, message);
+        return true;
+      },
+    );
+  }
+});
+
+test('a plan for controllers that the cluster does not have is refused', () => {
+  assert.throws(() => {
+    checkControllers(planFor(['a', 'b']), ['a', 'c']);
+  }, /b is no controller of this cluster \(a, c\)/);
+});
--- /dev/null
+++ b/packages/rollout/test/support/simulatedControllers.ts
@@ -0,0 +1,164 @@
+/** Controllers as a rollout driver sees them: they drain, end, start after a while, and may come back badly. */
+import type { ControllerApi, DriverWrite, StoredDriver } from '../../src/driver/driver.js';
+import type { ControllerHealth, DriverRecord } from '../../src/driver/driverRecord.js';
+import { parsePlan, type RolloutPlan } from '../../src/driver/plan.js';
+
+interface Controller {
+  version: string;
+  starts: number;
+  /** Time at which it is up; null: it is down for good. */
+  upAt: number | null;
+  isDraining: boolean;
+  drainedAt: number;
+  lostReplicas: number;
+}
+
+const DRAIN_S = 3;
+const START_S = 4;
+const REPLICAS = 10;
+
+export class SimulatedControllers implements ControllerApi {
+  now = 0;
+  level: () => Promise<number | null> = () => Promise.resolve(this.clusterLevel);
+  clusterLevel = 2;
+  held: string[] = [];
+  readonly controllers = new Map<string, Controller>();
+  private stored: StoredDriver = { record: null, stamp: 0 };
+  /** Versions that never become ready, and commands that fail. */
+  readonly broken = new Set<string>();
+  failsCommand = false;
+  /** Replicas that a version does not bring up again. */
+  readonly lossy = new Map<string, number>();
+  readonly replaced: string[] = [];
+  /** The most controllers that were ever away at a time. */
+  mostAway = 0;
+  /** Answers of the store that get lost. */
+  losesWrites = 0;
+
+  constructor(labels: string[], version = '1.0') {
+    for (const label of labels) {
+      this.controllers.set(label, {
+        ...{ version, starts: 1, upAt: 0, isDraining: false, drainedAt: 0, lostReplicas: 0 },
+      });
+    }
+  }
+
+  private of(label: string): Controller {
+    const controller = this.controllers.get(label);
+    if (controller === undefined) throw new Error(`no controller ${label}`);
+    return controller;
+  }
+
+  private isUp({ upAt }: Controller): boolean {
+    return upAt !== null && this.now >= upAt;
+  }
+
+  private isReady(controller: Controller): boolean {
+    return this.isUp(controller) && !controller.isDraining && !this.broken.has(controller.version);
+  }
+
+  /** Passes time, and looks how many are away. */
+  pass(seconds: number): void {
+    this.now += seconds;
+    const away = [...this.controllers.values()].filter((controller) => !this.isReady(controller));
+    this.mostAway = Math.max(this.mostAway, away.length);
+  }
+
+  crash(label: string, downFor: number | null): void {
+    const controller = this.of(label);
+    controller.upAt = downFor === null ? null : this.now + downFor;
+    controller.starts++;
+    controller.isDraining = false;
+  }
+
+  health(label: string): Promise<ControllerHealth | null> {
+    const controller = this.of(label);
+    if (!this.isUp(controller)) return Promise.resolve(null);
+    const isDrained = controller.isDraining && this.now >= controller.drainedAt;
+    return Promise.resolve({
+      ...{ label, process: `${label}-${controller.starts}`, version: controller.version },
+      isReady: this.isReady(controller),
+      ...{ isDraining: controller.isDraining, isDrained, parts: isDrained ? [] : [label] },
+      liveReplicas: REPLICAS - controller.lostReplicas,
+      ...{ waitingTasks: 0, refusedRequests: 0 },
+    });
+  }
+
+  read(): Promise<StoredDriver | null> {
+    return Promise.resolve(structuredClone(this.stored));
+  }
+
+  get record(): DriverRecord | null {
+    return this.stored.record;
+  }
+
+  write(stamp: number, record: DriverRecord): Promise<DriverWrite> {
+    if (stamp !== this.stored.stamp) return Promise.resolve({ kind: 'conflict' });
+    this.stored = { record: structuredClone(record), stamp: stamp + 1 };
+    if (this.losesWrites > 0) {
+      this.losesWrites--;
+      return Promise.resolve({ kind: 'unknown' });
+    }
+    return Promise.resolve({ kind: 'stored', stamp: stamp + 1 });
+  }
+
+  /** Only the driver whose step it is, as a controller decides by its copy of the record. */
+  drain(label: string, token: number): Promise<void> {
+    const controller = this.of(label);
+    const { record } = this.stored;
+    const isItsStep =
+      record?.permit.token === token && record.controllers[label]?.state === 'draining';
+    if (isItsStep && !controller.isDraining) {
+      controller.isDraining = true;
+      controller.drainedAt = this.now + DRAIN_S;
+    }
+    return Promise.resolve();
+  }
+
+  hold(by: string): Promise<void> {
+    this.held = [by];
+    return Promise.resolve();
+  }
+
+  finalize(by: string): Promise<void> {
+    this.held = this.held.filter((holder) => holder !== by);
+    return Promise.resolve();
+  }
+
+  /** The command of a plan: `replace LABEL VERSION`. */
+  run(command: string[]): Promise<void> {
+    const [, label = '', version = ''] = command;
+    if (this.failsCommand) return Promise.reject(new Error('no such host'));
+    const controller = this.of(label);
+    this.replaced.push(`${label} ${version}`);
+    controller.version = version;
+    controller.starts++;
+    controller.upAt = this.now + START_S;
+    controller.isDraining = false;
+    controller.lostReplicas = this.lossy.get(version) ?? 0;
+    return Promise.resolve();
+  }
+}
+
+export const planText = (labels: string[], changes: Record<string, string> = {}): string => {
+  const settings: Record<string, string> = {
+    rollout: 'to-2.0',
+    order: labels.join(', '),
+    ...Object.fromEntries(labels.map((label, i) => [`address.${label}`, `10.0.0.${i + 1}:8080`])),
+    version: '2.0',
+    command: 'replace {controller} {version}',
+    'rollback.version': '1.0',
+    'rollback.command': 'replace {controller} {version}',
+    'drain.timeout': '20',
+    'start.timeout': '30',
+    soak: '6',
+    'permit.ttl': '10',
+    ...changes,
+  };
+  return Object.entries(settings)
+    .map(([key, value]) => `${key} = ${value}\n`)
+    .join('');
+};
+
+export const planFor = (labels: string[], changes: Record<string, string> = {}): RolloutPlan =>
+  parsePlan(planText(labels, changes));
--- a/src/cli.ts
+++ b/src/cli/query.ts
@@ -1,19 +1,25 @@
 /** `barrowlb why` and `barrowlb status`: what a controller answers, for people. */
 import * as v from 'valibot';
-import type { Overview } from './coordination/overview.js';
-import { jobPath, paths } from './protocol/routes.js';
-import { parseAddress } from './transport/address.js';
-import { HttpClient, type Response } from './transport/httpClient.js';
+import type { Overview } from '../coordination/overview.js';
+import { jobPath, paths } from '../protocol/routes.js';
+import { parseAddress } from '../transport/address.js';
+import { HttpClient, type Response } from '../transport/httpClient.js';
 
 export class QueryError extends Error {}
 
-async function query(server: string, target: string): Promise<Response> {
+/** Asks a controller; one that cannot be reached is an error with one clear line. */
+export async function query(
+  server: string,
+  target: string,
+  method = 'GET',
+  body?: unknown,
+): Promise<Response> {
   if (parseAddress(server) === null) {
     throw new QueryError(`--server: "${server}" is not of the form host:port`);
   }
   const http = new HttpClient(1, 0);
   try {
-    return await http.call(server, 'GET', target, undefined, 5);
+    return await http.call(server, method, target, body, 5);
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     throw new QueryError(`${server} cannot be reached: ${reason}`);
--- a/src/coordination/commits.ts
+++ b/src/coordination/commits.ts
@@ -26,6 +26,8 @@
   isBeingCancelled(job: string): boolean;
   /** The job waits for others: it has no chunks before these are done. */
   isHeld(job: string): boolean;
+  /** A stored record of chunks cannot be read: what it holds may run, though nobody knows of it. */
+  readonly hasUnreadableChunks: boolean;
 }
 
 export class Commits {
@@ -143,6 +145,17 @@
     }
   }
 
+  /** Stores a job's record as it is, so that it takes the form that is written now. True when stored. */
+  async rewrite(home: OwnedPart, job: HomeJob): Promise<boolean> {
+    if (job.busy || job.record.state !== 'open') return false;
+    job.busy = true;
+    try {
+      return await this.writeJob(home, job, job.record);
+    } finally {
+      job.busy = false;
+    }
+  }
+
   /** Stores a job's new record; in memory it changes only after that. */
   private async writeJob(home: OwnedPart, job: HomeJob, next: JobRecord): Promise<boolean> {
     const key = keys.job(job.id);
@@ -186,7 +199,7 @@
    * part is loaded, where a change that cut a chunk got no answer, and where a job no longer waits for others.
    */
   acceptMissing(home: OwnedPart, job: HomeJob): void {
-    if (!home.alive || this.host.isHeld(job.id)) return;
+    if (!home.alive || this.host.isHeld(job.id) || this.host.hasUnreadableChunks) return;
     const now = this.clock.now();
     const isReleased = (job.record.spec?.waitsOn.length ?? 0) > 0;
     for (const chunk of missingChunks(job.id, job.record, home.part.chunks, now)) {
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -5,7 +5,8 @@
 import type { Gossip } from '../protocol/peer.js';
 import type { Settings, Tuning } from '../protocol/settings.js';
 import { parseTypes, paths as cloudPaths, type MachineType } from '../protocol/cloud.js';
-import { keys, ROOT, type OwnerRecord } from '../storage/records.js';
+import type { Change } from '../protocol/state.js';
+import { BARRIER_KEY, BUCKETS, keys, ROOT, type OwnerRecord } from '../storage/records.js';
 import { Fleet } from '../storage/fleet.js';
 import { NodeMarks } from '../storage/nodeMarks.js';
 import { RecordLayout } from '../storage/recordLayout.js';
@@ -31,6 +32,9 @@
 import { Quotas } from './quotas.js';
 import { RecordFollower } from './recordFollower.js';
 import { Sender } from './sender.js';
+import { Drain } from './rollout/drain.js';
+import { withoutRollout, type RolloutSetup } from './rollout/rolloutSetup.js';
+import type { RolloutService } from './rollout/rolloutService.js';
 import type { ClusterView } from './teamUsage.js';
 import { CancelPreparations } from './cancelPreparations.js';
 
@@ -63,6 +67,11 @@
   readonly orders: Orders;
   readonly cancelPreparations: CancelPreparations;
   readonly pipelines: Pipelines;
+  /** Null while staged upgrades are switched off. */
+  readonly rollout: RolloutService | null;
+  readonly drain: Drain;
+  /** Submissions that were answered 503 since the start. */
+  refusedRequests = 0;
   private readonly quotas: Quotas;
   private readonly provisioner: Provisioner;
   readonly totals: ClusterTotals;
@@ -79,17 +88,24 @@
     readonly random: Random,
     readonly links: Links,
     readonly process: string,
+    readonly rolloutSetup: RolloutSetup = withoutRollout((reason) => {
+      log.error(reason);
+    }),
   ) {
     this.parts = [settings.label, ...settings.peers.map((p) => p.label)].sort();
     this.zoneOf.set(settings.label, settings.zone);
     for (const peer of settings.peers) this.zoneOf.set(peer.label, peer.zone);
-    this.layout = new RecordLayout(settings);
+    const { modules } = rolloutSetup;
+    const codec = modules?.deflateCodec ?? null;
+    this.layout = new RecordLayout(settings, codec, () => this.rollout?.mayCompress === true);
     this.state = this.createState();
     this.replica = this.createReplica();
     this.marks = new NodeMarks(this.state, this.replica, this.layout, settings.label, this.parts);
     this.ownership = this.createOwnership();
+    this.drain = new Drain(this.ownership);
     this.commits = this.createCommits();
     this.peers = this.createPeers();
+    this.rollout = modules === null ? null : new modules.RolloutService(this, rolloutSetup);
     this.sender = new Sender(this);
     this.orders = new Orders(this);
     this.cancelPreparations = new CancelPreparations(this);
@@ -153,12 +169,17 @@
         quiet: async (part) => {
           while ((this.ownedParts.get(part)?.writing ?? 0) > 0) await sleep(0.01);
         },
-        wantsBack: (node) => this.peers.steady(node, this.settings.report / 2),
+        wantsBack: (node) =>
+          this.peers.steady(node, this.settings.report / 2) &&
+          this.rollout?.isCurrent(node) !== false,
+        mayClaim: () => this.rollout?.admitClaims() !== false,
+        isEntitled: (owner) => this.rollout?.isEntitled(owner) !== false,
       },
     );
   }
 
   private createCommits(): Commits {
+    const { state } = this;
     return new Commits(
       this.state,
       this.replica,
@@ -168,6 +189,9 @@
         ownedParts: this.ownedParts,
         isBeingCancelled: (job) => this.cancelPreparations.has(job),
         isHeld: (job) => this.isHeld(job),
+        get hasUnreadableChunks() {
+          return state.hasUnreadable(BUCKETS);
+        },
         valid: () => this.ownership.valid,
         verifyOwner: (part) => this.ownership.verifyOwner(part),
         stored: (host, chunks) => {
@@ -215,9 +239,17 @@
     return this.settings.lease * 2;
   }
 
+  /** Follows the records of staged upgrades; a node without them must not serve beyond a barrier. */
+  noteRollout(change: Change): void {
+    if (this.rollout !== null) this.rollout.note(change);
+    else if (change.key === BARRIER_KEY && !change.removed) {
+      this.rolloutSetup.refused('the cluster stores records that need rollouts to be switched on');
+    }
+  }
+
   /** Can take requests: its records are loaded, it knows the machine types and it can ask somebody. */
   get ready(): boolean {
-    return this.replica.loaded && this.types.size > 0 && !this.isolated;
+    return this.replica.loaded && this.types.size > 0 && !this.isolated && !this.drain.isActive;
   }
 
   /**
@@ -249,6 +281,7 @@
       void this.marks.ensure();
       this.orders.sweep();
       void this.quotas.balance();
+      void this.rollout?.reconcile();
     });
   }
 
--- a/src/coordination/gateway.ts
+++ b/src/coordination/gateway.ts
@@ -1,5 +1,5 @@
 /** Routes requests, whether they come from users, workers or peers. */
-import { paths, helloPath } from '../protocol/routes.js';
+import { paths, helloPath, rolloutPath } from '../protocol/routes.js';
 import { decodeRequest, encodeAnswer, type PeerAnswer, type Relay } from '../protocol/peer.js';
 import { log } from '../base/log.js';
 import { decodeSpec } from '../protocol/peer.js';
@@ -7,6 +7,7 @@
 import type { Reply } from '../transport/httpServer.js';
 import type { Controller } from './controller.js';
 import { overview } from './overview.js';
+import type { RolloutRoutes } from './rollout/rolloutRoutes.js';
 import { Users } from './users.js';
 import { Workers } from './workers.js';
 
@@ -14,15 +15,23 @@
 export const isEssential = ({ target }: HttpMessage): boolean =>
   target === helloPath || target === paths.ready;
 
+const ROLLOUT_OFF: Reply = {
+  status: 404,
+  body: { error: 'rollouts are switched off at this node' },
+};
 const NOT_FOUND: Reply = { status: 404, body: { error: 'no such path' } };
 
 export class Gateway {
   private readonly users: Users;
   private readonly workers: Workers;
+  /** Null while rollouts are off. */
+  private readonly rollout: RolloutRoutes | null;
 
   constructor(private readonly node: Controller) {
     this.users = new Users(node);
     this.workers = new Workers(node);
+    const { modules } = node.rolloutSetup;
+    this.rollout = modules === null ? null : new modules.RolloutRoutes(node);
   }
 
   handle(request: HttpMessage, follows: boolean): Promise<Reply> {
@@ -49,11 +58,15 @@
     if (path === paths.overview && method === 'GET') {
       return { status: 200, body: overview(this.node) };
     }
+    if (path.startsWith(rolloutPath)) {
+      return this.rollout?.handle(method, path, body) ?? ROLLOUT_OFF;
+    }
     if (path === paths.jobs) {
       if (method !== 'POST') return { status: 405, body: { error: 'use POST' } };
       const began = this.node.clock.now();
       const reply = await this.users.submit(body, relayed);
       const took = this.node.clock.now() - began;
+      if (reply.status === 503) this.node.refusedRequests++;
       if (reply.status >= 400 || took > 0.5) {
         log.debug(
           `submission: ${reply.status} after ${took.toFixed(2)} s ${JSON.stringify(reply.body)}`,
--- a/src/coordination/gossiper.ts
+++ b/src/coordination/gossiper.ts
@@ -22,6 +22,7 @@
   stateTtl: number;
   ownership: Pick<Ownership, 'valid'>;
   peers: Pick<Peers, 'gossip' | 'needs'>;
+  drain: { readonly isActive: boolean };
 }
 
 /**
@@ -49,7 +50,7 @@
   }
 
   private message(now: number): Gossip {
-    const { settings, process, clock, state, ownership } = this.node;
+    const { settings, process, clock, state, ownership, drain } = this.node;
     const isServed = ownership.valid;
     if (isServed) this.demands = this.parts.flatMap((part) => part.needs.demands(now));
     return {
@@ -58,7 +59,8 @@
       sequence: ++this.sequence,
       at: clock.wall(),
       need: state.need,
-      served: isServed,
+      // One that is leaving wants nothing back.
+      served: isServed && !drain.isActive,
       hosts: this.ownedParts(),
       demands: isServed ? this.demands : [],
       spare: isServed ? this.spareMachines() : [],
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -9,7 +9,7 @@
 import { TurnQueue } from '../transport/turnQueue.js';
 import { CallFailed, type HttpClient } from '../transport/httpClient.js';
 import type { Chunk } from './chunk.js';
-import type { OwnedPart } from './ownedPart.js';
+import { restamp, type OwnedPart } from './ownedPart.js';
 import type { Machine } from './machine.js';
 import type { Ownership } from './ownership.js';
 import type { Settings } from '../protocol/settings.js';
@@ -253,15 +253,8 @@
     }
     if (!stuck || now - host.raisedAt < report) return;
     host.raisedAt = now;
-    void this.node.ownership
-      .raise(host.part.label)
-      .then((held) => {
-        if (held === null || !host.alive) return;
-        host.token = held.token;
-        host.stamp = held.stamp;
-      })
-      .catch((error: unknown) => {
-        log.debug(`raise: ${describe(error)}`);
-      });
+    void restamp(this.node.ownership, host).catch((error: unknown) => {
+      log.debug(`raise: ${describe(error)}`);
+    });
   }
 }
--- a/src/coordination/ownedPart.ts
+++ b/src/coordination/ownedPart.ts
@@ -1,4 +1,6 @@
+/** A part that a node hosts, and the jobs whose home it is. */
 import type { JobRecord } from '../storage/records.js';
+import type { Ownership } from './ownership.js';
 import type { Part } from './part.js';
 import type { Bucket } from './bucket.js';
 
@@ -57,3 +59,18 @@
     gainedToken: token,
   };
 }
+
+/**
+ * Gives the part a higher token and a new stamp: orders and transactions of ours that are still on their way are refused
+ * from then on. False where that was not possible just now.
+ */
+export async function restamp(
+  ownership: Pick<Ownership, 'raise'>,
+  host: OwnedPart,
+): Promise<boolean> {
+  const held = await ownership.raise(host.part.label);
+  if (held === null || !host.alive) return false;
+  host.token = held.token;
+  host.stamp = held.stamp;
+  return true;
+}
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -38,6 +38,10 @@
   quiet(part: string): Promise<void>;
   /** True when this node has been up and served long enough to get its part back. */
   wantsBack(node: string): boolean;
+  /** Whether this node may own anything just now. */
+  mayClaim(): boolean;
+  /** Whether an ownership key counts: its process may be one that cannot read what is stored (safety, R4). */
+  isEntitled(owner: OwnerRecord): boolean;
 }
 
 export class Ownership {
@@ -46,6 +50,7 @@
   private readonly held = new Map<string, Held>();
   private readonly absentSince = new Map<string, number>();
   private readonly busy = new Set<string>();
+  private isReleasing = false;
   private stopped = false;
 
   constructor(
@@ -61,6 +66,21 @@
     return this.hold !== null && this.clock.now() < this.validUntil;
   }
 
+  /** The lease at the state service; null while there is none. */
+  get lease(): number | null {
+    return this.hold;
+  }
+
+  /** Parts, and the provisioner's duty, that this node holds. */
+  get heldParts(): string[] {
+    return [...this.held.keys()];
+  }
+
+  /** It holds nothing, and nothing is being claimed or handed over. */
+  get isIdle(): boolean {
+    return this.held.size === 0 && this.busy.size === 0;
+  }
+
   /** Steady time at which the right to start work ends, or ended. */
   get until(): number {
     return this.validUntil;
@@ -88,6 +108,15 @@
     this.stopped = true;
   }
 
+  /** Gives up all that this node holds, and takes nothing until `reclaim`; peers take it over. */
+  release(): void {
+    this.isReleasing = true;
+  }
+
+  reclaim(): void {
+    this.isReleasing = false;
+  }
+
   private async renew(): Promise<void> {
     // Counted from when the renewal was sent: it can't have reached the service earlier.
     const sent = this.clock.now();
@@ -148,12 +177,18 @@
       if (stored !== undefined) this.forfeit(part, stored.token);
       // Its key will be absent anew after a hand-back, and its own node goes first then.
       this.absentSince.delete(part);
-      if (part !== label && part !== PROVISIONER && this.events.wantsBack(part)) {
-        this.exclusive(part, () => this.handBack(part));
+      if (this.isReleasing) {
+        this.exclusive(part, () => this.handOver(part));
+      } else if (part !== label && part !== PROVISIONER && this.events.wantsBack(part)) {
+        this.exclusive(part, () => this.handOver(part));
       }
       return;
     }
-    if (stored !== undefined) {
+    if (this.isReleasing || !this.events.mayClaim()) {
+      this.absentSince.delete(part);
+      return;
+    }
+    if (stored !== undefined && this.events.isEntitled(stored)) {
       this.absentSince.delete(part);
       // Our own key from before a restart: the process that wrote it is dead, so take it at once.
       if (stored.node === label) this.exclusive(part, () => this.claim(part));
@@ -186,9 +221,10 @@
 
   private async claim(part: string): Promise<void> {
     const { hold } = this;
+    const { label } = this.options;
     const held = await this.writeOwner(
       part,
-      (owner) => owner?.node === this.options.label || !owner,
+      (owner) => owner === null || owner.node === label || !this.events.isEntitled(owner),
     );
     if (held === null) return;
     // Asked for after the key was written: no earlier owner's transaction can be applied any more.
@@ -261,7 +297,8 @@
     return { token, stamp, lostAt: Math.max(0, ...Object.values(lost)) };
   }
 
-  private async handBack(part: string): Promise<void> {
+  /** Gives up a part, to its own node or, where this node is leaving, to whichever peer takes it first. */
+  private async handOver(part: string): Promise<void> {
     const held = this.held.get(part);
     if (held === undefined) return;
     log.info(`handing part ${part} back`);
@@ -272,9 +309,7 @@
     for (let tries = 0; tries < 5; tries++) {
       const counter = await this.client.get(keys.token);
       const tokens = (counter?.value ?? { last: held.token }) as TokenRecord;
-      // We answer its workers no more, so its own node has to wait for nobody on our account.
-      const lost = tokens.owners?.[part]?.lost ?? {};
-      const owners = { ...tokens.owners, [part]: { node: part, lost } };
+      const owners = withoutOwner(tokens.owners, part, this.isReleasing);
       const result = await this.client.txn(
         {
           when: [
@@ -294,6 +329,26 @@
   }
 }
 
+/**
+ * The last owners once this node has handed a part over: it answers the part's workers no more, so that nobody has to
+ * wait on its account. A part that goes to its own node is noted as that node's; where any peer may take it, nobody is
+ * noted, unless an earlier owner has to be waited for.
+ */
+function withoutOwner(
+  owners: Record<string, LastOwner> | undefined,
+  part: string,
+  isForAnyPeer: boolean,
+): Record<string, LastOwner> {
+  const lost = owners?.[part]?.lost ?? {};
+  if (!isForAnyPeer) return { ...owners, [part]: { node: part, lost } };
+  const others = Object.entries(owners ?? {}).filter(([name]) => name !== part);
+  const [earlier] = Object.keys(lost);
+  return {
+    ...Object.fromEntries(others),
+    ...(earlier === undefined ? {} : { [part]: { node: earlier, lost } }),
+  };
+}
+
 /**
  * Who else may still answer the part's workers once this node has it: those that lost it, but not this node
  * itself, whose earlier process has ended, nor those that lost it long ago.
--- a/src/coordination/peers.ts
+++ b/src/coordination/peers.ts
@@ -85,6 +85,12 @@
       .map((p) => p.label);
   }
 
+  /** The process that a node's messages come from lately; null: it has not been heard of. */
+  processOf(label: string): string | null {
+    const peer = this.peers.get(label);
+    return peer !== undefined && this.isFresh(peer) ? (peer.gossip?.process ?? null) : null;
+  }
+
   gossips(): Gossip[] {
     return [...this.peers.values()].flatMap((p) =>
       p.gossip !== null && this.isFresh(p) ? [p.gossip] : [],
--- a/src/coordination/recordFollower.ts
+++ b/src/coordination/recordFollower.ts
@@ -6,6 +6,7 @@
 import type { Fleet } from '../storage/fleet.js';
 import type { NodeMarks } from '../storage/nodeMarks.js';
 import {
+  BARRIER_KEY,
   keys,
   type BucketRecord,
   type GroupRecord,
@@ -24,6 +25,8 @@
   buckets: Buckets;
   marks: NodeMarks;
   pipelines: Pick<Pipelines, 'note'>;
+  /** Follows the records of staged upgrades. */
+  noteRollout(change: Change): void;
   ownedParts: ReadonlyMap<string, OwnedPart>;
   requestRound(): void;
 }
@@ -38,6 +41,10 @@
   follow(change: Change): void {
     const { node } = this;
     const [, kind, name = '', bucket = ''] = change.key.split('/');
+    if (kind === 'rollout' || change.key === BARRIER_KEY) {
+      node.noteRollout(change);
+      return;
+    }
     if (change.removed && (change.key === keys.types || kind === 'job' || kind === 'node')) return;
     if (change.key === keys.types) this.onTypes(change.value as MachineType[]);
     else if (kind === 'fleet') this.onGroup(name, change);
--- /dev/null
+++ b/src/coordination/rollout/drain.ts
@@ -0,0 +1,24 @@
+/** Taking a node out of service: it gives up what it owns, and takes nothing until the drain is cancelled. */
+import type { Ownership } from '../ownership.js';
+
+export class Drain {
+  /** It was asked for and not cancelled. */
+  isActive = false;
+
+  constructor(private readonly ownership: Pick<Ownership, 'release' | 'reclaim' | 'isIdle'>) {}
+
+  /** Nothing is owned any more, and nothing on its way to be given up. */
+  get isDone(): boolean {
+    return this.isActive && this.ownership.isIdle;
+  }
+
+  begin(): void {
+    this.isActive = true;
+    this.ownership.release();
+  }
+
+  cancel(): void {
+    this.isActive = false;
+    this.ownership.reclaim();
+  }
+}
--- /dev/null
+++ b/src/coordination/rollout/featureNames.ts
@@ -0,0 +1,5 @@
+/** Names in `deploy/features.toml`; apart from all else, so that a node with everything off loads nothing more. */
+
+/** The subsystem itself; it has no level, since it writes only records of its own. */
+export const ROLLOUT = 'rollout';
+export const COMPRESSED_RECORDS = 'compressed-records';
--- /dev/null
+++ b/src/coordination/rollout/rolloutRoutes.ts
@@ -0,0 +1,130 @@
+/** What operators and the rollout driver ask of a node, below `/v1/rollout`. */
+import {
+  decodeDriver,
+  DamagedRecordError,
+  type DriverRecord,
+  type Operation,
+  type OperationResult,
+} from '@barrowlb/rollout';
+import * as v from 'valibot';
+import { rolloutPath } from '../../protocol/routes.js';
+import type { Reply } from '../../transport/httpServer.js';
+import type { Controller } from '../controller.js';
+import { unavailable } from '../replies.js';
+import { healthOf } from './health.js';
+import type { RolloutService } from './rolloutService.js';
+
+const text = v.pipe(v.string(), v.nonEmpty(), v.maxLength(200));
+const counter = v.pipe(v.number(), v.integer(), v.minValue(0));
+
+const holdSchema = v.object({ by: text, reason: text });
+const finalizeSchema = v.object({ by: v.optional(v.nullable(text), null) });
+const lowerSchema = v.object({ by: text, to: counter, confirm: v.optional(v.boolean(), false) });
+const drainSchema = v.object({ token: v.nullable(counter) });
+const driverSchema = v.object({ stamp: counter, record: v.unknown() });
+
+const NOT_FOUND: Reply = { status: 404, body: { error: 'no such path' } };
+const MALFORMED: Reply = { status: 400, body: { error: 'malformed' } };
+
+function parseBody<Schema extends v.GenericSchema>(
+  schema: Schema,
+  body: string,
+): v.InferOutput<Schema> | null {
+  let raw: unknown;
+  try {
+    raw = body === '' ? {} : JSON.parse(body);
+  } catch {
+    return null;
+  }
+  const result = v.safeParse(schema, raw);
+  return result.success ? result.output : null;
+}
+
+const rejected = (reason: string): Reply => ({ status: 409, body: { error: reason } });
+
+export class RolloutRoutes {
+  constructor(private readonly node: Controller) {}
+
+  async handle(method: string, path: string, body: string): Promise<Reply> {
+    const { rollout } = this.node;
+    if (rollout === null) return NOT_FOUND;
+    const name = path.slice(rolloutPath.length);
+    if (method === 'GET') return this.read(rollout, name);
+    if (method !== 'POST') return { status: 405, body: { error: 'use GET or POST' } };
+    if (name === '/driver') return this.writeDriver(rollout, body);
+    if (name === '/drain') return this.drain(rollout, body);
+    if (name === '/undrain') {
+      this.node.drain.cancel();
+      return { status: 200, body: {} };
+    }
+    return this.operate(rollout, name, body);
+  }
+
+  private read(rollout: RolloutService, name: string): Reply {
+    if (name === '') return { status: 200, body: rollout.status() };
+    if (name === '/driver') return { status: 200, body: rollout.driver() };
+    if (name === '/health') return { status: 200, body: healthOf(this.node) };
+    return NOT_FOUND;
+  }
+
+  private async operate(rollout: RolloutService, name: string, body: string): Promise<Reply> {
+    const operation = parseOperation(name, body);
+    if (operation === 'unknown') return NOT_FOUND;
+    if (operation === null) return MALFORMED;
+    return replyTo(await rollout.operate(operation));
+  }
+
+  private async writeDriver(rollout: RolloutService, body: string): Promise<Reply> {
+    const parsed = parseBody(driverSchema, body);
+    if (parsed === null) return MALFORMED;
+    let record: DriverRecord;
+    try {
+      record = decodeDriver('the body', parsed.record);
+    } catch (error) {
+      if (error instanceof DamagedRecordError) return rejected(error.message);
+      throw error;
+    }
+    const outcome = await rollout.writeDriver(parsed.stamp, record);
+    if (outcome.kind === 'applied') return { status: 200, body: { stamp: outcome.stamp } };
+    if (outcome.kind === 'conflict') return rejected('the record has changed meanwhile');
+    return unavailable('the state service has not confirmed it');
+  }
+
+  /** By hand, or by the driver whose step it is: one that was overtaken takes nobody away any more. */
+  private drain(rollout: RolloutService, body: string): Reply {
+    const parsed = parseBody(drainSchema, body);
+    if (parsed === null) return MALFORMED;
+    const obstacle = rollout.drainObstacle(parsed.token);
+    if (obstacle !== null) return rejected(obstacle);
+    this.node.drain.begin();
+    return { status: 200, body: {} };
+  }
+}
+
+function parseOperation(name: string, body: string): Operation | 'unknown' | null {
+  switch (name) {
+    case '/hold': {
+      const parsed = parseBody(holdSchema, body);
+      return parsed === null ? null : { kind: 'hold', ...parsed };
+    }
+    case '/finalize': {
+      const parsed = parseBody(finalizeSchema, body);
+      return parsed === null ? null : { kind: 'finalize', ...parsed };
+    }
+    case '/lower': {
+      const parsed = parseBody(lowerSchema, body);
+      if (parsed === null) return null;
+      return { kind: 'lower', to: parsed.to, by: parsed.by, isConfirmed: parsed.confirm };
+    }
+    case '/retry':
+      return { kind: 'retry' };
+    default:
+      return 'unknown';
+  }
+}
+
+function replyTo(result: OperationResult): Reply {
+  if (result.kind === 'done') return { status: 200, body: { version: result.version } };
+  if (result.kind === 'rejected') return rejected(result.reason);
+  return unavailable(result.reason);
+}
--- /dev/null
+++ b/src/coordination/rollout/rolloutService.ts
@@ -0,0 +1,343 @@
+/** Staged upgrades at one node: adapts the package `@barrowlb/rollout` to the node's store, leases and parts. */
+import {
+  applyChange,
+  BlockerHistory,
+  DamagedRecordError,
+  decodeDriver,
+  blockersOf,
+  describeRefusal,
+  Migrator,
+  operate,
+  Participant,
+  readProgress,
+  rolloutKeys,
+  rolloutStatus,
+  unchanged,
+  VersionCoordinator,
+  VersionTracker,
+  viewCluster,
+  viewNode,
+  type ChangeOutcome,
+  type ClusterSnapshot,
+  type DriverRecord,
+  type ClusterVersion,
+  type MigratedPart,
+  type Operation,
+  type OperationResult,
+  type OwnerView,
+  type PlanOptions,
+  type RecordStore,
+  type RolloutStatus,
+} from '@barrowlb/rollout';
+import type { Clock } from '../../base/clock.js';
+import { describe, log } from '../../base/log.js';
+import type { Change } from '../../protocol/state.js';
+import { BARRIER_KEY, keys, ROOT, type OwnerRecord } from '../../storage/records.js';
+import type { StoredForm } from '../../storage/recordLayout.js';
+import type { StateClient } from '../../storage/stateClient.js';
+import { restamp } from '../ownedPart.js';
+import { PROVISIONER, type Ownership } from '../ownership.js';
+import type { Peers } from '../peers.js';
+import { COMPRESSED_RECORDS } from './featureNames.js';
+import { BARRIER_FROM, featureTable, MARKED_LEVEL } from './featureTable.js';
+import { MigratedParts, type MigratingNode } from './migratedParts.js';
+import type { RolloutSetup } from './rolloutSetup.js';
+
+/** Operations of one step of a migration at the most: no more than the smallest state service takes. */
+const STEP_OPERATIONS = 5;
+
+/** What the progress of a part names of its quarantined records, so that it stays within 2 KiB. */
+const QUARANTINE_NAMES = 8;
+
+/** Of the changes that are ours, what may be asked for while records are converted. */
+const MIGRATION_LOAD = 1 / 2;
+
+/** What is needed of a node. */
+export interface RolloutNode extends MigratingNode {
+  clock: Clock;
+  process: string;
+  settings: { label: string; report: number };
+  ownership: Ownership;
+  peers: Pick<Peers, 'processOf'>;
+  marks: { readonly isUpgraded: boolean };
+  replica: MigratingNode['replica'] & {
+    readonly loaded: boolean;
+    under(prefix: string): Iterable<[string, { value: unknown; stamp: number }]>;
+  };
+  state: StateClient;
+}
+
+export class RolloutService {
+  private readonly tracker: VersionTracker;
+  private readonly participant: Participant;
+  private readonly coordinator: VersionCoordinator;
+  private readonly migrator: Migrator;
+  private readonly parts: MigratedParts;
+  private readonly history = new BlockerHistory();
+  private readonly store: RecordStore;
+  private readonly range = { min: featureTable.lowest, max: featureTable.highest };
+  private readonly plan: PlanOptions = {
+    features: featureTable,
+    presenceKey: rolloutKeys.presence,
+    barrierFrom: BARRIER_FROM,
+  };
+  private isMigrating = false;
+
+  constructor(
+    private readonly node: RolloutNode,
+    private readonly setup: RolloutSetup,
+  ) {
+    this.tracker = new VersionTracker(featureTable, this.range, MARKED_LEVEL);
+    this.store = { txn: (change) => node.state.txn(change, 'urgent') };
+    this.parts = new MigratedParts(node, () => this.outdatedForm);
+    this.participant = this.createParticipant();
+    this.coordinator = this.createCoordinator();
+    this.migrator = new Migrator(this.store, node.replica, {
+      operations: STEP_OPERATIONS,
+      quarantineNames: QUARANTINE_NAMES,
+      mayWrite: () => this.mayMigrate,
+      log: (line) => {
+        log.error(line);
+      },
+    });
+  }
+
+  private createParticipant(): Participant {
+    const { node, tracker } = this;
+    return new Participant(
+      this.store,
+      node.replica,
+      {
+        get hold() {
+          return node.ownership.valid ? node.ownership.lease : null;
+        },
+        get version() {
+          return tracker.current;
+        },
+      },
+      {
+        label: node.settings.label,
+        process: node.process,
+        range: this.range,
+        wants: featureTable.wanted((name) => this.setup.features.has(name)),
+        comply: (version) => this.comply(version),
+      },
+    );
+  }
+
+  private createCoordinator(): VersionCoordinator {
+    const { ownership, replica, state } = this.node;
+    const lease = {
+      condition: () => {
+        const held = ownership.get(PROVISIONER);
+        if (held === undefined || !ownership.valid) return null;
+        return { key: keys.owner(PROVISIONER), stamp: held.stamp };
+      },
+      get token() {
+        return ownership.get(PROVISIONER)?.token ?? 0;
+      },
+    };
+    return new VersionCoordinator(this.store, replica, lease, () => this.snapshot(), {
+      ...this.plan,
+      barrierKey: BARRIER_KEY,
+      findLeftovers: () => state.readKeysOfForm(ROOT, this.outdatedForm),
+      log: (line) => {
+        log.info(line);
+      },
+    });
+  }
+
+  // ---- What the rest of the node asks ----
+
+  /** Whether records may be stored compressed. */
+  get mayCompress(): boolean {
+    return this.tracker.isActive(COMPRESSED_RECORDS);
+  }
+
+  private get isFenced(): boolean {
+    return this.tracker.current.level >= BARRIER_FROM;
+  }
+
+  /** From the barrier's level on a node owns nothing before it has told what it reads; it does so at once. */
+  admitClaims(): boolean {
+    if (this.tracker.refusal !== null) return false;
+    if (!this.isFenced || this.participant.isPublished) return true;
+    this.participant.reconcile().catch((error: unknown) => {
+      log.debug(`presence: ${describe(error)}`);
+    });
+    return false;
+  }
+
+  /** Whether an ownership key is that of a process which can read what is stored. */
+  isEntitled(owner: OwnerRecord): boolean {
+    return !this.isFenced || this.publishedProcess(owner.node) === owner.process;
+  }
+
+  /** Whether the process that is heard of a node can read what is stored. */
+  isCurrent(label: string): boolean {
+    if (!this.isFenced) return true;
+    const published = this.publishedProcess(label);
+    return published !== null && published === this.node.peers.processOf(label);
+  }
+
+  private publishedProcess(label: string): string | null {
+    return viewNode(this.node.replica, label, null).presence?.value.process ?? null;
+  }
+
+  // ---- Following and reconciling ----
+
+  /** One of this subsystem's records has changed in the copy. */
+  note({ key, value, removed }: Change): void {
+    const present = removed ? null : value;
+    if (key === rolloutKeys.version) this.tracker.noteVersion(present);
+    else if (key === BARRIER_KEY) this.tracker.noteBarrier(key, present);
+    else return;
+    const { refusal } = this.tracker;
+    if (refusal !== null) this.setup.refused(describeRefusal(refusal));
+  }
+
+  /** One step of all that is under way. */
+  async reconcile(): Promise<void> {
+    const { replica, marks } = this.node;
+    // Before all nodes have marked themselves there is nothing to be raised (safety, V2).
+    if (!replica.loaded || !marks.isUpgraded || this.tracker.refusal !== null) return;
+    try {
+      await this.participant.reconcile();
+      this.blockers();
+      await this.coordinator.step();
+      await this.migrate();
+    } catch (error) {
+      log.debug(`rollout: ${describe(error)}`);
+    }
+  }
+
+  /**
+   * Does as the version says before the proposal is answered. What is to be taken back is written no more from the
+   * moment that the copy shows it; transactions that are still on their way fail on the new stamps (safety, R6).
+   */
+  private async comply(version: ClusterVersion): Promise<boolean> {
+    if (version.phase !== 'lowering') return true;
+    const { ownership, ownedParts } = this.node;
+    for (const part of ownership.heldParts) {
+      const host = ownedParts.get(part);
+      const isDone =
+        host === undefined
+          ? (await ownership.raise(part)) !== null
+          : await restamp(ownership, host);
+      if (!isDone && ownership.get(part) !== undefined) return false;
+    }
+    return true;
+  }
+
+  private get outdatedForm(): StoredForm {
+    return this.mayCompress ? 'pieces' : 'compressed';
+  }
+
+  private get mayMigrate(): boolean {
+    const { state, settings } = this.node;
+    return state.writeLoad < MIGRATION_LOAD && state.writeDelay('later') < settings.report;
+  }
+
+  private async migrate(): Promise<void> {
+    const { walk } = this.tracker.current;
+    if (walk === 0 || this.isMigrating) return;
+    this.isMigrating = true;
+    try {
+      const due = this.parts.owned().filter((part) => !this.isWalked(part, walk));
+      for (const part of due) await this.migrator.step(part, walk);
+    } finally {
+      this.isMigrating = false;
+    }
+  }
+
+  private isWalked({ label }: MigratedPart, walk: number): boolean {
+    return readProgress(this.node.replica, label, walk).isFinished;
+  }
+
+  private snapshot(): ClusterSnapshot {
+    const { replica, parts, peers, settings, process } = this.node;
+    const service = {
+      nodes: parts,
+      parts: this.allParts,
+      heardProcess: (label: string) =>
+        label === settings.label ? process : peers.processOf(label),
+      owner: (part: string) => this.ownerOf(part),
+    };
+    return viewCluster(replica, service, this.tracker.current, this.tracker.damage);
+  }
+
+  private get allParts(): string[] {
+    return [...this.node.parts, PROVISIONER];
+  }
+
+  private ownerOf(part: string): OwnerView {
+    const key = keys.owner(part);
+    const stored = this.node.replica.get(key);
+    const owner = (stored?.value ?? null) as OwnerRecord | null;
+    return { part, key, stamp: stored?.stamp ?? 0, owner };
+  }
+
+  // ---- Operators ----
+
+  /** What holds the next change back, and since when this node has seen it. */
+  private blockers(): RolloutStatus['blockers'] {
+    const blockers = blockersOf(this.snapshot(), this.plan);
+    return this.history.note(blockers, this.node.clock.wall());
+  }
+
+  status(): RolloutStatus {
+    return rolloutStatus({
+      copy: this.node.replica,
+      snapshot: this.snapshot(),
+      features: featureTable,
+      parts: this.allParts,
+      blockers: this.blockers(),
+    });
+  }
+
+  /** The stored state of the rollout of controllers. */
+  driver(): { record: DriverRecord | null; stamp: number } {
+    const stored = this.node.replica.get(rolloutKeys.driver);
+    if (stored === undefined) return { record: null, stamp: 0 };
+    try {
+      return { record: decodeDriver(rolloutKeys.driver, stored.value), stamp: stored.stamp };
+    } catch (error) {
+      if (error instanceof DamagedRecordError) return { record: null, stamp: stored.stamp };
+      throw error;
+    }
+  }
+
+  writeDriver(stamp: number, record: DriverRecord): Promise<ChangeOutcome> {
+    return applyChange(this.store, this.node.replica, {
+      when: [{ key: rolloutKeys.driver, stamp }],
+      puts: [{ key: rolloutKeys.driver, value: record }],
+      removes: [],
+    });
+  }
+
+  /** Why this node must not be drained for a driver with this token, or by hand; null: it may. */
+  drainObstacle(token: number | null): string | null {
+    const { record } = this.driver();
+    if (token === null) {
+      return record?.phase === 'running'
+        ? `the rollout ${record.name} is running; pause it first`
+        : null;
+    }
+    const { label } = this.node.settings;
+    const isItsStep =
+      record?.phase === 'running' &&
+      record.permit.token === token &&
+      record.controllers[label]?.state === 'draining';
+    return isItsStep ? null : `no rollout with the permit ${token} drains ${label} just now`;
+  }
+
+  operate(operation: Operation): Promise<OperationResult> {
+    const { replica, clock } = this.node;
+    const cluster = {
+      version: this.tracker.current,
+      versionCondition: unchanged(replica, rolloutKeys.version),
+      damage: this.tracker.damage,
+    };
+    return operate(this.store, replica, cluster, operation, featureTable, clock.wall());
+  }
+}
--- /dev/null
+++ b/src/coordination/rollout/rolloutSetup.ts
@@ -0,0 +1,32 @@
+/** What a start of the process brings along for staged upgrades. */
+import { ROLLOUT } from './featureNames.js';
+
+/** The process ends with this code when the cluster's records are at a level that this node cannot read. */
+export const EXIT_REFUSED = 4;
+
+export type RolloutModules = typeof import('./rolloutModules.js');
+
+export interface RolloutSetup {
+  /** Names of the features that are on. */
+  features: ReadonlySet<string>;
+  /** Null while rollouts are off: then nothing of them is loaded. */
+  modules: RolloutModules | null;
+  /** This node must not serve. It has written nothing; what is left to it is to end. */
+  refused: (reason: string) => void;
+}
+
+/** Everything off, as where there is no features file. */
+export const withoutRollout = (refused: RolloutSetup['refused']): RolloutSetup => ({
+  features: new Set(),
+  modules: null,
+  refused,
+});
+
+/** Loads what the switches need. */
+export async function setUpRollout(
+  names: readonly string[],
+  refused: RolloutSetup['refused'],
+): Promise<RolloutSetup> {
+  if (!names.includes(ROLLOUT)) return withoutRollout(refused);
+  return { features: new Set(names), modules: await import('./rolloutModules.js'), refused };
+}
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -47,6 +47,10 @@
     if (node.replica.get(keys.job(job.id)) !== undefined) return this.known(job.id);
     if (node.types.size === 0) return unavailable('machine types are not known yet');
     const host = node.ownedParts.get(node.settings.label) ?? [...node.ownedParts.values()][0];
+    if (host === undefined && node.drain.isActive && !relayed) {
+      const answer = await this.lookup.relayAny({ method: 'POST', target: '/v1/jobs', body });
+      if (answer !== null) return answer;
+    }
     if (host === undefined) return unavailable('this node is starting');
     // More waits for the state service than it can take in the time that a user waits.
     const delay = this.storing.delay;
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,14 +3,18 @@
  * Entry point. The build runs this module once to make a startup snapshot (all modules loaded, schemas
  * compiled), and a controller starts from that: loading them took nearly two thirds of a start's processor time.
  */
+import { existsSync } from 'node:fs';
 import { startupSnapshot } from 'node:v8';
 import { Command, CommanderError } from 'commander';
 import { systemClock } from './base/clock.js';
 import { describe, log, setLogLevel } from './base/log.js';
 import { seededRandom } from './base/random.js';
-import { printStatus, printWhy, QueryError } from './cli.js';
+import { VERSION } from './base/version.js';
+import { printStatus, printWhy, QueryError } from './cli/query.js';
+import { addRolloutCommands } from './cli/rolloutCommands.js';
 import { Controller } from './coordination/controller.js';
 import { Gateway, isEssential } from './coordination/gateway.js';
+import { EXIT_REFUSED, setUpRollout } from './coordination/rollout/rolloutSetup.js';
 import {
   defaultTuning,
   parseSettings,
@@ -25,16 +29,53 @@
 import { HttpServer } from './transport/httpServer.js';
 import { PeerServer } from './transport/peerLink.js';
 
-const VERSION = '0.3.0';
 const BODY_LIMIT = 64 * 1024;
 
+/** What is switched on, as the build has checked it (cli/buildFeatures.ts). */
+const BUILT_FEATURES = 'target/features.json';
+
+/**
+ * The switches are part of a build: the startup snapshot holds them, since a controller has no disk to read them from.
+ */
+const builtFeatures = existsSync(BUILT_FEATURES)
+  ? (JSON.parse(readText(BUILT_FEATURES)) as string[])
+  : [];
+
+/** The switches of a file that was named at the start. */
+async function readFeatures(path: string): Promise<string[]> {
+  const { readFeatureFile } = await import('./cli/featureFile.js');
+  return readFeatureFile(path);
+}
+
 function load(config: string, properties: string | undefined): [Settings, Tuning] {
   const settings = parseSettings(readText(config));
   const tuning = properties === undefined ? defaultTuning : parseTuning(readText(properties));
   return [settings, tuning];
 }
 
-async function serve(settings: Settings, tuning: Tuning): Promise<void> {
+/** A node that cannot read what is stored ends before it has written anything (safety, R3). */
+function refuse(reason: string): void {
+  log.error(reason);
+  process.exit(EXIT_REFUSED);
+}
+
+/** On SIGTERM, gives up what the node owns before it ends, for so many seconds at the most. */
+function drainOnSigterm(node: Controller, seconds: number): void {
+  process.once('SIGTERM', () => {
+    log.info('draining before the end');
+    node.drain.begin();
+    const deadline = systemClock.now() + seconds;
+    setInterval(() => {
+      if (node.drain.isDone || systemClock.now() >= deadline) process.exit(0);
+    }, 100);
+  });
+}
+
+async function serve(
+  settings: Settings,
+  tuning: Tuning,
+  features: readonly string[],
+): Promise<void> {
   const listen = parseAddress(settings.clientListen);
   const back = parseAddress(settings.peerListen);
   if (listen === null || back === null) throw new SettingsError('settings: bad address');
@@ -47,7 +88,9 @@
     services: new HttpClient(Math.floor(maxSockets / 24), settings.report * 4),
     machines: new HttpClient(Math.floor(maxSockets / 6), settings.report * 4),
   };
-  const node = new Controller(settings, tuning, systemClock, random, links, run);
+  const rollout = await setUpRollout(features, refuse);
+  const node = new Controller(settings, tuning, systemClock, random, links, run, rollout);
+  if (tuning.drainSeconds > 0) drainOnSigterm(node, tuning.drainSeconds);
   const gateway = new Gateway(node);
   const server = new HttpServer((request, follows) => gateway.handle(request, follows), {
     bodyLimit: BODY_LIMIT,
@@ -68,6 +111,7 @@
 interface RootOptions {
   config?: string;
   properties?: string;
+  features?: string;
   check?: boolean;
 }
 
@@ -79,6 +123,7 @@
     .version(VERSION)
     .option('--config <file>', "the platform's settings file (TOML)")
     .option('--properties <file>', "operators' own settings (Java-style properties)")
+    .option('--features <file>', 'what is switched on, instead of what the build was made with')
     .option('--check', 'read the settings, say whether they are sound, and end')
     .exitOverride()
     .action(async (options: RootOptions) => {
@@ -86,11 +131,13 @@
         throw new SettingsError('nothing to do: give --config FILE, or see --help');
       }
       const [settings, tuning] = load(options.config, options.properties);
+      const { features: file } = options;
+      const features = file === undefined ? builtFeatures : await readFeatures(file);
       if (options.check === true) {
         process.stdout.write(`settings are sound: ${settings.label} in ${settings.zone}\n`);
         return;
       }
-      await serve(settings, tuning);
+      await serve(settings, tuning, features);
     });
   program
     .command('why <job>')
@@ -102,6 +149,7 @@
     .description('show parts, queues and machines of a controller')
     .requiredOption('--server <host:port>', 'a controller')
     .action((options: { server: string }) => printStatus(options.server));
+  addRolloutCommands(program);
   await program.parseAsync();
 }
 
--- a/src/protocol/routes.ts
+++ b/src/protocol/routes.ts
@@ -1,3 +1,4 @@
+/** Requests of nodes, users and operators that are this service's own. */
 export const helloPath = '/hello';
 
 export const paths = {
@@ -9,4 +10,7 @@
   overview: '/v1/overview',
 };
 
+/** Ours: staged upgrades, for `barrowlb rollout` and `barrowlb drain`. */
+export const rolloutPath = '/v1/rollout';
+
 export const jobPath = (id: string): string => `${paths.jobs}/${encodeURIComponent(id)}`;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -185,6 +185,8 @@
   migrate: boolean;
   /** Seconds a machine stays idle before it is returned, as a ratio to its boot time. */
   idleRatio: number;
+  /** Seconds for which SIGTERM lets the node give up what it owns before it ends; 0: it ends at once. */
+  drainSeconds: number;
 }
 
 export const defaultTuning: Tuning = {
@@ -196,6 +198,7 @@
   roundBudget: 0.02,
   migrate: true,
   idleRatio: 1,
+  drainSeconds: 0,
 };
 
 const tuningKeys: Record<string, keyof Tuning> = {
@@ -207,6 +210,7 @@
   'placement.sample': 'sample',
   'round.budget': 'roundBudget',
   'machines.idle.ratio': 'idleRatio',
+  'drain.on.sigterm': 'drainSeconds',
 };
 
 export function parseTuning(text: string): Tuning {
--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -117,5 +117,7 @@
 };
 
 export const RANGE_PAGE = 1000;
-/** A transaction as a whole may hold 64 KiB; some is left for its conditions. */
-export const TXN_BYTES = 60 * 1024;
+/** What a request may hold as a whole. */
+export const REQUEST_BYTES = 64 * 1024;
+/** Of a transaction, what its changes may take; the rest is left for its conditions. */
+export const TXN_BYTES = REQUEST_BYTES - 4 * 1024;
--- /dev/null
+++ b/src/storage/compactRecords.ts
@@ -0,0 +1,185 @@
+/** Layout 2 of stored records: what has its usual value is left out, and tasks are gathered by machine. */
+import type { JobSpec } from '../protocol/job.js';
+import {
+  fromRanges,
+  toRanges,
+  type BucketRecord,
+  type ChunkRecord,
+  type EntryRecord,
+  type JobRecord,
+} from './records.js';
+import { mapValues } from './mapValues.js';
+
+type UsualSpec = Omit<
+  JobSpec,
+  'id' | 'jobClass' | 'team' | 'rank' | 'tasks' | 'cpus' | 'memory' | 'image' | 'imageGb'
+>;
+
+/** What a field of a description is where layout 2 leaves it out. */
+const usualSpec = (): UsualSpec => ({
+  service: false,
+  gang: false,
+  gpus: 0,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  expect: 0,
+  checkpoint: 0,
+  save: 0,
+  due: null,
+  waitsOn: [],
+});
+
+type CompactSpec = Omit<JobSpec, keyof UsualSpec> & Partial<UsualSpec>;
+
+interface CompactJob {
+  v: 2;
+  spec?: CompactSpec;
+  home: string;
+  state?: JobRecord['state'];
+  tasks: number;
+  at: number;
+  size: number;
+  zones?: string[];
+  cut: number;
+  /** Chunk numbers as ranges. */
+  finished?: number[];
+  away?: number[];
+}
+
+/** A machine, its session, and a task and its attempt for each task on it. */
+type CompactEntries = [string, number, ...number[]];
+
+interface CompactChunk {
+  spec: CompactSpec;
+  home: string;
+  at: number;
+  from: number;
+  to: number;
+  zone?: string;
+  next: number;
+  done?: number[];
+  on?: CompactEntries[];
+  moves?: number;
+}
+
+interface CompactBucket {
+  v: 2;
+  chunks: Record<string, CompactChunk>;
+}
+
+export function compactSpec(spec: JobSpec): CompactSpec {
+  const usual: Record<string, unknown> = { ...usualSpec() };
+  const told = Object.entries(spec).filter(([name, value]) => {
+    if (!(name in usual)) return true;
+    return Array.isArray(value) ? name !== 'waitsOn' || value.length > 0 : value !== usual[name];
+  });
+  return Object.fromEntries(told) as unknown as CompactSpec;
+}
+
+const decodeSpec = (stored: CompactSpec): JobSpec => ({ ...usualSpec(), ...stored });
+
+export function compactJob(record: JobRecord): CompactJob {
+  const { spec, home, state, tasks, at, size, zones, cut, finished, away } = record;
+  return {
+    v: 2,
+    ...(spec === null ? {} : { spec: compactSpec(spec) }),
+    home,
+    ...(state === 'open' ? {} : { state }),
+    tasks,
+    at,
+    size,
+    ...(zones.length === 0 ? {} : { zones }),
+    cut,
+    ...(finished.length === 0 ? {} : { finished: toRanges(sorted(finished)) }),
+    ...(away.length === 0 ? {} : { away: toRanges(sorted(away)) }),
+  };
+}
+
+export function decodeJob(stored: unknown): JobRecord {
+  if ((stored as Partial<CompactJob>).v !== 2) {
+    const record = stored as JobRecord;
+    return record.spec === null ? record : { ...record, spec: decodeSpec(record.spec) };
+  }
+  const { spec, home, state, tasks, at, size, zones, cut, finished, away } = stored as CompactJob;
+  return {
+    spec: spec === undefined ? null : decodeSpec(spec),
+    home,
+    state: state ?? 'open',
+    tasks,
+    at,
+    size,
+    zones: zones ?? [],
+    cut,
+    finished: [...fromRanges(finished ?? [])],
+    away: [...fromRanges(away ?? [])],
+  };
+}
+
+export const compactBucket = ({ chunks }: BucketRecord): CompactBucket => ({
+  v: 2,
+  chunks: mapValues(chunks, compactChunk),
+});
+
+function compactChunk(record: ChunkRecord): CompactChunk {
+  const { spec, home, at, from, to, zone, next, done, entries, moves } = record;
+  return {
+    // Only the job's own record tells what it waits for: what is stored of a chunk has been released.
+    spec: compactSpec({ ...spec, waitsOn: [] }),
+    home,
+    at,
+    from,
+    to,
+    ...(zone === null ? {} : { zone }),
+    next,
+    ...(done.length === 0 ? {} : { done }),
+    ...(entries.length === 0 ? {} : { on: compactEntries(entries) }),
+    ...(moves === 0 ? {} : { moves }),
+  };
+}
+
+function compactEntries(entries: EntryRecord[]): CompactEntries[] {
+  const groups = new Map<string, CompactEntries>();
+  for (const { task, attempt, machine, session } of entries) {
+    const group = groups.get(`${machine} ${session}`) ?? [machine, session];
+    groups.set(`${machine} ${session}`, group);
+    group.push(task, attempt);
+  }
+  return [...groups.values()];
+}
+
+function decodeEntries(groups: CompactEntries[]): EntryRecord[] {
+  return groups.flatMap(([machine, session, ...numbers]) => {
+    const entries: EntryRecord[] = [];
+    for (let i = 0; i + 1 < numbers.length; i += 2) {
+      const [task = 0, attempt = 0] = numbers.slice(i, i + 2);
+      entries.push({ task, attempt, machine, session });
+    }
+    return entries;
+  });
+}
+
+export function decodeBucket(stored: unknown): BucketRecord {
+  if ((stored as Partial<CompactBucket>).v !== 2) {
+    const { chunks } = stored as BucketRecord;
+    return { chunks: mapValues(chunks, (c) => ({ ...c, spec: decodeSpec(c.spec) })) };
+  }
+  return { chunks: mapValues((stored as CompactBucket).chunks, decodeChunk) };
+}
+
+const decodeChunk = (stored: CompactChunk): ChunkRecord => ({
+  spec: decodeSpec(stored.spec),
+  home: stored.home,
+  at: stored.at,
+  from: stored.from,
+  to: stored.to,
+  zone: stored.zone ?? null,
+  next: stored.next,
+  done: stored.done ?? [],
+  entries: decodeEntries(stored.on ?? []),
+  moves: stored.moves ?? 0,
+});
+
+const sorted = (numbers: number[]): number[] => [...numbers].sort((a, b) => a - b);
--- /dev/null
+++ b/src/storage/compression.ts
@@ -0,0 +1,48 @@
+/**
+ * Compressed records. The library is loaded only where the feature table may need it (docs/rollout.md), so nothing else
+ * imports this module but by `import()`.
+ */
+import { deflateSync, inflateSync, strFromU8, strToU8 } from 'fflate';
+import { crc32 } from 'node:zlib';
+import { REQUEST_BYTES } from '../protocol/state.js';
+import { CorruptRecordError, type CompressedValue, type RecordCodec } from './recordCodec.js';
+
+/** Records are some kilobytes: a higher level takes longer and saves nothing. */
+const LEVEL = 6;
+
+/** No record was ever written whose text was longer than a request to the state service may be. */
+const MOST_BYTES = REQUEST_BYTES;
+
+function compress(text: string): CompressedValue | null {
+  const bytes = strToU8(text);
+  if (bytes.length > MOST_BYTES) return null;
+  const packed = deflateSync(bytes, { level: LEVEL });
+  return {
+    v: 3,
+    bytes: bytes.length,
+    sum: crc32(bytes),
+    data: Buffer.from(packed).toString('base64'),
+  };
+}
+
+function expand(key: string, { bytes, sum, data }: CompressedValue): string {
+  if (!Number.isInteger(bytes) || bytes < 0 || bytes > MOST_BYTES) {
+    throw new CorruptRecordError(key, `it claims to expand to ${String(bytes)} bytes`);
+  }
+  // The output is of a fixed size, so that a record cannot expand without limit; what does not fit is left out, and the
+  // checksum tells.
+  const output = new Uint8Array(bytes);
+  let expanded: Uint8Array;
+  try {
+    expanded = inflateSync(Buffer.from(data, 'base64'), { out: output });
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new CorruptRecordError(key, `it cannot be expanded: ${reason}`);
+  }
+  if (expanded.length !== bytes || crc32(expanded) !== sum) {
+    throw new CorruptRecordError(key, 'its checksum does not match');
+  }
+  return strFromU8(expanded);
+}
+
+export const deflateCodec: RecordCodec = { compress, expand };
--- /dev/null
+++ b/src/storage/mapValues.ts
@@ -0,0 +1,6 @@
+/** The same names with other values. */
+export const mapValues = <From, To>(
+  values: Record<string, From>,
+  change: (value: From) => To,
+): Record<string, To> =>
+  Object.fromEntries(Object.entries(values).map(([name, value]) => [name, change(value)]));
--- /dev/null
+++ b/src/storage/pieces.ts
@@ -0,0 +1,76 @@
+/** Records beyond the state service's limit are stored in pieces: a head under their own key, and the rest apart. */
+import { keys, PIECES } from './records.js';
+
+/** The first piece of a record that is stored in several. */
+interface PieceHead {
+  v: 2;
+  pieces: number;
+  text: string;
+  /** It was tried to compress it, which made it no smaller. */
+  kept?: true;
+}
+
+interface Piece {
+  text: string;
+}
+
+/** A value and the key that it is stored under. */
+export interface KeyedValue {
+  key: string;
+  value: unknown;
+}
+
+/** Room in a piece for what stands around its text. */
+export const PIECE_FRAME_BYTES = 40;
+
+export const bytesOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value) ?? '');
+
+/** How many pieces belong to a value besides its head. */
+export const pieceCount = (value: unknown): number => {
+  const { pieces, text } = (value ?? {}) as Partial<PieceHead>;
+  return typeof pieces === 'number' && typeof text === 'string' ? pieces : 0;
+};
+
+/** Whether a head tells that its record cannot be made smaller. */
+export const isKeptAsIs = (value: unknown): boolean =>
+  pieceCount(value) > 0 && (value as PieceHead).kept === true;
+
+/** The value of a head and its pieces; a record without pieces is its head. */
+export function joinPieces(head: unknown, pieces: unknown[]): unknown {
+  if (pieces.length === 0) return head;
+  const texts = [head, ...pieces].map((piece) => (piece as Piece).text);
+  return JSON.parse(texts.join('')) as unknown;
+}
+
+export const isPiece = (key: string): boolean => key.startsWith(PIECES);
+
+/** What is put for a value that takes several pieces; the first is under its own key. */
+export function cutIntoPieces(
+  key: string,
+  value: unknown,
+  valueBytes: number,
+  isKept: boolean,
+): [KeyedValue, ...KeyedValue[]] {
+  const [first = '', ...rest] = splitText(JSON.stringify(value), valueBytes - PIECE_FRAME_BYTES);
+  const head: PieceHead = { v: 2, pieces: rest.length, text: first };
+  if (isKept) head.kept = true;
+  const pieces = rest.map((text, i) => ({ key: keys.piece(key, i + 1), value: { text } }));
+  return [{ key, value: head }, ...pieces];
+}
+
+/** Cuts a text so that each piece, quoted as a JSON string, takes no more than so many bytes. */
+function splitText(text: string, most: number): string[] {
+  const pieces: string[] = [];
+  let piece = '';
+  let used = 0;
+  for (const char of text) {
+    const size = bytesOf(char) - 2;
+    if (used + size > most) {
+      pieces.push(piece);
+      [piece, used] = ['', 0];
+    }
+    piece += char;
+    used += size;
+  }
+  return [...pieces, piece];
+}
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -9,6 +9,8 @@
  *   b/fleet/ASK          a rental that was or will be sent, then its machines, and their part
  *   b/quota/TEAM         how a team's limit is shared out to the parts
  *   b/node/LABEL         which layout a node can read; a node of the first version has none
+ *   b/rollout/…           the cluster's version, and what concerns it (packages/rollout)
+ *   b/run/~barrier/level the lowest level that a reader of the records needs
  *   b/piece/KEY/N        what did not fit in the record under KEY
  */
 import type { JobSpec } from '../protocol/job.js';
@@ -16,8 +18,12 @@
 export const ROOT = 'b/';
 export const JOBS = 'b/job/';
 export const BUCKETS = 'b/run/';
+export const GROUPS = 'b/fleet/';
 export const PIECES = 'b/piece/';
 
+/** Kept in front of all buckets, for builds that know of no cluster version: they cannot read it (safety, R3). */
+export const BARRIER_KEY = `${BUCKETS}~barrier/level`;
+
 export const keys = {
   token: 'b/token',
   types: 'b/types',
@@ -25,7 +31,7 @@
   job: (id: string): string => `${JOBS}${id}`,
   run: (part: string, bucket: string): string => `${BUCKETS}${part}/${bucket}`,
   runs: (part: string): string => `${BUCKETS}${part}/`,
-  group: (ask: string): string => `b/fleet/${ask}`,
+  group: (ask: string): string => `${GROUPS}${ask}`,
   quota: (team: string): string => `b/quota/${team}`,
   node: (label: string): string => `b/node/${label}`,
   piece: (key: string, index: number): string => `${PIECES}${key}/${index}`,
--- a/src/storage/stateClient.ts
+++ b/src/storage/stateClient.ts
@@ -4,7 +4,9 @@
 import { CallFailed, type HttpClient, type Response } from '../transport/httpClient.js';
 import * as wire from '../protocol/state.js';
 import { Budget, shareOf, type Urgency } from './budget.js';
-import { isPiece, joinPieces, pieceCount, type RecordLayout } from './recordLayout.js';
+import { isPiece, joinPieces, pieceCount } from './pieces.js';
+import { CorruptRecordError } from './recordCodec.js';
+import { formOf, type RecordLayout, type StoredForm } from './recordLayout.js';
 import { keys } from './records.js';
 
 /** The state service could not be asked, or refused: nothing is known to have been carried out. */
@@ -30,6 +32,13 @@
   timeout: number;
 }
 
+/** A record as a transaction puts it. */
+interface WrittenRecord {
+  key: string;
+  pieces: number;
+  form: StoredForm;
+}
+
 /** How often a record in pieces is read while others change it between the reads. */
 const PIECE_TRIES = 5;
 
@@ -48,6 +57,10 @@
   lastFailed = -Infinity;
   /** How many pieces each record had when it was last read or written, if any. */
   private readonly pieces = new Map<string, number>();
+  /** How records that are not stored plainly are stored, as they were last read or written. */
+  private readonly forms = new Map<string, StoredForm>();
+  /** Records that could not be read, and why. */
+  readonly unreadable = new Map<string, string>();
 
   constructor(
     private readonly http: Pick<HttpClient, 'call'>,
@@ -163,15 +176,35 @@
   private join(head: wire.Item, pieces: (wire.Item | null | undefined)[]): wire.Item | null {
     const { key, stamp } = head;
     if (pieces.some((piece) => piece?.stamp !== stamp)) return null;
+    const joined = joinPieces(
+      head.value,
+      pieces.map((piece) => piece?.value),
+    );
     this.notePieces(key, pieces.length);
-    const value =
-      pieces.length === 0
-        ? head.value
-        : joinPieces(
-            head.value,
-            pieces.map((piece) => piece?.value),
-          );
-    return { key, value: this.layout.decode(key, value), stamp };
+    this.noteForm(key, formOf(key, head.value, joined));
+    return { key, value: this.decode(key, joined), stamp };
+  }
+
+  private decode(key: string, joined: unknown): unknown {
+    try {
+      const value = this.layout.decode(key, joined);
+      this.unreadable.delete(key);
+      return value;
+    } catch (error) {
+      if (error instanceof CorruptRecordError) this.noteUnreadable(error);
+      throw error;
+    }
+  }
+
+  /** Whether some record below a prefix cannot be read. */
+  hasUnreadable(prefix: string): boolean {
+    for (const key of this.unreadable.keys()) if (key.startsWith(prefix)) return true;
+    return false;
+  }
+
+  private noteUnreadable({ key, reason, message }: CorruptRecordError): void {
+    if (!this.unreadable.has(key)) log.error(message);
+    this.unreadable.set(key, reason);
   }
 
   private notePieces(key: string, count: number): void {
@@ -179,8 +212,25 @@
     else this.pieces.delete(key);
   }
 
+  private noteForm(key: string, form: StoredForm): void {
+    if (form === 'plain') this.forms.delete(key);
+    else this.forms.set(key, form);
+  }
+
+  /** Records that were stored in a form when they were last read or written here, in the order of their keys. */
+  keysOfForm(form: StoredForm): string[] {
+    const found: string[] = [];
+    for (const [key, is] of this.forms) if (is === form) found.push(key);
+    return found.sort();
+  }
+
   /** All items below a prefix, with a revision not newer than any of them was read at. */
   async range(prefix: string): Promise<{ items: wire.Item[]; epoch: number }> {
+    const { rows, epoch } = await this.readRows(prefix);
+    return { items: await this.joinAll(rows), epoch };
+  }
+
+  private async readRows(prefix: string): Promise<{ rows: Map<string, wire.Item>; epoch: number }> {
     const rows = new Map<string, wire.Item>();
     let epoch: number | null = null;
     for (let after = '', more = true; more;) {
@@ -194,7 +244,23 @@
       more = page.more && last !== undefined;
       after = last?.key ?? '';
     }
-    return { items: await this.joinAll(rows), epoch: epoch ?? 0 };
+    return { rows, epoch: epoch ?? 0 };
+  }
+
+  /** Records that the store holds in a form, read from it and not from what is known here; in the order of their keys. */
+  async readKeysOfForm(prefix: string, form: StoredForm): Promise<string[]> {
+    const { rows } = await this.readRows(prefix);
+    const found: string[] = [];
+    for (const row of rows.values()) {
+      if (isPiece(row.key)) continue;
+      const pieces = piecesOf(row, (key) => rows.get(key));
+      // Written between two pages of the reading: what it is now is asked for by itself.
+      const isTorn = pieces.some((piece) => piece?.stamp !== row.stamp);
+      if (isTorn) await this.get(row.key);
+      const now = isTorn ? (this.forms.get(row.key) ?? 'plain') : formOfRows(row, pieces);
+      if (now === form) found.push(row.key);
+    }
+    return found;
   }
 
   /** The records of many rows; what changed between the pages is read again by itself. */
@@ -202,16 +268,29 @@
     const items: wire.Item[] = [];
     for (const row of rows.values()) {
       if (isPiece(row.key)) continue;
-      const joined = this.join(
+      const item = await this.joinOrRead(
         row,
         piecesOf(row, (key) => rows.get(key)),
       );
-      const item = joined ?? (await this.get(row.key));
       if (item !== null) items.push(item);
     }
     return items;
   }
 
+  /** A record by what is known of its pieces, else read by itself; null: it is gone, or cannot be read. */
+  private async joinOrRead(
+    head: wire.Item,
+    pieces: (wire.Item | undefined)[],
+  ): Promise<wire.Item | null> {
+    try {
+      return this.join(head, pieces) ?? (await this.get(head.key));
+    } catch (error) {
+      // One damaged record must not keep the others from being served.
+      if (error instanceof CorruptRecordError) return null;
+      throw error;
+    }
+  }
+
   /** Waits for the turn of a transaction that will be made, with `granted`, from what is known then. */
   turn(cost: number, urgency: Urgency): Promise<void> {
     return this.writes.take(cost, urgency);
@@ -223,7 +302,7 @@
   }
 
   async txn(txn: wire.Txn, urgency: Urgency | 'granted' = 'later'): Promise<TxnResult> {
-    const stored = this.encodeTxn(txn);
+    const { stored, written } = this.encodeTxn(txn);
     const cost = stored.puts.length + stored.removes.length;
     if (cost > 0 && urgency !== 'granted') await this.writes.take(cost, urgency);
     // Pieces are not part of the turn that was waited for.
@@ -238,25 +317,28 @@
       return { kind: 'unknown' };
     }
     const result = this.resultOf(response);
-    if (result.kind === 'applied') this.noteWritten(txn);
+    if (result.kind === 'applied') this.noteWritten(written, txn.removes);
     if (result.kind === 'malformed') logMalformed(stored);
     return result;
   }
 
   /** The transaction as it is sent: values in their layout, large ones in pieces. */
-  private encodeTxn(txn: wire.Txn): wire.Txn {
+  private encodeTxn(txn: wire.Txn): { stored: wire.Txn; written: WrittenRecord[] } {
     const puts: wire.Txn['puts'] = [];
     const removes = [...txn.removes];
+    const written: WrittenRecord[] = [];
     const removePieces = (key: string, from: number): void => {
       for (let i = from; i <= (this.pieces.get(key) ?? 0); i++) removes.push(keys.piece(key, i));
     };
     for (const { key, value, hold } of txn.puts) {
-      const [head, ...pieces] = this.layout.encodePuts(key, value);
+      const { puts: encoded, form } = this.layout.encodeValue(key, value);
+      const [head, ...pieces] = encoded;
       puts.push(hold === undefined ? head : { ...head, hold }, ...pieces);
       removePieces(key, pieces.length + 1);
+      written.push({ key, pieces: pieces.length, form });
     }
     for (const key of txn.removes) removePieces(key, 1);
-    return { when: txn.when, puts, removes };
+    return { stored: { when: txn.when, puts, removes }, written };
   }
 
   /** Operations that a change of one record takes, those on its pieces included; null: its removal. */
@@ -265,12 +347,19 @@
     return value === null ? before : Math.max(before, this.layout.operations(key, value));
   }
 
-  private noteWritten(txn: wire.Txn): void {
-    for (const { key, value } of txn.puts) {
-      if (!this.layout.isCompact && !this.pieces.has(key)) continue;
-      this.notePieces(key, this.layout.operations(key, value) - 1);
+  private noteWritten(written: WrittenRecord[], removed: string[]): void {
+    for (const { key, pieces, form } of written) {
+      this.notePieces(key, pieces);
+      this.noteForm(key, form);
+      this.unreadable.delete(key);
     }
-    for (const key of txn.removes) this.pieces.delete(key);
+    for (const key of removed) this.forget(key);
+  }
+
+  private forget(key: string): void {
+    this.pieces.delete(key);
+    this.forms.delete(key);
+    this.unreadable.delete(key);
   }
 
   private resultOf(response: Response): TxnResult {
@@ -336,12 +425,12 @@
     for (const change of changes) {
       if (isPiece(change.key)) continue;
       if (change.removed) {
-        this.pieces.delete(change.key);
+        this.forget(change.key);
         joined.push(change);
         continue;
       }
       const found = piecesOf(change, (key) => pieces.get(versioned(key, change.stamp)));
-      const item = this.join(change, found) ?? (await this.get(change.key));
+      const item = await this.joinOrRead(change, found);
       if (item !== null) joined.push({ ...item, removed: false });
     }
     return joined;
@@ -355,6 +444,16 @@
 ): (wire.Item | undefined)[] =>
   Array.from({ length: pieceCount(head.value) }, (_, i) => find(keys.piece(head.key, i + 1)));
 
+const formOfRows = (head: wire.Item, pieces: (wire.Item | undefined)[]): StoredForm =>
+  formOf(
+    head.key,
+    head.value,
+    joinPieces(
+      head.value,
+      pieces.map((piece) => piece?.value),
+    ),
+  );
+
 function logMalformed({ puts, removes }: wire.Txn): void {
   const sizes = puts.map(({ key, value }) => `${key} ${JSON.stringify(value).length}`);
   log.error(
--- a/test/commits.test.ts
+++ b/test/commits.test.ts
@@ -43,6 +43,7 @@
         ownedParts,
         isBeingCancelled: () => false,
         isHeld: () => false,
+        hasUnreadableChunks: false,
         valid: () => true,
         verifyOwner: () => Promise.resolve(),
         stored: () => undefined,
--- a/test/ownership.test.ts
+++ b/test/ownership.test.ts
@@ -45,6 +45,8 @@
         lost: () => undefined,
         quiet: () => Promise.resolve(),
         wantsBack: () => false,
+        mayClaim: () => true,
+        isEntitled: () => true,
       },
     );
   }
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -125,6 +125,8 @@
       lost: () => undefined,
       quiet: () => Promise.resolve(),
       wantsBack: () => false,
+      mayClaim: () => true,
+      isEntitled: () => true,
     },
   );
 }
@@ -146,6 +148,8 @@
       lost: () => undefined,
       quiet: () => Promise.resolve(),
       wantsBack: () => false,
+      mayClaim: () => true,
+      isEntitled: () => true,
     },
   );
   void ownership.run();
@@ -175,6 +179,8 @@
       lost: () => undefined,
       quiet: () => Promise.resolve(),
       wantsBack: () => false,
+      mayClaim: () => true,
+      isEntitled: () => true,
     },
   );
   void ownership.run();
--- /dev/null
+++ b/test/rollout.test.ts
@@ -0,0 +1,185 @@
+/** Whole controllers that are replaced one after the other while users submit, and the level of what they store. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { rolloutPath } from '../src/protocol/routes.js';
+import { keys, type OwnerRecord } from '../src/storage/records.js';
+import { buildWithFeatures, pause, presentBuild, until } from './support/cluster.js';
+import { FEATURES, LABELS, RolloutCluster } from './support/rolloutCluster.js';
+
+const withFeatures = buildWithFeatures(FEATURES);
+
+test('three controllers are upgraded in turn, records change in place and back, and no job notices', async () => {
+  const rollout = new RolloutCluster();
+  try {
+    await rollout.start();
+    const users = rollout.submit();
+    await until('large records are stored in pieces', () => rollout.forms.pieces > 0);
+    assert.deepEqual(rollout.forms.compressed, 0);
+    for (const label of LABELS) await rollout.replace(label, withFeatures);
+    await rollout.untilLevel(3);
+    assert.equal(rollout.forms.hasBarrier, true);
+    assert.equal(rollout.forms.pieces, 0);
+    assert.ok(rollout.forms.compressed > 0);
+    const body = { to: 2, by: 'anna', confirm: true };
+    await until('the lowering is accepted', async () => {
+      // 503 while the node's copy is behind: the operator's command asks again too.
+      const { status } = await rollout.cluster.call(
+        'drone-1',
+        'POST',
+        `${rolloutPath}/lower`,
+        body,
+      );
+      return status === 200;
+    });
+    await rollout.untilLevel(2);
+    assert.equal(rollout.forms.hasBarrier, false);
+    assert.equal(rollout.forms.compressed, 0);
+    await rollout.finish();
+    await users;
+    assert.deepEqual(rollout.users.history.violations, []);
+    assert.deepEqual(rollout.cluster.cloud.twice, []);
+  } finally {
+    await rollout.close();
+  }
+});
+
+test('a rollout that is rolled back midway leaves the level alone, and no job notices', async () => {
+  const rollout = new RolloutCluster();
+  try {
+    await rollout.start();
+    const users = rollout.submit();
+    for (const label of ['drone-0', 'drone-1']) await rollout.replace(label, withFeatures);
+    await until('what holds the level back is named', async () => {
+      const { blockers } = await rollout.status();
+      return blockers.some((b) => b.subject === 'drone-2' && b.cause === 'publishes-no-levels');
+    });
+    for (const label of ['drone-1', 'drone-0']) await rollout.replace(label, presentBuild);
+    await rollout.finish();
+    await users;
+    assert.equal(rollout.forms.hasBarrier, false);
+    assert.equal(rollout.forms.compressed, 0);
+    assert.deepEqual(rollout.users.history.violations, []);
+  } finally {
+    await rollout.close();
+  }
+});
+
+test('a controller that returns with rollouts off after the raise is refused, and its part is taken over', async () => {
+  const rollout = new RolloutCluster(withFeatures);
+  const { cluster } = rollout;
+  let reason = '';
+  const without = buildWithFeatures([], (why) => (reason = why));
+  try {
+    await rollout.start();
+    const users = rollout.submit();
+    await rollout.untilLevel(3);
+    const before = cluster.state.rows.get(keys.owner('drone-2'))?.value as OwnerRecord;
+    cluster.crash('drone-2');
+    cluster.builds.set('drone-2', without);
+    await cluster.boot('drone-2');
+    await until('it is refused', () => reason !== '');
+    assert.match(reason, /rollouts to be switched on/);
+    cluster.crash('drone-2');
+    await until('a peer has its part', () => {
+      const owner = cluster.state.rows.get(keys.owner('drone-2'))?.value as OwnerRecord | undefined;
+      return owner !== undefined && owner.node !== 'drone-2' && owner.token > before.token;
+    });
+    await rollout.restart('drone-2', withFeatures);
+    await rollout.finish();
+    await users;
+    assert.deepEqual(rollout.users.history.violations, []);
+  } finally {
+    await rollout.close();
+  }
+});
+
+test('an ownership key of a process that published no levels does not keep a part from being served', async () => {
+  const rollout = new RolloutCluster(withFeatures);
+  const { cluster } = rollout;
+  try {
+    await rollout.start();
+    await rollout.untilLevel(3);
+    cluster.crash('drone-2');
+    const key = keys.owner('drone-2');
+    await until('its key is gone', () => {
+      const owner = cluster.state.rows.get(key)?.value as OwnerRecord | undefined;
+      return owner?.node !== 'drone-2';
+    });
+    // An old process that had loaded before the barrier writes its key again and again.
+    const stored = cluster.state.rows.get(key);
+    const token = (stored?.value as OwnerRecord | undefined)?.token ?? 0;
+    const value: OwnerRecord = { node: 'drone-2', token: token + 1, process: 'an old build' };
+    const written = cluster.state.apply({
+      When: [{ K: key, Stamp: stored?.stamp ?? 0 }],
+      Then: [{ Put: key, Value: value }],
+    });
+    assert.equal(written.status, 200);
+    await until('a peer has taken the part over', () => {
+      const owner = cluster.state.rows.get(key)?.value as OwnerRecord;
+      return owner.node !== 'drone-2';
+    });
+  } finally {
+    await rollout.close();
+  }
+});
+
+test('a hold keeps the level, is named, and ends with finalize; wrong requests are refused', async () => {
+  const rollout = new RolloutCluster(withFeatures);
+  const { cluster } = rollout;
+  const post = (name: string, body: unknown) =>
+    cluster.call('drone-1', 'POST', `${rolloutPath}${name}`, body);
+  try {
+    await cluster.start();
+    // Before anybody can have proposed the next level.
+    await until('the hold is stored', async () => {
+      const { status } = await post('/hold', { by: 'anna', reason: 'one more day' });
+      return status === 200;
+    });
+    await until('all publish what they read', async () =>
+      (await rollout.status()).nodes.every(({ reads }) => reads?.max === 3),
+    );
+    await until('the hold is named', async () =>
+      (await rollout.status()).blockers.some(({ cause }) => cause === 'held'),
+    );
+    const cases: [string, unknown, number][] = [
+      ['/hold', { by: 'ben', reason: 'mine' }, 409],
+      ['/hold', { by: 'ben' }, 400],
+      ['/lower', { to: 1, by: 'ben', confirm: true }, 409],
+      ['/lower', { to: 'down', by: 'ben' }, 400],
+      ['/driver', { stamp: 0, record: { name: 'x' } }, 409],
+      ['/drain', { token: 7 }, 409],
+      ['/nothing', {}, 404],
+    ];
+    for (const [name, body, status] of cases) {
+      assert.equal((await post(name, body)).status, status, name);
+    }
+    assert.equal((await rollout.status()).version.level, 2);
+    assert.equal((await post('/finalize', {})).status, 200);
+    await rollout.untilLevel(3);
+  } finally {
+    await rollout.close();
+  }
+});
+
+test('a drained controller owns nothing, sends users on, and comes back when the drain is cancelled', async () => {
+  const rollout = new RolloutCluster(withFeatures);
+  const { cluster } = rollout;
+  try {
+    await rollout.start();
+    const users = rollout.submit();
+    const drained = await cluster.call('drone-0', 'POST', `${rolloutPath}/drain`, { token: null });
+    assert.equal(drained.status, 200);
+    const drain = cluster.nodes.get('drone-0')?.controller.drain;
+    await until('it has given up everything', () => drain?.isDone === true);
+    assert.equal((await cluster.call('drone-0', 'GET', '/ready')).status, 503);
+    await pause(1);
+    assert.equal(drain?.isDone, true);
+    await cluster.call('drone-0', 'POST', `${rolloutPath}/undrain`, {});
+    await until('it has its part back', () => rollout.hasItsPart('drone-0'));
+    await rollout.finish();
+    await users;
+    assert.deepEqual(rollout.users.history.violations, []);
+  } finally {
+    await rollout.close();
+  }
+});
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -4,6 +4,8 @@
 import { seededRandom } from '../../src/base/random.js';
 import { Controller } from '../../src/coordination/controller.js';
 import { Gateway, isEssential } from '../../src/coordination/gateway.js';
+import { withoutRollout, type RolloutSetup } from '../../src/coordination/rollout/rolloutSetup.js';
+import * as rolloutModules from '../../src/coordination/rollout/rolloutModules.js';
 import { defaultTuning, parseSettings } from '../../src/protocol/settings.js';
 import { HttpClient, type Response } from '../../src/transport/httpClient.js';
 import { HttpServer, type ServerOptions } from '../../src/transport/httpServer.js';
@@ -26,14 +28,41 @@
   address: string;
 }
 
-export const presentBuild: Build = (text, run) => {
+const buildWith = (text: string, run: string, setup: RolloutSetup): BuiltNode => {
   const settings = parseSettings(text);
   const links = { services: new HttpClient(50, 1), machines: new HttpClient(50, 1) };
   const tuning = { ...defaultTuning, peerTimeout: 0.3 };
-  const controller = new Controller(settings, tuning, systemClock, seededRandom(7), links, run);
+  const random = seededRandom(7);
+  const controller = new Controller(settings, tuning, systemClock, random, links, run, setup);
   return { controller, gateway: new Gateway(controller) };
 };
 
+/** Everything that is switched off by default is off. */
+export const presentBuild: Build = (text, run) =>
+  buildWith(
+    text,
+    run,
+    withoutRollout(() => undefined),
+  );
+
+/** With some features on; a node that is refused ends, as its process would. */
+export const buildWithFeatures = (
+  features: string[],
+  refused: (reason: string) => void = () => undefined,
+): Build => {
+  return (text, run) => {
+    const node = buildWith(text, run, {
+      features: new Set(features),
+      modules: features.length === 0 ? null : rolloutModules,
+      refused: (reason) => {
+        refused(reason);
+        node.controller.stop();
+      },
+    });
+    return node;
+  };
+};
+
 export interface ClusterOptions {
   nodes: number;
   teams?: string;
--- /dev/null
+++ b/test/support/rolloutCluster.ts
@@ -0,0 +1,119 @@
+/** Three whole controllers with state limits so small that large jobs do not fit one record, and steady users. */
+import type { RolloutStatus } from '@barrowlb/rollout';
+import { seededRandom } from '../../src/base/random.js';
+import { rolloutPath } from '../../src/protocol/routes.js';
+import { BARRIER_KEY } from '../../src/storage/records.js';
+import { NODES } from '../trials/faults.js';
+import { TEAMS, TrialUsers } from '../trials/trialUsers.js';
+import { Cluster, pause, presentBuild, until, type Build } from './cluster.js';
+
+export const FEATURES = ['rollout', 'compressed-records'];
+export const LABELS = Array.from({ length: NODES }, (_, index) => `drone-${index}`);
+
+/** A job's list of types makes its description larger than one record. */
+const LARGE = { Flavours: ['m8', ...Array.from({ length: 150 }, (_, i) => `type-${i}-unknown`)] };
+const LIMITS = { valueBytes: 2048, txnOps: 8 };
+
+export class RolloutCluster {
+  readonly cluster: Cluster;
+  readonly users: TrialUsers;
+  private readonly visits: Promise<void>[] = [];
+  private isSubmitting = true;
+  private readonly random = seededRandom(5);
+  private submitted = 0;
+
+  constructor(first: Build = presentBuild) {
+    const lengths = seededRandom(6);
+    this.cluster = new Cluster({
+      nodes: NODES,
+      teams: TEAMS,
+      lease: 6,
+      runs: () => 0.2 + lengths(),
+      nextLimits: `value_kb = ${(LIMITS.valueBytes / 1024).toFixed(1)}\ntxn_ops = ${LIMITS.txnOps}`,
+    });
+    for (const label of LABELS) this.cluster.builds.set(label, first);
+    this.users = new TrialUsers(this.cluster, this.random, LARGE);
+    this.cluster.cloud.watch = this.users.history;
+  }
+
+  async start(): Promise<void> {
+    await this.cluster.start();
+    await until('all own their parts', () => LABELS.every((label) => this.hasItsPart(label)));
+  }
+
+  /** Users come until `finish`. */
+  async submit(): Promise<void> {
+    while (this.isSubmitting) {
+      const id = `wk-${String(500_000 + this.submitted++)}`;
+      this.visits.push(this.users.user(id));
+      await pause(0.15 + this.random() * 0.2);
+    }
+  }
+
+  /** All jobs get where they are going. */
+  async finish(): Promise<void> {
+    this.isSubmitting = false;
+    await until('all jobs are over', () => this.users.unfinished.length === 0, 30);
+  }
+
+  async close(): Promise<void> {
+    this.isSubmitting = false;
+    this.users.isOver = true;
+    this.cluster.close();
+    await Promise.allSettled(this.visits);
+  }
+
+  /** Drains a node, ends it, and starts another build in its place. */
+  async replace(label: string, build: Build): Promise<void> {
+    const { cluster } = this;
+    const drain = cluster.nodes.get(label)?.controller.drain;
+    drain?.begin();
+    await until(`${label} is drained`, () => drain?.isDone === true);
+    await this.restart(label, build);
+  }
+
+  async restart(label: string, build: Build): Promise<void> {
+    const { cluster } = this;
+    cluster.crash(label);
+    cluster.builds.set(label, build);
+    await cluster.boot(label);
+    await until(`${label} has its part back`, () => this.hasItsPart(label));
+  }
+
+  hasItsPart(label: string): boolean {
+    return this.cluster.nodes.get(label)?.controller.ownedParts.has(label) === true;
+  }
+
+  async status(label = 'drone-0'): Promise<RolloutStatus> {
+    const { status, body } = await this.cluster.call(label, 'GET', rolloutPath);
+    if (status !== 200) throw new Error(`status ${status}`);
+    return body as RolloutStatus;
+  }
+
+  /** The level is reached, and no record in another form is left. */
+  async untilLevel(level: number, label = 'drone-0'): Promise<void> {
+    await until(
+      `level ${level} is verified`,
+      async () => {
+        const { version } = await this.status(label);
+        return (
+          version.level === level &&
+          version.phase === 'steady' &&
+          version.verified === version.proposal
+        );
+      },
+      30,
+    );
+  }
+
+  /** Records that the store holds in each form. */
+  get forms(): { pieces: number; compressed: number; hasBarrier: boolean } {
+    const rows = [...this.cluster.state.rows.entries()];
+    const isCompressed = (value: unknown): boolean => (value as { v?: number } | null)?.v === 3;
+    return {
+      pieces: rows.filter(([key]) => key.startsWith('b/piece/')).length,
+      compressed: rows.filter(([, { value }]) => isCompressed(value)).length,
+      hasBarrier: this.cluster.state.rows.has(BARRIER_KEY),
+    };
+  }
+}
--- a/test/trials/trialUsers.ts
+++ b/test/trials/trialUsers.ts
@@ -44,6 +44,8 @@
   constructor(
     private readonly cluster: Cluster,
     private readonly random: Random,
+    /** Fields that all submissions have beside those that are drawn. */
+    private readonly extra: Record<string, unknown> = {},
   ) {}
 
   /** Accepted jobs of which no final state was told. */
@@ -83,7 +85,10 @@
     const cancelAfter = this.random() < CANCELLED_SHARE ? this.random() * 4 : Infinity;
     const first = Math.floor(this.random() * NODES);
     const work = { Owner: team, Pieces: pieces, Cores: CPUS_PER_TASK };
-    const body = submission(id, waitsOn.length === 0 ? work : { ...work, WaitsOn: waitsOn });
+    const body = submission(id, {
+      ...this.extra,
+      ...(waitsOn.length === 0 ? work : { ...work, WaitsOn: waitsOn }),
+    });
     const began = performance.now();
     this.history.submitted(id, { team, cpus: CPUS_PER_TASK, tasks: pieces, waitsOn });
     for (let turn = first; !this.isOver && !this.over.has(id); turn++) {
