--- a/src/storage/pieces.ts
+++ b/src/storage/pieces.ts
@@ -23,6 +23,9 @@
 /** Room in a piece for what stands around its text. */
 export const PIECE_FRAME_BYTES = 40;
 
+/** And in a head that tells that its record is kept as it is. */
+const KEPT_BYTES = ',"kept":true'.length;
+
 export const bytesOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value) ?? '');
 
 /** How many pieces belong to a value besides its head. */
@@ -51,7 +54,8 @@
   valueBytes: number,
   isKept: boolean,
 ): [KeyedValue, ...KeyedValue[]] {
-  const [first = '', ...rest] = splitText(JSON.stringify(value), valueBytes - PIECE_FRAME_BYTES);
+  const room = valueBytes - PIECE_FRAME_BYTES - (isKept ? KEPT_BYTES : 0);
+  const [first = '', ...rest] = splitText(JSON.stringify(value), room);
   const head: PieceHead = { v: 2, pieces: rest.length, text: first };
   if (isKept) head.kept = true;
   const pieces = rest.map((text, i) => ({ key: keys.piece(key, i + 1), value: { text } }));
--- /dev/null
+++ b/test/compression.test.ts
@@ -0,0 +1,126 @@
+/** Compressed records: what is written, what is read, and what damaged ones come to. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { deflateCodec } from '../src/storage/compression.js';
+import { joinPieces } from '../src/storage/pieces.js';
+import { CorruptRecordError, type CompressedValue } from '../src/storage/recordCodec.js';
+import { formOf, RecordLayout, type StoredForm } from '../src/storage/recordLayout.js';
+import { BARRIER_KEY, keys, type JobRecord } from '../src/storage/records.js';
+import { spec } from './support/spec.js';
+
+const VALUE_BYTES = 2048;
+
+function layoutWith(mayCompress: boolean, hasCodec = true): RecordLayout {
+  const limits = { valueBytes: VALUE_BYTES, txnOps: 16 };
+  const layout = new RecordLayout(limits, hasCodec ? deflateCodec : null, () => mayCompress);
+  layout.useCompact();
+  return layout;
+}
+
+const job = (types: string[]): JobRecord => ({
+  ...{ spec: spec({ types }), home: 'p', state: 'open', tasks: 3, at: 1, size: 3 },
+  ...{ zones: [], cut: 1, finished: [], away: [] },
+});
+
+const names = (count: number): string[] => Array.from({ length: count }, (_, i) => `type-${i}`);
+
+/** Words that no compression makes smaller. */
+const noise = (count: number): string[] =>
+  Array.from({ length: count }, (_, i) => {
+    const bytes = Array.from(
+      { length: 24 },
+      (__, k) => (Math.imul(i * 24 + k + 1, 2654435761) >>> 13) % 89,
+    );
+    return bytes
+      .map((b) => String.fromCharCode(35 + b))
+      .join('')
+      .replaceAll('\\', '!');
+  });
+
+const key = keys.job('wk-1');
+
+function store(
+  layout: RecordLayout,
+  value: unknown,
+): { form: StoredForm; joined: unknown; puts: number } {
+  const { puts, form } = layout.encodeValue(key, value);
+  for (const put of puts) assert.ok(Buffer.byteLength(JSON.stringify(put.value)) <= VALUE_BYTES);
+  const [head, ...pieces] = puts.map((put) => JSON.parse(JSON.stringify(put.value)) as unknown);
+  const joined = joinPieces(head, pieces);
+  assert.equal(formOf(key, head, joined), form);
+  return { form, joined, puts: puts.length };
+}
+
+test('only records that would be stored in pieces are compressed, and only where that is allowed', () => {
+  const cases: [string, RecordLayout, string[], StoredForm][] = [
+    ['small', layoutWith(true), names(5), 'plain'],
+    ['large', layoutWith(true), names(300), 'compressed'],
+    ['large, not allowed', layoutWith(false), names(300), 'pieces'],
+    ['large, no codec', layoutWith(true, false), names(300), 'pieces'],
+    ['compressed, and still large', layoutWith(true), [...names(300), ...noise(120)], 'compressed'],
+    ['beyond what a request holds', layoutWith(true), names(9000), 'plain'],
+  ];
+  for (const [what, layout, types, form] of cases) {
+    const record = job(types);
+    const stored = store(layout, record);
+    assert.equal(stored.form, form, what);
+    assert.deepEqual(layout.decode(key, stored.joined), record, what);
+  }
+  assert.ok(
+    store(layoutWith(true), job(names(300))).puts < store(layoutWith(false), job(names(300))).puts,
+  );
+});
+
+test('records whose changes are not made under an ownership key are never compressed', () => {
+  const layout = layoutWith(true);
+  const value = names(500);
+  assert.equal(layout.encodeValue('b/types', value).form, 'plain');
+  assert.equal(layout.encodeValue('b/quota/crew', value).form, 'plain');
+});
+
+test('the barrier is stored and read as it is', () => {
+  const layout = layoutWith(true);
+  const barrier = { readers: 3 };
+  assert.deepEqual(layout.encode(BARRIER_KEY, barrier), barrier);
+  assert.deepEqual(layout.decode(BARRIER_KEY, barrier), barrier);
+});
+
+test('whatever text is compressed comes back, or is refused as too large', () => {
+  fc.assert(
+    fc.property(fc.string({ unit: 'binary', maxLength: 3000, size: 'max' }), (text) => {
+      const packed = deflateCodec.compress(text);
+      if (packed === null) return Buffer.byteLength(text) > 64 * 1024;
+      return deflateCodec.expand(key, packed) === text;
+    }),
+    { seed: 20261202, numRuns: 200 },
+  );
+});
+
+test('a damaged record is a named error, and never an empty record', () => {
+  const layout = layoutWith(true);
+  const { joined } = store(layout, job(names(300)));
+  const good = joined as CompressedValue;
+  const bytes = Buffer.from(good.data, 'base64');
+  const cut = bytes.subarray(0, bytes.length / 2).toString('base64');
+  const flipped = Buffer.from(bytes);
+  flipped[40] = (flipped[40] ?? 0) ^ 0x10;
+  const damaged: [string, unknown][] = [
+    ['cut off', { ...good, data: cut }],
+    ['one bit', { ...good, data: flipped.toString('base64') }],
+    ['empty', { ...good, data: '' }],
+    ['no base64', { ...good, data: '!!!' }],
+    ['another checksum', { ...good, sum: good.sum ^ 1 }],
+    ['shorter than it is', { ...good, bytes: good.bytes - 1 }],
+    ['longer than it is', { ...good, bytes: good.bytes + 1 }],
+    ['expands without limit', { ...good, bytes: 1 << 30 }],
+    ['a negative size', { ...good, bytes: -1 }],
+    ['no size', { ...good, bytes: undefined }],
+    ['no JSON inside', deflateCodec.compress('{"v":2,')],
+    ['compressed twice', deflateCodec.compress(JSON.stringify(good))],
+  ];
+  for (const [what, value] of damaged) {
+    assert.throws(() => layout.decode(key, value), CorruptRecordError, what);
+  }
+  assert.throws(() => layoutWith(true, false).decode(key, good), /switched off here/);
+});
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -129,12 +129,14 @@
   const post = (name: string, body: unknown) =>
     cluster.call('drone-1', 'POST', `${rolloutPath}${name}`, body);
   try {
+    // Without it nobody can propose the next level, so that the hold comes first.
+    cluster.builds.set('drone-2', presentBuild);
     await cluster.start();
-    // Before anybody can have proposed the next level.
     await until('the hold is stored', async () => {
       const { status } = await post('/hold', { by: 'anna', reason: 'one more day' });
       return status === 200;
     });
+    await rollout.restart('drone-2', withFeatures);
     await until('all publish what they read', async () =>
       (await rollout.status()).nodes.every(({ reads }) => reads?.max === 3),
     );
