--- a/src/storage/recordCodec.ts
+++ b/src/storage/recordCodec.ts
@@ -9,6 +9,11 @@
   sum: number;
   /** The compressed text, in base64. */
   data: string;
+  /**
+   * Of a job, its state: a build that cannot expand the record takes one without a state for a job that is over, and
+   * would tell users so.
+   */
+  state?: string;
 }
 
 export interface RecordCodec {
--- a/src/storage/recordLayout.ts
+++ b/src/storage/recordLayout.ts
@@ -22,7 +22,12 @@
   type KeyedValue,
 } from './pieces.js';
 import { plainBucket, plainJob } from './plainRecords.js';
-import { CorruptRecordError, isCompressed, type RecordCodec } from './recordCodec.js';
+import {
+  CorruptRecordError,
+  isCompressed,
+  type CompressedValue,
+  type RecordCodec,
+} from './recordCodec.js';
 import {
   BARRIER_KEY,
   BUCKETS,
@@ -158,7 +163,7 @@
     const bytes = bytesOf(encoded);
     if (bytes <= valueBytes) return { puts: [{ key, value: encoded }], form: 'plain' };
     const isTried = this.codec !== null && this.mayCompress() && isCompressible(key);
-    const smaller = isTried ? this.compress(encoded, bytes) : null;
+    const smaller = isTried ? this.compress(key, value, encoded, bytes) : null;
     if (smaller === null) {
       const puts = cutIntoPieces(key, encoded, valueBytes, isTried);
       return { puts, form: formOf(key, puts[0].value, encoded) };
@@ -171,9 +176,16 @@
   }
 
   /** Null where it would be no smaller. */
-  private compress(encoded: unknown, bytes: number): unknown {
+  private compress(
+    key: string,
+    value: unknown,
+    encoded: unknown,
+    bytes: number,
+  ): CompressedValue | null {
     const compressed = this.codec?.compress(JSON.stringify(encoded)) ?? null;
-    return compressed !== null && bytesOf(compressed) < bytes ? compressed : null;
+    if (compressed === null) return null;
+    if (key.startsWith(JOBS)) compressed.state = (value as JobRecord).state;
+    return bytesOf(compressed) < bytes ? compressed : null;
   }
 
   /** A stored value, its pieces joined, as the program knows it. */
@@ -185,7 +197,7 @@
     return stored;
   }
 
-  private decodeCompressed(key: string, stored: Parameters<RecordCodec['expand']>[1]): unknown {
+  private decodeCompressed(key: string, stored: CompressedValue): unknown {
     if (this.codec === null) {
       throw new CorruptRecordError(key, 'it is compressed, which is switched off here');
     }
--- a/test/compression.test.ts
+++ b/test/compression.test.ts
@@ -79,6 +79,12 @@
   assert.equal(layout.encodeValue('b/quota/crew', value).form, 'plain');
 });
 
+test('a build that cannot expand an open job still sees that it is open', () => {
+  // Version 0.3.0 takes a record of a job without a state for one that is done, and told users so.
+  const { joined } = store(layoutWith(true), job(names(300)));
+  assert.equal((joined as { state?: string }).state, 'open');
+});
+
 test('the barrier is stored and read as it is', () => {
   const layout = layoutWith(true);
   const barrier = { readers: 3 };
--- a/test/mixed/mixedTrial.ts
+++ b/test/mixed/mixedTrial.ts
@@ -32,7 +32,8 @@
   log: { setLogLevel(level: string): void };
 }
 
-async function productionBuild(compiled: string): Promise<Build> {
+/** Controllers of an earlier version, from its compiled modules. */
+export async function earlierBuild(compiled: string): Promise<Build> {
   const modules: ProductionModules = {
     settings: await loadModule(compiled, 'protocol/settings.js'),
     controller: await loadModule(compiled, 'coordination/controller.js'),
@@ -90,7 +91,7 @@
 }
 
 export async function runMixed(seed: number, compiled: string): Promise<MixedResult> {
-  const trial = new MixedTrial(seed, await productionBuild(compiled));
+  const trial = new MixedTrial(seed, await earlierBuild(compiled));
   const result = await trial.run();
   return { ...result, malformed: trial.malformed };
 }
--- a/test/mixed/productionBuild.ts
+++ b/test/mixed/productionBuild.ts
@@ -1,6 +1,6 @@
 /**
- * The version that deploy/service.toml names as in production, built from the history into a scratch folder. It needs
- * the whole history and takes a while, so CI runs nothing of this folder.
+ * Earlier versions, built from the history into a scratch folder: the one that deploy/service.toml names as in
+ * production, and 0.3.0. It needs the whole history and takes a while, so CI runs nothing of this folder.
  */
 import { execFileSync } from 'node:child_process';
 import { existsSync, mkdirSync, readFileSync, rmSync, symlinkSync } from 'node:fs';
@@ -19,10 +19,14 @@
   return production;
 }
 
-/** Builds it, unless that was done before, and gives the folder with the compiled modules. */
-export function buildProduction(): string {
-  const commit = productionCommit();
-  const folder = join(tmpdir(), `barrowlb-production-${commit.slice(0, 12)}`);
+/** The last commit of version 0.3.0, which knows of marks and nothing of a cluster version. */
+export const RELEASE_0_3 = '2bcbffccdca50e61d611d72b09f6c0c0294edcd7';
+
+export const buildProduction = (): string => buildCommit(productionCommit());
+
+/** Builds a commit, unless that was done before, and gives the folder with the compiled modules. */
+export function buildCommit(commit: string): string {
+  const folder = join(tmpdir(), `barrowlb-${commit.slice(0, 12)}`);
   const compiled = join(folder, 'target');
   if (existsSync(join(compiled, 'main.js'))) return compiled;
   rmSync(folder, { recursive: true, force: true });
--- a/test/support/rolloutCluster.ts
+++ b/test/support/rolloutCluster.ts
@@ -11,7 +11,9 @@
 export const LABELS = Array.from({ length: NODES }, (_, index) => `drone-${index}`);
 
 /** A job's list of types makes its description larger than one record. */
-const LARGE = { Flavours: ['m8', ...Array.from({ length: 150 }, (_, i) => `type-${i}-unknown`)] };
+export const LARGE = {
+  Flavours: ['m8', ...Array.from({ length: 150 }, (_, i) => `type-${i}-unknown`)],
+};
 const LIMITS = { valueBytes: 2048, txnOps: 8 };
 
 export class RolloutCluster {
--- a/test/trials/trial.ts
+++ b/test/trials/trial.ts
@@ -35,6 +35,8 @@
   constructor(
     private readonly seed: number,
     options: Partial<ClusterOptions> = {},
+    /** Fields that all submissions have beside those that are drawn. */
+    extra: Record<string, unknown> = {},
   ) {
     this.random = seededRandom(seed);
     const lengths = seededRandom(seed + 1);
@@ -46,7 +48,7 @@
       runs: () => 0.2 + lengths() * 1.5,
       ...options,
     });
-    this.users = new TrialUsers(this.cluster, this.random);
+    this.users = new TrialUsers(this.cluster, this.random, extra);
     this.cluster.cloud.capacity = MACHINES;
     this.cluster.cloud.watch = this.users.history;
   }
