--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -1,27 +1,11 @@
 /** The command line as a new user would try it, wrong arguments included. */
 import assert from 'node:assert/strict';
-import { execFile } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
-import { fileURLToPath } from 'node:url';
 import { Cluster, submission, until } from './support/cluster.js';
-
-const program = fileURLToPath(new URL('../src/main.js', import.meta.url));
-
-interface Ran {
-  code: number;
-  out: string;
-  err: string;
-}
-
-const run = (...args: string[]): Promise<Ran> =>
-  new Promise((resolve) => {
-    execFile(process.execPath, [program, ...args], (error, out, err) => {
-      resolve({ code: typeof error?.code === 'number' ? error.code : 0, out, err });
-    });
-  });
+import { run } from './support/commandLine.js';
 
 test('wrong arguments and bad settings end with one clear line', async () => {
   const folder = mkdtempSync(join(tmpdir(), 'barrowlb-'));
--- a/test/compression.test.ts
+++ b/test/compression.test.ts
@@ -7,7 +7,11 @@
 import { CorruptRecordError, type CompressedValue } from '../src/storage/recordCodec.js';
 import { formOf, RecordLayout, type StoredForm } from '../src/storage/recordLayout.js';
 import { BARRIER_KEY, keys, type JobRecord } from '../src/storage/records.js';
+import { systemClock } from '../src/base/clock.js';
+import { StateClient } from '../src/storage/stateClient.js';
+import { HttpClient } from '../src/transport/httpClient.js';
 import { spec } from './support/spec.js';
+import { StateStandIn } from './support/state.js';
 
 const VALUE_BYTES = 2048;
 
@@ -92,6 +96,35 @@
   assert.deepEqual(layout.decode(BARRIER_KEY, barrier), barrier);
 });
 
+test('one record that cannot be read keeps nobody from the others, and is read again once it is put right', async () => {
+  const state = new StateStandIn();
+  try {
+    const endpoint = await state.listenFor('x');
+    const options = { endpoint, rate: 1e4, writeRate: 1e4, sharers: 1, timeout: 5 };
+    const client = new StateClient(new HttpClient(10, 5), systemClock, options, layoutWith(true));
+    const [good, bad, small] = [keys.job('wk-1'), keys.job('wk-2'), keys.job('wk-3')];
+    const puts = [good, bad].map((name) => ({ key: name, value: job(names(300)) }));
+    assert.equal((await client.txn({ when: [], puts, removes: [] })).kind, 'applied');
+    const stored = state.rows.get(bad)?.value as CompressedValue;
+    const tear = { Put: bad, Value: { ...stored, sum: stored.sum ^ 1 } };
+    state.apply({
+      Then: [tear, { Put: small, Value: { v: 2, home: 'p', tasks: 1, at: 1, size: 1, cut: 0 } }],
+    });
+    const { items } = await client.range('b/');
+    assert.deepEqual(items.map((item) => item.key).sort(), [good, small]);
+    await assert.rejects(client.get(bad), CorruptRecordError);
+    assert.equal(client.hasUnreadable('b/job/'), true);
+    assert.equal(client.hasUnreadable('b/run/'), false);
+    assert.deepEqual(await client.readKeysOfForm('b/', 'compressed'), [good, bad]);
+    const repaired = [{ key: bad, value: job(names(300)) }];
+    await client.txn({ when: [], puts: repaired, removes: [] });
+    assert.equal(client.hasUnreadable('b/job/'), false);
+    assert.deepEqual((await client.get(bad))?.value, job(names(300)));
+  } finally {
+    state.close();
+  }
+});
+
 test('whatever text is compressed comes back, or is refused as too large', () => {
   fc.assert(
     fc.property(fc.string({ unit: 'binary', maxLength: 3000, size: 'max' }), (text) => {
--- a/test/rolloutCli.test.ts
+++ b/test/rolloutCli.test.ts
@@ -1,60 +1,31 @@
 /** `barrowlb rollout` and `barrowlb drain` as a new user would try them, wrong arguments included. */
 import assert from 'node:assert/strict';
-import { execFile } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, test } from 'node:test';
-import { fileURLToPath } from 'node:url';
 import { rolloutKeys, type DriverRecord } from '@barrowlb/rollout';
 import { buildWithFeatures, Cluster, presentBuild, until } from './support/cluster.js';
+import { loneSettings, run, runUntilEnd, type Ran } from './support/commandLine.js';
+import { EXIT_REFUSED } from '../src/coordination/rollout/rolloutSetup.js';
+import { BARRIER_KEY } from '../src/storage/records.js';
+import { StateStandIn } from './support/state.js';
 import { FEATURES, LABELS } from './support/rolloutCluster.js';
 
-const program = fileURLToPath(new URL('../src/main.js', import.meta.url));
 const folder = mkdtempSync(join(tmpdir(), 'barrowlb-'));
 
 after(() => {
   rmSync(folder, { recursive: true });
 });
 
-interface Ran {
-  code: number;
-  out: string;
-  err: string;
-}
-
-const run = (...args: string[]): Promise<Ran> =>
-  new Promise((resolve) => {
-    execFile(process.execPath, [program, ...args], (error, out, err) => {
-      resolve({ code: typeof error?.code === 'number' ? error.code : 0, out, err });
-    });
-  });
-
 function file(name: string, text: string): string {
   const path = join(folder, name);
   writeFileSync(path, text);
   return path;
 }
 
-const settings = (label: string): string => `
-label = "${label}"
-site = "a"
-client_listen = "127.0.0.1:0"
-back = "127.0.0.1:0"
-[services]
-cloud = "127.0.0.1:1"
-state = "127.0.0.1:1"
-[settings]
-zones = ["a"]
-teams = [{ name = "crew" }]
-workers = { report_s = 3.0, lease_s = 30.0, cancel_s = 60.0 }
-state = { rps = 100.0, write_rps = 50.0, value_kb = 16.0, txn_ops = 16 }
-cloud = { rps = 6.0, list_lag_s = 6.0 }
-limits = { cores = 0.1, ram_mb = 127.0, fd_limit = 1000 }
-`;
-
 test('faulty files and arguments end with one clear line', async () => {
-  const config = file('settings.toml', settings('drone-0'));
+  const config = file('settings.toml', loneSettings('drone-0'));
   const unknown = file('unknown.toml', '[features]\nrolout = true\n');
   const needs = file('needs.toml', '[features]\ncompressed-records = true\n');
   const twice = file(
@@ -85,6 +56,36 @@
   });
 });
 
+test('a controller with rollouts off ends with code 4 when it finds a barrier, and has written nothing', async () => {
+  const state = new StateStandIn();
+  try {
+    const endpoint = await state.listenFor('drone-0');
+    state.apply({ Then: [{ Put: BARRIER_KEY, Value: { readers: 3 } }] });
+    const config = file('barrier.toml', loneSettings('drone-0', endpoint));
+    const ended = await runUntilEnd(['--config', config]);
+    assert.equal(ended.code, EXIT_REFUSED, ended.err);
+    assert.match(ended.err, /rollouts to be switched on/);
+    assert.deepEqual([...state.rows.keys()], [BARRIER_KEY]);
+  } finally {
+    state.close();
+  }
+});
+
+test('SIGTERM drains where the settings say so, and else ends the process at once', async () => {
+  const config = file('sigterm.toml', loneSettings('drone-0'));
+  const properties = file('sigterm.properties', 'drain.on.sigterm = 5\n');
+  const terminate = (log: string, kill: (signal: NodeJS.Signals) => void): void => {
+    if (log.includes('listens on') && !log.includes('draining')) kill('SIGTERM');
+  };
+  const [drained, ended] = await Promise.all([
+    runUntilEnd(['--config', config, '--properties', properties], terminate),
+    runUntilEnd(['--config', config], terminate),
+  ]);
+  assert.match(drained.err, /draining before the end/);
+  assert.deepEqual([drained.code, drained.signal], [0, null]);
+  assert.deepEqual([ended.code, ended.signal], [null, 'SIGTERM']);
+});
+
 test('an operator holds, finalises, lowers and drains a running cluster', async () => {
   const cluster = new Cluster({ nodes: 3, runs: () => 1 });
   for (const label of LABELS) cluster.builds.set(label, buildWithFeatures(FEATURES));
--- a/test/startup.test.ts
+++ b/test/startup.test.ts
@@ -7,6 +7,7 @@
 import { after, before, test } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import { buildSync } from 'esbuild';
+import { loneSettings } from './support/commandLine.js';
 
 const root = fileURLToPath(new URL('../../..', import.meta.url));
 const compiledMain = fileURLToPath(new URL('../src/main.js', import.meta.url));
@@ -28,25 +29,7 @@
   const flags = heapFlags(scripts['snapshot'] ?? '');
   const build = [...flags, '--snapshot-blob', snapshot, '--build-snapshot', bundle];
   execFileSync(process.execPath, build, { env: { LOG_LEVEL: 'error' }, stdio: 'pipe' });
-  writeFileSync(
-    settingsFile,
-    `
-label = "drone-0"
-site = "a"
-client_listen = "127.0.0.1:0"
-back = "127.0.0.1:0"
-[services]
-cloud = "127.0.0.1:1"
-state = "127.0.0.1:1"
-[settings]
-zones = ["a"]
-teams = [{ name = "crew" }]
-workers = { report_s = 3.0, lease_s = 30.0, cancel_s = 60.0 }
-state = { rps = 100.0, write_rps = 50.0, value_kb = 16.0, txn_ops = 16 }
-cloud = { rps = 6.0, list_lag_s = 6.0 }
-limits = { cores = 0.1, ram_mb = 127.0, fd_limit = 1000 }
-`,
-  );
+  writeFileSync(settingsFile, loneSettings('drone-0'));
 });
 
 after(() => {
--- /dev/null
+++ b/test/support/commandLine.ts
@@ -0,0 +1,60 @@
+/** The program as a user runs it from a shell. */
+import { execFile, spawn } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+
+const program = fileURLToPath(new URL('../../src/main.js', import.meta.url));
+
+export interface Ran {
+  code: number;
+  out: string;
+  err: string;
+}
+
+export const run = (...args: string[]): Promise<Ran> =>
+  new Promise((resolve) => {
+    execFile(process.execPath, [program, ...args], (error, out, err) => {
+      resolve({ code: typeof error?.code === 'number' ? error.code : 0, out, err });
+    });
+  });
+
+export interface Ended {
+  code: number | null;
+  signal: string | null;
+  err: string;
+}
+
+/** Runs the program until it ends; `heard` is told of what it logs, and may send it a signal. */
+export function runUntilEnd(
+  args: string[],
+  heard: (log: string, kill: (signal: NodeJS.Signals) => void) => void = () => undefined,
+): Promise<Ended> {
+  return new Promise((resolve) => {
+    const child = spawn(process.execPath, [program, ...args], { env: { LOG_LEVEL: 'info' } });
+    let err = '';
+    child.stderr.on('data', (data) => {
+      err += String(data);
+      heard(err, (signal) => child.kill(signal));
+    });
+    child.on('exit', (code, signal) => {
+      resolve({ code, signal, err });
+    });
+  });
+}
+
+/** Settings of a controller that reaches nobody, or a state service only. */
+export const loneSettings = (label: string, state = '127.0.0.1:1'): string => `
+label = "${label}"
+site = "a"
+client_listen = "127.0.0.1:0"
+back = "127.0.0.1:0"
+[services]
+cloud = "127.0.0.1:1"
+state = "${state}"
+[settings]
+zones = ["a"]
+teams = [{ name = "crew" }]
+workers = { report_s = 3.0, lease_s = 30.0, cancel_s = 60.0 }
+state = { rps = 100.0, write_rps = 50.0, value_kb = 16.0, txn_ops = 16 }
+cloud = { rps = 6.0, list_lag_s = 6.0 }
+limits = { cores = 0.1, ram_mb = 127.0, fd_limit = 1000 }
+`;
--- a/test/support/rolloutCluster.ts
+++ b/test/support/rolloutCluster.ts
@@ -5,7 +5,7 @@
 import { BARRIER_KEY } from '../../src/storage/records.js';
 import { NODES } from '../trials/faults.js';
 import { TEAMS, TrialUsers } from '../trials/trialUsers.js';
-import { Cluster, pause, presentBuild, until, type Build } from './cluster.js';
+import { Cluster, pause, presentBuild, until, type Build, type ClusterOptions } from './cluster.js';
 
 export const FEATURES = ['rollout', 'compressed-records'];
 export const LABELS = Array.from({ length: NODES }, (_, index) => `drone-${index}`);
@@ -24,7 +24,7 @@
   private readonly random = seededRandom(5);
   private submitted = 0;
 
-  constructor(first: Build = presentBuild) {
+  constructor(first: Build = presentBuild, options: Partial<ClusterOptions> = {}) {
     const lengths = seededRandom(6);
     this.cluster = new Cluster({
       nodes: NODES,
@@ -32,6 +32,7 @@
       lease: 6,
       runs: () => 0.2 + lengths(),
       nextLimits: `value_kb = ${(LIMITS.valueBytes / 1024).toFixed(1)}\ntxn_ops = ${LIMITS.txnOps}`,
+      ...options,
     });
     for (const label of LABELS) this.cluster.builds.set(label, first);
     this.users = new TrialUsers(this.cluster, this.random, LARGE);
@@ -67,11 +68,14 @@
 
   /** Drains a node, ends it, and starts another build in its place. */
   async replace(label: string, build: Build): Promise<void> {
-    const { cluster } = this;
-    const drain = cluster.nodes.get(label)?.controller.drain;
+    await this.drain(label);
+    await this.restart(label, build);
+  }
+
+  async drain(label: string): Promise<void> {
+    const drain = this.cluster.nodes.get(label)?.controller.drain;
     drain?.begin();
     await until(`${label} is drained`, () => drain?.isDone === true);
-    await this.restart(label, build);
   }
 
   async restart(label: string, build: Build): Promise<void> {
@@ -93,7 +97,7 @@
   }
 
   /** The level is reached, and no record in another form is left. */
-  async untilLevel(level: number, label = 'drone-0'): Promise<void> {
+  async untilLevel(level: number, label = 'drone-0', seconds = 30): Promise<void> {
     await until(
       `level ${level} is verified`,
       async () => {
@@ -104,7 +108,7 @@
           version.verified === version.proposal
         );
       },
-      30,
+      seconds,
     );
   }
 
