--- a/src/cli/query.ts
+++ b/src/cli/query.ts
@@ -48,7 +48,7 @@
 export async function printStatus(server: string): Promise<void> {
   const response = await query(server, paths.overview);
   if (response.status !== 200) throw new QueryError(`${server} answered ${response.status}`);
-  const { node, served, parts } = response.body as Overview;
+  const { node, served, counters, parts } = response.body as Overview;
   const lines = [`${node}: ${served ? 'served by' : 'NOT served by'} the state service`];
   for (const part of parts) {
     const use = `${Math.round(part.utilisation * 100)} % used`;
@@ -60,5 +60,8 @@
       lines.push(`  ${m.name}  ${m.type}  ${m.zone}  ${m.state}  ${m.tasks} tasks`);
     }
   }
+  // A node of an earlier version counts nothing.
+  for (const [name, count] of Object.entries(counters ?? {}))
+    lines.push(`counted ${name}: ${count}`);
   process.stdout.write(`${lines.join('\n')}\n`);
 }
--- /dev/null
+++ b/src/coordination/audit.ts
@@ -0,0 +1,135 @@
+/**
+ * The audit trail: one structured line for each decision about who may act for a part and about attempts, and a counter
+ * for each kind. With it one task can be followed over all controllers (docs/operations.md).
+ */
+import { log } from '../base/log.js';
+import type { OverRule } from './attemptOver.js';
+
+/** Which way orders took: a request to the worker, or the answer to its report. */
+export type OrderRoute = 'command' | 'answer';
+
+/** What has become of a request with orders. */
+export type CommandOutcome = 'executed' | 'refused' | 'unsent' | 'unanswered';
+
+/** What broke an invariant that is checked at run time; see docs/safety.md. */
+export type Invariant = 'start-without-lease' | 'start-beside-live-attempt' | 'attempt-vanished';
+
+export type AuditEvent =
+  | {
+      event: 'part-gained';
+      part: string;
+      token: number;
+      lease: number | null;
+      /** Seconds until the right to start work ends, unless it is renewed. */
+      leaseLeft: number;
+      /** Seconds for which an earlier owner may still answer the part's workers. */
+      otherOwnersLeft: number;
+      /** Revision and age in seconds of the copy of the records that the part was loaded from. */
+      revision: number;
+      copyAge: number;
+    }
+  | { event: 'part-lost'; part: string; token: number }
+  | { event: 'token-raised'; part: string; token: number }
+  | {
+      event: 'orders-sent';
+      part: string;
+      token: number;
+      machine: string;
+      session: number;
+      route: OrderRoute;
+      /** As `verb task#attempt`, separated by commas. */
+      orders: string;
+      leaseLeft: number;
+    }
+  | {
+      event: 'orders-outcome';
+      part: string;
+      token: number;
+      machine: string;
+      outcome: CommandOutcome;
+      orders: string;
+    }
+  | {
+      event: 'attempt-over';
+      part: string;
+      task: string;
+      attempt: number;
+      machine: string;
+      rule: OverRule;
+      /** Seconds since what the verdict rests on was heard. */
+      evidenceAge: number;
+    }
+  | {
+      event: 'machine-given-up';
+      part: string;
+      machine: string;
+      tasks: number;
+      /** Seconds since something of ours last reached it. */
+      silentFor: number;
+    }
+  | { event: 'invariant-broken'; invariant: Invariant; part: string; detail: string };
+
+/** Logged at `debug` only: they happen with every task, and say nothing that its start does not. */
+const isRoutine = (event: AuditEvent): boolean =>
+  event.event === 'orders-outcome'
+    ? event.outcome === 'executed'
+    : event.event === 'attempt-over' && event.rule === 'ended';
+
+const formatValue = (value: string | number | null): string => {
+  if (typeof value === 'number' && !Number.isInteger(value)) return value.toFixed(3);
+  return typeof value === 'string' && value.includes(' ') ? JSON.stringify(value) : String(value);
+};
+
+/** One line: `audit at=… node=… event=… name=value …`. */
+export function formatAudit(node: string, at: number, event: AuditEvent): string {
+  const fields = Object.entries(event).map(
+    ([name, value]) => `${name}=${formatValue(value as string | number | null)}`,
+  );
+  return `audit at=${at.toFixed(3)} node=${node} ${fields.join(' ')}`;
+}
+
+export class Audit {
+  private readonly counts = new Map<string, number>();
+
+  constructor(
+    private readonly node: string,
+    private readonly wall: () => number,
+  ) {}
+
+  note(event: AuditEvent): void {
+    this.count(event);
+    if (event.event === 'invariant-broken') log.error(this.format(event));
+    else if (isRoutine(event)) {
+      if (log.getLevel() <= log.levels.DEBUG) log.debug(this.format(event));
+    } else if (log.getLevel() <= log.levels.INFO) log.info(this.format(event));
+  }
+
+  /** How often each kind was noted since the start, by its name. */
+  get counters(): Record<string, number> {
+    return Object.fromEntries([...this.counts].sort(([a], [b]) => (a < b ? -1 : 1)));
+  }
+
+  private count(event: AuditEvent): void {
+    const name = counterName(event);
+    this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+  }
+
+  private format(event: AuditEvent): string {
+    return formatAudit(this.node, this.wall(), event);
+  }
+}
+
+function counterName(event: AuditEvent): string {
+  switch (event.event) {
+    case 'attempt-over':
+      return `attempt-over.${event.rule}`;
+    case 'orders-outcome':
+      return `orders-outcome.${event.outcome}`;
+    case 'orders-sent':
+      return `orders-sent.${event.route}`;
+    case 'invariant-broken':
+      return `invariant-broken.${event.invariant}`;
+    default:
+      return event.event;
+  }
+}
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -15,6 +15,7 @@
 import { StateClient } from '../storage/stateClient.js';
 import type { HttpClient } from '../transport/httpClient.js';
 import { PeerClient } from '../transport/peerLink.js';
+import { Audit } from './audit.js';
 import { ClusterTotals } from './clusterTotals.js';
 import { Commits } from './commits.js';
 import { DecisionRounds } from './decisionRounds.js';
@@ -56,6 +57,7 @@
   readonly marks: NodeMarks;
   readonly state: StateClient;
   readonly ownership: Ownership;
+  readonly audit: Audit;
   readonly commits: Commits;
   readonly peers: Peers;
   readonly parts: string[];
@@ -98,6 +100,7 @@
     const { modules } = rolloutSetup;
     const codec = modules?.deflateCodec ?? null;
     this.layout = new RecordLayout(settings, codec, () => this.rollout?.mayCompress === true);
+    this.audit = new Audit(settings.label, () => clock.wall());
     this.state = this.createState();
     this.replica = this.createReplica();
     this.marks = new NodeMarks(this.state, this.replica, this.layout, settings.label, this.parts);
@@ -363,6 +366,7 @@
     const answered = held.lostAt + this.grace + 2 * this.settings.skew - this.clock.wall();
     const renewed = this.clock.now() + Math.max(0, answered);
     this.ownedParts.set(label, this.loader.load(this.createPart(label), held, renewed));
+    this.noteGained(label, held, Math.max(0, answered));
     this.requestRound();
   }
 
@@ -370,7 +374,23 @@
     const { report, lease, zones } = this.settings;
     const options = { lease, report, sample: this.tuning.sample, zones, ...this.pace };
     const types = (): Map<string, MachineType> => this.types;
-    return new Part(label, options, types, this.runTimes, this.random, this.viewOf(label));
+    const view = this.viewOf(label);
+    return new Part(label, options, types, this.runTimes, this.random, view, this.audit);
+  }
+
+  private noteGained(part: string, { token }: Held, otherOwnersLeft: number): void {
+    const { ownership, replica, clock } = this;
+    const now = clock.now();
+    this.audit.note({
+      event: 'part-gained',
+      part,
+      token,
+      lease: ownership.lease,
+      leaseLeft: ownership.until - now,
+      otherOwnersLeft,
+      revision: replica.revision,
+      copyAge: now - replica.syncedAt,
+    });
   }
 
   /** What a part has to know of the rest of the cluster. */
@@ -396,6 +416,7 @@
     if (host === undefined) return;
     host.alive = false;
     this.ownedParts.delete(label);
+    this.audit.note({ event: 'part-lost', part: label, token: host.token });
   }
 
   private adoptUnmatched(): void {
--- a/src/coordination/liveness.ts
+++ b/src/coordination/liveness.ts
@@ -1,5 +1,5 @@
 /** Which machines of a part are silent, and since when what ran there is over. */
-import { DRIFT } from '../base/clock.js';
+import { AttemptOver } from './attemptOver.js';
 import type { Machine } from './machine.js';
 import type { Part, PartOptions } from './part.js';
 
@@ -8,7 +8,7 @@
   private mostSilentAt = -Infinity;
 
   constructor(
-    private readonly part: Pick<Part, 'machines' | 'release'>,
+    private readonly part: Pick<Part, 'audit' | 'label' | 'machines' | 'release'>,
     private readonly options: Pick<PartOptions, 'lease' | 'report'>,
   ) {}
 
@@ -16,10 +16,13 @@
   sweep(now: number): void {
     for (const machine of this.part.machines.values()) {
       machine.cutOff = now - (machine.reportedAt ?? machine.created) > this.options.lease / 2;
-      const limit = this.options.lease * (1 + DRIFT) + this.options.report / 2;
-      if (machine.entries.size === 0 || now - machine.renewed <= limit) continue;
+      if (machine.entries.size === 0) continue;
+      const over = AttemptOver.byLease(machine, this.options, now);
+      if (over === null) continue;
       machine.lost = true;
-      for (const placed of [...machine.entries.values()]) this.part.release(machine, placed, now);
+      for (const placed of [...machine.entries.values()]) {
+        this.part.release(machine, placed, over, now);
+      }
     }
   }
 
@@ -39,11 +42,25 @@
       const isLost = isNew
         ? this.neverCame(machine, now, wall, bootOf(machine))
         : this.isLost(machine, now);
-      if (isLost) lost.push(machine.name);
+      if (!isLost) continue;
+      lost.push(machine.name);
+      this.noteGivenUp(machine, now);
     }
     return lost;
   }
 
+  private noteGivenUp(machine: Machine, now: number): void {
+    if (machine.isGivenUp) return;
+    machine.isGivenUp = true;
+    this.part.audit.note({
+      event: 'machine-given-up',
+      part: this.part.label,
+      machine: machine.name,
+      tasks: machine.entries.size,
+      silentFor: now - (machine.reached ?? machine.created),
+    });
+  }
+
   private mostAreSilent(): boolean {
     let asked = 0;
     let silent = 0;
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -59,6 +59,8 @@
   leaving = false;
   /** Given up as lost; release is asked for. */
   lost = false;
+  /** That its release is asked for was noted in the audit trail. */
+  isGivenUp = false;
   idleSince: number;
   inFlight = false;
   /** Steady time of the last report that its worker sent by itself. */
@@ -207,6 +209,7 @@
   noteReached(now: number): void {
     this.reached = now;
     this.lost = false;
+    this.isGivenUp = false;
     this.missed = 0;
     this.missedSince = null;
   }
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -8,6 +8,7 @@
 } from '../protocol/worker.js';
 import { TurnQueue } from '../transport/turnQueue.js';
 import { CallFailed, type HttpClient } from '../transport/httpClient.js';
+import type { Audit, CommandOutcome, OrderRoute } from './audit.js';
 import type { Chunk } from './chunk.js';
 import { restamp, type OwnedPart } from './ownedPart.js';
 import type { Machine } from './machine.js';
@@ -26,11 +27,15 @@
   settings: Pick<Settings, 'report' | 'cores' | 'maxSockets'>;
   clock: Pick<Clock, 'now'>;
   links: { machines: Pick<HttpClient, 'call'> };
-  ownership: Pick<Ownership, 'valid' | 'raise'>;
+  ownership: Pick<Ownership, 'valid' | 'raise' | 'until'>;
+  audit: Audit;
   ownedParts: ReadonlyMap<string, OwnedPart>;
   requestRound(): void;
 }
 
+const listOrders = (orders: Order[]): string =>
+  orders.map(({ verb, task, attempt }) => `${verb} ${task}#${attempt}`).join(',');
+
 export class Orders {
   /** Questions on their way to machines that have left one without an answer. */
   private toSilent = 0;
@@ -90,8 +95,8 @@
     });
     // In doubt from now on: without an answer it may be carried out minutes later.
     for (const entry of started) entry.inDoubtUpTo = Math.max(token, entry.inDoubtUpTo ?? 0);
-    for (const order of orders)
-      log.debug(`${order.verb} ${order.task} ${order.attempt} at ${machine.name}`);
+    this.noteSent(host, machine, orders, 'command');
+    let outcome: CommandOutcome = 'unanswered';
     machine.inFlight = true;
     try {
       const body = ordersRequest(token, machine.session, orders);
@@ -105,6 +110,7 @@
       );
       // Carried out (200) or certainly not (409).
       if (answer.status === 200 || answer.status === 409) {
+        outcome = answer.status === 200 ? 'executed' : 'refused';
         for (const entry of started) if (entry.inDoubtUpTo === token) entry.inDoubtUpTo = null;
       }
       const parsed = parseReport(answer.body);
@@ -114,11 +120,13 @@
       }
     } catch (error) {
       if (error instanceof CallFailed && error.unsent) {
+        outcome = 'unsent';
         for (const entry of started) if (entry.inDoubtUpTo === token) entry.inDoubtUpTo = null;
       } else if (started.length > 0) machine.inDoubtSince ??= this.node.clock.now();
       log.debug(`orders to ${machine.name}: ${describe(error)}`);
     } finally {
       machine.inFlight = false;
+      this.noteOutcome(host, token, machine, orders, outcome);
     }
     if (host.alive && this.isDue(machine)) {
       setTimeout(
@@ -131,6 +139,38 @@
     }
   }
 
+  /** Notes orders that are about to leave, and under which right. */
+  noteSent(host: OwnedPart, machine: Machine, orders: Order[], route: OrderRoute): void {
+    const { ownership, clock } = this.node;
+    this.node.audit.note({
+      event: 'orders-sent',
+      part: host.part.label,
+      token: host.token,
+      machine: machine.name,
+      session: machine.session,
+      route,
+      orders: listOrders(orders),
+      leaseLeft: ownership.until - clock.now(),
+    });
+  }
+
+  private noteOutcome(
+    host: OwnedPart,
+    token: number,
+    machine: Machine,
+    orders: Order[],
+    outcome: CommandOutcome,
+  ): void {
+    this.node.audit.note({
+      event: 'orders-outcome',
+      part: host.part.label,
+      token,
+      machine: machine.name,
+      outcome,
+      orders: listOrders(orders),
+    });
+  }
+
   /** Asks a machine whose report is overdue: a hanging one is told from one that can't reach us. */
   async probe(host: OwnedPart, machine: Machine): Promise<void> {
     if (machine.probing || machine.address === '') return;
--- a/src/coordination/overview.ts
+++ b/src/coordination/overview.ts
@@ -5,6 +5,8 @@
   node: string;
   /** Whether the state service serves this node. */
   served: boolean;
+  /** What the audit trail has counted since the start. */
+  counters?: Record<string, number>;
   parts: {
     part: string;
     token: number;
@@ -32,5 +34,10 @@
       tasks: m.entries.size,
     })),
   }));
-  return { node: node.settings.label, served: node.ownership.valid, parts };
+  return {
+    node: node.settings.label,
+    served: node.ownership.valid,
+    counters: node.audit.counters,
+    parts,
+  };
 }
--- a/src/coordination/ownedPart.ts
+++ b/src/coordination/ownedPart.ts
@@ -72,5 +72,6 @@
   if (held === null || !host.alive) return false;
   host.token = held.token;
   host.stamp = held.stamp;
+  host.part.audit.note({ event: 'token-raised', part: host.part.label, token: held.token });
   return true;
 }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -6,6 +6,8 @@
 import type { MachineType } from '../protocol/cloud.js';
 import { rankOrder } from '../protocol/job.js';
 import type { ChunkRecord, MachineRecord } from '../storage/records.js';
+import { AttemptOver } from './attemptOver.js';
+import { Audit } from './audit.js';
 import { byOrder, Chunk, type Entry } from './chunk.js';
 import type { RunTimes } from './estimate.js';
 import { Machine, type Placed } from './machine.js';
@@ -49,6 +51,7 @@
     runTimes: RunTimes,
     random: Random,
     private readonly cluster: ClusterView = singlePartView,
+    readonly audit: Audit = new Audit('', () => 0),
   ) {
     this.teams = new TeamUsage(cluster);
     this.estimates = new WaitEstimates(this, runTimes, options.report);
@@ -81,7 +84,8 @@
     this.machines.delete(name);
     this.estimates.invalidate();
     this.pendingCommands.delete(machine);
-    for (const placed of [...machine.entries.values()]) this.release(machine, placed, now);
+    const over = AttemptOver.byRemoval(now);
+    for (const placed of [...machine.entries.values()]) this.release(machine, placed, over, now);
   }
 
   /** The chunks of a job that are here; any of them may be at other parts. */
@@ -95,8 +99,17 @@
     this.pendingCommands.add(machine);
   }
 
-  /** Ends an entry whose attempt is known to be over. */
-  release(machine: Machine, { chunk, entry }: Placed, now: number): void {
+  /** Ends an entry whose attempt is over. */
+  release(machine: Machine, { chunk, entry }: Placed, over: AttemptOver, now: number): void {
+    this.audit.note({
+      event: 'attempt-over',
+      part: this.label,
+      task: chunk.taskName(entry.task),
+      attempt: entry.attempt,
+      machine: machine.name,
+      rule: over.rule,
+      evidenceAge: now - over.evidenceAt,
+    });
     if (chunk.entries.delete(entry.task) && !chunk.dropped) this.teams.add(chunk.spec, -1);
     machine.drop(chunk.taskName(entry.task));
     if (machine.entries.size === 0) machine.idleSince = now;
@@ -250,10 +263,8 @@
       if (machine === undefined) continue;
       this.stop(machine, entry, 0);
       entry.stop = { wind: 0, sentAt: null };
-      // Never sent, so nothing can come of it.
-      if (!entry.seen && entry.inDoubtUpTo === null && !entry.sentInAnswer && !machine.inFlight) {
-        this.release(machine, { chunk, entry }, now);
-      }
+      const over = AttemptOver.asNeverSent(machine, entry, now);
+      if (over !== null) this.release(machine, { chunk, entry }, over, now);
     }
   }
 
--- a/src/coordination/reportIntake.ts
+++ b/src/coordination/reportIntake.ts
@@ -1,5 +1,6 @@
 /** What workers' reports say of machines and of the attempts that are, or may be, there. */
 import type { Report, TaskReport } from '../protocol/worker.js';
+import { AttemptOver } from './attemptOver.js';
 import type { Chunk, Entry } from './chunk.js';
 import type { RunTimes } from './estimate.js';
 import type { Machine, Placed } from './machine.js';
@@ -63,7 +64,7 @@
       if (still === undefined || still.attempt !== leftover.attempt) machine.leftovers.delete(task);
     }
     for (const placed of [...machine.entries.values()]) {
-      this.settle(machine, placed, report.session, isHello, now);
+      this.settle(machine, placed, isHello, now);
     }
     this.claimOrphans(machine, now);
     // A worker's lease counts from when its session began, also one that reaches no controller and only answers.
@@ -76,47 +77,45 @@
   }
 
   /** What a newer report says of one attempt. */
-  private settle(
-    machine: Machine,
-    placed: Placed,
-    session: number,
-    isHello: boolean,
-    now: number,
-  ): void {
+  private settle(machine: Machine, placed: Placed, isHello: boolean, now: number): void {
     const { chunk, entry } = placed;
-    if (session > entry.session) {
-      // The worker killed everything when its lease ran out; nothing of that session comes back.
-      this.part.release(machine, placed, now);
-      return;
-    }
     if (entry.inDoubtUpTo !== null && machine.seenToken > entry.inDoubtUpTo)
       entry.inDoubtUpTo = null;
     if (isHello) entry.sentInAnswer = false;
+    const over = AttemptOver.byReport(machine, placed, now);
     const report = machine.tasks.get(chunk.taskName(entry.task));
-    if (report?.attempt === entry.attempt) {
-      this.progress(machine, placed, report, now);
-      return;
-    }
-    const unsettled = entry.inDoubtUpTo !== null || entry.sentInAnswer;
-    const isUnwanted = entry.stop !== null || entry.isAdopted;
-    if (entry.seen ? entry.inDoubtUpTo === null : isUnwanted && !unsettled) {
-      // It was here and is no more, or it never came and is not to be started any longer.
-      this.part.release(machine, placed, now);
+    if (report?.attempt !== entry.attempt || over?.rule === 'new-session') {
+      if (over !== null) this.part.release(machine, placed, over, now);
+    } else if (over === null) this.progress(machine, placed, report, now);
+    else this.end(machine, placed, report, over, now);
+  }
+
+  /** It is there, and not over. */
+  private progress(
+    machine: Machine,
+    { chunk, entry }: Placed,
+    report: TaskReport,
+    now: number,
+  ): void {
+    entry.seen = true;
+    if (report.state === 'running' && entry.state !== 'running') {
+      entry.runningSince = now;
+      machine.noteImage(chunk.spec.image, chunk.spec.imageGb);
     }
+    entry.state = report.state;
   }
 
-  private progress(machine: Machine, placed: Placed, report: TaskReport, now: number): void {
+  /** The worker says that it has ended, and why. */
+  private end(
+    machine: Machine,
+    placed: Placed,
+    report: TaskReport,
+    over: AttemptOver,
+    now: number,
+  ): void {
     const { chunk, entry } = placed;
     entry.seen = true;
-    if (report.state !== 'ended') {
-      if (report.state === 'running' && entry.state !== 'running') {
-        entry.runningSince = now;
-        machine.noteImage(chunk.spec.image, chunk.spec.imageGb);
-      }
-      entry.state = report.state;
-      return;
-    }
-    if (report.cause === 'done') this.finish(machine, placed, now);
+    if (report.cause === 'done') this.finish(machine, placed, over, now);
     else {
       if (report.cause === 'error') this.noteFailure(machine, chunk, now);
       if (report.cause === 'no_room' || report.cause === 'busy') {
@@ -124,12 +123,12 @@
       }
       // The description is on its way, or the user never sent it: try again, but not at once.
       if (report.cause === 'unknown') this.backOff(chunk, now);
-      this.part.release(machine, placed, now);
+      this.part.release(machine, placed, over, now);
     }
     this.leave(machine, chunk, entry, now);
   }
 
-  private finish(machine: Machine, placed: Placed, now: number): void {
+  private finish(machine: Machine, placed: Placed, over: AttemptOver, now: number): void {
     const { chunk, entry } = placed;
     if (entry.runningSince !== null) {
       const actual = now - entry.runningSince;
@@ -144,7 +143,7 @@
     chunk.failures = 0;
     chunk.failedOn.clear();
     chunk.done.add(entry.task);
-    this.part.release(machine, placed, now);
+    this.part.release(machine, placed, over, now);
   }
 
   /** The attempt's end stays in the worker's reports until it may be forgotten. */
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -93,6 +93,7 @@
     // it all the same, and its tasks are not over before that.
     machine.renewed = Math.max(machine.renewed, now);
     if (says === 'news') node.requestRound();
+    if (orders.length > 0) node.orders.noteSent(host, machine, orders, 'answer');
     return { status: 200, body: helloAnswer(host.token, orders) };
   }
 
--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -41,6 +41,11 @@
     private readonly changed: (change: Change) => void,
   ) {}
 
+  /** The revision up to which it holds everything. */
+  get revision(): number {
+    return this.epoch;
+  }
+
   get(key: string): Stored | undefined {
     return this.kinds.get(kindOf(key))?.get(key);
   }
--- /dev/null
+++ b/test/audit.test.ts
@@ -0,0 +1,71 @@
+/** The audit trail: how a line reads, what is counted, and that decisions about attempts leave their evidence. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Audit, formatAudit } from '../src/coordination/audit.js';
+import { Bench } from './support/bench.js';
+
+test('a line names time, node and event, and quotes what has spaces', () => {
+  const line = formatAudit('drone-0', 12.5, {
+    event: 'orders-sent',
+    part: 'drone-1',
+    token: 7,
+    machine: 'n-1',
+    session: 1,
+    route: 'command',
+    orders: 'start wk-1/0#1',
+    leaseLeft: 1.25,
+  });
+  assert.equal(
+    line,
+    'audit at=12.500 node=drone-0 event=orders-sent part=drone-1 token=7 machine=n-1 session=1 ' +
+      'route=command orders="start wk-1/0#1" leaseLeft=1.250',
+  );
+});
+
+for (const { name, end, rule } of [
+  {
+    name: 'its worker reports the end',
+    rule: 'ended',
+    end: (b: Bench) => b.report(b.machineOf('n-1'), [{ state: 'ended', cause: 'halted' }]),
+  },
+  {
+    name: 'it is in no report any more',
+    rule: 'absent',
+    end: (b: Bench) => b.report(b.machineOf('n-1'), []),
+  },
+  {
+    name: 'its worker has a newer session',
+    rule: 'new-session',
+    end: (b: Bench) => b.report(b.machineOf('n-1'), [], { session: 2 }),
+  },
+  {
+    name: 'nobody can have renewed the lease',
+    rule: 'lease-over',
+    end: (b: Bench) => {
+      b.now += 30;
+      b.part.liveness.sweep(b.now);
+    },
+  },
+  {
+    name: 'its machine is gone',
+    rule: 'machine-gone',
+    end: (b: Bench) => {
+      b.part.removeMachine('n-1', b.now);
+    },
+  },
+]) {
+  test(`an attempt that is over is counted by the rule that ended it: ${name}`, () => {
+    const b = new Bench();
+    b.running(b.machine());
+    end(b);
+    assert.deepEqual(b.part.audit.counters, { [`attempt-over.${rule}`]: 1 });
+  });
+}
+
+test('broken invariants are counted by their kind', () => {
+  const audit = new Audit('drone-0', () => 0);
+  const detail = 'seen by a test';
+  audit.note({ event: 'invariant-broken', invariant: 'attempt-vanished', part: 'p', detail });
+  audit.note({ event: 'part-lost', part: 'p', token: 1 });
+  assert.deepEqual(audit.counters, { 'invariant-broken.attempt-vanished': 1, 'part-lost': 1 });
+});
--- a/test/costs.test.ts
+++ b/test/costs.test.ts
@@ -1,6 +1,7 @@
 /** Costs that were won back on small controllers, held by counts: messages, questions and visits. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Audit } from '../src/coordination/audit.js';
 import { Chunk } from '../src/coordination/chunk.js';
 import { ownPart } from '../src/coordination/ownedPart.js';
 import { Machine } from '../src/coordination/machine.js';
@@ -135,7 +136,8 @@
     settings: { report: REPORT, cores: 1, maxSockets: 1000 },
     clock: { now: () => 1 },
     links: { machines: { call } },
-    ownership: { valid: true, raise: () => Promise.resolve(null) },
+    audit: new Audit('drone-0', () => 0),
+    ownership: { valid: true, until: Infinity, raise: () => Promise.resolve(null) },
     ownedParts: new Map([['p', ownPart(part, { token: 1, stamp: 1 }, 0)]]),
     requestRound: () => undefined,
   };
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -1,6 +1,7 @@
 /** Questions to machines: what silent ones may hold, and what says nothing of them. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Audit } from '../src/coordination/audit.js';
 import { ownPart } from '../src/coordination/ownedPart.js';
 import { Chunk } from '../src/coordination/chunk.js';
 import { Orders, type OrdersNode } from '../src/coordination/orders.js';
@@ -21,7 +22,7 @@
   const host = ownPart(part, { token: 1, stamp: 1 }, 0);
   const asked: string[] = [];
   const clock = { at: 100, now: () => clock.at };
-  const ownership = { valid: true, raise: () => Promise.resolve(null) };
+  const ownership = { valid: true, until: Infinity, raise: () => Promise.resolve(null) };
   const node: OrdersNode = {
     settings: { report: 4, cores: 1, maxSockets: SOCKETS },
     clock,
@@ -34,6 +35,7 @@
       },
     },
     ownership,
+    audit: new Audit('drone-0', () => 0),
     ownedParts: new Map([['p', host]]),
     requestRound: () => undefined,
   };
--- a/test/support/bench.ts
+++ b/test/support/bench.ts
@@ -48,6 +48,12 @@
     return machine;
   }
 
+  machineOf(name: string): Machine {
+    const machine = this.part.machines.get(name);
+    if (machine === undefined) throw new Error(`no machine ${name}`);
+    return machine;
+  }
+
   report(
     machine: Machine,
     tasks: Partial<TaskReport>[],
