Failing tests of ran_twice: a held start settled by its repeat, two attempts read as one

Cause, as far as these show it: Orders.command keeps one number for an attempt's doubt, and the outcome of a repeat (never sent for want of a socket, refused, or carried out) clears it while the first command may still come; Machine.noteTasks keeps one attempt a task. Change: a worker by the protocol, a bench with a scripted network, three tests that fail, listed in KNOWN-RED.txt; the unit run passes over listed tests, prints each, and fails for any other or for one that it does not find. Before: the stand-in worker kept one attempt a task and could not show either. No behaviour changes.

--- /dev/null
+++ b/test/knownRed/main.ts
@@ -0,0 +1,48 @@
+/** Runs test files and judges their outcomes by KNOWN-RED.txt: `node main.js FILE...`. */
+import { existsSync, readFileSync } from 'node:fs';
+import path from 'node:path';
+import { run } from 'node:test';
+import { tap } from 'node:test/reporters';
+import { judge, parseKnownRed, type Outcome } from './knownRed.js';
+
+const LIST = 'KNOWN-RED.txt';
+
+/** What `node --test` allows a file. */
+const TIMEOUT_MS = 100_000;
+
+/** The part of a test's event that is needed here. */
+interface TestEvent {
+  name: string;
+  file?: string;
+  nesting: number;
+}
+
+/** A file that ends badly is an outcome too, by its own name. */
+function testOf({ name, file }: TestEvent): string {
+  const base = path.basename(file ?? name).replace(/\.test\.js$/, '');
+  return path.isAbsolute(name) ? `${base}: the file` : `${base}: ${name}`;
+}
+
+const listed = parseKnownRed(existsSync(LIST) ? readFileSync(LIST, 'utf8') : '');
+const files = process.argv.slice(2).map((file) => path.resolve(file));
+const outcomes: Outcome[] = [];
+const note = (event: TestEvent, passed: boolean): void => {
+  if (event.nesting === 0) outcomes.push({ test: testOf(event), passed });
+};
+
+const stream = run({ files, concurrency: true, timeout: TIMEOUT_MS, forceExit: true });
+stream.on('test:pass', (event) => {
+  note(event, true);
+});
+stream.on('test:fail', (event) => {
+  note(event, false);
+});
+stream.compose(tap).pipe(process.stdout);
+stream.on('end', () => {
+  const { lines, passed } = judge(outcomes, listed);
+  // After the closing lines of the reporter.
+  setImmediate(() => {
+    process.stdout.write(`${lines.map((line) => `# ${line}\n`).join('')}`);
+    process.exitCode = passed ? 0 : 1;
+  });
+});
--- /dev/null
+++ b/test/startDoubt.test.ts
@@ -0,0 +1,86 @@
+/** Starts whose command got no answer: they may be carried out late, whatever became of later commands. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CommandBench, type Passage } from './support/commandBench.js';
+
+const TASK = 'wk-1/0';
+
+/** What becomes of the second command with the same start, while the first is held. */
+const repeats: Passage[] = ['no socket', 'connection refused'];
+
+test('a start that was held stays in doubt when its repeat was never sent', async () => {
+  for (const repeat of repeats) {
+    const b = new CommandBench();
+    const first = b.machine('n-1');
+    const chunk = b.bench.chunk();
+    b.place(chunk);
+    b.passages.push('held', repeat);
+    await b.send(first);
+    await b.send(first);
+    // Its user asks to cancel it; the record can't be stored, and the job goes on.
+    b.bench.part.prepareCancel(chunk, b.bench.now);
+    b.bench.part.resume(chunk);
+    b.bench.leaveUnanswered(first);
+    const second = b.machine('n-2');
+    b.place(chunk);
+    await b.send(second);
+    b.deliverHeld();
+    assert.deepEqual(b.ranTwice, [], repeat);
+    assert.equal(b.worker(first).running.length, 1, `${repeat}: the held start was carried out`);
+  }
+});
+
+test('a start that was held stays in doubt when its repeat was carried out', async () => {
+  const b = new CommandBench();
+  const first = b.machine('n-1');
+  const chunk = b.bench.chunk();
+  b.place(chunk);
+  b.passages.push('held', 'arrives');
+  await b.send(first);
+  await b.send(first);
+  const entry = chunk.entries.get(0);
+  assert.ok(entry?.seen, 'the repeat has started it');
+  b.bench.part.stop(first, entry, 0);
+  await b.send(first);
+  assert.equal(chunk.entries.size, 0, 'it was stopped');
+  first.leaving = true;
+  const second = b.machine('n-2');
+  b.place(chunk);
+  b.helloForOrders(first);
+  await b.send(second);
+  assert.equal(b.worker(second).running.length, 1, 'it goes on elsewhere');
+  b.deliverHeld();
+  assert.deepEqual(b.ranTwice, []);
+  assert.ok(b.worker(first).find(TASK, 1), 'what is still reported cannot be started again');
+});
+
+test('two attempts of a task in one report are told apart, in whatever order they stand', async () => {
+  for (const order of ['oldest first', 'newest first'] as const) {
+    const b = new CommandBench();
+    const first = b.machine('n-1', order);
+    const chunk = b.bench.chunk();
+    b.place(chunk);
+    b.passages.push('held', 'arrives');
+    await b.send(first);
+    await b.send(first);
+    const entry = chunk.entries.get(0);
+    assert.ok(entry, order);
+    b.bench.part.stop(first, entry, 0);
+    await b.send(first);
+    // The second attempt goes to the same machine, which still reports the first.
+    b.place(chunk);
+    await b.send(first);
+    b.worker(first).reportOrder = 'oldest first';
+    b.hello(first);
+    assert.equal(chunk.entries.get(0)?.state, 'running', order);
+    b.worker(first).reportOrder = order;
+    b.deliverHeld();
+    b.hello(first);
+    const second = b.machine('n-2');
+    first.leaving = true;
+    b.place(chunk);
+    await b.send(second);
+    assert.deepEqual(b.ranTwice, [], order);
+    assert.equal(chunk.entries.get(0)?.attempt, 2, `${order}: the second attempt is still there`);
+  }
+});
--- /dev/null
+++ b/test/support/commandBench.ts
@@ -0,0 +1,136 @@
+/**
+ * A part and its orders on a clock of its own, with workers that follow PROTOCOL behind a network that a test scripts:
+ * commands arrive, are held and arrive late, or are never sent. It tells which tasks were on two machines at once.
+ */
+import { Audit } from '../../src/coordination/audit.js';
+import type { Chunk } from '../../src/coordination/chunk.js';
+import type { Machine } from '../../src/coordination/machine.js';
+import { Orders, type OrdersNode } from '../../src/coordination/orders.js';
+import { ownPart, type OwnedPart } from '../../src/coordination/ownedPart.js';
+import { helloAnswer, parseReport } from '../../src/protocol/worker.js';
+import { CallFailed, type Response } from '../../src/transport/httpClient.js';
+import { TurnQueue } from '../../src/transport/turnQueue.js';
+import { Bench, TOKEN } from './bench.js';
+import { WorkerModel, type CommandBody, type ReportOrder } from './workerModel.js';
+
+/** What becomes of the next command: it arrives; it is held, and its sender gives up; or it never leaves. */
+export type Passage = 'arrives' | 'held' | 'no socket' | 'connection refused';
+
+const REPORT_S = 3;
+
+export class CommandBench {
+  readonly bench = new Bench();
+  readonly host: OwnedPart;
+  readonly orders: Orders;
+  /** Tasks that were started on a machine while they were on another. */
+  readonly ranTwice: string[] = [];
+  /** What becomes of the commands to come, one after the other; after that all arrive. */
+  readonly passages: Passage[] = [];
+  private readonly workers = new Map<string, WorkerModel>();
+  private readonly held: (() => void)[] = [];
+  private readonly machinesOf = new Map<string, Set<string>>();
+
+  constructor() {
+    const { bench } = this;
+    this.host = ownPart(bench.part, { token: TOKEN, stamp: 1 }, bench.now);
+    const node: OrdersNode = {
+      settings: { report: REPORT_S, cores: 1, maxSockets: 100 },
+      clock: { now: () => bench.now },
+      links: { machines: { call: (...request) => this.call(request[0], request[3]) } },
+      ownership: { valid: true, until: Infinity, raise: () => Promise.resolve(null) },
+      audit: new Audit('drone-0', () => bench.now),
+      ownedParts: new Map([['p', this.host]]),
+      requestRound: () => undefined,
+    };
+    const turns = new TurnQueue({ urgent: 4, ordinary: 0 }, (turn) => {
+      turn();
+    });
+    this.orders = new Orders(node, turns);
+  }
+
+  /** A machine that has reported. */
+  machine(name: string, reportOrder: ReportOrder = 'oldest first'): Machine {
+    const record = { part: 'p', type: 'm8', zone: 'a', spot: false, at: 0, address: name };
+    const machine = this.bench.part.addMachine(name, record, this.bench.now);
+    const description = { name, address: name, type: 'm8', zone: 'a', spot: false };
+    const observer = {
+      started: ({ task }: { task: string }) => {
+        this.noteStarted(task, name);
+      },
+      left: ({ task }: { task: string }) => {
+        this.machinesOf.get(task)?.delete(name);
+      },
+    };
+    this.workers.set(name, new WorkerModel(description, observer, Infinity, reportOrder));
+    this.hello(machine);
+    return machine;
+  }
+
+  worker(machine: Machine): WorkerModel {
+    const worker = this.workers.get(machine.name);
+    if (worker === undefined) throw new Error(`no worker ${machine.name}`);
+    return worker;
+  }
+
+  /** Its worker reports; the answer carries no orders. */
+  hello(machine: Machine): void {
+    const report = parseReport(this.worker(machine).report());
+    if (report === null) throw new Error('malformed report');
+    this.bench.part.reports.apply(machine, report, this.bench.now, 'follow');
+  }
+
+  /** Its worker reports, a report's time later, and gets what is due with the answer. */
+  helloForOrders(machine: Machine): void {
+    this.bench.now += REPORT_S;
+    this.hello(machine);
+    const worker = this.worker(machine);
+    const orders = machine.answerOrders(this.bench.now, REPORT_S * 1.5, REPORT_S);
+    worker.answer(worker.session, helloAnswer(TOKEN, orders));
+  }
+
+  /** Places what waits, and stores it. */
+  place(chunk: Chunk): void {
+    this.bench.decide();
+    this.bench.store(chunk);
+  }
+
+  /** Sends what is due to a machine and waits for what becomes of it. */
+  async send(machine: Machine): Promise<void> {
+    this.bench.now += REPORT_S / 6;
+    this.bench.part.pendingCommands.add(machine);
+    this.orders.send();
+    for (let turn = 0; turn < 4; turn++) await new Promise((resolve) => setImmediate(resolve));
+  }
+
+  /** Commands that were held arrive, in their order. */
+  deliverHeld(): void {
+    for (const deliver of this.held.splice(0)) deliver();
+  }
+
+  private call(endpoint: string, body: unknown): Promise<Response> {
+    const worker = this.workers.get(endpoint);
+    if (worker === undefined) return Promise.reject(new CallFailed('no such machine', true));
+    // What travels is what was sent, whatever becomes of its parts later.
+    const sent = JSON.parse(JSON.stringify(body)) as CommandBody;
+    switch (this.passages.shift() ?? 'arrives') {
+      case 'arrives':
+        return Promise.resolve({ ...worker.command(sent), retryAfter: null });
+      case 'held':
+        this.held.push(() => {
+          worker.command(sent);
+        });
+        return Promise.reject(new CallFailed('timed out', false));
+      case 'no socket':
+        return Promise.reject(new CallFailed('too many open connections', true, true));
+      case 'connection refused':
+        return Promise.reject(new CallFailed('connect ECONNREFUSED', true));
+    }
+  }
+
+  private noteStarted(task: string, machine: string): void {
+    const on = this.machinesOf.get(task) ?? new Set<string>();
+    this.machinesOf.set(task, on);
+    if (on.size > 0) this.ranTwice.push(`${task} on ${[...on].join(' ')} and ${machine}`);
+    on.add(machine);
+  }
+}
