ran_twice: each unanswered start stays in doubt by itself, whatever becomes of its repeat

Change: StartDoubt; doubts ask for a higher token until there is one, where a refused raise, or one too soon after another, dropped them. Before: both tests fail. After: both pass, 81 tests of the files concerned run, one known red left.

--- a/src/coordination/attemptOver.ts
+++ b/src/coordination/attemptOver.ts
@@ -36,11 +36,13 @@
       return report.state === 'ended' ? new AttemptOver('ended', now) : null;
     }
     // It was here and is no more.
-    if (entry.seen) return entry.inDoubtUpTo === null ? new AttemptOver('absent', now) : null;
+    const mayCome = entry.doubt.isOpen(machine.seenToken);
+    if (entry.seen) return mayCome ? null : new AttemptOver('absent', now);
     // It never came and is not to be started any longer.
     const isUnwanted = entry.stop !== null || entry.isAdopted;
-    const isUnsettled = entry.inDoubtUpTo !== null || entry.sentInAnswer;
-    return isUnwanted && !isUnsettled ? new AttemptOver('unwanted-absent', now) : null;
+    return isUnwanted && !mayCome && !entry.sentInAnswer
+      ? new AttemptOver('unwanted-absent', now)
+      : null;
   }
 
   /** By the worker's lease: all that ran there was killed by the worker itself. */
@@ -61,7 +63,7 @@
 
   /** No start was sent, so nothing can come of it; null: one was, or is on its way. */
   static asNeverSent(machine: Machine, entry: Entry, now: number): AttemptOver | null {
-    const mayCome = entry.seen || entry.inDoubtUpTo !== null || entry.sentInAnswer;
+    const mayCome = entry.seen || entry.sentInAnswer || entry.doubt.isOpen(machine.seenToken);
     return mayCome || machine.inFlight ? null : new AttemptOver('never-sent', now);
   }
 }
--- a/src/coordination/chunk.ts
+++ b/src/coordination/chunk.ts
@@ -2,6 +2,7 @@
 import type { TaskState } from '../protocol/worker.js';
 import type { Bucket } from './bucket.js';
 import { fromRanges, toRanges, type ChunkRecord } from '../storage/records.js';
+import type { StartDoubt } from './startDoubt.js';
 
 /** One attempt of one task that is, or may be, on a machine. */
 export interface Entry {
@@ -20,11 +21,8 @@
   state: TaskState;
   placedAt: number;
   runningSince: number | null;
-  /**
-   * A start sent straight to the worker without an answer may be carried out later, while the worker
-   * has seen no token above this one. Null: nothing is in doubt.
-   */
-  inDoubtUpTo: number | null;
+  /** Whether a start sent straight to the worker may still be carried out. */
+  readonly doubt: StartDoubt;
   /** A start rides in the answer to a report; the worker's next report settles it. */
   sentInAnswer: boolean;
   stop: { wind: number; sentAt: number | null } | null;
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -5,6 +5,7 @@
   parseReport,
   paths as workerPaths,
   type Order,
+  type Report,
 } from '../protocol/worker.js';
 import { TurnQueue } from '../transport/turnQueue.js';
 import { CallFailed, type HttpClient } from '../transport/httpClient.js';
@@ -36,6 +37,12 @@
 const listOrders = (orders: Order[]): string =>
   orders.map(({ verb, task, attempt }) => `${verb} ${task}#${attempt}`).join(',');
 
+/** Carried out (200), certainly not (409), or perhaps. */
+function outcomeOf(status: number): CommandOutcome {
+  if (status === 200) return 'executed';
+  return status === 409 ? 'refused' : 'unanswered';
+}
+
 export class Orders {
   /** Questions on their way to machines that have left one without an answer. */
   private toSilent = 0;
@@ -94,39 +101,18 @@
       return placed === undefined ? [] : [placed.entry];
     });
     // In doubt from now on: without an answer it may be carried out minutes later.
-    for (const entry of started) entry.inDoubtUpTo = Math.max(token, entry.inDoubtUpTo ?? 0);
+    for (const entry of started) entry.doubt.noteSent(token);
     this.noteSent(host, machine, orders, 'command');
-    let outcome: CommandOutcome = 'unanswered';
     machine.inFlight = true;
-    try {
-      const body = ordersRequest(token, machine.session, orders);
-      const target = workerPaths.orders;
-      const answer = await this.node.links.machines.call(
-        machine.address,
-        'POST',
-        target,
-        body,
-        report / 2,
-      );
-      // Carried out (200) or certainly not (409).
-      if (answer.status === 200 || answer.status === 409) {
-        outcome = answer.status === 200 ? 'executed' : 'refused';
-        for (const entry of started) if (entry.inDoubtUpTo === token) entry.inDoubtUpTo = null;
-      }
-      const parsed = parseReport(answer.body);
-      if (parsed !== null && host.alive) {
-        const told = host.part.reports.apply(machine, parsed, this.node.clock.now(), 'answer');
-        if (told === 'news') this.node.requestRound();
-      }
-    } catch (error) {
-      if (error instanceof CallFailed && error.unsent) {
-        outcome = 'unsent';
-        for (const entry of started) if (entry.inDoubtUpTo === token) entry.inDoubtUpTo = null;
-      } else if (started.length > 0) machine.inDoubtSince ??= this.node.clock.now();
-      log.debug(`orders to ${machine.name}: ${describe(error)}`);
-    } finally {
-      machine.inFlight = false;
-      this.noteOutcome(host, token, machine, orders, outcome);
+    const { outcome, report: answered } = await this.exchange(machine, token, orders);
+    machine.inFlight = false;
+    for (const entry of started) entry.doubt.noteOutcome(token, outcome);
+    this.noteOutcome(host, token, machine, orders, outcome);
+    const now = this.node.clock.now();
+    if (outcome === 'unanswered' && started.length > 0) machine.inDoubtSince ??= now;
+    if (answered !== null && host.alive) {
+      const told = host.part.reports.apply(machine, answered, now, 'answer');
+      if (told === 'news') this.node.requestRound();
     }
     if (host.alive && this.isDue(machine)) {
       setTimeout(
@@ -139,6 +125,25 @@
     }
   }
 
+  /** Sends orders; what became of them, and the report that came back. */
+  private async exchange(
+    { address, session, name }: Machine,
+    token: number,
+    orders: Order[],
+  ): Promise<{ outcome: CommandOutcome; report: Report | null }> {
+    const { links, settings } = this.node;
+    const body = ordersRequest(token, session, orders);
+    const target = workerPaths.orders;
+    try {
+      const answer = await links.machines.call(address, 'POST', target, body, settings.report / 2);
+      return { outcome: outcomeOf(answer.status), report: parseReport(answer.body) };
+    } catch (error) {
+      log.debug(`orders to ${name}: ${describe(error)}`);
+      const isUnsent = error instanceof CallFailed && error.unsent;
+      return { outcome: isUnsent ? 'unsent' : 'unanswered', report: null };
+    }
+  }
+
   /** Notes orders that are about to leave, and under which right. */
   noteSent(host: OwnedPart, machine: Machine, orders: Order[], route: OrderRoute): void {
     const { ownership, clock } = this.node;
@@ -282,19 +287,21 @@
   /** A start stays in doubt until its worker has seen a higher token: get one when it drags on. */
   private settleDoubts(host: OwnedPart, now: number): void {
     const { report } = this.node.settings;
-    let stuck = false;
-    for (const machine of host.part.machines.values()) {
-      if (machine.inDoubtSince === null) continue;
+    if (now - host.raisedAt < report) return;
+    const stuck = [...host.part.machines.values()].filter(({ inDoubtSince, reached }) => {
       // One that our answers do not reach would not see the new token either.
-      const heard = machine.reached !== null && now - machine.reached < report * 2;
-      if (heard && now - machine.inDoubtSince > report) stuck = true;
-      machine.inDoubtSince =
-        heard && now - machine.inDoubtSince > report ? null : machine.inDoubtSince;
-    }
-    if (!stuck || now - host.raisedAt < report) return;
-    host.raisedAt = now;
-    void restamp(this.node.ownership, host).catch((error: unknown) => {
-      log.debug(`raise: ${describe(error)}`);
+      const isHeard = reached !== null && now - reached < report * 2;
+      return inDoubtSince !== null && isHeard && now - inDoubtSince > report;
     });
+    if (stuck.length === 0) return;
+    host.raisedAt = now;
+    void restamp(this.node.ownership, host)
+      .then((isRaised) => {
+        if (!isRaised) return;
+        for (const machine of stuck) machine.inDoubtSince = null;
+      })
+      .catch((error: unknown) => {
+        log.debug(`raise: ${describe(error)}`);
+      });
   }
 }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -15,6 +15,7 @@
 import { Liveness } from './liveness.js';
 import { ReportIntake } from './reportIntake.js';
 import { Scheduler } from './scheduler.js';
+import { StartDoubt } from './startDoubt.js';
 import { singlePartView, TeamUsage, type ClusterView } from './teamUsage.js';
 import { WaitEstimates } from './waitEstimates.js';
 
@@ -193,7 +194,7 @@
         placedAt: now,
         runningSince: null,
         // Whatever the last owner sent is settled once the worker has seen our token.
-        inDoubtUpTo: token - 1,
+        doubt: new StartDoubt(token - 1),
         sentInAnswer: false,
         stop: null,
       };
--- a/src/coordination/reportIntake.ts
+++ b/src/coordination/reportIntake.ts
@@ -79,8 +79,6 @@
   /** What a newer report says of one attempt. */
   private settle(machine: Machine, placed: Placed, isHello: boolean, now: number): void {
     const { chunk, entry } = placed;
-    if (entry.inDoubtUpTo !== null && machine.seenToken > entry.inDoubtUpTo)
-      entry.inDoubtUpTo = null;
     if (isHello) entry.sentInAnswer = false;
     const over = AttemptOver.byReport(machine, placed, now);
     const report = machine.tasks.get(chunk.taskName(entry.task));
@@ -149,14 +147,14 @@
   /** The attempt's end stays in the worker's reports until it may be forgotten. */
   private leave(machine: Machine, chunk: Chunk, entry: Entry, now: number): void {
     const version = chunk.version;
-    const { inDoubtUpTo, attempt, task } = entry;
+    const { attempt, task } = entry;
     machine.leftovers.set(chunk.taskName(task), {
       attempt,
       since: now,
       // Its end must be stored first; and a start that may still come would run it once more.
       mayReap: () =>
         (chunk.stored >= version || chunk.dropped) &&
-        (inDoubtUpTo === null || machine.seenToken > inDoubtUpTo) &&
+        !entry.doubt.isOpen(machine.seenToken) &&
         !entry.sentInAnswer,
     });
   }
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -8,6 +8,7 @@
 import type { Part, PartOptions } from './part.js';
 import { allows, bestFit, holds, sampleHosts, shapeOf, takeRoom } from './placement.js';
 import { Preemption } from './preemption.js';
+import { StartDoubt } from './startDoubt.js';
 import { nothing, type Amount, type ClusterView, type Starved } from './teamUsage.js';
 
 interface Round {
@@ -227,7 +228,7 @@
       state: 'fetching',
       placedAt: now,
       runningSince: null,
-      inDoubtUpTo: null,
+      doubt: new StartDoubt(),
       sentInAnswer: false,
       stop: null,
     };
--- /dev/null
+++ b/src/coordination/startDoubt.ts
@@ -0,0 +1,45 @@
+/**
+ * Whether a start that was sent straight to a worker may still be carried out. Each command counts by itself: what becomes of
+ * a repeat says nothing of an earlier one that got no answer and may arrive minutes later (safety, T3).
+ */
+import type { CommandOutcome } from './audit.js';
+
+/** No command was sent under any token. */
+const NEVER = -Infinity;
+
+export class StartDoubt {
+  /** The token of the command that is on its way. There is one at a time for a machine. */
+  private awaited = NEVER;
+
+  /** `unanswered`: the highest token of a command that got no answer. */
+  constructor(private unanswered = NEVER) {}
+
+  /** A worker that has seen a token carries out nothing that was sent under a lower one. */
+  isOpen(seenToken: number): boolean {
+    return Math.max(this.awaited, this.unanswered) >= seenToken;
+  }
+
+  /** A command with the start leaves under this token. */
+  noteSent(token: number): void {
+    this.awaited = token;
+  }
+
+  noteOutcome(token: number, outcome: CommandOutcome): void {
+    this.awaited = NEVER;
+    switch (outcome) {
+      case 'unanswered':
+        this.unanswered = Math.max(this.unanswered, token);
+        return;
+      case 'refused':
+        // The worker is past the token or the session, and so past those of all earlier commands.
+        this.unanswered = NEVER;
+        return;
+      case 'executed':
+        // The worker has seen this token. A copy under the same one is carried out all the same.
+        if (this.unanswered < token) this.unanswered = NEVER;
+        return;
+      case 'unsent':
+        return;
+    }
+  }
+}
--- a/test/reportIntake.test.ts
+++ b/test/reportIntake.test.ts
@@ -1,4 +1,4 @@
-/** What reports say: stale ones, sessions, starts in inDoubtUpTo, failures. */
+/** What reports say: stale ones, sessions, starts in doubt, failures. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Source } from '../src/coordination/reportIntake.js';
@@ -33,41 +33,40 @@
 const ends: {
   name: string;
   seen: boolean;
-  inDoubtUpTo: number | null;
+  unanswered?: number;
   report: Partial<Report>;
   over: boolean;
 }[] = [
-  { name: 'seen, now absent', seen: true, inDoubtUpTo: null, report: {}, over: true },
+  { name: 'seen, now absent', seen: true, report: {}, over: true },
   {
-    name: 'never seen, nothing in inDoubtUpTo: still wanted',
+    name: 'never seen, nothing in doubt: still wanted',
     seen: false,
-    inDoubtUpTo: null,
     report: {},
     over: false,
   },
   {
     name: 'seen, absent, but a copy of the start is in doubt',
     seen: true,
-    inDoubtUpTo: TOKEN,
+    unanswered: TOKEN,
     report: {},
     over: false,
   },
   {
     name: 'the worker has shown a higher token',
     seen: true,
-    inDoubtUpTo: TOKEN,
+    unanswered: TOKEN,
     report: { token: TOKEN + 1 },
     over: true,
   },
   {
     name: 'a new session ends everything',
     seen: false,
-    inDoubtUpTo: TOKEN,
+    unanswered: TOKEN,
     report: { session: 2 },
     over: true,
   },
 ];
-for (const { name, seen, inDoubtUpTo, report, over } of ends) {
+for (const { name, seen, unanswered, report, over } of ends) {
   test(`whether an attempt is over: ${name}`, () => {
     const b = new Bench();
     const machine = b.machine();
@@ -77,7 +76,7 @@
     if (seen) b.report(machine, [{}]);
     const entry = chunk.entries.get(0);
     assert.ok(entry);
-    entry.inDoubtUpTo = inDoubtUpTo;
+    if (unanswered !== undefined) entry.doubt.noteOutcome(unanswered, 'unanswered');
     b.report(machine, [], report);
     assert.equal(chunk.entries.size, over ? 0 : 1);
     if (over) {
@@ -95,7 +94,7 @@
   b.store(chunk);
   const entry = chunk.entries.get(0);
   assert.ok(entry);
-  entry.inDoubtUpTo = TOKEN;
+  entry.doubt.noteOutcome(TOKEN, 'unanswered');
   b.part.cancel(chunk, b.now);
   b.report(machine, []);
   assert.equal(chunk.entries.size, 1, 'it may still be carried out');
@@ -122,7 +121,7 @@
     b.report(machine, tasks, report);
     const entry = chunk.entries.get(0);
     if (left === 0 && entry !== undefined) {
-      assert.equal(entry.inDoubtUpTo, null, name);
+      assert.ok(!entry.doubt.isOpen(machine.seenToken), name);
       assert.deepEqual(b.verbs(machine), ['start wk-1/0 1'], name);
     } else assert.equal(chunk.entries.size, left, name);
   }
--- a/test/startDoubt.test.ts
+++ b/test/startDoubt.test.ts
@@ -1,6 +1,8 @@
 /** Starts whose command got no answer: they may be carried out late, whatever became of later commands. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { CommandOutcome } from '../src/coordination/audit.js';
+import { StartDoubt } from '../src/coordination/startDoubt.js';
 import { CommandBench, type Passage } from './support/commandBench.js';
 
 const TASK = 'wk-1/0';
@@ -84,3 +86,94 @@
     assert.equal(chunk.entries.get(0)?.attempt, 2, `${order}: the second attempt is still there`);
   }
 });
+
+/** Commands with the same start: token and outcome; then whether one may still come, by the token that the worker has seen. */
+const histories: {
+  name: string;
+  commands: [number, CommandOutcome][];
+  open: [number, boolean][];
+}[] = [
+  { name: 'never sent', commands: [], open: [[0, false]] },
+  {
+    name: 'unanswered: until a higher token is seen',
+    commands: [[5, 'unanswered']],
+    open: [
+      [5, true],
+      [6, false],
+    ],
+  },
+  { name: 'unsent', commands: [[5, 'unsent']], open: [[0, false]] },
+  {
+    name: 'unanswered, and its repeat unsent',
+    commands: [
+      [5, 'unanswered'],
+      [5, 'unsent'],
+    ],
+    open: [[5, true]],
+  },
+  {
+    name: 'unanswered, and its repeat carried out under the same token',
+    commands: [
+      [5, 'unanswered'],
+      [5, 'executed'],
+    ],
+    open: [
+      [5, true],
+      [6, false],
+    ],
+  },
+  {
+    name: 'unanswered, and its repeat carried out under a higher token',
+    commands: [
+      [5, 'unanswered'],
+      [6, 'executed'],
+    ],
+    open: [[5, false]],
+  },
+  {
+    name: 'unanswered, and its repeat refused: token or session are past it',
+    commands: [
+      [5, 'unanswered'],
+      [5, 'refused'],
+    ],
+    open: [[5, false]],
+  },
+  {
+    name: 'unanswered under a higher token, and a late unsent one',
+    commands: [
+      [6, 'unanswered'],
+      [5, 'unsent'],
+    ],
+    open: [[6, true]],
+  },
+];
+for (const { name, commands, open } of histories) {
+  test(`whether a start may still come: ${name}`, () => {
+    const doubt = new StartDoubt();
+    for (const [token, outcome] of commands) {
+      doubt.noteSent(token);
+      assert.ok(doubt.isOpen(token), 'while it is on its way');
+      doubt.noteOutcome(token, outcome);
+    }
+    for (const [seen, isOpen] of open) assert.equal(doubt.isOpen(seen), isOpen, `seen ${seen}`);
+  });
+}
+
+test('a doubt that drags on asks for a higher token until there is one', async () => {
+  const b = new CommandBench();
+  const machine = b.machine('n-1');
+  const chunk = b.bench.chunk();
+  b.place(chunk);
+  b.passages.push('held');
+  await b.send(machine);
+  for (const answer of [null, null, { token: 9, stamp: 2, lostAt: 0 }]) {
+    b.bench.now += 7;
+    b.hello(machine);
+    b.raises.push(answer);
+    b.orders.sweep();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.equal(b.raises.length, 0, 'each refusal was followed by another try');
+  assert.equal(b.host.token, 9);
+  assert.equal(machine.inDoubtSince, null);
+});
--- a/test/support/commandBench.ts
+++ b/test/support/commandBench.ts
@@ -6,6 +6,7 @@
 import type { Chunk } from '../../src/coordination/chunk.js';
 import type { Machine } from '../../src/coordination/machine.js';
 import { Orders, type OrdersNode } from '../../src/coordination/orders.js';
+import type { Held } from '../../src/coordination/ownership.js';
 import { ownPart, type OwnedPart } from '../../src/coordination/ownedPart.js';
 import { helloAnswer, parseReport } from '../../src/protocol/worker.js';
 import { CallFailed, type Response } from '../../src/transport/httpClient.js';
@@ -24,6 +25,8 @@
   readonly orders: Orders;
   /** Tasks that were started on a machine while they were on another. */
   readonly ranTwice: string[] = [];
+  /** What asking for a higher token gives, one time after the other; after that it can't be had. */
+  readonly raises: (Held | null)[] = [];
   /** What becomes of the commands to come, one after the other; after that all arrive. */
   readonly passages: Passage[] = [];
   private readonly workers = new Map<string, WorkerModel>();
@@ -37,7 +40,11 @@
       settings: { report: REPORT_S, cores: 1, maxSockets: 100 },
       clock: { now: () => bench.now },
       links: { machines: { call: (...request) => this.call(request[0], request[3]) } },
-      ownership: { valid: true, until: Infinity, raise: () => Promise.resolve(null) },
+      ownership: {
+        valid: true,
+        until: Infinity,
+        raise: () => Promise.resolve(this.raises.shift() ?? null),
+      },
       audit: new Audit('drone-0', () => bench.now),
       ownedParts: new Map([['p', this.host]]),
       requestRound: () => undefined,
