--- a/src/coordination/attemptOver.ts
+++ b/src/coordination/attemptOver.ts
@@ -31,8 +31,8 @@
   static byReport(machine: Machine, { chunk, entry }: Placed, now: number): AttemptOver | null {
     // The worker killed everything when its lease ran out; nothing of that session comes back.
     if (machine.session > entry.session) return new AttemptOver('new-session', now);
-    const report = machine.tasks.get(chunk.taskName(entry.task));
-    if (report?.attempt === entry.attempt) {
+    const report = machine.tasks.find(chunk.taskName(entry.task), entry.attempt);
+    if (report !== undefined) {
       return report.state === 'ended' ? new AttemptOver('ended', now) : null;
     }
     // It was here and is no more.
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -3,15 +3,20 @@
 import type { MachineRecord } from '../storage/records.js';
 import type { Chunk, Entry } from './chunk.js';
 import { takeRoom, type Host, type Room } from './placement.js';
+import { ReportedTasks } from './reportedTasks.js';
 
 /** An ended attempt that the worker still reports, and from when on it may be forgotten. */
 export interface Leftover {
-  attempt: number;
   /** Steady time at which its end was heard of. */
   since: number;
+  /** A start of it rides in the answer to a report: the worker's next report settles that. */
+  sentInAnswer: boolean;
   mayReap: () => boolean;
 }
 
+/** One attempt of one task. */
+export const attemptKey = (task: string, attempt: number): string => `${task}#${attempt}`;
+
 export interface Placed {
   chunk: Chunk;
   entry: Entry;
@@ -43,10 +48,11 @@
   renewed: number;
   /** Steady time at which the cloud will take it; null without a notice. */
   goneBy: number | null = null;
-  private reported = new Map<string, TaskReport>();
+  private reported = new ReportedTasks();
   private readonly placed = new Map<string, Placed>();
   /** What `free` and `live` were last worked out from; placement asks for them far more often than they change. */
   private room: Occupancy | null = null;
+  /** By `attemptKey`: a task may have ended here more than once. */
   readonly leftovers = new Map<string, Leftover>();
   /** Images seen here, oldest use first. */
   private readonly images = new Map<string, number>();
@@ -150,24 +156,18 @@
   }
 
   /** All tasks that the worker last reported. */
-  get tasks(): ReadonlyMap<string, TaskReport> {
+  get tasks(): ReportedTasks {
     return this.reported;
   }
 
   /** Gives false when nothing has changed, as in most reports. */
   noteTasks(tasks: TaskReport[]): boolean {
-    if (tasks.length === this.reported.size && tasks.every((t) => this.isKnown(t))) return false;
-    this.reported = new Map(tasks.map((t) => [t.task, t]));
+    if (this.reported.isSameAs(tasks)) return false;
+    this.reported = new ReportedTasks(tasks);
     this.room = null;
     return true;
   }
 
-  private isKnown(task: TaskReport): boolean {
-    const known = this.reported.get(task.task);
-    if (known?.attempt !== task.attempt || known.state !== task.state) return false;
-    return known.cause === task.cause && known.saved === task.saved;
-  }
-
   /** Room left beside everything that is or may still be here. */
   get free(): Readonly<Room> {
     return this.occupancy.free;
@@ -195,16 +195,16 @@
       if (chunk.spec.service) live += chunk.spec.cpus;
     }
     // A stranger (an attempt we know nothing of) takes room that we can't measure.
-    for (const [task, report] of this.reported) {
-      if (report.state !== 'ended' && this.placed.get(task)?.entry.attempt !== report.attempt) {
-        free = NOTHING;
-        break;
-      }
-    }
+    if (this.reported.all.some((report) => this.isStranger(report))) free = NOTHING;
     this.room = { shape, free, live, taken };
     return this.room;
   }
 
+  /** An attempt that is there, and not by our word. */
+  private isStranger({ task, attempt, state }: TaskReport): boolean {
+    return state !== 'ended' && this.placed.get(task)?.entry.attempt !== attempt;
+  }
+
   /** Something of ours has arrived there: it is trusted, whatever was thought of it. */
   noteReached(now: number): void {
     this.reached = now;
@@ -248,9 +248,9 @@
   endings(): Order[] {
     const orders: Order[] = [];
     for (const [task, { chunk, entry }] of this.entries) {
-      const report = this.tasks.get(task);
-      if (!chunk.unwanted || report?.attempt !== entry.attempt) continue;
       const { attempt } = entry;
+      const report = this.tasks.find(task, attempt);
+      if (!chunk.unwanted || report === undefined) continue;
       if (report.state !== 'ended') orders.push({ verb: 'halt', task, attempt, wind: 0 });
     }
     return orders;
@@ -271,8 +271,8 @@
   answerOrders(now: number, again: number, patience: number): Order[] {
     const orders = this.orders(true, now, again);
     if (orders.some((order) => order.verb !== 'reap')) return orders;
-    const isOld = ({ task }: Order): boolean => {
-      const leftover = this.leftovers.get(task);
+    const isOld = ({ task, attempt }: Order): boolean => {
+      const leftover = this.leftovers.get(attemptKey(task, attempt));
       return leftover === undefined || now - leftover.since >= patience;
     };
     return orders.some(isOld) ? orders : [];
@@ -289,26 +289,25 @@
 
   /** Ended attempts that the worker may forget. */
   private *reaps(): Generator<Order> {
-    for (const [task, { state, attempt }] of this.tasks) {
+    for (const { task, state, attempt } of this.tasks.all) {
       if (state !== 'ended') continue;
-      const leftover = this.leftovers.get(task);
-      const mayReap = leftover?.attempt === attempt && leftover.mayReap();
+      const leftover = this.leftovers.get(attemptKey(task, attempt));
       // Nothing of ours: an attempt that was given up before; nobody waits for it.
-      const isStranger = leftover === undefined && !this.entries.has(task);
-      if (mayReap || isStranger) yield { verb: 'reap', task, attempt };
+      const mayReap = leftover?.mayReap() ?? this.entries.get(task)?.entry.attempt !== attempt;
+      if (mayReap) yield { verb: 'reap', task, attempt };
     }
   }
 
   /** Ends of what is not ours, stops and starts that are due; one without effect is repeated after `again`. */
   private *commands(now: number, again: number): Generator<Command> {
-    for (const [task, { state, attempt }] of this.tasks) {
-      if (state === 'ended' || this.entries.get(task)?.entry.attempt === attempt) continue;
+    for (const report of this.tasks.all) {
+      if (!this.isStranger(report)) continue;
+      const { task, attempt } = report;
       yield { order: { verb: 'halt', task, attempt, wind: 0 }, firstStop: null };
     }
     for (const [task, { chunk, entry }] of this.entries) {
       const { attempt, stop } = entry;
-      const report = this.tasks.get(task);
-      const here = report?.attempt === attempt ? report : undefined;
+      const here = this.tasks.find(task, attempt);
       if (stop !== null) {
         const due = dueStop(stop, here, now, again);
         if (due === null) continue;
--- a/src/coordination/reportIntake.ts
+++ b/src/coordination/reportIntake.ts
@@ -3,7 +3,7 @@
 import { AttemptOver } from './attemptOver.js';
 import type { Chunk, Entry } from './chunk.js';
 import type { RunTimes } from './estimate.js';
-import type { Machine, Placed } from './machine.js';
+import { attemptKey, type Machine, type Placed } from './machine.js';
 import type { Part, PartOptions } from './part.js';
 
 /**
@@ -59,10 +59,7 @@
     machine.goneBy = report.warning === null ? null : now + report.warning;
     const changed = machine.noteTasks(report.tasks);
     if (newSession) machine.leftovers.clear();
-    for (const [task, leftover] of machine.leftovers) {
-      const still = machine.tasks.get(task);
-      if (still === undefined || still.attempt !== leftover.attempt) machine.leftovers.delete(task);
-    }
+    this.reviewLeftovers(machine, isHello);
     for (const placed of [...machine.entries.values()]) {
       this.settle(machine, placed, isHello, now);
     }
@@ -76,13 +73,23 @@
     return news ? 'news' : 'as before';
   }
 
+  /** Ended attempts that the worker has forgotten; the others wait for what a start of them may still do. */
+  private reviewLeftovers(machine: Machine, isHello: boolean): void {
+    if (machine.leftovers.size === 0) return;
+    const reported = new Set(machine.tasks.all.map((t) => attemptKey(t.task, t.attempt)));
+    for (const [key, leftover] of machine.leftovers) {
+      if (!reported.has(key)) machine.leftovers.delete(key);
+      else if (isHello) leftover.sentInAnswer = false;
+    }
+  }
+
   /** What a newer report says of one attempt. */
   private settle(machine: Machine, placed: Placed, isHello: boolean, now: number): void {
     const { chunk, entry } = placed;
     if (isHello) entry.sentInAnswer = false;
     const over = AttemptOver.byReport(machine, placed, now);
-    const report = machine.tasks.get(chunk.taskName(entry.task));
-    if (report?.attempt !== entry.attempt || over?.rule === 'new-session') {
+    const report = machine.tasks.find(chunk.taskName(entry.task), entry.attempt);
+    if (report === undefined || over?.rule === 'new-session') {
       if (over !== null) this.part.release(machine, placed, over, now);
     } else if (over === null) this.progress(machine, placed, report, now);
     else this.end(machine, placed, report, over, now);
@@ -147,16 +154,17 @@
   /** The attempt's end stays in the worker's reports until it may be forgotten. */
   private leave(machine: Machine, chunk: Chunk, entry: Entry, now: number): void {
     const version = chunk.version;
-    const { attempt, task } = entry;
-    machine.leftovers.set(chunk.taskName(task), {
-      attempt,
+    const { attempt, task, doubt, sentInAnswer } = entry;
+    const leftover = {
       since: now,
+      sentInAnswer,
       // Its end must be stored first; and a start that may still come would run it once more.
-      mayReap: () =>
+      mayReap: (): boolean =>
         (chunk.stored >= version || chunk.dropped) &&
-        !entry.doubt.isOpen(machine.seenToken) &&
-        !entry.sentInAnswer,
-    });
+        !doubt.isOpen(machine.seenToken) &&
+        !leftover.sentInAnswer,
+    };
+    machine.leftovers.set(attemptKey(chunk.taskName(task), attempt), leftover);
   }
 
   private noteFailure(machine: Machine, chunk: Chunk, now: number): void {
@@ -180,9 +188,10 @@
 
   /** A done attempt of ours that an earlier owner started and we hold no entry for. */
   private claimOrphans(machine: Machine, now: number): void {
-    for (const [task, report] of machine.tasks) {
-      if (report.state !== 'ended' || report.cause !== 'done') continue;
-      if (machine.entries.has(task) || machine.leftovers.has(task)) continue;
+    for (const { task, attempt, state, cause } of machine.tasks.all) {
+      if (state !== 'ended' || cause !== 'done') continue;
+      const key = attemptKey(task, attempt);
+      if (machine.entries.has(task) || machine.leftovers.has(key)) continue;
       const slash = task.lastIndexOf('/');
       const number = Number(task.slice(slash + 1));
       for (const chunk of this.part.chunksOf(task.slice(0, slash))) {
@@ -191,9 +200,9 @@
         chunk.done.add(number);
         this.part.changed(chunk, now);
         const version = chunk.version;
-        machine.leftovers.set(task, {
-          attempt: report.attempt,
+        machine.leftovers.set(key, {
           since: now,
+          sentInAnswer: false,
           mayReap: () => chunk.stored >= version || chunk.dropped,
         });
       }
--- a/test/costs.test.ts
+++ b/test/costs.test.ts
@@ -101,7 +101,7 @@
     name: 'a task that is not ours',
     strike: (_: Part, machine: Machine) => {
       const stranger = { task: 'wk-9/0', attempt: 1, cause: null, saved: false };
-      machine.noteTasks([...machine.tasks.values(), { ...stranger, state: 'running' }]);
+      machine.noteTasks([...machine.tasks.all, { ...stranger, state: 'running' }]);
     },
     due: true,
   },
--- a/test/startDoubt.test.ts
+++ b/test/startDoubt.test.ts
@@ -3,10 +3,16 @@
 import { test } from 'node:test';
 import type { CommandOutcome } from '../src/coordination/audit.js';
 import { StartDoubt } from '../src/coordination/startDoubt.js';
+import type { TaskReport } from '../src/protocol/worker.js';
+import { Bench, TOKEN } from './support/bench.js';
 import { CommandBench, type Passage } from './support/commandBench.js';
+import { startedRecord } from './support/spec.js';
 
 const TASK = 'wk-1/0';
 
+/** As stored while the second attempt runs. */
+const SECOND = [{ task: 0, attempt: 2, machine: 'n-1', session: 1 }];
+
 /** What becomes of the second command with the same start, while the first is held. */
 const repeats: Passage[] = ['no socket', 'connection refused'];
 
@@ -177,3 +183,49 @@
   assert.equal(b.host.token, 9);
   assert.equal(machine.inDoubtSince, null);
 });
+
+test('an end that an answer to a command shows first is reaped once a report has settled its start', () => {
+  const b = new Bench();
+  const machine = b.machine();
+  const chunk = b.chunk();
+  b.decide();
+  b.store(chunk);
+  const entry = chunk.entries.get(0);
+  assert.ok(entry);
+  // The start rides in the answer to a report; the answer to a command of ours overtakes the next report.
+  entry.sentInAnswer = true;
+  const refused = [{ state: 'ended', cause: 'no_room' }] as const;
+  b.report(machine, [...refused], {}, 'answer');
+  b.store(chunk);
+  assert.equal(chunk.entries.size, 0);
+  assert.deepEqual(b.verbs(machine), [], 'the answer with the start may still be on its way');
+  b.report(machine, [...refused], {}, 'follow');
+  assert.deepEqual(b.verbs(machine), ['reap wk-1/0 1']);
+});
+
+test('of attempts of one task on a machine each is stopped, reaped or kept by itself', () => {
+  const orders: [string, Partial<TaskReport>[], string[]][] = [
+    ['an earlier one still runs', [{ attempt: 1 }, { attempt: 2 }], ['halt wk-1/0 1']],
+    ['in the other order', [{ attempt: 2 }, { attempt: 1 }], ['halt wk-1/0 1']],
+    [
+      'an earlier one has ended',
+      [{ attempt: 2 }, { attempt: 1, state: 'ended', cause: 'halted' }],
+      ['reap wk-1/0 1'],
+    ],
+    [
+      'an earlier one was refused beside it',
+      [{ attempt: 2 }, { attempt: 1, state: 'ended', cause: 'busy' }],
+      ['reap wk-1/0 1'],
+    ],
+  ];
+  for (const [name, tasks, verbs] of orders) {
+    const b = new Bench();
+    const machine = b.machine();
+    const chunk = b.part.loadChunk(0, { ...startedRecord(), next: 3, entries: SECOND }, TOKEN, 1);
+    b.report(machine, [{ attempt: 2 }]);
+    b.report(machine, tasks);
+    assert.equal(chunk.entries.get(0)?.attempt, 2, name);
+    assert.equal(chunk.entries.get(0)?.state, 'running', name);
+    assert.deepEqual(b.verbs(machine), verbs, name);
+  }
+});
