--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -9,8 +9,13 @@
   | ['submit']
   /** A job of one task that needs another. */
   | ['needs', string, string]
-  | ['done', string]
-  | ['start', string, string]
+  | ['done', string, number?]
+  | ['start', string, string, number?]
+  /** A look at what runs. */
+  | ['check', number]
+  | ['unknown']
+  /** Nothing more will happen. */
+  | ['finish']
   | ['leave', string, string];
 
 const cases: { name: string; steps: Step[]; broken: Rule[]; overtaken?: number }[] = [
@@ -158,13 +163,88 @@
     ],
     broken: ['went_back'],
   },
+  {
+    name: 'a task goes on for too long after its job was cancelled: named once',
+    steps: [
+      ['submit'],
+      ['start', 'wk-1/0', 'n-1', 1],
+      ['cancel'],
+      ['told', 'cancelled', { sent: 1, at: 2 }],
+      ['check', 7],
+      ['check', 7.1],
+      ['check', 8],
+    ],
+    broken: ['ran_cancelled'],
+  },
+  {
+    name: 'a task is gone in time after its job was cancelled',
+    steps: [
+      ['submit'],
+      ['start', 'wk-1/0', 'n-1', 1],
+      ['cancel'],
+      ['told', 'cancelled', { sent: 1, at: 2 }],
+      ['leave', 'wk-1/0', 'n-1'],
+      ['check', 8],
+    ],
+    broken: [],
+  },
+  {
+    name: 'a task starts too long after its job was cancelled',
+    steps: [
+      ['submit'],
+      ['cancel'],
+      ['told', 'cancelled', { sent: 1, at: 2 }],
+      ['start', 'wk-1/0', 'n-1', 7.5],
+    ],
+    broken: ['ran_cancelled'],
+  },
+  {
+    name: 'called done before its last task is',
+    steps: [
+      ['submit'],
+      ['start', 'wk-1/0', 'n-1', 1],
+      ['done', 'wk-1/0', 2],
+      ['done', 'wk-1/1', 3],
+      ['told', 'done', { sent: 3, at: 4 }],
+      ['done', 'wk-1/2', 5],
+      ['finish'],
+    ],
+    broken: ['not_done'],
+  },
+  {
+    name: 'called done after its last task, one of which ran twice, one after the other',
+    steps: [
+      ['submit'],
+      ['start', 'wk-1/0', 'n-1', 1],
+      ['done', 'wk-1/0', 2],
+      ['leave', 'wk-1/0', 'n-1'],
+      ['start', 'wk-1/0', 'n-2', 3],
+      ['done', 'wk-1/0', 9],
+      ['done', 'wk-1/1', 3],
+      ['done', 'wk-1/2', 3],
+      ['told', 'done', { sent: 3, at: 4 }],
+      ['finish'],
+    ],
+    broken: [],
+  },
+  {
+    name: 'a job that nobody submitted is not known',
+    steps: [['unknown'], ['told', 'unknown', { sent: 1, at: 2 }]],
+    broken: [],
+  },
+  {
+    name: 'a job that nobody submitted is known',
+    steps: [['unknown'], ['told', 'open', { sent: 1, at: 2 }]],
+    broken: ['invented'],
+  },
+  { name: 'nothing was ever started', steps: [['submit'], ['finish']], broken: ['nothing_ran'] },
 ];
 
 const CANCEL_WITHIN = 5;
 
 for (const { name, steps, broken, overtaken = 0 } of cases) {
   test(`a history: ${name}`, () => {
-    const history = new History(new Map([['crew', 4]]), CANCEL_WITHIN);
+    const history = new History(new Map([['crew', 4]]), CANCEL_WITHIN, () => 0);
     for (const step of steps) {
       if (step[0] === 'told') {
         const { sent, at, node = 'p', job = 'wk-1' } = step[2];
@@ -174,9 +254,12 @@
       } else if (step[0] === 'needs') {
         const work = { team: 'crew', cpus: 2, tasks: 1, waitsOn: [step[2]] };
         history.submitted(step[1], work);
-      } else if (step[0] === 'done') history.done(step[1]);
+      } else if (step[0] === 'done') history.done(step[1], step[2]);
+      else if (step[0] === 'check') history.check(step[1]);
+      else if (step[0] === 'unknown') history.notSubmitted('wk-1');
+      else if (step[0] === 'finish') history.finish();
       else if (step[0] === 'cancel') history.askedToCancel('wk-1');
-      else if (step[0] === 'start') history.started(step[1], step[2]);
+      else if (step[0] === 'start') history.started(step[1], step[2], step[3]);
       else history.left(step[1], step[2]);
     }
     assert.deepEqual(
--- /dev/null
+++ b/test/soak/jobKinds.ts
@@ -0,0 +1,41 @@
+/** What kind of job an id stands for, so that users, workers and the checker agree without a word to each other. */
+import { seededRandom } from '../../src/base/random.js';
+
+export type JobKind = 'array' | 'gang' | 'service';
+
+/** By the last digit of the id's number; later stages of a pipeline are arrays. */
+export function kindOfJob(job: string): JobKind {
+  const match = /^wk-(\d+)(-\d+)?$/.exec(job);
+  const digit = match?.[2] === undefined ? Number(match?.[1]?.slice(-1) ?? 0) : 0;
+  if (digit === 9) return 'service';
+  return digit === 8 ? 'gang' : 'array';
+}
+
+const RANKS = ['idle', 'normal', 'high'] as const;
+
+/** Fields of its submission beside those that are drawn for all jobs. */
+export function fieldsOf(job: string): Record<string, unknown> {
+  const rank = RANKS[hashOf(job) % RANKS.length];
+  switch (kindOfJob(job)) {
+    case 'service':
+      return { Shape: 'daemon', Rank: 'prod', ExpectS: 0, Loaners: false };
+    case 'gang':
+      return { Shape: 'ensemble', Rank: rank };
+    case 'array':
+      return { Rank: rank };
+  }
+}
+
+/** Seconds that a task runs; a service's never ends. */
+export function runTime(task: string, seed: number, longest: number): number {
+  const job = task.slice(0, task.lastIndexOf('/'));
+  if (kindOfJob(job) === 'service') return Infinity;
+  const draw = seededRandom(hashOf(task) + seed)();
+  return 0.2 + draw * draw * longest;
+}
+
+function hashOf(text: string): number {
+  let hash = 7;
+  for (const character of text) hash = (hash * 31 + character.charCodeAt(0)) % 1_000_003;
+  return hash;
+}
--- /dev/null
+++ b/test/soak/plan.ts
@@ -0,0 +1,168 @@
+/** What a seed stands for: the size of the cluster, its clocks, and which faults strike when. No I/O. */
+import { seededRandom, type Random } from '../../src/base/random.js';
+import type { MachineFlag } from './messages.js';
+
+/** How much of the machine a soak takes. */
+export type SoakSize = 'ci' | 'usual' | 'large';
+
+export type Strike =
+  | { kind: 'kill'; node: string; awaySeconds: number }
+  | { kind: 'kill-all'; awaySeconds: number }
+  /** Stops a process and lets it go on. */
+  | { kind: 'pause'; node: string; seconds: number }
+  /** One owner after the other ends, so that a part has several within one grace. */
+  | { kind: 'owners-in-series'; nodes: string[]; seconds: number }
+  | { kind: 'state-refuses'; node: string; seconds: number }
+  | { kind: 'state-slow'; node: string; seconds: number; delay: number }
+  | { kind: 'answers-lost'; share: number; seconds: number }
+  /** The way from one node to another, or both ways. */
+  | { kind: 'peers-cut'; from: string; to: string; isBothWays: boolean; seconds: number }
+  | { kind: 'peers-slow'; from: string; to: string; seconds: number; delay: number }
+  /** A node loses the state service and its peers, not its workers; bytes are held, or connections refused. */
+  | { kind: 'node-apart'; node: string; seconds: number; isHeld: boolean }
+  | { kind: 'workers-cut'; node: string; seconds: number }
+  | { kind: 'machines'; flag: MachineFlag; share: number; seconds: number }
+  | { kind: 'messages'; lateCommands: number; copiedReports: number; seconds: number }
+  | { kind: 'taken'; share: number }
+  | { kind: 'cloud-refuses'; seconds: number };
+
+export interface PlannedStrike {
+  /** Seconds after the users have begun to come. */
+  at: number;
+  strike: Strike;
+}
+
+export interface SoakPlan {
+  seed: number;
+  size: SoakSize;
+  nodes: string[];
+  zones: string[];
+  /** What each node's time of day is ahead. */
+  skewMs: Record<string, number>;
+  machines: number;
+  report: number;
+  lease: number;
+  cancel: number;
+  jobsPerSecond: number;
+  mostTasks: number;
+  longestTask: number;
+  limits: Record<string, number>;
+  /** Seconds in which users come and faults strike. */
+  troubled: number;
+  /** Seconds after that in which every job must have got where it is going. */
+  settle: number;
+  strikes: PlannedStrike[];
+}
+
+/** The settings' bound on clocks. */
+export const SKEW_MS = 100;
+
+const FLAGS: readonly MachineFlag[] = ['hanging', 'deaf', 'cutOff', 'holdsCommands'];
+
+/** Faults at once, at the most. */
+const MOST_AT_ONCE = 3;
+
+const SIZES: Record<
+  SoakSize,
+  Pick<
+    SoakPlan,
+    | 'machines'
+    | 'report'
+    | 'lease'
+    | 'cancel'
+    | 'jobsPerSecond'
+    | 'mostTasks'
+    | 'longestTask'
+    | 'limits'
+    | 'troubled'
+    | 'settle'
+  >
+> = {
+  ci: {
+    ...{ machines: 6, report: 0.5, lease: 4, cancel: 14, jobsPerSecond: 3, mostTasks: 3 },
+    ...{ longestTask: 4, limits: { crew: 30, guests: 14 }, troubled: 14, settle: 120 },
+  },
+  usual: {
+    ...{ machines: 7, report: 0.5, lease: 4, cancel: 14, jobsPerSecond: 4, mostTasks: 4 },
+    ...{ longestTask: 6, limits: { crew: 36, guests: 16 }, troubled: 30, settle: 90 },
+  },
+  large: {
+    ...{ machines: 300, report: 1, lease: 8, cancel: 26, jobsPerSecond: 6, mostTasks: 60 },
+    ...{ longestTask: 12, limits: { crew: 1600, guests: 700 }, troubled: 40, settle: 150 },
+  },
+};
+
+export function drawPlan(seed: number, size: SoakSize): SoakPlan {
+  const random = seededRandom(seed);
+  const count = size === 'ci' ? 3 : 3 + Math.floor(random() * 3);
+  const nodes = Array.from({ length: count }, (_, index) => `drone-${index}`);
+  const zones = random() < 0.5 ? ['a'] : ['a', 'b'];
+  const skew = (): number => Math.round((random() * 2 - 1) * SKEW_MS);
+  const base = { seed, size, nodes, zones, ...SIZES[size] };
+  const skewMs = Object.fromEntries(nodes.map((node) => [node, skew()]));
+  return { ...base, skewMs, strikes: drawStrikes(random, base) };
+}
+
+type Base = Omit<SoakPlan, 'skewMs' | 'strikes'>;
+
+function drawStrikes(random: Random, base: Base): PlannedStrike[] {
+  const strikes: PlannedStrike[] = [];
+  const ends: number[] = [];
+  for (let at = 2; at < base.troubled - 2; at += 0.3 + random() * 2) {
+    if (ends.filter((end) => end > at).length >= MOST_AT_ONCE) continue;
+    const strike = drawStrike(random, base);
+    strikes.push({ at, strike });
+    ends.push(at + secondsOf(strike));
+  }
+  return strikes;
+}
+
+export function secondsOf(strike: Strike): number {
+  switch (strike.kind) {
+    case 'kill':
+    case 'kill-all':
+      return strike.awaySeconds;
+    case 'taken':
+      return 0;
+    default:
+      return strike.seconds;
+  }
+}
+
+function drawStrike(random: Random, base: Base): Strike {
+  const { nodes, lease, report } = base;
+  const pick = <T>(list: readonly T[]): T => list[Math.floor(random() * list.length)] as T;
+  const node = pick(nodes);
+  const others = nodes.filter((other) => other !== node);
+  const seconds = 0.3 + random() * lease;
+  const delay = 0.1 + random() * report;
+  /** Within the worker's lease, past it, or past an owner's grace of twice that. */
+  const pauses = [lease * 0.5, lease * 1.3, lease * 3.2];
+  const draws: (() => Strike)[] = [
+    () => ({ kind: 'kill', node, awaySeconds: seconds }),
+    () => ({ kind: 'kill', node, awaySeconds: 0.05 + random() * 0.3 }),
+    () => ({ kind: 'kill-all', awaySeconds: random() < 0.3 ? lease * 1.3 : 0.3 }),
+    () => ({ kind: 'pause', node, seconds: pick(pauses) * (0.7 + random() * 0.5) }),
+    () => ({ kind: 'owners-in-series', nodes: [node, ...others].slice(0, 2), seconds: lease }),
+    () => ({ kind: 'state-refuses', node: random() < 0.3 ? '*' : node, seconds }),
+    () => ({ kind: 'state-slow', node: random() < 0.5 ? '*' : node, seconds, delay }),
+    () => ({ kind: 'answers-lost', share: 0.1 + random() * 0.3, seconds }),
+    () => ({
+      kind: 'peers-cut',
+      from: node,
+      to: pick(others),
+      isBothWays: random() < 0.5,
+      seconds,
+    }),
+    () => ({ kind: 'peers-slow', from: node, to: pick(others), seconds, delay }),
+    () => ({ kind: 'node-apart', node, seconds: lease * (0.3 + random()), isHeld: random() < 0.5 }),
+    () => ({ kind: 'workers-cut', node, seconds }),
+    () => ({ kind: 'machines', flag: pick(FLAGS), share: 0.2 + random() * 0.3, seconds }),
+    () => ({ kind: 'machines', flag: pick(FLAGS), share: 0.2 + random() * 0.3, seconds }),
+    () => ({ kind: 'messages', lateCommands: 0.3, copiedReports: 0.2, seconds: lease * 2 }),
+    () => ({ kind: 'messages', lateCommands: 0.6, copiedReports: 0, seconds: lease }),
+    () => ({ kind: 'taken', share: 0.1 + random() * 0.2 }),
+    () => ({ kind: 'cloud-refuses', seconds }),
+  ];
+  return pick(draws)();
+}
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,153 @@
+/** Plays one seed: users, faults, and what the checker says of it. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { seededRandom, type Random } from '../../src/base/random.js';
+import { pause } from '../support/cluster.js';
+import { TrialUsers } from '../trials/trialUsers.js';
+import { fieldsOf, kindOfJob } from './jobKinds.js';
+import { timeOfDay, type TaskEvent } from './messages.js';
+import { drawPlan, type SoakPlan, type SoakSize } from './plan.js';
+import { SoakCluster } from './soakCluster.js';
+import { SoakLog } from './soakLog.js';
+import { Strikes } from './strikes.js';
+
+/** Of the jobs that may begin one, those that are the first of a pipeline. */
+const PIPELINE_SHARE = 0.2;
+
+/** How often the checker looks at what runs, in seconds. */
+const CHECK_S = 0.5;
+
+/** Time for an answer to arrive, in seconds. */
+const ANSWER_S = 1.5;
+
+export interface SoakResult {
+  seed: number;
+  jobs: number;
+  accepted: number;
+  starts: number;
+  /** Broken rules, processes that ended, lines that must not be logged. */
+  broken: string[];
+  unfinished: string[];
+}
+
+export interface SoakOptions {
+  size: SoakSize;
+  /** Where settings, plan and logs are kept. */
+  folder: string;
+  logLevel: string;
+}
+
+export class Soak {
+  private readonly plan: SoakPlan;
+  private readonly log = new SoakLog();
+  private readonly random: Random;
+  private readonly cluster: SoakCluster;
+  private readonly users: TrialUsers;
+  private readonly strikes: Strikes;
+  private readonly visits: Promise<void>[] = [];
+  private readonly folder: string;
+  private submitted = 0;
+  private starts = 0;
+
+  constructor(
+    private readonly seed: number,
+    { size, folder, logLevel }: SoakOptions,
+  ) {
+    this.plan = drawPlan(seed, size);
+    this.random = seededRandom(seed + 1);
+    this.folder = join(folder, String(seed));
+    this.cluster = new SoakCluster(this.plan, this.folder, this.log, logLevel, (event) => {
+      this.hear(event);
+    });
+    this.users = new TrialUsers(this.cluster, this.random, {
+      extra: fieldsOf,
+      nodes: this.plan.nodes.length,
+      mostTasks: this.plan.mostTasks,
+      cancelWithin: this.plan.cancel + ANSWER_S,
+      limits: new Map(Object.entries(this.plan.limits)),
+      clock: timeOfDay,
+    });
+    this.strikes = new Strikes(this.cluster, this.plan, (text) => {
+      this.log.add('soak', text);
+    });
+  }
+
+  async run(): Promise<SoakResult> {
+    const checks = setInterval(() => {
+      this.users.history.check(timeOfDay());
+    }, CHECK_S * 1000);
+    try {
+      await this.cluster.start();
+      const strikes = this.strikes.play();
+      await this.submit();
+      await strikes;
+      await this.settle();
+      return this.result();
+    } finally {
+      clearInterval(checks);
+      this.close();
+      await Promise.allSettled(this.visits);
+    }
+  }
+
+  /** Ends everything that was started; also when the soak is given up. */
+  close(): void {
+    this.users.isOver = true;
+    this.strikes.stop();
+    this.cluster.close();
+  }
+
+  private hear({ kind, task, machine, at }: TaskEvent): void {
+    const { history } = this.users;
+    this.log.add('fleet', `task ${kind} ${task} ${machine}`);
+    if (kind === 'started') {
+      this.starts++;
+      history.started(task, machine, at);
+    } else if (kind === 'done') history.done(task, at);
+    else history.left(task, machine);
+  }
+
+  private async submit(): Promise<void> {
+    const { troubled, jobsPerSecond } = this.plan;
+    const ends = performance.now() + troubled * 1000;
+    while (performance.now() < ends) {
+      const id = `wk-${String(this.seed * 1000 + this.submitted++).padStart(6, '0')}`;
+      const isPipeline = kindOfJob(id) === 'array' && this.random() < PIPELINE_SHARE;
+      this.visits.push(isPipeline ? this.users.pipeline(id) : this.users.user(id));
+      if (this.random() < 0.1) this.visits.push(this.users.askForUnknown(`wk-9${id.slice(3)}`));
+      await pause((0.5 + this.random()) / jobsPerSecond);
+    }
+  }
+
+  private async settle(): Promise<void> {
+    const deadline = performance.now() + this.plan.settle * 1000;
+    while (performance.now() < deadline && this.users.unfinished.length > 0) await pause(0.2);
+  }
+
+  private result(): SoakResult {
+    const { history, unfinished, acceptedCount } = this.users;
+    history.finish();
+    const broken = [
+      ...history.violations.map(({ rule, detail }) => `${rule}: ${detail}`),
+      ...this.cluster.endedUnasked.map((how) => `ended unasked: ${how}`),
+      ...this.log.failures.map((line) => `logged: ${line}`),
+    ];
+    if (broken.length > 0 || unfinished.length > 0) this.keep(broken, unfinished);
+    return {
+      seed: this.seed,
+      jobs: this.submitted,
+      accepted: acceptedCount,
+      starts: this.starts,
+      broken,
+      unfinished,
+    };
+  }
+
+  private keep(broken: string[], unfinished: string[]): void {
+    mkdirSync(this.folder, { recursive: true });
+    writeFileSync(join(this.folder, 'plan.json'), `${JSON.stringify(this.plan, null, 2)}\n`);
+    writeFileSync(join(this.folder, 'merged.log'), this.log.merged);
+    const verdict = { broken, unfinished };
+    writeFileSync(join(this.folder, 'verdict.json'), `${JSON.stringify(verdict, null, 2)}\n`);
+  }
+}
--- /dev/null
+++ b/test/soak/soakCluster.ts
@@ -0,0 +1,175 @@
+/** Controllers, state service, cloud and workers of one soak as processes, and the links between them. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { HttpClient, type Response } from '../../src/transport/httpClient.js';
+import { settingsText } from '../support/clusterSettings.js';
+import { until } from '../support/cluster.js';
+import type { UserFronts } from '../trials/trialUsers.js';
+import { ControllerProcess } from './controllerProcess.js';
+import { Link } from './link.js';
+import type { FleetPlan, FleetRequest, StateRequest, TaskEvent } from './messages.js';
+import { SKEW_MS, type SoakPlan } from './plan.js';
+import type { SoakLog } from './soakLog.js';
+import { StandInProcess } from './standIn.js';
+
+const STATE_MAIN = join(import.meta.dirname, 'stateMain.js');
+const FLEET_MAIN = join(import.meta.dirname, 'fleetMain.js');
+
+const START_S = 60;
+
+/** The ports of one node that others reach. */
+interface Ports {
+  front: string;
+  back: string;
+}
+
+export class SoakCluster implements UserFronts {
+  readonly controllers = new Map<string, ControllerProcess>();
+  /** Each by `from>to`; workers and users are `workers` and `users`. */
+  readonly links = new Map<string, Link>();
+  /** Processes that ended and nobody had asked them to. */
+  readonly endedUnasked: string[] = [];
+  readonly state: StandInProcess<StateRequest>;
+  readonly fleet: StandInProcess<FleetRequest>;
+  private readonly http = new HttpClient(500, 1);
+  private readonly ports = new Map<string, Ports>();
+  private readonly fronts = new Map<string, string>();
+
+  constructor(
+    private readonly plan: SoakPlan,
+    private readonly folder: string,
+    private readonly log: SoakLog,
+    private readonly logLevel: string,
+    heard: (event: TaskEvent) => void,
+  ) {
+    mkdirSync(folder, { recursive: true });
+    const { report, lease, zones, seed, machines: capacity, longestTask: longest } = plan;
+    const fleet: FleetPlan = { report, lease, zones, seed, capacity, longest };
+    this.state = this.standIn<StateRequest>('state', STATE_MAIN, { seed }, () => undefined);
+    this.fleet = this.standIn<FleetRequest>('fleet', FLEET_MAIN, fleet, heard);
+  }
+
+  private standIn<Request>(
+    name: string,
+    module: string,
+    argument: unknown,
+    event: (event: TaskEvent) => void,
+  ): StandInProcess<Request> {
+    return new StandInProcess<Request>(module, argument, {
+      event,
+      output: (text) => {
+        this.log.add(name, text.trimEnd());
+      },
+      ended: () => {
+        this.endedUnasked.push(name);
+      },
+    });
+  }
+
+  async start(): Promise<void> {
+    const cloud = await this.fleet.ask({ kind: 'listen' });
+    for (const node of this.plan.nodes) await this.prepare(node, cloud ?? '');
+    const workers = await Promise.all(
+      this.plan.nodes.map(async (node): Promise<[string, string]> => {
+        return [node, await this.link(`workers>${node}`, () => this.portsOf(node).front)];
+      }),
+    );
+    await this.fleet.ask({ kind: 'nodes', addresses: workers });
+    for (const node of this.plan.nodes) await this.writeSettings(node);
+    for (const controller of this.controllers.values()) controller.start();
+    for (const node of this.plan.nodes) {
+      const isReady = async (): Promise<boolean> =>
+        (await this.call(node, 'GET', '/ready')).status === 200;
+      await until(`${node} is ready`, isReady, START_S);
+    }
+  }
+
+  call(node: string, method: string, path: string, body?: unknown): Promise<Response> {
+    return this.http.call(this.fronts.get(node) ?? '', method, path, body, 5);
+  }
+
+  controller(node: string): ControllerProcess {
+    const controller = this.controllers.get(node);
+    if (controller === undefined) throw new Error(`no ${node}`);
+    return controller;
+  }
+
+  linkBetween(from: string, to: string): Link {
+    const link = this.links.get(`${from}>${to}`);
+    if (link === undefined) throw new Error(`no link ${from}>${to}`);
+    return link;
+  }
+
+  close(): void {
+    for (const controller of this.controllers.values()) controller.kill();
+    this.state.close();
+    this.fleet.close();
+    for (const link of this.links.values()) link.close();
+  }
+
+  private portsOf(node: string): Ports {
+    const ports = this.ports.get(node);
+    if (ports === undefined) throw new Error(`no ports of ${node}`);
+    return ports;
+  }
+
+  private async link(name: string, target: () => string): Promise<string> {
+    const link = new Link(target);
+    this.links.set(name, link);
+    return link.listen();
+  }
+
+  private async prepare(node: string, cloud: string): Promise<void> {
+    this.ports.set(node, { front: await freeAddress(), back: await freeAddress() });
+    const state = await this.state.ask({ kind: 'listen', client: node });
+    this.fronts.set(node, await this.link(`users>${node}`, () => this.portsOf(node).front));
+    this.links.set(`${node}>state`, new Link(() => state ?? ''));
+    this.links.set(`${node}>cloud`, new Link(() => cloud));
+    for (const peer of this.plan.nodes) {
+      if (peer !== node) {
+        this.links.set(`${node}>${peer}`, new Link(() => this.portsOf(peer).back));
+      }
+    }
+  }
+
+  private async writeSettings(node: string): Promise<void> {
+    const { plan } = this;
+    const zoneOf = (label: string): string =>
+      plan.zones[plan.nodes.indexOf(label) % plan.zones.length] ?? 'a';
+    const peers = [];
+    for (const label of plan.nodes.filter((other) => other !== node)) {
+      const address = await this.linkBetween(node, label).listen();
+      peers.push({ label, zone: zoneOf(label), address });
+    }
+    const text = settingsText({
+      ...{ label: node, zone: zoneOf(node), ...this.portsOf(node), peers, zones: plan.zones },
+      cloud: await this.linkBetween(node, 'cloud').listen(),
+      state: await this.linkBetween(node, 'state').listen(),
+      teams: Object.entries(plan.limits)
+        .map(([name, cpus]) => `[[settings.teams]]\nname = "${name}"\ncpus_max = ${cpus}.0`)
+        .join('\n'),
+      skewMs: SKEW_MS,
+      ...{ report: plan.report, lease: plan.lease, cancel: plan.cancel },
+      ...{ stateRate: 2000, stateWrites: 400 },
+    });
+    const config = join(this.folder, `${node}.toml`);
+    writeFileSync(config, text);
+    const controller = new ControllerProcess(node, config, plan.skewMs[node] ?? 0, this.logLevel, {
+      line: (label, line) => {
+        this.log.add(label, line);
+      },
+      endedUnasked: (label, how) => {
+        this.endedUnasked.push(`${label}: ${how}`);
+      },
+    });
+    this.controllers.set(node, controller);
+  }
+}
+
+/** An address on loopback that nobody listens on just now. */
+async function freeAddress(): Promise<string> {
+  const link = new Link(() => '');
+  const address = await link.listen();
+  link.close();
+  return address;
+}
--- /dev/null
+++ b/test/soak/soakLog.ts
@@ -0,0 +1,26 @@
+/** The lines of all processes of one soak, in the order in which they came, with the time of day. */
+import { timeOfDay } from './messages.js';
+
+interface Line {
+  at: number;
+  from: string;
+  text: string;
+}
+
+/** What a line must not say: the process has met something that nobody handled. */
+const FAILURES = /unhandled:|event=invariant-broken|^error loop:/;
+
+export class SoakLog {
+  private readonly lines: Line[] = [];
+  /** Lines that make a soak fail. */
+  readonly failures: string[] = [];
+
+  add(from: string, text: string): void {
+    this.lines.push({ at: timeOfDay(), from, text });
+    if (FAILURES.test(text)) this.failures.push(`${from}: ${text}`);
+  }
+
+  get merged(): string {
+    return this.lines.map(({ at, from, text }) => `${at.toFixed(3)} ${from} ${text}\n`).join('');
+  }
+}
--- /dev/null
+++ b/test/soak/standIn.ts
@@ -0,0 +1,78 @@
+/** The two ends of a stand-in process: the one that asks, and the loop that answers. */
+import { fork, type ChildProcess } from 'node:child_process';
+import type { FromStandIn, Numbered, TaskEvent } from './messages.js';
+
+/** Answers requests until the process that asks has ended. */
+export function serveRequests<Request>(
+  carryOut: (request: Request) => Promise<string | null> | string | null,
+): void {
+  process.on('message', (message) => {
+    const { sequence, request } = message as Numbered<Request>;
+    void Promise.resolve(carryOut(request)).then((address) => {
+      send({ kind: 'reply', sequence, address });
+    });
+  });
+  process.on('disconnect', () => {
+    process.exit(0);
+  });
+}
+
+export function send(message: FromStandIn): void {
+  if (process.connected) process.send?.(message);
+}
+
+/** A stand-in that runs in a process of its own. */
+export class StandInProcess<Request> {
+  private readonly child: ChildProcess;
+  private sequence = 0;
+  private readonly waiting = new Map<number, (address: string | null) => void>();
+  private isClosing = false;
+
+  constructor(
+    module: string,
+    argument: unknown,
+    private readonly heard: {
+      event(event: TaskEvent): void;
+      output(text: string): void;
+      ended(): void;
+    },
+  ) {
+    const child = fork(module, [JSON.stringify(argument)], {
+      stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
+    });
+    this.child = child;
+    for (const stream of [child.stdout, child.stderr]) {
+      stream?.on('data', (data) => {
+        heard.output(String(data));
+      });
+    }
+    child.on('message', (message) => {
+      this.take(message as FromStandIn);
+    });
+    child.on('exit', () => {
+      if (!this.isClosing) heard.ended();
+    });
+  }
+
+  ask(request: Request): Promise<string | null> {
+    const sequence = ++this.sequence;
+    return new Promise((resolve) => {
+      this.waiting.set(sequence, resolve);
+      this.child.send({ sequence, request } satisfies Numbered<Request>);
+    });
+  }
+
+  close(): void {
+    this.isClosing = true;
+    this.child.kill('SIGKILL');
+  }
+
+  private take(message: FromStandIn): void {
+    if (message.kind === 'event') {
+      this.heard.event(message.event);
+      return;
+    }
+    this.waiting.get(message.sequence)?.(message.address);
+    this.waiting.delete(message.sequence);
+  }
+}
--- /dev/null
+++ b/test/soak/stateMain.ts
@@ -0,0 +1,38 @@
+/** The state service of a soak, in a process of its own. */
+import { seededRandom } from '../../src/base/random.js';
+import { StateStandIn } from '../support/state.js';
+import type { StateRequest } from './messages.js';
+import { serveRequests } from './standIn.js';
+
+const { seed } = JSON.parse(process.argv[2] ?? '{}') as { seed: number };
+const random = seededRandom(seed);
+const state = new StateStandIn();
+
+function loseAnswers(share: number, mostLate: number): void {
+  state.swallow =
+    share === 0
+      ? null
+      : (body) => {
+          if (random() >= share) return false;
+          if (random() < 0.5) state.apply(body);
+          else setTimeout(() => state.apply(body), random() * mostLate * 1000).unref();
+          return true;
+        };
+}
+
+serveRequests<StateRequest>((request) => {
+  switch (request.kind) {
+    case 'listen':
+      return state.listenFor(request.client);
+    case 'refuse':
+      if (request.isOn) state.refused.add(request.client);
+      else state.refused.delete(request.client);
+      return null;
+    case 'slow':
+      state.slowness.set(request.client, request.seconds);
+      return null;
+    case 'lose-answers':
+      loseAnswers(request.share, request.mostLate);
+      return null;
+  }
+});
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -10,6 +10,7 @@
 import { HttpClient, type Response } from '../../src/transport/httpClient.js';
 import { HttpServer, type ServerOptions } from '../../src/transport/httpServer.js';
 import { PeerServer } from '../../src/transport/peerLink.js';
+import { settingsText } from './clusterSettings.js';
 import { CloudStandIn } from './fleet.js';
 import { StateStandIn } from './state.js';
 
@@ -157,48 +158,34 @@
     const back = '127.0.0.1:1';
     const peers = this.labels()
       .filter((l) => l !== label)
-      .map((l) => ({ label: l, zone: zone(l), port: this.backs.get(`${label}>${l}`) }));
-    const settings = `
-label = "${label}"
-site = "${zone(label)}"
-client_listen = "${front}"
-back = "${back}"
-${peers
-  .map(
-    (p) => `[[peers]]\nlabel = "${p.label}"\nsite = "${p.zone}"\nendpoint = "127.0.0.1:${p.port}"`,
-  )
-  .join('\n')}
-[services]
-cloud = "${this.cloudAddress}"
-state = "${await this.state.listenFor(label)}"
-[settings]
-zones = [${this.zones.map((z) => `"${z}"`).join(', ')}]
-skew_ms = 100.0
-${this.options.teams ?? '[[settings.teams]]\nname = "crew"'}
-[settings.workers]
-report_s = ${this.report}
-lease_s = ${this.lease}
-cancel_s = 5.0
-[settings.state]
-rps = 2000.0
-write_rps = ${(this.options.stateWrites ?? 1000).toFixed(1)}
-value_kb = 32.0
-txn_ops = 16
-${this.options.nextLimits === undefined ? '' : `[settings.state.next]\n${this.options.nextLimits}`}
-[settings.cloud]
-rps = 50.0
-list_lag_s = 1.0
-[settings.limits]
-cores = 1.0
-ram_mb = 200.0
-fd_limit = 1000
-`;
+      .map((l) => ({
+        label: l,
+        zone: zone(l),
+        address: `127.0.0.1:${this.backs.get(`${label}>${l}`)}`,
+      }));
+    const settings = settingsText({
+      ...{ label, zone: zone(label), front, back, peers, zones: this.zones },
+      cloud: this.cloudAddress,
+      state: await this.state.listenFor(label),
+      teams: this.options.teams ?? '[[settings.teams]]\nname = "crew"',
+      skewMs: 100,
+      report: this.report,
+      lease: this.lease,
+      cancel: 5,
+      stateRate: 2000,
+      stateWrites: this.options.stateWrites ?? 1000,
+      nextLimits: this.options.nextLimits,
+    });
     const run = `${label}${Math.floor(systemClock.now() * 1e6).toString(36)}`;
     const node = (this.builds.get(label) ?? presentBuild)(settings, run);
     node.controller.start();
     this.nodes.set(label, { ...node, address: front });
   }
 
+  isUp(label: string): boolean {
+    return this.nodes.has(label);
+  }
+
   /** Ends a node as a crash would: it says nothing more to anybody. */
   crash(label: string): void {
     const node = this.nodes.get(label);
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -2,19 +2,12 @@
 import { HttpClient } from '../../src/transport/httpClient.js';
 import { HttpServer, type Reply } from '../../src/transport/httpServer.js';
 import type { HttpMessage } from '../../src/transport/httpParser.js';
-
-interface Order {
-  Verb: 'start' | 'halt' | 'reap';
-  Piece: string;
-  Try: number;
-}
-interface Piece {
-  Piece: string;
-  Try: number;
-  Status: 'running' | 'ended';
-  Cause?: string;
-  timer?: NodeJS.Timeout;
-}
+import {
+  WorkerModel,
+  type CommandBody,
+  type HeldAttempt,
+  type WorkerOrder,
+} from './workerModel.js';
 
 export interface FleetSettings {
   report: number;
@@ -31,12 +24,21 @@
   idleTimeout: 60,
 };
 
+/** Messages of a worker that the network treats badly: each is drawn by itself. */
+export interface MessageFaults {
+  /** Of the direct commands, those that are held up, get no answer, and are carried out once, late. */
+  lateCommands: number;
+  /** Of the reports, those of which a copy arrives again later. */
+  copiedReports: number;
+  /** Seconds that a message is late. */
+  delay: () => number;
+  random: () => number;
+}
+
 export class WorkerStandIn {
-  private session = 1;
-  private tick = 0;
-  private token = 0;
+  private readonly model: WorkerModel;
   private leaseTimer: NodeJS.Timeout | undefined;
-  private readonly pieces = new Map<string, Piece>();
+  private readonly ends = new Map<HeldAttempt, NodeJS.Timeout>();
   private node = 0;
   private stopped = false;
   /** A hanging machine neither reports nor carries anything out. */
@@ -59,7 +61,23 @@
     readonly spot: boolean,
     private readonly nodes: () => Map<string, string>,
     private readonly fleet: CloudStandIn,
-  ) {}
+  ) {
+    const describe = (): string => this.address;
+    const description = {
+      ...{ name, type, zone, spot },
+      get address(): string {
+        return describe();
+      },
+    };
+    this.model = new WorkerModel(description, {
+      started: (attempt) => {
+        this.begin(attempt);
+      },
+      left: (attempt) => {
+        this.fleet.left(attempt.task, this.name);
+      },
+    });
+  }
 
   async start(): Promise<void> {
     this.address = `127.0.0.1:${await this.server.listen({ host: '127.0.0.1', port: 0 })}`;
@@ -71,68 +89,29 @@
     this.stopped = true;
     clearTimeout(this.leaseTimer);
     this.server.close();
-    this.killAll();
+    this.endSession();
   }
 
   get tasks(): string[] {
-    return [...this.pieces.values()].filter((p) => p.Status === 'running').map((p) => p.Piece);
+    return this.model.running.map(({ task }) => task);
   }
 
   /** The highest token that it has seen. */
   get seenToken(): number {
-    return this.token;
+    return this.model.token;
   }
 
-  private killAll(): void {
-    for (const piece of this.pieces.values()) this.end(piece, 'killed');
-    this.pieces.clear();
-  }
-
-  private end(piece: Piece, cause: string): void {
-    if (piece.Status === 'running') this.fleet.left(piece.Piece, this.name);
-    clearTimeout(piece.timer);
-    piece.Status = 'ended';
-    piece.Cause = cause;
-  }
-
-  report(): Record<string, unknown> {
-    return {
-      Drone: this.name,
-      Address: this.address,
-      Flavour: this.type,
-      Yard: this.zone,
-      Loaners: this.spot,
-      Shift: this.session,
-      Tick: ++this.tick,
-      Baton: this.token,
-      WarningS: null,
-      Pieces: [...this.pieces.values()].map(({ Piece, Try, Status, Cause }) => ({
-        Piece,
-        Try,
-        Status,
-        Cause,
-      })),
+  private begin(attempt: HeldAttempt): void {
+    const { task } = attempt;
+    this.fleet.started(task, this.name);
+    const seconds = this.fleet.settings.runs(task);
+    if (!Number.isFinite(seconds)) return;
+    const finish = (): void => {
+      this.ends.delete(attempt);
+      if (attempt.state === 'running') this.fleet.watch?.done?.(task);
+      this.model.end(attempt, 'done');
     };
-  }
-
-  private carryOut(orders: Order[]): void {
-    for (const { Verb, Piece: name, Try } of orders) {
-      const known = this.pieces.get(name);
-      if (Verb === 'start') {
-        if (known?.Try === Try || (known !== undefined && known.Status === 'running')) continue;
-        const piece: Piece = { Piece: name, Try, Status: 'running' };
-        this.pieces.set(name, piece);
-        this.fleet.started(name, this.name);
-        const seconds = this.fleet.settings.runs(name);
-        if (Number.isFinite(seconds)) {
-          piece.timer = setTimeout(() => {
-            if (piece.Status === 'running') this.fleet.watch?.done?.(name);
-            this.end(piece, 'done');
-          }, seconds * 1000);
-        }
-      } else if (known?.Try === Try && Verb === 'halt') this.end(known, 'halted');
-      else if (known?.Try === Try && known.Status === 'ended') this.pieces.delete(name);
-    }
+    this.ends.set(attempt, setTimeout(finish, seconds * 1000));
   }
 
   private async serve(request: HttpMessage): Promise<Reply> {
@@ -142,14 +121,14 @@
     // A machine that was released meanwhile is gone: what was held back for it is carried out nowhere. A
     // command that was let through by the release started its task beside the next machine's.
     if (this.stopped) return new Promise(() => undefined);
-    if (request.target === '/inspect') return { status: 200, body: this.report() };
-    const body = JSON.parse(request.body) as { Baton: number; Shift: number; Orders: Order[] };
-    if (body.Baton < this.token || body.Shift !== this.session) {
-      return { status: 409, body: this.report() };
-    }
-    this.token = body.Baton;
-    this.carryOut(body.Orders);
-    return { status: 200, body: this.report() };
+    if (request.target === '/inspect') return { status: 200, body: this.model.report() };
+    const body = JSON.parse(request.body) as CommandBody;
+    const faults = this.fleet.messageFaults;
+    if (faults === null || faults.random() >= faults.lateCommands) return this.model.command(body);
+    setTimeout(() => {
+      if (!this.stopped && !this.hanging) this.model.command(body);
+    }, faults.delay() * 1000).unref();
+    return new Promise(() => undefined);
   }
 
   /**
@@ -161,13 +140,14 @@
     const left = sent + this.fleet.settings.lease * 1000 - performance.now();
     this.leaseTimer = setTimeout(() => {
       this.endSession();
+      this.renewLease(performance.now());
     }, left);
   }
 
   private endSession(): void {
-    this.killAll();
-    this.session++;
-    this.renewLease(performance.now());
+    for (const timer of this.ends.values()) clearTimeout(timer);
+    this.ends.clear();
+    this.model.endSession();
   }
 
   private async loop(): Promise<void> {
@@ -183,18 +163,20 @@
     const nodes = [...this.nodes()];
     const [, address] = nodes[this.node % nodes.length] ?? ['', ''];
     const sent = performance.now();
-    const session = this.session;
+    const { session } = this.model;
     try {
-      const report = this.report();
+      const report = this.model.report();
       this.sent.push(JSON.stringify(report));
-      const answer = await http.call(address, 'POST', '/hello', report, 1);
+      this.copyLater(http, address, report);
+      const { report: reportTime } = this.fleet.settings;
+      const patience = Math.max(1, reportTime);
+      const answer = await http.call(address, 'POST', '/hello', report, patience);
       if (this.deaf) throw new Error('no answer came');
-      const body = answer.body as { Baton?: number; Orders?: Order[]; Foreman?: string };
-      if (answer.status === 200 && body.Baton !== undefined && body.Baton >= this.token) {
-        if (this.hanging || this.stopped || session !== this.session) return;
-        this.token = body.Baton;
+      const body = answer.body as { Baton?: number; Orders?: WorkerOrder[]; Foreman?: string };
+      if (answer.status === 200 && body.Baton !== undefined && body.Baton >= this.model.token) {
+        if (this.hanging || this.stopped || session !== this.model.session) return;
         this.renewLease(sent);
-        this.carryOut(body.Orders ?? []);
+        this.model.answer(session, body);
         return;
       }
       const named = nodes.findIndex(([label]) => label === body.Foreman);
@@ -203,6 +185,18 @@
       this.node++;
     }
   }
+
+  /** A copy of a report arrives again, perhaps at the next leader. */
+  private copyLater(http: HttpClient, address: string, report: unknown): void {
+    const faults = this.fleet.messageFaults;
+    if (faults === null || faults.random() >= faults.copiedReports) return;
+    const nodes = [...this.nodes().values()];
+    const at = faults.random() < 0.5 ? address : nodes[Math.floor(faults.random() * nodes.length)];
+    if (at === undefined) return;
+    setTimeout(() => {
+      if (!this.stopped) http.call(at, 'POST', '/hello', report, 1).catch(() => undefined);
+    }, faults.delay() * 1000).unref();
+  }
 }
 
 export interface TaskWatch {
@@ -225,6 +219,8 @@
   private readonly asks = new Map<string, string[]>();
   private readonly server = new HttpServer((r) => this.answer(r), options);
   capacity = Infinity;
+  /** What the network does to messages of and to all workers; null: nothing. */
+  messageFaults: MessageFaults | null = null;
   /** Requests for which this says yes are carried out, and their answers get lost. */
   lose: ((path: string) => boolean) | null = null;
 
--- a/test/support/history.ts
+++ b/test/support/history.ts
@@ -6,7 +6,17 @@
 /** What an answer says of a job; an answer that says nothing (503, none at all) is not recorded. */
 export type Told = 'unknown' | 'refused' | 'open' | 'done' | 'cancelled';
 
-export type Rule = 'went_back' | 'forgotten' | 'quota' | 'ran_twice' | 'too_early' | 'orphaned';
+export type Rule =
+  | 'went_back'
+  | 'forgotten'
+  | 'quota'
+  | 'ran_twice'
+  | 'too_early'
+  | 'orphaned'
+  | 'ran_cancelled'
+  | 'not_done'
+  | 'invented'
+  | 'nothing_ran';
 
 export interface Violation {
   rule: Rule;
@@ -54,8 +64,14 @@
   readonly peaks = new Map<string, number>();
 
   /** `limits`: processors that each team's tasks may use at once. */
-  /** Tasks of each job that have run to their end. */
-  private readonly completed = new Map<string, Set<string>>();
+  /** Tasks of each job that have run to their end, and when they first did. */
+  private readonly completed = new Map<string, Map<string, number>>();
+  private hasStarted = false;
+  private readonly neverSubmitted = new Set<string>();
+  /** When a user was first told that a job is done. */
+  private readonly doneAt = new Map<string, number>();
+  /** Tasks that ran for too long after their job was cancelled: each is named once. */
+  private readonly ranCancelled = new Set<string>();
   /** When a user was first told that a job is cancelled. */
   private readonly cancelledAt = new Map<string, number>();
 
@@ -63,8 +79,15 @@
     private readonly limits: ReadonlyMap<string, number>,
     /** Seconds within which what needs a cancelled job has to be cancelled too. */
     private readonly cancelWithin = Infinity,
+    /** Seconds, on the same clock as the times of answers. */
+    private readonly now: () => number = () => performance.now() / 1000,
   ) {}
 
+  /** A job that nobody submits, and about which users ask all the same. */
+  notSubmitted(job: string): void {
+    this.neverSubmitted.add(job);
+  }
+
   submitted(job: string, work: TeamWork): void {
     this.work.set(job, work);
   }
@@ -81,6 +104,10 @@
     if (told === 'cancelled' && !this.cancelledAt.has(question.job)) {
       this.cancelledAt.set(question.job, at);
     }
+    if (told === 'done' && !this.doneAt.has(question.job)) this.doneAt.set(question.job, at);
+    if (this.neverSubmitted.has(question.job) && told !== 'unknown') {
+      this.break('invented', `${question.job} was never submitted, and ${question.node} knows it`);
+    }
     if (told === 'open') this.checkOrphaned(question, at);
     if (told === 'cancelled' && !this.mayBeCancelled(question.job)) {
       this.break('went_back', `${question.job} is called cancelled, and nobody has asked for that`);
@@ -122,7 +149,9 @@
   }
 
   /** A task is on a machine from now on. */
-  started(task: string, machine: string): void {
+  started(task: string, machine: string, at = this.now()): void {
+    this.hasStarted = true;
+    this.checkCancelled(task, machine, at);
     const on = this.machines.get(task) ?? new Set<string>();
     this.machines.set(task, on);
     if (on.has(machine)) return;
@@ -143,9 +172,39 @@
   }
 
   /** It has run to its end. */
-  done(task: string): void {
+  done(task: string, at = this.now()): void {
     const job = jobOf(task);
-    this.completed.set(job, (this.completed.get(job) ?? new Set<string>()).add(task));
+    const tasks = this.completed.get(job) ?? new Map<string, number>();
+    this.completed.set(job, tasks);
+    if (!tasks.has(task)) tasks.set(task, at);
+  }
+
+  /** Looks at everything that runs at this moment. */
+  check(at = this.now()): void {
+    for (const [task, machines] of this.machines) {
+      for (const machine of machines) this.checkCancelled(task, machine, at);
+    }
+  }
+
+  /** What can only be told once all that happened is known. */
+  finish(): void {
+    for (const [job, at] of this.doneAt) {
+      const ended = [...(this.completed.get(job)?.values() ?? [])].filter((end) => end <= at);
+      const tasks = this.work.get(job)?.tasks ?? 0;
+      if (ended.length >= tasks) continue;
+      this.break('not_done', `${job} is called done with ${ended.length} of ${tasks} tasks done`);
+    }
+    if (!this.hasStarted) this.break('nothing_ran', 'no task was started');
+  }
+
+  private checkCancelled(task: string, machine: string, at: number): void {
+    const since = this.cancelledAt.get(jobOf(task));
+    if (since === undefined || at - since <= this.cancelWithin) return;
+    const key = `${task} on ${machine}`;
+    if (this.ranCancelled.has(key)) return;
+    this.ranCancelled.add(key);
+    const late = (at - since).toFixed(1);
+    this.break('ran_cancelled', `${key} ${late} s after its user was told that it is cancelled`);
   }
 
   /** It has exited, or the machine is gone. */
--- a/test/support/rolloutCluster.ts
+++ b/test/support/rolloutCluster.ts
@@ -35,7 +35,7 @@
       ...options,
     });
     for (const label of LABELS) this.cluster.builds.set(label, first);
-    this.users = new TrialUsers(this.cluster, this.random, LARGE);
+    this.users = new TrialUsers(this.cluster, this.random, { extra: () => LARGE });
     this.cluster.cloud.watch = this.users.history;
   }
 
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -33,6 +33,8 @@
   /** Transactions for which this says yes are kept back and get no answer. */
   swallow: ((body: TxnBody) => boolean) | null = null;
   readonly late: TxnBody[] = [];
+  /** Seconds that answers to a client take; `*` means everybody. */
+  readonly slowness = new Map<string, number>();
   /** Clients whose watches are told of nothing. */
   readonly unwatched = new Set<string>();
   writes = 0;
@@ -134,6 +136,8 @@
   private async answer(client: string, request: HttpMessage): Promise<Reply> {
     const url = new URL(request.target, 'http://state');
     if (url.pathname === '/changes') return this.watch(client, url);
+    const slow = Math.max(this.slowness.get(client) ?? 0, this.slowness.get('*') ?? 0);
+    if (slow > 0) await new Promise((resolve) => setTimeout(resolve, slow * 1000));
     if (this.refused.has(client) || this.refused.has('*')) return { status: 503, body: {} };
     this.expire();
     if (url.pathname === '/multi') {
--- a/test/trials/trial.ts
+++ b/test/trials/trial.ts
@@ -48,7 +48,7 @@
       runs: () => 0.2 + lengths() * 1.5,
       ...options,
     });
-    this.users = new TrialUsers(this.cluster, this.random, extra);
+    this.users = new TrialUsers(this.cluster, this.random, { extra: () => extra });
     this.cluster.cloud.capacity = MACHINES;
     this.cluster.cloud.watch = this.users.history;
   }
--- a/test/trials/trialUsers.ts
+++ b/test/trials/trialUsers.ts
@@ -1,7 +1,7 @@
 /** Users of a trial: they submit, ask at all nodes at once, repeat, cancel, and build pipelines. */
 import type { Random } from '../../src/base/random.js';
 import type { Response } from '../../src/transport/httpClient.js';
-import { pause, submission, type Cluster } from '../support/cluster.js';
+import { pause, submission } from '../support/cluster.js';
 import { History, type Question, type Told } from '../support/history.js';
 import { NODES } from './faults.js';
 
@@ -17,12 +17,13 @@
   .join('\n');
 
 const CPUS_PER_TASK = 2;
+/** Seconds after which a service is cancelled. */
+const SERVICE_S = 8;
 const CANCELLED_SHARE = 0.25;
 /** How many stages follow the first job of a pipeline at the most. */
 const MOST_STAGES = 4;
 /** Pipelines whose last stage is submitted only when the others are over. */
 const LATE_SHARE = 0.2;
-/** What the cluster's users are promised of cancellations, and time for an answer to arrive. */
 const CANCEL_WITHIN_S = 5 + 1;
 
 /** What an answer says; null: nothing, ask again. */
@@ -34,19 +35,55 @@
   return status === 'done' || status === 'cancelled' ? status : 'open';
 }
 
+/** Where users ask. */
+export interface UserFronts {
+  call(node: string, method: string, path: string, body?: unknown): Promise<Response>;
+}
+
+export interface UserOptions {
+  /** Fields that a submission has beside those that are drawn for all. */
+  extra: (job: string) => Record<string, unknown>;
+  nodes: number;
+  /** A job has from one to this many tasks. */
+  mostTasks: number;
+  /** What the users are promised of cancellations, and time for an answer to arrive. */
+  cancelWithin: number;
+  limits: ReadonlyMap<string, number>;
+  /** Seconds, by the clock that the checker goes by. */
+  clock: () => number;
+}
+
+const DEFAULTS: UserOptions = {
+  extra: () => ({}),
+  nodes: NODES,
+  mostTasks: 3,
+  cancelWithin: CANCEL_WITHIN_S,
+  limits: LIMITS,
+  clock: () => performance.now() / 1000,
+};
+
 export class TrialUsers {
-  readonly history = new History(LIMITS, CANCEL_WITHIN_S);
+  readonly history: History;
+  private readonly options: UserOptions;
   private readonly accepted = new Set<string>();
   private readonly over = new Set<string>();
   /** Nothing is asked any more. */
   isOver = false;
 
   constructor(
-    private readonly cluster: Cluster,
+    private readonly cluster: UserFronts,
     private readonly random: Random,
-    /** Fields that all submissions have beside those that are drawn. */
-    private readonly extra: Record<string, unknown> = {},
-  ) {}
+    options: Partial<UserOptions> = {},
+  ) {
+    this.options = { ...DEFAULTS, ...options };
+    const { cancelWithin, clock } = this.options;
+    this.history = new History(this.options.limits, cancelWithin, clock);
+  }
+
+  /** How many jobs were accepted. */
+  get acceptedCount(): number {
+    return this.accepted.size;
+  }
 
   /** Accepted jobs of which no final state was told. */
   get unfinished(): string[] {
@@ -54,7 +91,7 @@
   }
 
   private nodeAt(index: number): string {
-    return `drone-${index % NODES}`;
+    return `drone-${index % this.options.nodes}`;
   }
 
   private async ask(
@@ -64,11 +101,11 @@
     path: string,
     body?: unknown,
   ): Promise<Told | null> {
-    const question: Question = { job: id, node, sentAt: performance.now() / 1000 };
+    const question: Question = { job: id, node, sentAt: this.options.clock() };
     try {
       const told = toldBy(await this.cluster.call(node, method, path, body));
       if (told === null || this.isOver) return null;
-      this.history.answered(question, performance.now() / 1000, told);
+      this.history.answered(question, this.options.clock(), told);
       if (told === 'open') this.accepted.add(id);
       if (told === 'done' || told === 'cancelled') this.over.add(id);
       return told;
@@ -81,12 +118,16 @@
   async user(id: string, waitsOn: string[] = []): Promise<void> {
     const draw = this.random();
     const team = draw < 0.6 ? 'crew' : 'guests';
-    const pieces = 1 + Math.floor(this.random() * 3);
-    const cancelAfter = this.random() < CANCELLED_SHARE ? this.random() * 4 : Infinity;
-    const first = Math.floor(this.random() * NODES);
+    const pieces = 1 + Math.floor(this.random() * this.options.mostTasks);
+    const drawn = this.random() < CANCELLED_SHARE ? this.random() * 4 : Infinity;
+    const first = Math.floor(this.random() * this.options.nodes);
     const work = { Owner: team, Pieces: pieces, Cores: CPUS_PER_TASK };
+    const extra = this.options.extra(id);
+    // A service ends when its user cancels it.
+    const isService = extra['Shape'] === 'daemon';
+    const cancelAfter = isService ? Math.min(drawn, SERVICE_S) : drawn;
     const body = submission(id, {
-      ...this.extra,
+      ...extra,
       ...(waitsOn.length === 0 ? work : { ...work, WaitsOn: waitsOn }),
     });
     const began = performance.now();
@@ -108,6 +149,13 @@
     }
   }
 
+  /** Asks at every node about a job that nobody submits. */
+  async askForUnknown(id: string): Promise<void> {
+    this.history.notSubmitted(id);
+    const nodes = Array.from({ length: this.options.nodes }, (_, index) => this.nodeAt(index));
+    await Promise.all(nodes.map((node) => this.ask(id, node, 'GET', `/v1/jobs/${id}`)));
+  }
+
   /** Jobs that need others, each submitted once those are accepted, by a user of its own. */
   async pipeline(first: string): Promise<void> {
     const stages = 1 + Math.floor(this.random() * MOST_STAGES);
@@ -127,7 +175,7 @@
   }
 
   private async askEverywhere(id: string, body: unknown): Promise<void> {
-    const questions = Array.from({ length: NODES }, (_, index) =>
+    const questions = Array.from({ length: this.options.nodes }, (_, index) =>
       this.ask(id, this.nodeAt(index), 'GET', `/v1/jobs/${id}`),
     );
     const repeated = this.accepted.has(id)
