--- /dev/null
+++ b/src/coordination/authority.ts
@@ -0,0 +1,53 @@
+/**
+ * What this node may do for a part at this moment: the one place that weighs ownership, token, lease and grace (safety, O5,
+ * O6, O8). Asked at the last moment before something leaves.
+ */
+import type { Clock } from '../base/clock.js';
+import type { Ownership } from './ownership.js';
+import type { OwnedPart } from './ownedPart.js';
+import type { Peers } from './peers.js';
+
+export interface AuthorityNode {
+  ownership: Pick<Ownership, 'valid' | 'until'>;
+  peers: Pick<Peers, 'hostOf'>;
+  clock: Pick<Clock, 'now'>;
+  /** Seconds after its own lease for which a node goes on answering its workers. */
+  readonly grace: number;
+}
+
+/**
+ * Whether a worker's report gets a 200, which renews its lease. `deposed`: its worker has seen a token above ours; `adopted`: a
+ * peer says that it owns the part; `silent`: an adopter may count on our silence by now.
+ */
+export type AnswerRight =
+  | { kind: 'answer' }
+  | { kind: 'deposed' }
+  | { kind: 'adopted'; owner: string }
+  | { kind: 'silent' };
+
+export class Authority {
+  constructor(private readonly node: AuthorityNode) {}
+
+  /** Work may be started, and anything else that only the owner may do. */
+  mayAct(host: Pick<OwnedPart, 'alive'>): boolean {
+    return host.alive && this.node.ownership.valid;
+  }
+
+  /** Tasks that users have asked to cancel may be ended without a valid lease too: that can't be wrong. */
+  mayEnd(host: Pick<OwnedPart, 'alive'>): boolean {
+    return host.alive;
+  }
+
+  /** `seenToken`: the highest token that the worker has seen. */
+  toAnswer(host: OwnedPart, seenToken: number): AnswerRight {
+    const { ownership, peers, clock, grace } = this.node;
+    // Another owner is entitled now; we would be ignored for as long as we held the worker here.
+    if (seenToken > host.token) return { kind: 'deposed' };
+    // Our own lease has lapsed and a peer says that it has adopted the part: send the worker there,
+    // or it would stay with us, and the adopter would take a healthy machine for a lost one.
+    const told = ownership.valid ? null : peers.hostOf(host.part.label);
+    if (told !== null && told.token > host.token) return { kind: 'adopted', owner: told.label };
+    const isSilent = !host.alive || clock.now() > ownership.until + grace;
+    return isSilent ? { kind: 'silent' } : { kind: 'answer' };
+  }
+}
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -16,6 +16,7 @@
 import type { HttpClient } from '../transport/httpClient.js';
 import { PeerClient } from '../transport/peerLink.js';
 import { Audit } from './audit.js';
+import { Authority } from './authority.js';
 import { ClusterTotals } from './clusterTotals.js';
 import { Commits } from './commits.js';
 import { DecisionRounds } from './decisionRounds.js';
@@ -58,6 +59,7 @@
   readonly state: StateClient;
   readonly ownership: Ownership;
   readonly audit: Audit;
+  readonly authority: Authority;
   readonly commits: Commits;
   readonly peers: Peers;
   readonly parts: string[];
@@ -108,6 +110,7 @@
     this.drain = new Drain(this.ownership);
     this.commits = this.createCommits();
     this.peers = this.createPeers();
+    this.authority = new Authority(this);
     this.rollout = modules === null ? null : new modules.RolloutService(this, rolloutSetup);
     this.sender = new Sender(this);
     this.orders = new Orders(this);
--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -91,6 +91,8 @@
     private record: MachineRecord,
     private readonly types: () => Map<string, MachineType>,
     now: number,
+    /** Whether a start of the task may leave. */
+    private readonly mayStart: (task: string, now: number) => boolean = () => true,
   ) {
     this.renewed = now;
     this.address = record.address ?? '';
@@ -200,6 +202,11 @@
     return this.room;
   }
 
+  /** Attempts that run here, and of which the part knows nothing. */
+  get strangers(): TaskReport[] {
+    return this.reported.all.filter((report) => this.isStranger(report));
+  }
+
   /** An attempt that is there, and not by our word. */
   private isStranger({ task, attempt, state }: TaskReport): boolean {
     return state !== 'ended' && this.placed.get(task)?.entry.attempt !== attempt;
@@ -313,7 +320,7 @@
         if (due === null) continue;
         const order: Order = { verb: 'halt', task, attempt, wind: due.wind };
         yield { order, firstStop: due.isLate ? null : stop };
-      } else if (here === undefined && chunk.isDurable(entry) && !entry.seen && !entry.isAdopted) {
+      } else if (here === undefined && isStartDue(chunk, entry) && this.mayStart(task, now)) {
         yield { order: { verb: 'start', task, attempt }, firstStop: null };
       }
     }
@@ -322,6 +329,10 @@
 
 type Stop = NonNullable<Entry['stop']>;
 
+/** It is stored, and by us; no report has shown it yet. */
+const isStartDue = (chunk: Chunk, entry: Entry): boolean =>
+  chunk.isDurable(entry) && !entry.seen && !entry.isAdopted;
+
 /** An order that is due now. */
 interface Command {
   order: Order;
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -10,6 +10,7 @@
 import { TurnQueue } from '../transport/turnQueue.js';
 import { CallFailed, type HttpClient } from '../transport/httpClient.js';
 import type { Audit, CommandOutcome, OrderRoute } from './audit.js';
+import type { Authority } from './authority.js';
 import type { Chunk } from './chunk.js';
 import { restamp, type OwnedPart } from './ownedPart.js';
 import type { Machine } from './machine.js';
@@ -29,6 +30,7 @@
   clock: Pick<Clock, 'now'>;
   links: { machines: Pick<HttpClient, 'call'> };
   ownership: Pick<Ownership, 'valid' | 'raise' | 'until'>;
+  authority: Pick<Authority, 'mayAct' | 'mayEnd'>;
   audit: Audit;
   ownedParts: ReadonlyMap<string, OwnedPart>;
   requestRound(): void;
@@ -70,7 +72,7 @@
         if (machine.inFlight || machine.address === '') continue;
         host.part.pendingCommands.delete(machine);
         // Questions go on until it answers one; orders meanwhile would only hold sockets.
-        if (machine.isUnresponsive || !this.isDue(machine)) continue;
+        if (machine.isUnresponsive || !this.isDue(host, machine)) continue;
         this.turns.add(() => {
           void this.command(host, machine);
         }, true);
@@ -79,20 +81,20 @@
   }
 
   /** Without a valid lease only the ends that users have asked for may be sent: those can't be wrong. */
-  private isDue(machine: Machine): boolean {
-    if (!this.node.ownership.valid) return machine.endings().length > 0;
+  private isDue(host: OwnedPart, machine: Machine): boolean {
+    if (!this.node.authority.mayEnd(host)) return false;
+    if (!this.node.authority.mayAct(host)) return machine.endings().length > 0;
     return machine.needsCommand(this.node.clock.now(), this.node.settings.report * 1.5);
   }
 
   private async command(host: OwnedPart, machine: Machine): Promise<void> {
-    if (!host.alive) return;
     if (machine.inFlight) {
       host.part.pendingCommands.add(machine);
       return;
     }
     const { report } = this.node.settings;
-    if (!this.isDue(machine)) return;
-    const orders: Order[] = this.node.ownership.valid
+    if (!this.isDue(host, machine)) return;
+    const orders: Order[] = this.node.authority.mayAct(host)
       ? machine.orders(true, this.node.clock.now(), report * 1.5)
       : machine.endings();
     const { token } = host;
@@ -104,7 +106,7 @@
     for (const entry of started) entry.doubt.noteSent(token);
     this.noteSent(host, machine, orders, 'command');
     machine.inFlight = true;
-    const { outcome, report: answered } = await this.exchange(machine, token, orders);
+    const { outcome, report: answered } = await this.exchange(host, machine, orders);
     machine.inFlight = false;
     for (const entry of started) entry.doubt.noteOutcome(token, outcome);
     this.noteOutcome(host, token, machine, orders, outcome);
@@ -114,7 +116,7 @@
       const told = host.part.reports.apply(machine, answered, now, 'answer');
       if (told === 'news') this.node.requestRound();
     }
-    if (host.alive && this.isDue(machine)) {
+    if (this.isDue(host, machine)) {
       setTimeout(
         () => {
           host.part.pendingCommands.add(machine);
@@ -127,15 +129,20 @@
 
   /** Sends orders; what became of them, and the report that came back. */
   private async exchange(
+    host: OwnedPart,
     { address, session, name }: Machine,
-    token: number,
     orders: Order[],
   ): Promise<{ outcome: CommandOutcome; report: Report | null }> {
-    const { links, settings } = this.node;
-    const body = ordersRequest(token, session, orders);
+    const { links, settings, authority } = this.node;
+    const body = ordersRequest(host.token, session, orders);
+    const startsWork = orders.some(({ verb }) => verb === 'start');
+    const mayLeave = (): boolean => (startsWork ? authority.mayAct(host) : authority.mayEnd(host));
     const target = workerPaths.orders;
     try {
-      const answer = await links.machines.call(address, 'POST', target, body, settings.report / 2);
+      const patience = settings.report / 2;
+      const answer = await links.machines.call(
+        ...[address, 'POST', target, body, patience, mayLeave],
+      );
       return { outcome: outcomeOf(answer.status), report: parseReport(answer.body) };
     } catch (error) {
       log.debug(`orders to ${name}: ${describe(error)}`);
@@ -146,7 +153,10 @@
 
   /** Notes orders that are about to leave, and under which right. */
   noteSent(host: OwnedPart, machine: Machine, orders: Order[], route: OrderRoute): void {
-    const { ownership, clock } = this.node;
+    const { ownership, clock, authority } = this.node;
+    if (orders.some(({ verb }) => verb === 'start') && !authority.mayAct(host)) {
+      host.part.noteBroken('start-without-right', `${listOrders(orders)} to ${machine.name}`);
+    }
     this.node.audit.note({
       event: 'orders-sent',
       part: host.part.label,
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -7,7 +7,7 @@
 import { rankOrder } from '../protocol/job.js';
 import type { ChunkRecord, MachineRecord } from '../storage/records.js';
 import { AttemptOver } from './attemptOver.js';
-import { Audit } from './audit.js';
+import { Audit, type Invariant } from './audit.js';
 import { byOrder, Chunk, type Entry } from './chunk.js';
 import type { RunTimes } from './estimate.js';
 import { Machine, type Placed } from './machine.js';
@@ -16,6 +16,7 @@
 import { ReportIntake } from './reportIntake.js';
 import { Scheduler } from './scheduler.js';
 import { StartDoubt } from './startDoubt.js';
+import { Strangers } from './strangers.js';
 import { singlePartView, TeamUsage, type ClusterView } from './teamUsage.js';
 import { WaitEstimates } from './waitEstimates.js';
 
@@ -44,10 +45,13 @@
   readonly reports: ReportIntake;
   readonly liveness: Liveness;
   readonly scheduler: Scheduler;
+  readonly strangers = new Strangers();
+  /** Tasks whose start is held back, as noted in the audit trail. */
+  private readonly heldBack = new Set<string>();
 
   constructor(
     readonly label: string,
-    options: PartOptions,
+    private readonly options: PartOptions,
     private readonly types: () => Map<string, MachineType>,
     runTimes: RunTimes,
     random: Random,
@@ -71,7 +75,8 @@
       known.learn(record);
       return known;
     }
-    const machine = new Machine(name, record, this.types, now);
+    const mayStart = (task: string, at: number): boolean => this.mayStart(task, at);
+    const machine = new Machine(name, record, this.types, now, mayStart);
     machine.renewed = renewed;
     this.machines.set(name, machine);
     this.estimates.invalidate();
@@ -83,12 +88,34 @@
     const machine = this.machines.get(name);
     if (machine === undefined) return;
     this.machines.delete(name);
+    this.strangers.forget(machine);
     this.estimates.invalidate();
     this.pendingCommands.delete(machine);
     const over = AttemptOver.byRemoval(now);
     for (const placed of [...machine.entries.values()]) this.release(machine, placed, over, now);
   }
 
+  /** Not while another attempt of the task runs on a machine of the part: then what we know is wrong, and it waits. */
+  private mayStart(task: string, now: number): boolean {
+    const holder = this.strangers.holderOf(
+      task,
+      (machine) => AttemptOver.byLease(machine, this.options, now) === null,
+    );
+    if (holder === null) {
+      this.heldBack.delete(task);
+      return true;
+    }
+    if (!this.heldBack.has(task)) {
+      this.heldBack.add(task);
+      this.noteBroken('start-beside-live-attempt', `${task} runs on ${holder.name} as well`);
+    }
+    return false;
+  }
+
+  noteBroken(invariant: Invariant, detail: string): void {
+    this.audit.note({ event: 'invariant-broken', invariant, part: this.label, detail });
+  }
+
   /** The chunks of a job that are here; any of them may be at other parts. */
   chunksOf(job: string): Chunk[] {
     return [...(this.byJob.get(job) ?? [])];
@@ -111,6 +138,10 @@
       rule: over.rule,
       evidenceAge: now - over.evidenceAt,
     });
+    // A worker forgets what it has shown us only by our reap, or with its session.
+    if (over.rule === 'absent' && !entry.isAdopted) {
+      this.noteBroken('attempt-vanished', `${chunk.taskName(entry.task)} at ${machine.name}`);
+    }
     if (chunk.entries.delete(entry.task) && !chunk.dropped) this.teams.add(chunk.spec, -1);
     machine.drop(chunk.taskName(entry.task));
     if (machine.entries.size === 0) machine.idleSince = now;
--- a/src/coordination/reportIntake.ts
+++ b/src/coordination/reportIntake.ts
@@ -31,7 +31,7 @@
   constructor(
     private readonly part: Pick<
       Part,
-      'chunks' | 'chunksOf' | 'changed' | 'pendingCommands' | 'release' | 'stop'
+      'chunks' | 'chunksOf' | 'changed' | 'pendingCommands' | 'release' | 'stop' | 'strangers'
     >,
     private readonly options: Pick<PartOptions, 'lease' | 'report'>,
     private readonly runTimes: RunTimes,
@@ -63,6 +63,7 @@
     for (const placed of [...machine.entries.values()]) {
       this.settle(machine, placed, isHello, now);
     }
+    if (changed) this.part.strangers.note(machine);
     this.claimOrphans(machine, now);
     // A worker's lease counts from when its session began, also one that reaches no controller and only answers.
     if (isFirstOfSession && machine.entries.size === 0)
--- /dev/null
+++ b/src/coordination/strangers.ts
@@ -0,0 +1,35 @@
+/**
+ * Attempts that run on machines of a part and that the part does not know: each is ended as soon as it is seen. A task of
+ * which such an attempt runs is started nowhere else meanwhile (safety, T18).
+ */
+import type { Machine } from './machine.js';
+
+export class Strangers {
+  private readonly tasksOn = new Map<Machine, string[]>();
+  private readonly machinesOf = new Map<string, Set<Machine>>();
+
+  /** Takes in what the machine's worker has just reported. */
+  note(machine: Machine): void {
+    this.forget(machine);
+    const tasks = machine.strangers.map(({ task }) => task);
+    if (tasks.length === 0) return;
+    this.tasksOn.set(machine, tasks);
+    for (const task of tasks) {
+      this.machinesOf.set(task, (this.machinesOf.get(task) ?? new Set()).add(machine));
+    }
+  }
+
+  forget(machine: Machine): void {
+    for (const task of this.tasksOn.get(machine) ?? []) {
+      const machines = this.machinesOf.get(task);
+      if (machines?.delete(machine) === true && machines.size === 0) this.machinesOf.delete(task);
+    }
+    this.tasksOn.delete(machine);
+  }
+
+  /** A machine that was last seen with such an attempt, and whose worker's lease may not be over. */
+  holderOf(task: string, mayBeAlive: (machine: Machine) => boolean): Machine | null {
+    for (const machine of this.machinesOf.get(task) ?? []) if (mayBeAlive(machine)) return machine;
+    return null;
+  }
+}
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -62,29 +62,20 @@
   private answer(host: OwnedPart, report: Report, follows: boolean): Reply {
     const { node } = this;
     const now = node.clock.now();
-    // The worker has seen a token above ours: another owner is entitled now, and would be ignored
-    // for as long as we held the worker here.
-    if (report.token > host.token) {
+    const right = node.authority.toAnswer(host, report.token);
+    if (right.kind === 'deposed') {
       void node.ownership.verifyOwner(host.part.label).catch(() => undefined);
-      return elsewhere(null);
     }
-    // Our own lease has lapsed and a peer says that it has adopted the part: send the worker there,
-    // or it would stay with us, and the adopter would take a healthy machine for a lost one.
-    const told = node.ownership.valid ? null : node.peers.hostOf(host.part.label);
-    if (told !== null && told.token > host.token) {
-      return elsewhere(told.label);
-    }
-    // Our lease has long run out: an adopter may count on our silence.
-    if (now > node.ownership.until + node.grace) return elsewhere(null);
+    if (right.kind !== 'answer') return elsewhere(right.kind === 'adopted' ? right.owner : null);
     const machine = host.part.machines.get(report.machine);
     if (machine === undefined) return elsewhere(null);
     const says = host.part.reports.apply(machine, report, now, follows ? 'follow' : 'report');
     const newer = says !== 'older';
     if (needsProbe(machine, report, host.token)) void node.orders.probe(host, machine);
-    const valid = node.ownership.valid;
+    const mayAct = node.authority.mayAct(host);
     const { report: reportTime } = node.settings;
     const orders =
-      newer && valid ? machine.answerOrders(now, reportTime * 1.5, reportTime) : machine.endings();
+      newer && mayAct ? machine.answerOrders(now, reportTime * 1.5, reportTime) : machine.endings();
     for (const order of orders) {
       const placed = order.verb === 'start' ? machine.entries.get(order.task) : undefined;
       if (placed !== undefined) placed.entry.sentInAnswer = true;
--- a/src/transport/httpClient.ts
+++ b/src/transport/httpClient.ts
@@ -29,6 +29,22 @@
   }
 }
 
+/**
+ * Asked once the connection is up, just before the first byte leaves: this process may have stood still since the call, and
+ * its right to what it asks for have ended.
+ */
+export type MayLeave = () => boolean;
+
+const always: MayLeave = () => true;
+
+/** A request that waits for its connection. */
+interface Outgoing {
+  text: string;
+  /** Seconds. */
+  timeout: number;
+  mayLeave: MayLeave;
+}
+
 const RESPONSE_LIMIT = 64 * 1024 * 1024;
 
 /** Keeps a few idle connections a host; one request at a time on each. */
@@ -49,13 +65,14 @@
     target: string,
     body: unknown,
     timeout: number,
+    mayLeave: MayLeave = always,
   ): Promise<Response> {
     const text = body === undefined ? '' : JSON.stringify(body);
     const head =
       `${method} ${target} HTTP/1.1\r\nHost: ${endpoint}\r\n` +
       (text === '' ? '' : 'Content-Type: application/json\r\n') +
       `Content-Length: ${Buffer.byteLength(text)}\r\n\r\n`;
-    const message = await this.exchange(endpoint, head + text, timeout);
+    const message = await this.exchange(endpoint, { text: head + text, timeout, mayLeave });
     let parsed: unknown = null;
     try {
       parsed = message.body === '' ? null : JSON.parse(message.body);
@@ -66,13 +83,13 @@
     return { status: message.status, body: parsed, retryAfter: retry > 0 ? retry : null };
   }
 
-  private exchange(endpoint: string, text: string, timeout: number): Promise<HttpMessage> {
+  private exchange(endpoint: string, request: Outgoing): Promise<HttpMessage> {
     const kept = this.idle.get(endpoint)?.pop();
     if (kept !== undefined) {
       clearTimeout(kept.timer);
       // Not `close`: that listener keeps the count of open sockets.
       for (const event of ['data', 'error', 'end']) kept.socket.removeAllListeners(event);
-      if (!kept.socket.destroyed) return this.send(endpoint, kept.socket, text, timeout, true);
+      if (!kept.socket.destroyed) return this.send(endpoint, kept.socket, request, true);
     }
     if (this.open >= this.maxOpen && !this.evict()) {
       return Promise.reject(new CallFailed('too many open connections', true, true));
@@ -84,7 +101,7 @@
     socket.once('close', () => {
       if (!this.evicted.delete(socket)) this.open--;
     });
-    return this.send(endpoint, socket, text, timeout, false);
+    return this.send(endpoint, socket, request, false);
   }
 
   /**
@@ -106,8 +123,7 @@
   private send(
     endpoint: string,
     socket: net.Socket,
-    text: string,
-    timeout: number,
+    { text, timeout, mayLeave }: Outgoing,
     connected: boolean,
   ): Promise<HttpMessage> {
     return new Promise((resolve, reject) => {
@@ -157,13 +173,13 @@
         if (message !== null) finish(message);
         else fail('connection closed');
       });
-      if (connected) socket.write(text);
-      else {
-        socket.once('connect', () => {
-          sent = true;
-          socket.write(text);
-        });
-      }
+      const start = (): void => {
+        sent = connected || mayLeave();
+        if (sent) socket.write(text);
+        else fail('no longer allowed');
+      };
+      if (connected) start();
+      else socket.once('connect', start);
     });
   }
 
--- a/test/audit.test.ts
+++ b/test/audit.test.ts
@@ -22,15 +22,16 @@
   );
 });
 
-for (const { name, end, rule } of [
+for (const { name, end, rule, broken = {} } of [
   {
     name: 'its worker reports the end',
     rule: 'ended',
     end: (b: Bench) => b.report(b.machineOf('n-1'), [{ state: 'ended', cause: 'halted' }]),
   },
   {
-    name: 'it is in no report any more',
+    name: 'it is in no report any more, which its worker owes us an end for',
     rule: 'absent',
+    broken: { 'invariant-broken.attempt-vanished': 1 },
     end: (b: Bench) => b.report(b.machineOf('n-1'), []),
   },
   {
@@ -58,7 +59,7 @@
     const b = new Bench();
     b.running(b.machine());
     end(b);
-    assert.deepEqual(b.part.audit.counters, { [`attempt-over.${rule}`]: 1 });
+    assert.deepEqual(b.part.audit.counters, { [`attempt-over.${rule}`]: 1, ...broken });
   });
 }
 
--- a/test/costs.test.ts
+++ b/test/costs.test.ts
@@ -137,6 +137,7 @@
     clock: { now: () => 1 },
     links: { machines: { call } },
     audit: new Audit('drone-0', () => 0),
+    authority: { mayAct: () => true, mayEnd: () => true },
     ownership: { valid: true, until: Infinity, raise: () => Promise.resolve(null) },
     ownedParts: new Map([['p', ownPart(part, { token: 1, stamp: 1 }, 0)]]),
     requestRound: () => undefined,
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -1,10 +1,18 @@
 import assert from 'node:assert/strict';
 import net from 'node:net';
 import { test } from 'node:test';
-import { HttpClient } from '../src/transport/httpClient.js';
+import { CallFailed, HttpClient } from '../src/transport/httpClient.js';
 import { HttpError, HttpParser } from '../src/transport/httpParser.js';
 import { HttpServer } from '../src/transport/httpServer.js';
 
+const SMALL_SERVER = {
+  bodyLimit: 10,
+  maxConnections: 10,
+  maxInFlight: 5,
+  requestTimeout: 5,
+  idleTimeout: 60,
+};
+
 const post = 'POST /v1/jobs HTTP/1.1\r\nHost: x\r\n';
 const good: { name: string; input: string; bodies: string[]; keepAlive?: boolean }[] = [
   { name: 'no body', input: 'GET /a HTTP/1.1\r\n\r\n', bodies: [''], keepAlive: true },
@@ -90,13 +98,10 @@
 }
 
 test('the server answers, keeps connections, closes when asked and survives bad input', async () => {
-  const server = new HttpServer(
-    (request) => {
-      if (request.target === '/fail') throw new Error('broken');
-      return Promise.resolve({ status: 200, body: { got: request.body } });
-    },
-    { bodyLimit: 10, maxConnections: 10, maxInFlight: 5, requestTimeout: 5, idleTimeout: 60 },
-  );
+  const server = new HttpServer((request) => {
+    if (request.target === '/fail') throw new Error('broken');
+    return Promise.resolve({ status: 200, body: { got: request.body } });
+  }, SMALL_SERVER);
   const port = await server.listen({ host: '127.0.0.1', port: 0 });
   try {
     const two = await exchange(
@@ -250,3 +255,23 @@
     }
   });
 }
+
+test('a request whose right has ended by the time that its connection is up is never sent', async () => {
+  let requests = 0;
+  const server = new HttpServer(() => {
+    requests++;
+    return Promise.resolve({ status: 200, body: {} });
+  }, SMALL_SERVER);
+  const port = await server.listen({ host: '127.0.0.1', port: 0 });
+  const client = new HttpClient(2, 1);
+  const ask = (mayLeave: () => boolean): Promise<unknown> =>
+    client.call(`127.0.0.1:${port}`, 'POST', '/', {}, 5, mayLeave);
+  await assert.rejects(
+    ask(() => false),
+    (error) => error instanceof CallFailed && error.unsent,
+  );
+  assert.equal(requests, 0);
+  await ask(() => true);
+  assert.equal(requests, 1);
+  server.close();
+});
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Audit } from '../src/coordination/audit.js';
+import { Authority } from '../src/coordination/authority.js';
 import { ownPart } from '../src/coordination/ownedPart.js';
 import { Chunk } from '../src/coordination/chunk.js';
 import { Orders, type OrdersNode } from '../src/coordination/orders.js';
@@ -36,6 +37,7 @@
     },
     ownership,
     audit: new Audit('drone-0', () => 0),
+    authority: new Authority({ ownership, peers: { hostOf: () => null }, clock, grace: 36 }),
     ownedParts: new Map([['p', host]]),
     requestRound: () => undefined,
   };
--- a/test/startDoubt.test.ts
+++ b/test/startDoubt.test.ts
@@ -229,3 +229,41 @@
     assert.deepEqual(b.verbs(machine), verbs, name);
   }
 });
+
+test('a start waits while another attempt of its task runs on a machine of the part', async () => {
+  const b = new CommandBench();
+  const first = b.machine('n-1');
+  const second = b.machine('n-2');
+  first.leaving = true;
+  const chunk = b.bench.chunk();
+  b.place(chunk);
+  // An attempt that nobody knows of: it is ended at once, and until that is seen ours does not start.
+  b.worker(first).command({
+    Baton: TOKEN,
+    Shift: 1,
+    Orders: [{ Verb: 'start', Piece: TASK, Try: 7 }],
+  });
+  b.hello(first);
+  await b.send(second);
+  assert.equal(b.worker(second).running.length, 0);
+  assert.equal(b.bench.part.audit.counters['invariant-broken.start-beside-live-attempt'], 1);
+  await b.send(first);
+  await b.send(second);
+  assert.equal(b.worker(second).running.length, 1, 'its end was seen');
+  assert.deepEqual(b.ranTwice, []);
+});
+
+test('a start waits no longer than the lease of a machine with another attempt', async () => {
+  const b = new CommandBench();
+  const first = b.machine('n-1');
+  const second = b.machine('n-2');
+  first.leaving = true;
+  const chunk = b.bench.chunk();
+  b.place(chunk);
+  b.bench.report(first, [{ attempt: 7 }], { tick: 50 });
+  await b.send(second);
+  assert.equal(b.worker(second).running.length, 0);
+  b.bench.now += 30;
+  await b.send(second);
+  assert.equal(b.worker(second).running.length, 1);
+});
--- a/test/support/commandBench.ts
+++ b/test/support/commandBench.ts
@@ -29,6 +29,8 @@
   readonly raises: (Held | null)[] = [];
   /** What becomes of the commands to come, one after the other; after that all arrive. */
   readonly passages: Passage[] = [];
+  /** Whether this node may start work. */
+  mayAct = true;
   private readonly workers = new Map<string, WorkerModel>();
   private readonly held: (() => void)[] = [];
   private readonly machinesOf = new Map<string, Set<string>>();
@@ -45,6 +47,7 @@
         until: Infinity,
         raise: () => Promise.resolve(this.raises.shift() ?? null),
       },
+      authority: { mayAct: () => this.mayAct, mayEnd: () => true },
       audit: new Audit('drone-0', () => bench.now),
       ownedParts: new Map([['p', this.host]]),
       requestRound: () => undefined,
