--- a/test/rolloutCli.test.ts
+++ b/test/rolloutCli.test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, test } from 'node:test';
+import { VERSION } from '../src/base/version.js';
 import { rolloutKeys, type DriverRecord } from '@barrowlb/rollout';
 import { buildWithFeatures, Cluster, presentBuild, until } from './support/cluster.js';
 import { loneSettings, run, runUntilEnd, type Ran } from './support/commandLine.js';
@@ -141,7 +142,8 @@
     const plan = file(
       'plan.properties',
       [
-        ...['rollout = restart', `order = ${LABELS.join(', ')}`, ...addresses, 'version = 0.4.0'],
+        ...['rollout = restart', `order = ${LABELS.join(', ')}`, ...addresses],
+        `version = ${VERSION}`,
         // The controllers are in this process: the command only says whose turn it is.
         ...[`command = ${process.execPath} -e process.exit(0)`, 'soak = 0', 'permit.ttl = 2'],
       ].join('\n'),
--- /dev/null
+++ b/test/soak.test.ts
@@ -0,0 +1,172 @@
+/** The soak's own parts: what a seed draws, what its links do to bytes, which lines make it fail, and its command line. */
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import net from 'node:net';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { parseArguments, UsageError } from './soak/commandLine.js';
+import { fieldsOf, kindOfJob, runTime } from './soak/jobKinds.js';
+import { drawPlan, secondsOf } from './soak/plan.js';
+import { SoakLog } from './soak/soakLog.js';
+import { until } from './support/cluster.js';
+import { Link } from './support/link.js';
+
+const SEEDS = Array.from({ length: 60 }, (_, index) => index + 1);
+
+test('a seed draws the same plan each time, and other seeds draw others', () => {
+  for (const size of ['ci', 'usual', 'large'] as const) {
+    assert.deepEqual(drawPlan(7, size), drawPlan(7, size));
+    assert.notDeepEqual(drawPlan(7, size).strikes, drawPlan(8, size).strikes);
+  }
+});
+
+test('over some seeds every fault is drawn, and no more strike at once than a cluster is meant to bear', () => {
+  const kinds = new Set<string>();
+  const flags = new Set<string>();
+  for (const seed of SEEDS) {
+    const { strikes, nodes, troubled, skewMs } = drawPlan(seed, 'usual');
+    assert.ok(nodes.length >= 3 && nodes.length <= 5);
+    assert.ok(Object.values(skewMs).every((skew) => Math.abs(skew) <= 100));
+    for (const { at, strike } of strikes) {
+      kinds.add(strike.kind);
+      if (strike.kind === 'machines') flags.add(strike.flag);
+      assert.ok(at >= 2 && at <= troubled);
+      const others = strikes.filter((s) => s.at < at && s.at + secondsOf(s.strike) > at);
+      assert.ok(others.length <= 3, `seed ${seed}: ${others.length} others at ${at}`);
+    }
+  }
+  assert.equal(kinds.size, 15);
+  assert.equal(flags.size, 5);
+});
+
+test('what a job is can be told from its id alone', () => {
+  const kinds: [string, string][] = [
+    ['wk-001000', 'array'],
+    ['wk-001008', 'gang'],
+    ['wk-001004', 'service'],
+    ['wk-001009', 'service'],
+    ['wk-001009-1', 'array'],
+  ];
+  for (const [job, kind] of kinds) assert.equal(kindOfJob(job), kind, job);
+  assert.equal(runTime('wk-001009/0', 1, 5), Infinity);
+  const time = runTime('wk-001000/0', 1, 5);
+  assert.equal(time, runTime('wk-001000/0', 1, 5));
+  assert.ok(time >= 0.2 && time <= 5.2);
+  assert.equal(fieldsOf('wk-001009')['Shape'], 'daemon');
+});
+
+test('lines that make a soak fail', () => {
+  for (const [line, fails] of [
+    ['error unhandled: x is not a function', true],
+    ['error audit at=1 node=drone-0 event=invariant-broken invariant=attempt-vanished', true],
+    ['error loop: TypeError', true],
+    ['info part drone-0 is no longer ours', false],
+  ] as const) {
+    const log = new SoakLog();
+    log.add('drone-0', line);
+    assert.equal(log.failures.length, fails ? 1 : 0, line);
+    assert.match(log.merged, /^\d+\.\d{3} drone-0 /);
+  }
+});
+
+/** A server that keeps what it is sent, and a link to it. */
+async function linked(): Promise<{ got: string[]; link: Link; port: number; close(): void }> {
+  const got: string[] = [];
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (data) => got.push(String(data)));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port: own } = server.address() as net.AddressInfo;
+  const link = new Link(() => `127.0.0.1:${own}`);
+  const address = await link.listen();
+  return {
+    got,
+    link,
+    port: Number(address.split(':')[1]),
+    close: () => {
+      link.close();
+      server.close();
+    },
+  };
+}
+
+const connect = async (port: number): Promise<net.Socket> => {
+  const socket = net.connect({ host: '127.0.0.1', port });
+  socket.on('error', () => undefined);
+  await new Promise<void>((resolve) => socket.once('connect', resolve));
+  return socket;
+};
+
+test('what a link holds is delivered in order at the end, also when its sender has given up', async () => {
+  const { got, link, port, close } = await linked();
+  const socket = await connect(port);
+  socket.write('a');
+  await until('the first arrives', () => got.join('') === 'a');
+  link.set({ holdsForward: true });
+  socket.write('b');
+  socket.write('c');
+  socket.end();
+  // What was begun meanwhile and given up never arrives.
+  const late = await connect(port);
+  late.write('x');
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  late.destroy();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(got.join(''), 'a');
+  link.heal();
+  await until('what was held arrives', () => got.join('') === 'abc');
+  close();
+});
+
+test('a link that refuses new connections keeps those that are up, and accepts again at its address', async () => {
+  const { got, link, port, close } = await linked();
+  const socket = await connect(port);
+  link.refuseNew();
+  const refused = net.connect({ host: '127.0.0.1', port });
+  await new Promise<void>((resolve) => refused.once('error', () => resolve()));
+  socket.write('a');
+  await until('the open one goes on', () => got.join('') === 'a');
+  await link.acceptNew();
+  (await connect(port)).write('b');
+  await until('new ones come up', () => got.join('') === 'ab');
+  link.set({ isRefusing: true });
+  await until('a broken link drops what is open', () => socket.destroyed || !socket.writable);
+  close();
+});
+
+const goodArguments: [string[], Partial<ReturnType<typeof parseArguments>>][] = [
+  [['--seeds', '3'], { first: 3, last: 3, size: 'usual', jobs: 1 }],
+  [['--seeds', '1..50', '--jobs', '4'], { first: 1, last: 50, jobs: 4 }],
+  [['--seeds=2..4', '--size=large'], { first: 2, last: 4, size: 'large' }],
+];
+for (const [args, expected] of goodArguments) {
+  test(`soak arguments: ${args.join(' ')}`, () => {
+    const parsed = parseArguments(args);
+    assert.deepEqual({ ...parsed, ...expected }, parsed);
+  });
+}
+
+for (const args of [
+  [],
+  ['--seeds', 'all'],
+  ['--seeds', '9..2'],
+  ['--seeds', '1..99999'],
+  ['--seeds', '1', '--jobs', '0'],
+  ['--seeds', '1', '--jobs', '9'],
+  ['--seeds', '1', '--size', 'huge'],
+  ['--seeds', '1', '--log', 'all'],
+  ['--seeds', '1', '--sed', '2'],
+  ['1..3'],
+]) {
+  test(`soak arguments refused: ${args.join(' ')}`, () => {
+    assert.throws(() => parseArguments(args), UsageError);
+  });
+}
+
+test('a bad argument ends the command with usage and exit code 2', () => {
+  const program = join(import.meta.dirname, 'soak/main.js');
+  const { status, stderr } = spawnSync(process.execPath, [program, '--seeds', 'x']);
+  assert.equal(status, 2);
+  assert.match(String(stderr), /usage: npm run soak/);
+});
--- a/test/soak/fleetMain.ts
+++ b/test/soak/fleetMain.ts
@@ -19,7 +19,7 @@
 let nodes = new Map<string, string>();
 const runs = (task: string): number => runTime(task, plan.seed, plan.longest);
 const { report, lease } = plan;
-const cloud = new CloudStandIn({ report, lease, runs }, () => nodes, plan.zones);
+const cloud = new CloudStandIn({ report, lease, runs, isLinked: true }, () => nodes, plan.zones);
 cloud.capacity = plan.capacity;
 
 const tell = (kind: TaskEvent['kind'], task: string, machine: string): void => {
--- a/test/soak/messages.ts
+++ b/test/soak/messages.ts
@@ -1,6 +1,6 @@
 /** What the soak's main process and its stand-in processes tell each other. */
 
-export type MachineFlag = 'hanging' | 'deaf' | 'cutOff' | 'holdsCommands';
+export type MachineFlag = 'hanging' | 'deaf' | 'cutOff' | 'holdsCommands' | 'cutIn';
 
 /** Asked of the process with the state service. */
 export type StateRequest =
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -57,7 +57,7 @@
 /** The settings' bound on clocks. */
 export const SKEW_MS = 100;
 
-const FLAGS: readonly MachineFlag[] = ['hanging', 'deaf', 'cutOff', 'holdsCommands'];
+const FLAGS: readonly MachineFlag[] = ['hanging', 'deaf', 'cutOff', 'holdsCommands', 'cutIn'];
 
 /** Faults at once, at the most. */
 const MOST_AT_ONCE = 3;
@@ -134,13 +134,19 @@
 const LATE_AND_SLOW_SHARE = 0.2;
 
 /**
- * What strikes at one moment. Late commands while the state service is slow are drawn together: a start in doubt is settled
+ * What strikes at one moment. Late commands, or a cut on their way, while the state service is slow are drawn together: a start in doubt is settled
  * by a change of the store, and what goes wrong before that needs both.
  */
 function drawMeeting(random: Random, base: Base): Strike[] {
   if (random() >= LATE_AND_SLOW_SHARE) return [drawStrike(random, base)];
   const seconds = base.lease * 2;
   const delay = base.report * (0.4 + random() * 0.8);
+  if (random() < 0.5) {
+    return [
+      { kind: 'machines', flag: 'cutIn', share: 0.5, seconds: base.lease * (0.4 + random()) },
+      { kind: 'state-slow', node: '*', seconds, delay },
+    ];
+  }
   return [
     { kind: 'messages', lateCommands: 0.5, copiedReports: 0.1, seconds },
     { kind: 'state-slow', node: '*', seconds, delay },
--- a/test/soak/soakCluster.ts
+++ b/test/soak/soakCluster.ts
@@ -6,7 +6,7 @@
 import { until } from '../support/cluster.js';
 import type { UserFronts } from '../trials/trialUsers.js';
 import { ControllerProcess } from './controllerProcess.js';
-import { Link } from './link.js';
+import { Link } from '../support/link.js';
 import type { FleetPlan, FleetRequest, StateRequest, TaskEvent } from './messages.js';
 import { SKEW_MS, type SoakPlan } from './plan.js';
 import type { SoakLog } from './soakLog.js';
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -2,6 +2,7 @@
 import { HttpClient } from '../../src/transport/httpClient.js';
 import { HttpServer, type Reply } from '../../src/transport/httpServer.js';
 import type { HttpMessage } from '../../src/transport/httpParser.js';
+import { Link } from './link.js';
 import {
   WorkerModel,
   type CommandBody,
@@ -14,6 +15,8 @@
   lease: number;
   /** Seconds that a task runs, by the job's id; services never end. */
   runs: (task: string) => number;
+  /** Whether requests to workers go through links that can be cut. */
+  isLinked?: boolean;
 }
 
 const options = {
@@ -49,6 +52,8 @@
   holdsCommands = false;
   /** It reaches no controller, while direct commands and questions reach it. */
   cutOff = false;
+  /** Between the controllers and it; null: it is asked directly. */
+  private link: Link | null = null;
   /** All reports that it has sent. */
   readonly sent: string[] = [];
   private readonly server = new HttpServer((r) => this.serve(r), options);
@@ -80,14 +85,27 @@
   }
 
   async start(): Promise<void> {
-    this.address = `127.0.0.1:${await this.server.listen({ host: '127.0.0.1', port: 0 })}`;
+    const own = `127.0.0.1:${await this.server.listen({ host: '127.0.0.1', port: 0 })}`;
+    this.link = this.fleet.settings.isLinked === true ? new Link(() => own) : null;
+    this.address = (await this.link?.listen()) ?? own;
     this.renewLease(performance.now());
     void this.loop();
   }
 
+  /**
+   * Its way in is cut: what is sent on open connections is held and delivered at the end, no new connection comes up. Its
+   * own reports and their answers pass.
+   */
+  set cutIn(isCut: boolean) {
+    this.link?.set({ holdsForward: isCut });
+    if (isCut) this.link?.refuseNew();
+    else void this.link?.acceptNew();
+  }
+
   stop(): void {
     this.stopped = true;
     clearTimeout(this.leaseTimer);
+    this.link?.close();
     this.server.close();
     this.endSession();
   }
--- a/test/soak/link.ts
+++ b/test/support/link.ts
@@ -20,6 +20,8 @@
   delaySeconds: 0,
 };
 
+const HOST = '127.0.0.1';
+
 /** One direction of one connection. */
 class Flow {
   private readonly queue: Buffer[] = [];
@@ -59,14 +61,16 @@
 
 interface Connection {
   client: net.Socket;
+  /** What came before the other side may be opened. */
+  early: Buffer[];
   /** Null until it may be opened. */
-  target: net.Socket | null;
-  flows: Flow[];
-  open(): void;
+  up: { target: net.Socket; forward: Flow; backward: Flow } | null;
 }
 
 export class Link {
   private state = HEALTHY;
+  private port = 0;
+  private isClosed = false;
   private readonly connections = new Set<Connection>();
   private readonly server = net.createServer({ noDelay: true, allowHalfOpen: true }, (client) => {
     this.accept(client);
@@ -75,10 +79,21 @@
   constructor(private readonly target: () => string) {}
 
   async listen(): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    await new Promise<void>((resolve) => this.server.listen(this.port, HOST, resolve));
     const bound = this.server.address();
     if (bound === null || typeof bound === 'string') throw new Error('no address');
-    return `127.0.0.1:${bound.port}`;
+    this.port = bound.port;
+    return `${HOST}:${this.port}`;
+  }
+
+  /** No connection comes up any more; those that are up stay. */
+  refuseNew(): void {
+    this.server.close();
+  }
+
+  /** Connections come up again, at the same address. */
+  async acceptNew(): Promise<void> {
+    if (!this.server.listening && !this.isClosed) await this.listen();
   }
 
   set(change: Partial<LinkState>): void {
@@ -94,6 +109,7 @@
   }
 
   close(): void {
+    this.isClosed = true;
     this.server.close();
     for (const connection of [...this.connections]) this.drop(connection);
   }
@@ -108,44 +124,31 @@
       client.destroy();
       return;
     }
-    const connection: Connection = {
-      client,
-      target: null,
-      flows: [],
-      open: () => {
-        this.connect(connection);
-      },
-    };
+    const connection: Connection = { client, early: [], up: null };
     this.connections.add(connection);
-    client.on('close', () => {
-      // Begun during a cut and given up: it does not complete later.
-      if (connection.target === null) this.connections.delete(connection);
+    client.on('data', (data) => {
+      if (connection.up === null) connection.early.push(data);
+      else connection.up.forward.push(data);
     });
-    if (!this.isCut) connection.open();
+    const end = (): void => {
+      if (connection.up !== null) connection.up.forward.end();
+      // Begun during a cut and given up: it does not complete later.
+      else this.drop(connection);
+    };
+    client.on('end', end);
+    client.on('close', end);
+    if (!this.isCut) this.connect(connection);
   }
 
   private connect(connection: Connection): void {
     const { client } = connection;
     const [host = '', port = ''] = this.target().split(':');
     const target = net.connect({ host, port: Number(port), noDelay: true, allowHalfOpen: true });
-    connection.target = target;
     const delay = (): number => this.state.delaySeconds;
     const forward = new Flow(target, () => this.state.holdsForward, delay);
     const backward = new Flow(client, () => this.state.holdsBackward, delay);
-    connection.flows = [forward, backward];
-    const forget = (): void => {
-      if (client.destroyed && target.destroyed) this.connections.delete(connection);
-    };
-    client.on('data', (data) => {
-      forward.push(data);
-    });
-    client.on('end', () => {
-      forward.end();
-    });
-    client.on('close', () => {
-      forward.end();
-      forget();
-    });
+    connection.up = { target, forward, backward };
+    for (const data of connection.early.splice(0)) forward.push(data);
     target.on('data', (data) => {
       backward.push(data);
     });
@@ -155,17 +158,19 @@
     target.on('error', () => client.destroy());
     target.on('close', () => {
       backward.end();
-      forget();
+      if (client.destroyed) this.connections.delete(connection);
     });
   }
 
   private goOn(connection: Connection): void {
-    if (connection.target === null && !this.isCut) connection.open();
-    for (const flow of connection.flows) void flow.drain();
+    if (connection.up === null && !this.isCut) this.connect(connection);
+    void connection.up?.forward.drain();
+    void connection.up?.backward.drain();
   }
 
-  private drop({ client, target }: Connection): void {
-    client.destroy();
-    target?.destroy();
+  private drop(connection: Connection): void {
+    this.connections.delete(connection);
+    connection.client.destroy();
+    connection.up?.target.destroy();
   }
 }
