--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -35,7 +35,7 @@
       assert.ok(others.length <= 3, `seed ${seed}: ${others.length} others at ${at}`);
     }
   }
-  assert.equal(kinds.size, 15);
+  assert.equal(kinds.size, 16);
   assert.equal(flags.size, 5);
 });
 
--- a/test/soak/fleetMain.ts
+++ b/test/soak/fleetMain.ts
@@ -60,10 +60,7 @@
 }
 
 function take(share: number): void {
-  for (const worker of draw(share)) {
-    worker.stop();
-    cloud.workers.delete(worker.name);
-  }
+  for (const worker of draw(share)) cloud.take(worker);
 }
 
 serveRequests<FleetRequest>((request) => {
@@ -85,6 +82,9 @@
     case 'take':
       take(request.share);
       return null;
+    case 'notice':
+      for (const worker of draw(request.share)) worker.giveNotice(request.seconds);
+      return null;
     case 'capacity':
       cloud.capacity = request.machines;
       return null;
--- a/test/soak/messages.ts
+++ b/test/soak/messages.ts
@@ -22,6 +22,8 @@
   | { kind: 'message-faults'; lateCommands: number; copiedReports: number; mostLate: number }
   /** A share of the machines loses its power. */
   | { kind: 'take'; share: number }
+  /** A share of the machines is told that it will be taken. */
+  | { kind: 'notice'; share: number; seconds: number }
   | { kind: 'capacity'; machines: number };
 
 /** What has happened to a task, in the order in which it happened. `at` is the time of day in seconds. */
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -24,6 +24,8 @@
   | { kind: 'machines'; flag: MachineFlag; share: number; seconds: number }
   | { kind: 'messages'; lateCommands: number; copiedReports: number; seconds: number }
   | { kind: 'taken'; share: number }
+  /** Machines are taken after that long; live services move elsewhere meanwhile. */
+  | { kind: 'notice'; share: number; seconds: number }
   | { kind: 'cloud-refuses'; seconds: number };
 
 export interface PlannedStrike {
@@ -149,6 +151,7 @@
   }
   return [
     { kind: 'messages', lateCommands: 0.5, copiedReports: 0.1, seconds },
+    { kind: 'notice', share: 0.4, seconds },
     { kind: 'state-slow', node: '*', seconds, delay },
   ];
 }
@@ -186,6 +189,7 @@
     () => ({ kind: 'messages', lateCommands: 0.3, copiedReports: 0.2, seconds: lease * 2 }),
     () => ({ kind: 'messages', lateCommands: 0.6, copiedReports: 0, seconds: lease }),
     () => ({ kind: 'taken', share: 0.1 + random() * 0.2 }),
+    () => ({ kind: 'notice', share: 0.2 + random() * 0.2, seconds: lease * (0.5 + random()) }),
     () => ({ kind: 'cloud-refuses', seconds }),
   ];
   return pick(draws)();
--- a/test/soak/strikes.ts
+++ b/test/soak/strikes.ts
@@ -95,6 +95,10 @@
       case 'taken':
         await fleet.ask({ kind: 'take', share: strike.share });
         return;
+      case 'notice':
+        await fleet.ask(strike);
+        await pause(strike.seconds);
+        return;
       case 'cloud-refuses':
         return this.during(
           this.plan.nodes.map((node) => `${node}>cloud`),
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -114,6 +114,15 @@
     return this.model.running.map(({ task }) => task);
   }
 
+  /** The cloud gives notice, and takes the machine after so many seconds. */
+  giveNotice(seconds: number): void {
+    const goneAt = performance.now() + seconds * 1000;
+    this.model.warning = () => Math.max(0, (goneAt - performance.now()) / 1000);
+    setTimeout(() => {
+      this.fleet.take(this);
+    }, seconds * 1000).unref();
+  }
+
   /** The highest token that it has seen. */
   get seenToken(): number {
     return this.model.token;
@@ -275,6 +284,12 @@
     this.running.get(task)?.delete(machine);
   }
 
+  /** The machine loses its power, and is listed no more. */
+  take(worker: WorkerStandIn): void {
+    worker.stop();
+    this.workers.delete(worker.name);
+  }
+
   async add(type: string, zone: string, spot: boolean): Promise<string> {
     const name = `n-${String(this.next++).padStart(6, '0')}`;
     const worker = new WorkerStandIn(name, type, zone, spot, this.nodes, this);
--- a/test/support/workerModel.ts
+++ b/test/support/workerModel.ts
@@ -42,6 +42,8 @@
 export class WorkerModel {
   session = 1;
   token = 0;
+  /** Seconds until the cloud takes the machine, or null. */
+  warning: () => number | null = () => null;
   private tick = 0;
   private readonly held = new Map<string, HeldAttempt>();
 
@@ -75,7 +77,7 @@
       Shift: this.session,
       Tick: ++this.tick,
       Baton: this.token,
-      WarningS: null,
+      WarningS: this.warning(),
       Pieces: attempts.map(({ task, attempt, state, cause }) => ({
         Piece: task,
         Try: attempt,
