--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -17,6 +17,12 @@
 /** How often the checker looks at what runs, in seconds. */
 const CHECK_S = 0.5;
 
+/**
+ * The longest pause between questions about a job, in seconds. Links and users share a process: were all questions asked as
+ * often as at first, a backlog of jobs would slow the links until no lease could be renewed, and never go away.
+ */
+const MOST_PAUSE_S = 2;
+
 /** Time for an answer to arrive, in seconds. */
 const ANSWER_S = 1.5;
 
@@ -66,6 +72,7 @@
       cancelWithin: this.plan.cancel + ANSWER_S,
       limits: new Map(Object.entries(this.plan.limits)),
       clock: timeOfDay,
+      pauseAfter: (seconds) => Math.min(MOST_PAUSE_S, 0.25 + seconds / 20),
     });
     this.strikes = new Strikes(this.cluster, this.plan, (text) => {
       this.log.add('soak', text);
--- a/test/soak/standIn.ts
+++ b/test/soak/standIn.ts
@@ -52,9 +52,14 @@
     child.on('exit', () => {
       if (!this.isClosing) heard.ended();
     });
+    // Told of a request that was on its way when the process was ended.
+    child.on('error', (error) => {
+      heard.output(`error ${error.message}`);
+    });
   }
 
   ask(request: Request): Promise<string | null> {
+    if (this.isClosing) return Promise.resolve(null);
     const sequence = ++this.sequence;
     return new Promise((resolve) => {
       this.waiting.set(sequence, resolve);
