A higher token only where something waits for it; what an adopter reaped did not vanish

Every doubt now lasted until a higher token, asked for each report; all workers report such a token at once, and an overloaded controller answers late and leaves more in doubt. Change: a token is asked for only where an attempt can't be given up, or an ended one not reaped for four reports; the alarm knows the worker's token. Each has a case.

--- a/src/coordination/machine.ts
+++ b/src/coordination/machine.ts
@@ -12,6 +12,8 @@
   /** A start of it rides in the answer to a report: the worker's next report settles that. */
   sentInAnswer: boolean;
   mayReap: () => boolean;
+  /** A start of it may still be carried out. */
+  isInDoubt: () => boolean;
 }
 
 /** One attempt of one task. */
@@ -202,6 +204,22 @@
     return this.room;
   }
 
+  /**
+   * Something can't go on before the doubt of a start here is settled: an attempt that no report shows can't be given up,
+   * or one that ended before `leftSince` can't be reaped.
+   */
+  waitsForDoubt(leftSince: number): boolean {
+    for (const [task, { entry }] of this.placed) {
+      const isGone = this.tasks.find(task, entry.attempt) === undefined;
+      if (!isGone || (!entry.seen && entry.stop === null)) continue;
+      if (entry.doubt.isOpen(this.seenToken)) return true;
+    }
+    for (const leftover of this.leftovers.values()) {
+      if (leftover.since < leftSince && leftover.isInDoubt()) return true;
+    }
+    return false;
+  }
+
   /** Attempts that run here, and of which the part knows nothing. */
   get strangers(): TaskReport[] {
     return this.reported.all.filter((report) => this.isStranger(report));
--- a/src/coordination/orders.ts
+++ b/src/coordination/orders.ts
@@ -21,6 +21,9 @@
 /** Machines that one core may ask in a second without noticing it. */
 const PROBES_PER_CORE = 120;
 
+/** How long an ended attempt whose start is in doubt stays in reports, as a ratio to the time between reports. */
+const LEFTOVER_PATIENCE = 4;
+
 /** A round may have commands for hundreds of machines; sent at once they would keep reports waiting. */
 const COMMANDS_PER_TURN = 4;
 
@@ -291,14 +294,19 @@
     this.send();
   }
 
-  /** A start stays in doubt until its worker has seen a higher token: get one when it drags on. */
+  /**
+   * A start stays in doubt until its worker has seen a higher token: get one when something has to wait for that. All
+   * workers report a higher token at once, so a task that just runs, its start in doubt or not, is no reason for one.
+   */
   private settleDoubts(host: OwnedPart, now: number): void {
     const { report } = this.node.settings;
     if (now - host.raisedAt < report) return;
-    const stuck = [...host.part.machines.values()].filter(({ inDoubtSince, reached }) => {
+    const stuck = [...host.part.machines.values()].filter((machine) => {
+      const { inDoubtSince, reached } = machine;
       // One that our answers do not reach would not see the new token either.
       const isHeard = reached !== null && now - reached < report * 2;
-      return inDoubtSince !== null && isHeard && now - inDoubtSince > report;
+      if (inDoubtSince === null || !isHeard || now - inDoubtSince <= report) return false;
+      return machine.waitsForDoubt(now - report * LEFTOVER_PATIENCE);
     });
     if (stuck.length === 0) return;
     host.raisedAt = now;
--- a/src/coordination/ownedPart.ts
+++ b/src/coordination/ownedPart.ts
@@ -45,6 +45,7 @@
   now: number,
   previousOwnerUntil = now,
 ): OwnedPart {
+  part.ownToken = token;
   return {
     part,
     token,
@@ -71,6 +72,7 @@
   const held = await ownership.raise(host.part.label);
   if (held === null || !host.alive) return false;
   host.token = held.token;
+  host.part.ownToken = held.token;
   host.stamp = held.stamp;
   host.part.audit.note({ event: 'token-raised', part: host.part.label, token: held.token });
   return true;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -46,6 +46,8 @@
   readonly liveness: Liveness;
   readonly scheduler: Scheduler;
   readonly strangers = new Strangers();
+  /** The token under which we own it. */
+  ownToken = Infinity;
   /** Tasks whose start is held back, as noted in the audit trail. */
   private readonly heldBack = new Set<string>();
 
@@ -138,8 +140,9 @@
       rule: over.rule,
       evidenceAge: now - over.evidenceAt,
     });
-    // A worker forgets what it has shown us only by our reap, or with its session.
-    if (over.rule === 'absent' && !entry.isAdopted) {
+    // A worker forgets what it has shown us only by our reap, or with its session; an adopter's reap has a higher token.
+    const isDeposed = machine.seenToken > this.ownToken;
+    if (over.rule === 'absent' && !entry.isAdopted && !isDeposed) {
       this.noteBroken('attempt-vanished', `${chunk.taskName(entry.task)} at ${machine.name}`);
     }
     if (chunk.entries.delete(entry.task) && !chunk.dropped) this.teams.add(chunk.spec, -1);
--- a/src/coordination/reportIntake.ts
+++ b/src/coordination/reportIntake.ts
@@ -159,10 +159,11 @@
     const leftover = {
       since: now,
       sentInAnswer,
+      isInDoubt: (): boolean => doubt.isOpen(machine.seenToken),
       // Its end must be stored first; and a start that may still come would run it once more.
       mayReap: (): boolean =>
         (chunk.stored >= version || chunk.dropped) &&
-        !doubt.isOpen(machine.seenToken) &&
+        !leftover.isInDoubt() &&
         !leftover.sentInAnswer,
     };
     machine.leftovers.set(attemptKey(chunk.taskName(task), attempt), leftover);
@@ -204,6 +205,7 @@
         machine.leftovers.set(key, {
           since: now,
           sentInAnswer: false,
+          isInDoubt: () => false,
           mayReap: () => chunk.stored >= version || chunk.dropped,
         });
       }
--- a/test/startDoubt.test.ts
+++ b/test/startDoubt.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { CommandOutcome } from '../src/coordination/audit.js';
+import { ownPart } from '../src/coordination/ownedPart.js';
 import { StartDoubt } from '../src/coordination/startDoubt.js';
 import type { TaskReport } from '../src/protocol/worker.js';
 import { Bench, TOKEN } from './support/bench.js';
@@ -172,6 +173,16 @@
   b.place(chunk);
   b.passages.push('held');
   await b.send(machine);
+  // While nothing has to wait for it, none is asked for: all workers report a higher token at once.
+  b.bench.now += 7;
+  b.hello(machine);
+  b.raises.push(null);
+  b.orders.sweep();
+  assert.equal(b.raises.length, 1);
+  b.raises.pop();
+  const entry = chunk.entries.get(0);
+  assert.ok(entry);
+  b.bench.part.stop(machine, entry, 0);
   for (const answer of [null, null, { token: 9, stamp: 2, lostAt: 0 }]) {
     b.bench.now += 7;
     b.hello(machine);
@@ -267,3 +278,42 @@
   await b.send(second);
   assert.equal(b.worker(second).running.length, 1);
 });
+
+test('what an adopter has reaped did not vanish for the owner that stood still meanwhile', () => {
+  for (const [token, broken] of [
+    [TOKEN, 1],
+    [TOKEN + 1, undefined],
+  ] as const) {
+    const b = new Bench();
+    ownPart(b.part, { token: TOKEN, stamp: 1 }, b.now);
+    const machine = b.machine();
+    b.running(machine);
+    b.report(machine, [], { token });
+    assert.equal(b.part.audit.counters['invariant-broken.attempt-vanished'], broken);
+  }
+});
+
+test('an ended attempt whose start stays in doubt asks for a higher token after some reports', async () => {
+  const b = new CommandBench();
+  const machine = b.machine('n-1');
+  const chunk = b.bench.chunk();
+  b.place(chunk);
+  b.passages.push('held', 'arrives');
+  await b.send(machine);
+  await b.send(machine);
+  const entry = chunk.entries.get(0);
+  assert.ok(entry);
+  b.bench.part.stop(machine, entry, 0);
+  await b.send(machine);
+  for (const [seconds, asked] of [
+    [6, false],
+    [7, true],
+  ] as const) {
+    b.bench.now += seconds;
+    b.hello(machine);
+    b.raises.push(null);
+    b.orders.sweep();
+    assert.equal(b.raises.length === 0, asked);
+    b.raises.length = 0;
+  }
+});
--- a/test/support/commandBench.ts
+++ b/test/support/commandBench.ts
@@ -87,6 +87,7 @@
     const report = parseReport(this.worker(machine).report());
     if (report === null) throw new Error('malformed report');
     this.bench.part.reports.apply(machine, report, this.bench.now, 'follow');
+    machine.renewed = this.bench.now;
   }
 
   /** Its worker reports, a report's time later, and gets what is due with the answer. */
