Test: a repeated submission is answered by what was read before it came

Seen by operators: a job's state went back. A user repeats a submission at a node that has not heard of the job. While that node's read of the store is on its way back, another node confirms the cancellation. A further repetition, made after that, is told 200 queued: it joins the reply that is being worked out for the first.

The stand-in for the state service can hold an answer after it was worked out; so far it was only slow before.

--- /dev/null
+++ b/test/cluster/answersToUsers.test.ts
@@ -0,0 +1,73 @@
+/**
+ * Incident `went_back`. Seen: a job's state went back, at production size under faults; no logs. How: a user repeats a
+ * submission at a node that has not heard of the job. The node's store read says "open" and is on its way back when another
+ * node confirms the job's cancellation; the user repeats the submission once more. Cause: the second repetition was given
+ * the reply to the first, whose evidence is older than its own question. Proof: the cases here, which fail where a
+ * repetition is answered by a reply that was worked out for an earlier request.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { HttpMessage } from '../../src/transport/httpParser.js';
+import type { Response } from '../../src/transport/httpClient.js';
+import type { Cluster } from '../support/cluster.js';
+import { pause, submission, until } from '../support/cluster.js';
+import { settled, withCluster } from '../support/users.js';
+
+const ID = 'wk-000041';
+
+/** Long enough for a request on loopback to reach the controller, in seconds. */
+const REQUEST_TRAVEL_S = 0.2;
+
+const isReadOf = (job: string, { method, target }: HttpMessage): boolean =>
+  method === 'GET' && target.endsWith(`/b/job/${job}`);
+
+/** Holds the answers of the store to one node's reads of a job, but for the first `passed`; `release` lets them go. */
+class HeldReads {
+  /** Reads whose answers were held. */
+  count = 0;
+  private releaseAll: () => void = () => undefined;
+  private readonly released = new Promise<void>((resolve) => {
+    this.releaseAll = resolve;
+  });
+
+  constructor(cluster: Cluster, node: string, job: string, passed: number) {
+    let left = passed;
+    cluster.state.holdAnswer = (client, request) => {
+      if (client !== node || !isReadOf(job, request) || left-- > 0) return Promise.resolve();
+      this.count++;
+      return this.released;
+    };
+  }
+
+  release(): void {
+    this.releaseAll();
+  }
+}
+
+const statusOf = ({ body }: Response): string | undefined => (body as { Status?: string }).Status;
+
+/** The final state of the job, or word to come back: anything else is older than what its user was told. */
+function assertNotOlder(answer: Response, final: string): void {
+  const said = `${answer.status} ${String(statusOf(answer))}`;
+  assert.ok(answer.status === 503 || statusOf(answer) === final, `told ${said} after ${final}`);
+}
+
+test('a submission that is repeated after the cancellation was confirmed is not answered by what was read before', () =>
+  withCluster({ nodes: 3, runs: () => 60 }, async (cluster) => {
+    const body = submission(ID, { Pieces: 1 });
+    cluster.state.unwatched.add('drone-1');
+    await settled(cluster, 'drone-0', 'POST', '/v1/jobs', body);
+    // The first read finds out why the job could not be stored; the second is what the user is told.
+    const reads = new HeldReads(cluster, 'drone-1', ID, 1);
+    const early = cluster.call('drone-1', 'POST', '/v1/jobs', body);
+    await until('the store is read for the first repetition', () => reads.count > 0);
+    const path = `/v1/jobs/${ID}/withdraw`;
+    const cancelled = await settled(cluster, 'drone-0', 'POST', path);
+    assert.equal(statusOf(cancelled), 'cancelled');
+    const late = cluster.call('drone-1', 'POST', '/v1/jobs', body);
+    await pause(REQUEST_TRAVEL_S);
+    reads.release();
+    assertNotOlder(await late, 'cancelled');
+    // It was asked before the cancellation was confirmed: either answer is right.
+    await early;
+  }));
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -35,6 +35,11 @@
   readonly late: TxnBody[] = [];
   /** Seconds that answers to a client take; `*` means everybody. */
   readonly slowness = new Map<string, number>();
+  /**
+   * Waited for between the moment at which an answer is worked out and that at which it leaves: until then others may
+   * change what it tells. Null: answers leave at once.
+   */
+  holdAnswer: ((client: string, request: HttpMessage) => Promise<void>) | null = null;
   /** Clients whose watches are told of nothing. */
   readonly unwatched = new Set<string>();
   writes = 0;
@@ -134,6 +139,12 @@
   }
 
   private async answer(client: string, request: HttpMessage): Promise<Reply> {
+    const reply = await this.carryOut(client, request);
+    await this.holdAnswer?.(client, request);
+    return reply;
+  }
+
+  private async carryOut(client: string, request: HttpMessage): Promise<Reply> {
     const url = new URL(request.target, 'http://state');
     if (url.pathname === '/changes') return this.watch(client, url);
     const slow = Math.max(this.slowness.get(client) ?? 0, this.slowness.get('*') ?? 0);
