Soak: late answers of the state service, close looks at all nodes, one clock for all processes

Users ask, repeat the submission and the cancellation at all nodes, three rounds within ten milliseconds, after a job was accepted or has ended; of those who cancel, 0.3 do so as soon as the job is accepted. Answers of the state service are worked out at once and arrive late, in any order: so far they were only slow before. Times of tasks and answers are of the machine's steady clock: each process's time of day is counted from its own start. What the workers did is told in full before the verdict.

--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -65,6 +65,11 @@
         await pause(fault.seconds);
         await state.ask({ kind: 'slow', client: fault.node, seconds: 0 });
         return;
+      case 'answers-late':
+        await state.ask({ kind: 'late-answers', client: fault.node, most: fault.most });
+        await pause(fault.seconds);
+        await state.ask({ kind: 'late-answers', client: fault.node, most: 0 });
+        return;
       case 'answers-lost':
         await state.ask({ kind: 'lose-answers', share: fault.share, mostLate });
         await pause(fault.seconds);
--- a/test/soak/fleetMain.ts
+++ b/test/soak/fleetMain.ts
@@ -6,7 +6,7 @@
 import { CloudStandIn, type WorkerStandIn } from '../support/fleet.js';
 import { runTime } from './jobKinds.js';
 import {
-  timeOfDay,
+  machineTime,
   type FleetPlan,
   type FleetRequest,
   type MachineFlag,
@@ -23,7 +23,7 @@
 cloud.capacity = plan.capacity;
 
 const tell = (kind: TaskEvent['kind'], task: string, machine: string): void => {
-  send({ kind: 'event', event: { kind, task, machine, at: timeOfDay() } });
+  send({ kind: 'event', event: { kind, task, machine, at: machineTime() } });
 };
 cloud.watch = {
   started: (task, machine) => {
@@ -88,5 +88,7 @@
     case 'capacity':
       cloud.capacity = request.machines;
       return null;
+    case 'flush':
+      return null;
   }
 });
--- a/test/soak/messages.ts
+++ b/test/soak/messages.ts
@@ -8,6 +8,8 @@
   | { kind: 'refuse'; client: string; isOn: boolean }
   /** Answers to `client` take so long; 0: as usual. */
   | { kind: 'slow'; client: string; seconds: number }
+  /** Answers to `client`, worked out at once, leave up to so many seconds later; 0: at once. */
+  | { kind: 'late-answers'; client: string; most: number }
   /** Of the transactions, those that get no answer; half are carried out at once, the others late. 0: none. */
   | { kind: 'lose-answers'; share: number; mostLate: number };
 
@@ -24,9 +26,11 @@
   | { kind: 'take'; share: number }
   /** A share of the machines is told that it will be taken. */
   | { kind: 'notice'; share: number; seconds: number }
-  | { kind: 'capacity'; machines: number };
+  | { kind: 'capacity'; machines: number }
+  /** Answered once everything that has happened so far was told. */
+  | { kind: 'flush' };
 
-/** What has happened to a task, in the order in which it happened. `at` is the time of day in seconds. */
+/** What has happened to a task, in the order in which it happened. `at` is in seconds of `machineTime`. */
 export interface TaskEvent {
   kind: 'started' | 'done' | 'left';
   task: string;
@@ -53,4 +57,8 @@
   longest: number;
 }
 
-export const timeOfDay = (): number => (performance.timeOrigin + performance.now()) / 1000;
+/**
+ * Seconds since this machine was started: one clock for all processes. Their times of day are each counted from their own
+ * start, and were half a second apart where the machine's clock had been set meanwhile.
+ */
+export const machineTime = (): number => Number(process.hrtime.bigint()) / 1e9;
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -14,6 +14,8 @@
   | { kind: 'owners-in-series'; nodes: string[]; seconds: number }
   | { kind: 'state-refuses'; node: string; seconds: number }
   | { kind: 'state-slow'; node: string; seconds: number; delay: number }
+  /** Answers of the state service are worked out at once, and on their way for up to `most` seconds. */
+  | { kind: 'answers-late'; node: string; seconds: number; most: number }
   | { kind: 'answers-lost'; share: number; seconds: number }
   /** The way from one node to another, or both ways. */
   | { kind: 'peers-cut'; from: string; to: string; isBothWays: boolean; seconds: number }
@@ -174,6 +176,8 @@
     () => ({ kind: 'owners-in-series', nodes: [node, ...others].slice(0, 2), seconds: lease }),
     () => ({ kind: 'state-refuses', node: random() < 0.3 ? '*' : node, seconds }),
     () => ({ kind: 'state-slow', node: random() < 0.5 ? '*' : node, seconds, delay }),
+    () => ({ kind: 'answers-late', node: random() < 0.5 ? '*' : node, seconds, most: delay }),
+    () => ({ kind: 'answers-late', node, seconds, most: delay }),
     () => ({ kind: 'answers-lost', share: 0.1 + random() * 0.3, seconds }),
     () => ({
       kind: 'peers-cut',
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -5,7 +5,7 @@
 import { JobArrivals } from '../trials/jobArrivals.js';
 import { TrialUsers } from '../trials/trialUsers.js';
 import { fieldsOf, kindOfJob } from './jobKinds.js';
-import { timeOfDay, type TaskEvent } from './messages.js';
+import { machineTime, type TaskEvent } from './messages.js';
 import { drawPlan, type SoakPlan, type SoakSize } from './plan.js';
 import { SoakCluster } from './soakCluster.js';
 import { SoakLog } from './soakLog.js';
@@ -73,7 +73,7 @@
       mostTasks: this.plan.mostTasks,
       cancelWithin: this.plan.cancel + ANSWER_S,
       limits: new Map(Object.entries(this.plan.limits)),
-      clock: timeOfDay,
+      clock: machineTime,
       pauseAfter: (seconds) => Math.min(MOST_PAUSE_S, 0.25 + seconds / 20),
     });
     this.arrivals = new JobArrivals(this.users, this.random, this.seed);
@@ -84,7 +84,7 @@
 
   async run(): Promise<SoakResult> {
     const checks = setInterval(() => {
-      this.users.history.check(timeOfDay());
+      this.users.history.check(machineTime());
     }, CHECK_S * 1000);
     try {
       await this.cluster.start();
@@ -92,6 +92,8 @@
       await this.submit();
       await faults;
       await this.arrivals.settle(this.plan.settle);
+      // Else a task's end may be told only after it was missed.
+      await this.cluster.fleet.ask({ kind: 'flush' });
       return this.result();
     } catch (error) {
       this.keep([`could not be played: ${String(error)}`], []);
--- a/test/soak/soakLog.ts
+++ b/test/soak/soakLog.ts
@@ -1,5 +1,5 @@
-/** The lines of all processes of one soak, in the order in which they came, with the time of day. */
-import { timeOfDay } from './messages.js';
+/** The lines of all processes of one soak, in the order in which they came, by the machine's clock. */
+import { machineTime } from './messages.js';
 
 interface Line {
   at: number;
@@ -16,7 +16,7 @@
   readonly failures: string[] = [];
 
   add(from: string, text: string): void {
-    this.lines.push({ at: timeOfDay(), from, text });
+    this.lines.push({ at: machineTime(), from, text });
     if (FAILURES.test(text)) this.failures.push(`${from}: ${text}`);
   }
 
--- a/test/soak/stateMain.ts
+++ b/test/soak/stateMain.ts
@@ -1,4 +1,5 @@
 /** The state service of a soak, in a process of its own. */
+import { sleep } from '../../src/base/clock.js';
 import { seededRandom } from '../../src/base/random.js';
 import { StateStandIn } from '../support/state.js';
 import type { StateRequest } from './messages.js';
@@ -7,6 +8,13 @@
 const { seed } = JSON.parse(process.argv[2] ?? '{}') as { seed: number };
 const random = seededRandom(seed);
 const state = new StateStandIn();
+/** The longest that an answer to a client is on its way, in seconds; `*` is everybody. */
+const latestAnswers = new Map<string, number>();
+
+state.holdAnswer = async (client) => {
+  const most = Math.max(latestAnswers.get(client) ?? 0, latestAnswers.get('*') ?? 0);
+  if (most > 0) await sleep(random() * most);
+};
 
 function loseAnswers(share: number, mostLate: number): void {
   state.swallow =
@@ -31,6 +39,9 @@
     case 'slow':
       state.slowness.set(request.client, request.seconds);
       return null;
+    case 'late-answers':
+      latestAnswers.set(request.client, request.most);
+      return null;
     case 'lose-answers':
       loseAnswers(request.share, request.mostLate);
       return null;
--- a/test/trials/trialUsers.ts
+++ b/test/trials/trialUsers.ts
@@ -20,6 +20,12 @@
 /** Seconds after which a service is cancelled. */
 const SERVICE_S = 8;
 const CANCELLED_SHARE = 0.25;
+/** Of the jobs that are cancelled, those that are cancelled as soon as they are accepted. */
+const CANCELLED_AT_ONCE_SHARE = 0.3;
+/** How often everybody is asked right after a job was accepted or has ended. */
+const CLOSE_LOOKS = 3;
+/** The pause between two of these rounds, in seconds. */
+const CLOSE_LOOK_PAUSE_S = 0.003;
 /** How many stages follow the first job of a pipeline at the most. */
 const MOST_STAGES = 4;
 /** Pipelines whose last stage is submitted only when the others are over. */
@@ -53,6 +59,8 @@
   clock: () => number;
   /** Seconds between two rounds of questions about a job that was submitted so long ago. */
   pauseAfter: (seconds: number) => number;
+  /** Of the jobs, those that are looked at closely: at all nodes, within milliseconds after each change. */
+  closelyWatched: number;
 }
 
 const DEFAULTS: UserOptions = {
@@ -63,6 +71,7 @@
   limits: LIMITS,
   clock: () => performance.now() / 1000,
   pauseAfter: () => 0.25,
+  closelyWatched: 0.5,
 };
 
 export class TrialUsers {
@@ -70,6 +79,9 @@
   private readonly options: UserOptions;
   private readonly accepted = new Set<string>();
   private readonly over = new Set<string>();
+  /** By job: asks everybody again, right after the job was accepted or has ended. */
+  private readonly closeLooks = new Map<string, () => Promise<void>>();
+  private readonly looking = new Set<Promise<void>>();
   /** Nothing is asked any more. */
   isOver = false;
 
@@ -93,6 +105,10 @@
     return [...this.accepted].filter((id) => !this.over.has(id));
   }
 
+  private get nodes(): string[] {
+    return Array.from({ length: this.options.nodes }, (_, index) => this.nodeAt(index));
+  }
+
   private nodeAt(index: number): string {
     return `drone-${index % this.options.nodes}`;
   }
@@ -109,20 +125,44 @@
       const told = toldBy(await this.cluster.call(node, method, path, body));
       if (told === null || this.isOver) return null;
       this.history.answered(question, this.options.clock(), told);
-      if (told === 'open') this.accepted.add(id);
-      if (told === 'done' || told === 'cancelled') this.over.add(id);
+      this.noteProgress(id, told);
       return told;
     } catch {
       return null;
     }
   }
 
+  private noteProgress(id: string, told: Told): void {
+    const isEnd = (told === 'done' || told === 'cancelled') && !this.over.has(id);
+    const isAcceptance = told === 'open' && !this.accepted.has(id);
+    if (told === 'open') this.accepted.add(id);
+    if (isEnd) this.over.add(id);
+    const look = isEnd || isAcceptance ? this.closeLooks.get(id)?.() : undefined;
+    if (look === undefined) return;
+    this.looking.add(look);
+    void look.finally(() => this.looking.delete(look));
+  }
+
+  /** Asks, repeats the submission and, where the user has cancelled, the cancellation, at all nodes at once. */
+  private async lookClosely(id: string, body: unknown, hasCancelled: () => boolean): Promise<void> {
+    const rounds: Promise<unknown>[] = [];
+    for (let round = 0; round < CLOSE_LOOKS && !this.isOver; round++) {
+      for (const node of this.nodes) {
+        rounds.push(this.ask(id, node, 'GET', `/v1/jobs/${id}`));
+        rounds.push(this.ask(id, node, 'POST', '/v1/jobs', body));
+        if (hasCancelled()) rounds.push(this.ask(id, node, 'POST', `/v1/jobs/${id}/withdraw`));
+      }
+      await pause(CLOSE_LOOK_PAUSE_S);
+    }
+    await Promise.all(rounds);
+  }
+
   /** Submits, perhaps cancels, and asks until the job is over; each step at several nodes within milliseconds. */
   async user(id: string, waitsOn: string[] = []): Promise<void> {
     const draw = this.random();
     const team = draw < 0.6 ? 'crew' : 'guests';
     const tasks = 1 + Math.floor(this.random() * this.options.mostTasks);
-    const drawn = this.random() < CANCELLED_SHARE ? this.random() * 4 : Infinity;
+    const drawn = this.random() < CANCELLED_SHARE ? this.drawCancellation() : Infinity;
     const first = Math.floor(this.random() * this.options.nodes);
     const work = { Owner: team, Pieces: tasks, Cores: CPUS_PER_TASK };
     const extra = this.options.extra(id);
@@ -133,6 +173,10 @@
       ...extra,
       ...(waitsOn.length === 0 ? work : { ...work, WaitsOn: waitsOn }),
     });
+    let hasCancelled = false;
+    if (this.random() < this.options.closelyWatched) {
+      this.closeLooks.set(id, () => this.lookClosely(id, body, () => hasCancelled));
+    }
     const began = performance.now();
     this.history.submitted(id, { team, cpus: CPUS_PER_TASK, tasks, waitsOn });
     for (let turn = first; !this.isOver && !this.over.has(id); turn++) {
@@ -141,8 +185,10 @@
       if (!this.accepted.has(id)) await this.ask(id, node, 'POST', '/v1/jobs', body);
       else if (seconds > cancelAfter) {
         this.history.askedToCancel(id);
+        hasCancelled = true;
         await this.ask(id, node, 'POST', `/v1/jobs/${id}/withdraw`);
       }
+      if (cancelAfter === 0 && this.accepted.has(id) && !hasCancelled) continue;
       await this.askEverywhere(id, body);
       await pause(this.options.pauseAfter(seconds));
     }
@@ -150,13 +196,19 @@
       await this.askEverywhere(id, body);
       await pause(0.5);
     }
+    this.closeLooks.delete(id);
+    await Promise.all(this.looking);
+  }
+
+  /** Seconds until a user who cancels does so. */
+  private drawCancellation(): number {
+    return this.random() < CANCELLED_AT_ONCE_SHARE ? 0 : this.random() * 4;
   }
 
   /** Asks at every node about a job that nobody submits. */
   async askForUnknown(id: string): Promise<void> {
     this.history.notSubmitted(id);
-    const nodes = Array.from({ length: this.options.nodes }, (_, index) => this.nodeAt(index));
-    await Promise.all(nodes.map((node) => this.ask(id, node, 'GET', `/v1/jobs/${id}`)));
+    await Promise.all(this.nodes.map((node) => this.ask(id, node, 'GET', `/v1/jobs/${id}`)));
   }
 
   /** Jobs that need others, each submitted once those are accepted, by a user of its own. */
