A repeated submission is not given the reply to an earlier one

What callers saw: 200 queued for a job whose cancellation another node had confirmed to them before they asked.

Cause: a submission that came while another for the same job was being worked on was given that one's reply. Its evidence (a read of the store, a transaction's answer) may be older than the repetition: with a slow answer of the store by seconds.

Why this mend holds: a repetition waits for the outcome, since of two submissions only one may store the job, and then finds out the job's state by itself, from evidence that is asked for after it came. Only 503, which says nothing of the job, is shared. A refusal (422) was shared as well, and is worked out anew by the same rule.

--- a/src/coordination/jobs/jobSubmission.ts
+++ b/src/coordination/jobs/jobSubmission.ts
@@ -70,7 +70,7 @@
     if ('error' in parsed) return { status: 400, body: { error: parsed.error } };
     const { job } = parsed;
     const pending = this.pending.get(job.id);
-    if (pending !== undefined) return pending;
+    if (pending !== undefined) return this.submitAfter(pending, body, isRelayed);
     // Nothing is awaited before the job is pending: of two requests for it, only one may go on.
     const admission = this.admit(job, body, isRelayed);
     if (admission.kind === 'answered') return admission.reply;
@@ -83,6 +83,19 @@
     }
   }
 
+  /**
+   * A repetition of a submission that is being worked on waits for its outcome, but is not given its reply: what that says
+   * of the job may be older than the repetition, and a user has been told of the job's end by then.
+   */
+  private async submitAfter(
+    pending: Promise<Reply>,
+    body: string,
+    isRelayed: boolean,
+  ): Promise<Reply> {
+    const reply = await pending;
+    return reply.status === 503 ? reply : this.submit(body, isRelayed);
+  }
+
   private admit(job: JobSpec, body: string, isRelayed: boolean): Admission {
     const { context } = this;
     if (context.isIsolated) return answered(isolatedReply());
