Soak: cancellations soon after acceptance, questions on their way meanwhile; the late answers counted among the faults

A user who looks closely asks at all nodes, waits up to half a second and then cancels, so that answers worked out before the confirmation are on their way at it. The test that every fault is drawn failed since the last change of the plans: it counts one kind more.

--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -135,6 +135,9 @@
   }
 }
 
+/** How long an answer of the state service is on its way at the most, as a ratio to `report`: who asked waits little longer. */
+const LATEST_ANSWER_RATIO = 0.7;
+
 /** Share of the moments with faults at which commands come late while the state service is slow. */
 const LATE_AND_SLOW_SHARE = 0.2;
 
@@ -176,8 +179,10 @@
     () => ({ kind: 'owners-in-series', nodes: [node, ...others].slice(0, 2), seconds: lease }),
     () => ({ kind: 'state-refuses', node: random() < 0.3 ? '*' : node, seconds }),
     () => ({ kind: 'state-slow', node: random() < 0.5 ? '*' : node, seconds, delay }),
-    () => ({ kind: 'answers-late', node: random() < 0.5 ? '*' : node, seconds, most: delay }),
-    () => ({ kind: 'answers-late', node, seconds, most: delay }),
+    () => ({ kind: 'answers-late', node: '*', seconds, most: delay }),
+    ...Array.from({ length: 4 }, () => (): Fault => {
+      return { kind: 'answers-late', node, seconds: lease, most: report * LATEST_ANSWER_RATIO };
+    }),
     () => ({ kind: 'answers-lost', share: 0.1 + random() * 0.3, seconds }),
     () => ({
       kind: 'peers-cut',
--- a/test/tools/soak.test.ts
+++ b/test/tools/soak.test.ts
@@ -35,7 +35,7 @@
       assert.ok(others.length <= 3, `seed ${seed}: ${others.length} others at ${at}`);
     }
   }
-  assert.equal(kinds.size, 16);
+  assert.equal(kinds.size, 17);
   assert.equal(flags.size, 5);
 });
 
--- a/test/trials/trialUsers.ts
+++ b/test/trials/trialUsers.ts
@@ -20,10 +20,13 @@
 /** Seconds after which a service is cancelled. */
 const SERVICE_S = 8;
 const CANCELLED_SHARE = 0.25;
-/** Of the jobs that are cancelled, those that are cancelled as soon as they are accepted. */
-const CANCELLED_AT_ONCE_SHARE = 0.3;
+/** Of the jobs that are cancelled, those that are cancelled soon after they were submitted, and within how many seconds. */
+const CANCELLED_SOON_SHARE = 0.6;
+const CANCELLED_SOON_S = 1;
 /** How often everybody is asked right after a job was accepted or has ended. */
 const CLOSE_LOOKS = 3;
+/** Seconds between a look at all nodes and the cancellation that follows it, at the most. */
+const LONGEST_PAUSE_BEFORE_CANCEL_S = 0.5;
 /** The pause between two of these rounds, in seconds. */
 const CLOSE_LOOK_PAUSE_S = 0.003;
 /** How many stages follow the first job of a pipeline at the most. */
@@ -137,7 +140,10 @@
     const isAcceptance = told === 'open' && !this.accepted.has(id);
     if (told === 'open') this.accepted.add(id);
     if (isEnd) this.over.add(id);
-    const look = isEnd || isAcceptance ? this.closeLooks.get(id)?.() : undefined;
+    if (isEnd || isAcceptance) this.keepLooking(this.closeLooks.get(id)?.());
+  }
+
+  private keepLooking(look: Promise<void> | undefined): void {
     if (look === undefined) return;
     this.looking.add(look);
     void look.finally(() => this.looking.delete(look));
@@ -184,11 +190,11 @@
       const node = this.nodeAt(turn);
       if (!this.accepted.has(id)) await this.ask(id, node, 'POST', '/v1/jobs', body);
       else if (seconds > cancelAfter) {
+        await this.lookBeforeCancelling(id, cancelAfter);
         this.history.askedToCancel(id);
         hasCancelled = true;
         await this.ask(id, node, 'POST', `/v1/jobs/${id}/withdraw`);
       }
-      if (cancelAfter === 0 && this.accepted.has(id) && !hasCancelled) continue;
       await this.askEverywhere(id, body);
       await pause(this.options.pauseAfter(seconds));
     }
@@ -200,9 +206,17 @@
     await Promise.all(this.looking);
   }
 
+  /** What is asked now may still be on its way when the cancellation is confirmed. */
+  private async lookBeforeCancelling(id: string, cancelAfter: number): Promise<void> {
+    const look = this.closeLooks.get(id);
+    if (look === undefined) return;
+    this.keepLooking(look());
+    await pause(cancelAfter % LONGEST_PAUSE_BEFORE_CANCEL_S);
+  }
+
   /** Seconds until a user who cancels does so. */
   private drawCancellation(): number {
-    return this.random() < CANCELLED_AT_ONCE_SHARE ? 0 : this.random() * 4;
+    return this.random() * (this.random() < CANCELLED_SOON_SHARE ? CANCELLED_SOON_S : 4);
   }
 
   /** Asks at every node about a job that nobody submits. */
