One place decides what users may be told of a job, as the reply leaves

So far five places built a job's state for users, and each looked at the copy of the records where it thought of it. Now a state goes with its evidence (a final record, the leader's memory, a read of the store, a peer's word, each with when it was asked for), and JobAnswers decides on it just before the first byte: final states always leave; an open one only while the leadership holds and no change of the record is unanswered, or on a read or a peer's word that was asked for after the question came; nothing open after this node has told of the end. Else 503 with Retry-After.

A peer's answer that names another job is taken as none. The linter keeps other code from building a state.

Audit trail: job-answered with the evidence (at debug for questions about open jobs), answer-withheld with the reason; both counted in barrowlb status.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -111,6 +111,25 @@
     },
   },
   ...downwardsOnly,
+  {
+    // What users are told of a job is built in one place, and decided on by JobAnswers (docs/safety.md, U10).
+    files: ['src/**/*.ts'],
+    ignores: ['src/coordination/jobs/replies.ts'],
+    rules: {
+      '@typescript-eslint/no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: ['**/protocol/job.js', './job.js'],
+              importNames: ['jobAnswer', 'acceptedAnswer'],
+              message: 'Use jobs/replies.ts: a state goes with the evidence that it is told on.',
+            },
+          ],
+        },
+      ],
+    },
+  },
   {
     files: ['src/{base,transport,storage,coordination}/**/*.ts'],
     rules: {
--- a/src/coordination/audit/auditEvent.ts
+++ b/src/coordination/audit/auditEvent.ts
@@ -1,9 +1,42 @@
 /** Events of the audit trail, with the field names that its log lines show. */
+import type { JobStatus } from '../../protocol/job.js';
 import type { CommandOutcome, CommandRoute } from './commandOutcome.js';
 import type { TerminationRule } from './terminationRule.js';
 
 /** An invariant that is checked at run time; see docs/safety.md. */
-export type Invariant = 'start-beside-live-attempt' | 'attempt-vanished';
+export type Invariant =
+  | 'start-beside-live-attempt'
+  | 'attempt-vanished'
+  /** A user's question was about to be answered by what was known of the job before it came. */
+  | 'answer-older-than-question'
+  /** A job that was called done was about to be called cancelled, or the other way round. */
+  | 'final-states-differ';
+
+/** What a user has asked of a job. */
+export type UserRequestKind = 'read' | 'submit' | 'cancel';
+
+/** On what a job's state was told. Durations are in seconds. */
+export type AnswerSource =
+  /** A final record; `revision` is that of this node's copy. */
+  | { source: 'final'; revision: number }
+  | { source: 'leader'; shard: string; fencingToken: number; leaseLeft: number }
+  /** `age`: since the store, or the peer, was asked. */
+  | { source: 'store'; age: number }
+  | { source: 'peer'; peer: string; age: number };
+
+/**
+ * Why a user was told to come back in place of a job's state. `told-final-before`: this node has told that the job is over;
+ * `leadership-ended`: the right to speak for the job's shard is gone, or a change of its record has no answer;
+ * `older-than-question`, `final-states-differ`: an invariant is violated; `dependency-may-be-cancelled`: a job
+ * that it needs was cancelled, or this node can't know (safety, P4); `job-is-known`: the job was about to be denied.
+ */
+export type AnswerWithheldReason =
+  | 'told-final-before'
+  | 'leadership-ended'
+  | 'older-than-question'
+  | 'final-states-differ'
+  | 'dependency-may-be-cancelled'
+  | 'job-is-known';
 
 /** A decision about who may act for a shard, or about an attempt. Durations are in seconds. */
 export type AuditEvent =
@@ -59,4 +92,17 @@
       /** Seconds since the machine was last reached. */
       silentFor: number;
     }
+  /** A user was told how a job stands. */
+  | ({
+      event: 'job-answered';
+      request: UserRequestKind;
+      job: string;
+      state: JobStatus;
+    } & AnswerSource)
+  | {
+      event: 'answer-withheld';
+      request: UserRequestKind;
+      job: string;
+      reason: AnswerWithheldReason;
+    }
   | { event: 'invariant-violated'; invariant: Invariant; shard: string; detail: string };
--- a/src/coordination/audit/auditTrail.ts
+++ b/src/coordination/audit/auditTrail.ts
@@ -6,11 +6,19 @@
 import type { AuditEvent } from './auditEvent.js';
 import { statusCounterName } from './statusCounters.js';
 
-/** Events of every task that say nothing that its start did not say: logged at `debug` only. */
-const isRoutine = (event: AuditEvent): boolean =>
-  event.event === 'commands-outcome'
-    ? event.outcome === 'executed'
-    : event.event === 'attempt-terminated' && event.rule === 'ended';
+/** Events that come for every task or every question and say little by themselves: logged at `debug` only. */
+function isRoutine(event: AuditEvent): boolean {
+  switch (event.event) {
+    case 'commands-outcome':
+      return event.outcome === 'executed';
+    case 'attempt-terminated':
+      return event.rule === 'ended';
+    case 'job-answered':
+      return event.request === 'read' && (event.state === 'queued' || event.state === 'running');
+    default:
+      return false;
+  }
+}
 
 const formatValue = (value: string | number | null): string => {
   if (typeof value === 'number' && !Number.isInteger(value)) return value.toFixed(3);
--- a/src/coordination/audit/statusCounters.ts
+++ b/src/coordination/audit/statusCounters.ts
@@ -33,6 +33,10 @@
       return `orders-outcome.${event.outcome}`;
     case 'commands-sent':
       return `orders-sent.${event.route}`;
+    case 'job-answered':
+      return `answers.${event.source}`;
+    case 'answer-withheld':
+      return `answers-withheld.${event.reason}`;
     case 'invariant-violated':
       return `invariant-broken.${event.invariant}`;
     default:
--- a/src/coordination/controller/gateway.ts
+++ b/src/coordination/controller/gateway.ts
@@ -122,7 +122,8 @@
 
   private async answerRelayed({ method, target, body }: Relay): Promise<Relayed> {
     const request = { method, path: target, body, isRelayed: true, isFollowUp: false };
-    const reply = await this.route(request);
+    const routed = await this.route(request);
+    const reply = routed.atSending?.() ?? routed;
     const retryAfter = reply.retryAfter ?? null;
     return { status: reply.status, body: JSON.stringify(reply.body), retryAfter };
   }
--- a/src/coordination/jobs/jobCancellation.ts
+++ b/src/coordination/jobs/jobCancellation.ts
@@ -1,15 +1,25 @@
 /** Users' cancellations: announced to all nodes, stored by the leader of the job's home shard. */
 import type { Clock } from '../../base/clock.js';
-import { acceptedAnswer, idPattern } from '../../protocol/job.js';
 import type { JobRecord } from '../../storage/records.js';
-import type { Reply } from '../../transport/httpServer.js';
 import type { HomeJob, OwnedShard } from '../leadership/ownedShard.js';
 import type { PeerRegistry } from '../peers/peerRegistry.js';
 import type { JobPersistence } from '../persistence/jobPersistence.js';
 import type { CancellationPreparations } from './cancellationPreparations.js';
 import type { JobLookup } from './jobLookup.js';
-import { isolatedReply, NO_SUCH_JOB, unavailable } from './replies.js';
-import { relayToAnyPeer, replyFromPeer, REQUEST_TIMEOUT_SECONDS } from './requestRelay.js';
+import {
+  isolatedReply,
+  NO_SUCH_JOB,
+  statusReply,
+  unavailable,
+  type JobReply,
+  type StateReply,
+} from './replies.js';
+import {
+  relayToAnyPeer,
+  relayToPeer,
+  REQUEST_TIMEOUT_SECONDS,
+  type JobRelay,
+} from './requestRelay.js';
 
 /** Seconds that the job's leader has to answer: a little longer than it may take to store the cancellation. */
 const LEADER_TIMEOUT_SECONDS = REQUEST_TIMEOUT_SECONDS + 0.2;
@@ -37,15 +47,14 @@
   ) {}
 
   /** Answers once the cancellation is stored, or could not be stored in the time that a user waits. */
-  async cancel(id: string, isRelayed: boolean): Promise<Reply> {
-    if (!idPattern.test(id)) return NO_SUCH_JOB;
+  async cancel(id: string, isRelayed: boolean): Promise<JobReply> {
     const copy = this.lookup.copyOf(id);
     if (copy !== undefined && copy.state !== 'open') return endedReply(id, copy.state);
     if (this.context.isIsolated) return isolatedReply();
     const record = copy ?? (await this.lookup.stored(id));
     if (record === null) return NO_SUCH_JOB;
     if (record === undefined) {
-      const reply = isRelayed ? null : await relayToAnyPeer(this.context, cancelRequest(id));
+      const reply = isRelayed ? null : await relayToAnyPeer(this.context, cancelRelay(id));
       return reply ?? unavailable('out of reach');
     }
     if (record.state !== 'open') return endedReply(id, record.state);
@@ -57,7 +66,7 @@
     id: string,
     { homeShard: label }: JobRecord,
     isRelayed: boolean,
-  ): Promise<Reply> {
+  ): Promise<JobReply> {
     const { ownedShards, leadership } = this.context;
     const homeShard = ownedShards.get(label);
     const job = homeShard?.jobs.get(id);
@@ -69,7 +78,7 @@
   }
 
   /** Cancels a job whose home shard this node leads. */
-  private async cancelAsLeader(homeShard: OwnedShard, job: HomeJob): Promise<Reply> {
+  private async cancelAsLeader(homeShard: OwnedShard, job: HomeJob): Promise<JobReply> {
     const { cancellationPreparations, clock, persistence } = this.context;
     // Else a node that can't read the record would keep tasks of the job alive, or start some.
     if (
@@ -85,22 +94,17 @@
   }
 
   /** The answer of the peer that leads the job's home shard; null where none does or it gives no answer. */
-  private async askLeader(id: string, homeShard: string): Promise<Reply | null> {
-    const { peers, settings } = this.context;
+  private async askLeader(id: string, homeShard: string): Promise<JobReply | null> {
     const leader = this.context.leaderOf(homeShard);
-    if (leader === null || leader === settings.label) return null;
-    const answer = await peers.relay(leader, cancelRequest(id), LEADER_TIMEOUT_SECONDS);
-    return answer === null ? null : replyFromPeer(answer);
+    if (leader === null || leader === this.context.settings.label) return null;
+    return relayToPeer(this.context, leader, cancelRelay(id), LEADER_TIMEOUT_SECONDS);
   }
 }
 
-const cancelRequest = (id: string): { method: string; target: string; body: string } => ({
-  method: 'POST',
-  target: `/v1/jobs/${id}/withdraw`,
-  body: '',
+const cancelRelay = (job: string): JobRelay => ({
+  job,
+  request: { method: 'POST', target: `/v1/jobs/${job}/withdraw`, body: '' },
 });
 
-const endedReply = (id: string, state: Exclude<JobRecord['state'], 'open'>): Reply => ({
-  status: 200,
-  body: acceptedAnswer(id, state),
-});
+const endedReply = (id: string, state: Exclude<JobRecord['state'], 'open'>): StateReply =>
+  statusReply(id, state, { kind: 'final' });
--- a/src/coordination/jobs/jobLookup.ts
+++ b/src/coordination/jobs/jobLookup.ts
@@ -3,12 +3,14 @@
 import { keys, type JobRecord } from '../../storage/records.js';
 import type { StateCache } from '../../storage/stateCache.js';
 import type { StateClient } from '../../storage/stateClient.js';
-import type { Reply } from '../../transport/httpServer.js';
 import type { Pipelines } from '../pipelines/pipelines.js';
-import { finalView, openView, type JobViewContext } from './jobViews.js';
+import { finalView, openView, type FinalJobRecord, type JobViewContext } from './jobViews.js';
+import type { AnswerEvidence, JobReply, StateReply } from './replies.js';
 import {
   relayToAnyPeer,
+  relayToPeer,
   REQUEST_TIMEOUT_SECONDS,
+  type JobRelay,
   type RequestRelayContext,
 } from './requestRelay.js';
 
@@ -24,7 +26,7 @@
   readonly clock: JobViewContext['clock'];
   readonly stateClient: Pick<StateClient, 'get'>;
   readonly stateCache: Pick<StateCache, 'get' | 'note'>;
-  readonly pipelines: Pick<Pipelines, 'reason' | 'mayCallOpen'>;
+  readonly pipelines: Pick<Pipelines, 'reason'>;
   /** Neither the state service nor any peer is in reach. */
   readonly isIsolated: boolean;
   /** The node that leads a shard, as far as is known here. */
@@ -33,15 +35,21 @@
 
 /** What could be found out about a job. */
 export type LookupResult =
-  | { readonly kind: 'found'; readonly view: JobView }
+  | { readonly kind: 'found'; readonly view: JobView; readonly evidence: AnswerEvidence }
   /** A peer has answered in this node's stead. */
-  | { readonly kind: 'relayed'; readonly reply: Reply }
+  | { readonly kind: 'relayed'; readonly reply: JobReply }
   | { readonly kind: 'missing' }
   /** Nobody who can tell was in reach. */
   | { readonly kind: 'unavailable' };
 
-const found = (view: JobView): LookupResult => ({ kind: 'found', view });
-const relayed = (reply: Reply): LookupResult => ({ kind: 'relayed', reply });
+const relayed = (reply: JobReply): LookupResult => ({ kind: 'relayed', reply });
+const ended = (record: FinalJobRecord): LookupResult => ({
+  kind: 'found',
+  view: finalView(record),
+  evidence: { kind: 'final' },
+});
+
+const isFinalRecord = (record: JobRecord): record is FinalJobRecord => record.state !== 'open';
 
 /** Looks jobs up for users. */
 export class JobLookup {
@@ -67,70 +75,65 @@
     }
   }
 
-  /** What users are told of a job: how it ended, if this node has learned that by the time it answers. */
-  async view(id: string, mayRelay: boolean): Promise<LookupResult> {
-    const result = await this.lookUp(id, mayRelay);
-    const copy = this.copyOf(id);
-    if (copy !== undefined && copy.state !== 'open') return found(finalView(copy));
-    // It may have been cancelled with a job that it needs, and this node have missed that (safety, P4).
-    if (result.kind === 'found' && !this.context.pipelines.mayCallOpen(id)) {
-      return { kind: 'unavailable' };
-    }
-    return result;
-  }
-
   /**
    * A final state never changes, so any copy of it will do. All else comes from the leader of the job's home shard,
    * whose state is the latest while its lease is valid, or from the store.
    */
-  private async lookUp(id: string, mayRelay: boolean): Promise<LookupResult> {
+  async lookUp(id: string, mayRelay: boolean): Promise<LookupResult> {
     const copy = this.copyOf(id);
     if (copy !== undefined) {
-      if (copy.state !== 'open') return found(finalView(copy));
-      const view = this.viewAsLeader(id, copy);
-      if (view !== null) return found(view);
+      if (isFinalRecord(copy)) return ended(copy);
+      const known = this.knownAsLeader(id, copy);
+      if (known !== null) return known;
       const reply = mayRelay ? await this.askLeader(id, copy) : null;
       if (reply !== null) return relayed(reply);
     }
     // Nobody could be asked, and a user waits two seconds only.
     if (this.context.isIsolated) return { kind: 'unavailable' };
-    const record = await this.stored(id);
-    if (record === null) return { kind: 'missing' };
-    if (record !== undefined) {
-      return found(record.state === 'open' ? openView(this.context, record) : finalView(record));
-    }
-    const reply = mayRelay ? await this.askAnyPeer(id) : null;
-    return reply === null ? { kind: 'unavailable' } : relayed(reply);
+    return (await this.readStored(id)) ?? this.askAnyPeer(id, mayRelay);
   }
 
   /** A job whose home shard this node leads, unless a change of its record got no answer. */
-  private viewAsLeader(id: string, copy: JobRecord): JobView | null {
+  private knownAsLeader(id: string, copy: JobRecord): LookupResult | null {
     const { leadership, ownedShards } = this.context;
     if (!leadership.isLeaseValid) return null;
-    const job = ownedShards.get(copy.homeShard)?.jobs.get(id);
-    if (job === undefined || job.isUncertain === true) return null;
-    return openView(this.context, job.record);
+    const homeShard = ownedShards.get(copy.homeShard);
+    const job = homeShard?.jobs.get(id);
+    if (homeShard === undefined || job === undefined || job.isUncertain === true) return null;
+    const evidence = { kind: 'leader', homeShard, job } as const;
+    return { kind: 'found', view: openView(this.context, job.record), evidence };
+  }
+
+  /** How the job stands by its stored record; null where the store can't be read. */
+  private async readStored(id: string): Promise<LookupResult | null> {
+    const asOf = this.context.clock.now();
+    const record = await this.stored(id);
+    if (record === undefined) return null;
+    if (record === null) return { kind: 'missing' };
+    if (isFinalRecord(record)) return ended(record);
+    const evidence = { kind: 'store', asOf } as const;
+    return { kind: 'found', view: openView(this.context, record), evidence };
   }
 
   /** The answer of the peer that leads the job's home shard; null where that gives none. */
-  private async askLeader(id: string, copy: JobRecord): Promise<Reply | null> {
-    const { peers, settings } = this.context;
+  private async askLeader(id: string, copy: JobRecord): Promise<StateReply | null> {
     const leader = this.context.leaderOf(copy.homeShard);
-    if (leader === null || leader === settings.label) return null;
-    const answer = await peers.relay(leader, readRequest(id), LEADER_TIMEOUT_SECONDS);
-    if (answer?.status !== 200) return null;
-    return { status: 200, body: JSON.parse(answer.body) as unknown };
+    if (leader === null || leader === this.context.settings.label) return null;
+    const reply = await relayToPeer(this.context, leader, readRelay(id), LEADER_TIMEOUT_SECONDS);
+    return reply?.stated === undefined ? null : reply;
   }
 
   /** The answer of the first peer that knows whether there is such a job. */
-  private async askAnyPeer(id: string): Promise<Reply | null> {
-    const reply = await relayToAnyPeer(this.context, readRequest(id), PEERS_TIMEOUT_SECONDS);
-    return reply?.status === 200 || reply?.status === 404 ? reply : null;
+  private async askAnyPeer(id: string, mayRelay: boolean): Promise<LookupResult> {
+    const reply = mayRelay
+      ? await relayToAnyPeer(this.context, readRelay(id), PEERS_TIMEOUT_SECONDS)
+      : null;
+    const isAnswer = reply?.status === 200 || reply?.status === 404;
+    return isAnswer ? relayed(reply) : { kind: 'unavailable' };
   }
 }
 
-const readRequest = (id: string): { method: string; target: string; body: string } => ({
-  method: 'GET',
-  target: `/v1/jobs/${id}`,
-  body: '',
+const readRelay = (job: string): JobRelay => ({
+  job,
+  request: { method: 'GET', target: `/v1/jobs/${job}`, body: '' },
 });
--- a/src/coordination/jobs/jobService.ts
+++ b/src/coordination/jobs/jobService.ts
@@ -1,20 +1,23 @@
 /** What users ask of jobs: submissions, states, cancellations. Any node answers for any job. */
-import { idPattern, jobAnswer } from '../../protocol/job.js';
+import { idPattern, parseJob } from '../../protocol/job.js';
 import type { Reply } from '../../transport/httpServer.js';
+import type { UserRequestKind } from '../audit/auditEvent.js';
+import { JobAnswers, type JobAnswersContext } from './jobAnswers.js';
 import { JobCancellation, type JobCancellationContext } from './jobCancellation.js';
 import { JobLookup, type JobLookupContext } from './jobLookup.js';
 import { JobSubmission, type JobSubmissionContext } from './jobSubmission.js';
-import { NO_SUCH_JOB, unavailable } from './replies.js';
+import { NO_SUCH_JOB, unavailable, viewReply, type JobReply } from './replies.js';
 
 /** What users' requests need of a node. */
 export interface JobServiceContext
-  extends JobLookupContext, JobSubmissionContext, JobCancellationContext {
+  extends JobLookupContext, JobSubmissionContext, JobCancellationContext, JobAnswersContext {
   readonly settings: JobSubmissionContext['settings'];
   readonly stateClient: JobLookupContext['stateClient'] & JobSubmissionContext['stateClient'];
   readonly clock: JobLookupContext['clock'];
-  readonly stateCache: JobLookupContext['stateCache'];
+  readonly stateCache: JobLookupContext['stateCache'] & JobAnswersContext['stateCache'];
+  readonly pipelines: JobLookupContext['pipelines'] & JobAnswersContext['pipelines'];
   readonly peers: JobLookupContext['peers'];
-  readonly leadership: JobSubmissionContext['leadership'];
+  readonly leadership: JobSubmissionContext['leadership'] & JobAnswersContext['leadership'];
   readonly persistence: JobSubmissionContext['persistence'] & JobCancellationContext['persistence'];
 }
 
@@ -23,36 +26,54 @@
   private readonly lookup: JobLookup;
   private readonly submission: JobSubmission;
   private readonly cancellation: JobCancellation;
+  private readonly answers: JobAnswers;
 
-  constructor(context: JobServiceContext) {
+  constructor(private readonly context: JobServiceContext) {
+    this.answers = new JobAnswers(context);
     this.lookup = new JobLookup(context);
     this.submission = new JobSubmission(context, this.lookup);
     this.cancellation = new JobCancellation(context, this.lookup);
   }
 
-  /** Accepts a job; a repeated submission is answered as the first was. */
-  submit(body: string, isRelayed: boolean): Promise<Reply> {
-    return this.submission.submit(body, isRelayed);
+  /** Accepts a job; a repeated submission is answered with the job's state. */
+  async submit(body: string, isRelayed: boolean): Promise<Reply> {
+    const parsed = parseJob(body);
+    if ('error' in parsed) return { status: 400, body: { error: parsed.error } };
+    const { job } = parsed;
+    return this.answer('submit', job.id, () => this.submission.submit(job, body, isRelayed));
   }
 
   /** How a job stands. */
-  async read(id: string, isRelayed: boolean): Promise<Reply> {
-    if (!idPattern.test(id)) return NO_SUCH_JOB;
-    const result = await this.lookup.view(id, !isRelayed);
+  read(id: string, isRelayed: boolean): Promise<Reply> {
+    return this.answer('read', id, () => this.lookUp(id, isRelayed));
+  }
+
+  /** Cancels a job; one that is over already is answered with its state. */
+  cancel(id: string, isRelayed: boolean): Promise<Reply> {
+    return this.answer('cancel', id, () => this.cancellation.cancel(id, isRelayed));
+  }
+
+  private async answer(
+    kind: UserRequestKind,
+    job: string,
+    work: () => Promise<JobReply>,
+  ): Promise<Reply> {
+    if (!idPattern.test(job)) return NO_SUCH_JOB;
+    const request = { kind, job, receivedAt: this.context.clock.now() };
+    return this.answers.decideOnSending(request, await work());
+  }
+
+  private async lookUp(id: string, isRelayed: boolean): Promise<JobReply> {
+    const result = await this.lookup.lookUp(id, !isRelayed);
     switch (result.kind) {
       case 'relayed':
         return result.reply;
       case 'found':
-        return { status: 200, body: jobAnswer(id, result.view) };
+        return viewReply(id, result.view, result.evidence);
       case 'unavailable':
         return unavailable('the state service is out of reach');
       case 'missing':
         return NO_SUCH_JOB;
     }
   }
-
-  /** Cancels a job; one that is over already is answered with its state. */
-  cancel(id: string, isRelayed: boolean): Promise<Reply> {
-    return this.cancellation.cancel(id, isRelayed);
-  }
 }
--- a/src/coordination/jobs/jobSubmission.ts
+++ b/src/coordination/jobs/jobSubmission.ts
@@ -1,16 +1,15 @@
 /** Users' submissions: what is checked before a job is stored, and the record that it is stored with. */
 import type { Clock } from '../../base/clock.js';
-import { acceptedAnswer, parseJob, type JobSpec } from '../../protocol/job.js';
+import type { JobSpec } from '../../protocol/job.js';
 import type { Settings } from '../../protocol/settings.js';
 import { keys, type JobRecord } from '../../storage/records.js';
-import type { Reply } from '../../transport/httpServer.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import { chunkRanges, chunkSize, mayCreateChunk, zonesFor } from '../model/chunking.js';
 import { checkDependencies, type DependencyCheck } from '../pipelines/dependencyAdmission.js';
 import { placeInitialChunks, type ShardChooser } from './initialPlacement.js';
 import { feasibleZones, infeasibilityReason, type FeasibilityContext } from './jobFeasibility.js';
 import type { JobLookup } from './jobLookup.js';
-import { isolatedReply, unavailable } from './replies.js';
+import { isolatedReply, statusReply, unavailable, type JobReply } from './replies.js';
 import {
   relayToAnyPeer,
   REQUEST_TIMEOUT_SECONDS,
@@ -47,14 +46,14 @@
 /** Whether this node can take a submission, and the home shard that its job would have. */
 type Admission =
   | { readonly kind: 'admitted'; readonly homeShard: OwnedShard }
-  | { readonly kind: 'answered'; readonly reply: Reply | Promise<Reply> };
+  | { readonly kind: 'answered'; readonly reply: JobReply | Promise<JobReply> };
 
-const answered = (reply: Reply | Promise<Reply>): Admission => ({ kind: 'answered', reply });
+const answered = (reply: JobReply | Promise<JobReply>): Admission => ({ kind: 'answered', reply });
 
 /** Accepts jobs of users. */
 export class JobSubmission {
   /** Submissions that have no answer yet, by the ids of their jobs. */
-  private readonly pending = new Map<string, Promise<Reply>>();
+  private readonly pending = new Map<string, Promise<JobReply>>();
   private readonly writer: SubmissionWriter;
 
   constructor(
@@ -65,12 +64,9 @@
   }
 
   /** Answers once the job is stored, or could not be stored in the time that a user waits. */
-  async submit(body: string, isRelayed: boolean): Promise<Reply> {
-    const parsed = parseJob(body);
-    if ('error' in parsed) return { status: 400, body: { error: parsed.error } };
-    const { job } = parsed;
+  async submit(job: JobSpec, body: string, isRelayed: boolean): Promise<JobReply> {
     const pending = this.pending.get(job.id);
-    if (pending !== undefined) return this.submitAfter(pending, body, isRelayed);
+    if (pending !== undefined) return this.submitAfter(pending, job, body, isRelayed);
     // Nothing is awaited before the job is pending: of two requests for it, only one may go on.
     const admission = this.admit(job, body, isRelayed);
     if (admission.kind === 'answered') return admission.reply;
@@ -88,12 +84,13 @@
    * of the job may be older than the repetition, and a user has been told of the job's end by then.
    */
   private async submitAfter(
-    pending: Promise<Reply>,
+    pending: Promise<JobReply>,
+    job: JobSpec,
     body: string,
     isRelayed: boolean,
-  ): Promise<Reply> {
+  ): Promise<JobReply> {
     const reply = await pending;
-    return reply.status === 503 ? reply : this.submit(body, isRelayed);
+    return reply.status === 503 ? reply : this.submit(job, body, isRelayed);
   }
 
   private admit(job: JobSpec, body: string, isRelayed: boolean): Admission {
@@ -101,7 +98,7 @@
     if (context.isIsolated) return answered(isolatedReply());
     if (!context.leadership.isLeaseValid) {
       const reply = unavailable('no node can store the job now');
-      return answered(isRelayed ? reply : this.relay(body, reply));
+      return answered(isRelayed ? reply : this.relay(job.id, body, reply));
     }
     if (context.stateCache.get(keys.job(job.id)) !== undefined) {
       return answered(this.answerKnown(job.id));
@@ -113,7 +110,9 @@
       context.ownedShards.get(context.settings.label) ?? [...context.ownedShards.values()][0];
     if (homeShard === undefined) {
       const reply = unavailable('this node is starting');
-      return answered(context.drain.isActive && !isRelayed ? this.relay(body, reply) : reply);
+      return answered(
+        context.drain.isActive && !isRelayed ? this.relay(job.id, body, reply) : reply,
+      );
     }
     // More waits for the state service than it can take in the time that a user waits.
     const { delay } = this.writer;
@@ -125,22 +124,20 @@
   }
 
   /** Has a peer accept the job; `fallback` where none can. */
-  private async relay(body: string, fallback: Reply): Promise<Reply> {
+  private async relay(job: string, body: string, fallback: JobReply): Promise<JobReply> {
     const request = { method: 'POST', target: '/v1/jobs', body };
-    return (await relayToAnyPeer(this.context, request)) ?? fallback;
+    return (await relayToAnyPeer(this.context, { job, request })) ?? fallback;
   }
 
   /** The answer for a job that was accepted before. */
-  private async answerKnown(id: string): Promise<Reply> {
-    const result = await this.lookup.view(id, false);
-    if (result.kind === 'found') {
-      return { status: 200, body: acceptedAnswer(id, result.view.status) };
-    }
+  private async answerKnown(id: string): Promise<JobReply> {
+    const result = await this.lookup.lookUp(id, false);
+    if (result.kind === 'found') return statusReply(id, result.view.status, result.evidence);
     const isUnavailable = result.kind === 'unavailable';
     return unavailable(isUnavailable ? 'the state service is out of reach' : 'try again');
   }
 
-  private async accept(homeShard: OwnedShard, spec: JobSpec): Promise<Reply> {
+  private async accept(homeShard: OwnedShard, spec: JobSpec): Promise<JobReply> {
     const { context } = this;
     const reason = infeasibilityReason(context, spec);
     if (reason !== null) return this.refuse(spec.id, reason);
@@ -159,12 +156,12 @@
   }
 
   /** A job may have been accepted before its retry reached this node: that one is never refused. */
-  private async refuse(id: string, reason: string): Promise<Reply> {
+  private async refuse(id: string, reason: string): Promise<JobReply> {
     return (await this.answerIfStored(id)) ?? { status: 422, body: { error: reason } };
   }
 
   /** The answer for a job that is stored or may be; null where it is not. */
-  private async answerIfStored(id: string): Promise<Reply | null> {
+  private async answerIfStored(id: string): Promise<JobReply | null> {
     const record = await this.lookup.stored(id);
     if (record === undefined) return unavailable('the state service is out of reach');
     return record === null ? null : this.answerKnown(id);
@@ -175,7 +172,7 @@
     homeShard: OwnedShard,
     spec: JobSpec,
     dependencies: DependencyCheck,
-  ): Promise<Reply> {
+  ): Promise<JobReply> {
     switch (dependencies.kind) {
       case 'unavailable':
         return unavailable('the state service is out of reach');
@@ -190,7 +187,7 @@
   }
 
   /** Accepts a job as cancelled with one that it depends on. */
-  private storeCancelled(homeShard: OwnedShard, spec: JobSpec): Promise<Reply> {
+  private storeCancelled(homeShard: OwnedShard, spec: JobSpec): Promise<JobReply> {
     const record: JobRecord = {
       ...this.newRecord(homeShard, spec),
       spec: null,
@@ -218,7 +215,7 @@
   }
 
   /** Stores a job with its first chunks; one that waits for others has none yet. */
-  private async store(homeShard: OwnedShard, spec: JobSpec): Promise<Reply> {
+  private async store(homeShard: OwnedShard, spec: JobSpec): Promise<JobReply> {
     const { recordFormat, migration, clock } = this.context;
     const record = this.newRecord(homeShard, spec);
     const ranges = chunkRanges(spec.taskCount, record.chunkSize, record.zones)
--- a/src/coordination/jobs/jobViews.ts
+++ b/src/coordination/jobs/jobViews.ts
@@ -1,5 +1,5 @@
 /** What users are told of a job whose record is known. */
-import type { JobStatus, JobView } from '../../protocol/job.js';
+import type { JobView } from '../../protocol/job.js';
 import type { ChunkIndex } from '../../storage/chunkIndex.js';
 import type { ChunkRecord, JobRecord } from '../../storage/records.js';
 import type { Chunk } from '../model/chunk.js';
@@ -11,17 +11,18 @@
   readonly chunkIndex: Pick<ChunkIndex, 'find'>;
 }
 
+/** The record of a job that is done or cancelled. */
+export type FinalJobRecord = JobRecord & { readonly state: 'done' | 'cancelled' };
+
 /** A job that is done or cancelled. */
-export function finalView(record: JobRecord): JobView {
-  const status: JobStatus = record.state === 'cancelled' ? 'cancelled' : 'done';
-  const done = status === 'done' ? record.taskCount : 0;
-  return { status, done, running: 0, reason: null };
+export function finalView({ state: status, taskCount }: FinalJobRecord): JobView {
+  return { status, done: status === 'done' ? taskCount : 0, running: 0, reason: null };
 }
 
 /** An open job, its counts gathered from wherever its chunks are. */
 export function openView(context: JobViewContext, record: JobRecord): JobView {
   const { spec } = record;
-  if (spec === null) return finalView(record);
+  if (spec === null) return finalView({ ...record, state: 'done' });
   const ranges = chunkRanges(spec.taskCount, record.chunkSize, record.zones);
   let done = 0;
   let running = 0;
--- a/src/coordination/jobs/requestRelay.ts
+++ b/src/coordination/jobs/requestRelay.ts
@@ -1,8 +1,9 @@
 /** Passes users' requests on to peers that can answer them. */
 import type { Clock } from '../../base/clock.js';
 import type { Relay } from '../../protocol/peerMessages.js';
-import type { Reply } from '../../transport/httpServer.js';
+import { parseJobAnswer } from '../../protocol/job.js';
 import type { PeerRegistry } from '../peers/peerRegistry.js';
+import { unavailable, type JobReply, type Refusal } from './replies.js';
 
 /** Seconds in which a user is answered; PROTOCOL has them give up after five. */
 export const REQUEST_TIMEOUT_SECONDS = 4;
@@ -20,29 +21,72 @@
   readonly retryAfter: number | null;
 }
 
+/** A request about a job, to be passed on. */
+export interface JobRelay {
+  readonly job: string;
+  readonly request: Relay;
+}
+
 /**
  * Asks nodes that the state service serves, one after the other, while the user still waits. Null when none of
  * them has answered.
  */
 export async function relayToAnyPeer(
-  { clock, peers }: RequestRelayContext,
-  request: Relay,
+  context: RequestRelayContext,
+  relay: JobRelay,
   timeoutSeconds = REQUEST_TIMEOUT_SECONDS,
-): Promise<Reply | null> {
+): Promise<JobReply | null> {
+  const { clock, peers } = context;
   const deadline = clock.now() + timeoutSeconds;
   const labels = peers.served();
   for (const [i, label] of labels.entries()) {
     // A silent peer must leave time for the next.
     const left = (deadline - clock.now()) / Math.min(2, labels.length - i);
     if (left <= 0) break;
-    const answer = await peers.relay(label, request, left);
-    if (answer !== null && answer.status !== 503) return replyFromPeer(answer);
+    const reply = await relayToPeer(context, label, relay, left);
+    if (reply !== null && reply.status !== 503) return reply;
   }
   return null;
 }
 
-/** A peer's answer as the reply to the user. */
-export function replyFromPeer({ status, body, retryAfter }: RelayedAnswer): Reply {
+/** A peer's answer as the reply to the user; null where it gives none in time, or none to this question. */
+export async function relayToPeer(
+  { clock, peers }: RequestRelayContext,
+  peer: string,
+  { job, request }: JobRelay,
+  timeoutSeconds: number,
+): Promise<JobReply | null> {
+  const asOf = clock.now();
+  const answer = await peers.relay(peer, request, timeoutSeconds);
+  return answer === null ? null : replyFromPeer(answer, job, peer, asOf);
+}
+
+function replyFromPeer(
+  { status, body, retryAfter }: RelayedAnswer,
+  job: string,
+  peer: string,
+  asOf: number,
+): JobReply | null {
   const parsed = JSON.parse(body) as unknown;
-  return retryAfter === null ? { status, body: parsed } : { status, body: parsed, retryAfter };
+  switch (status) {
+    case 200:
+    case 201: {
+      const told = parseJobAnswer(parsed);
+      if (told?.id !== job) return null;
+      const evidence = { kind: 'peer', peer, asOf } as const;
+      return { status, body: parsed, stated: { job, status: told.status, evidence } };
+    }
+    case 400:
+    case 404:
+    case 422:
+      return { status, body: parsed };
+    default:
+      return refusalOf(parsed, retryAfter);
+  }
+}
+
+/** A peer's word that the user should come back. */
+function refusalOf(body: unknown, retryAfter: number | null): Refusal {
+  const refusal = unavailable('a peer could not answer', retryAfter ?? undefined);
+  return { ...refusal, body };
 }
--- a/src/coordination/jobs/submissionBatch.ts
+++ b/src/coordination/jobs/submissionBatch.ts
@@ -6,9 +6,9 @@
 import type { RecordFormat } from '../../storage/recordFormat.js';
 import { keys, type BucketRecord, type JobRecord } from '../../storage/records.js';
 import type { StateCache } from '../../storage/stateCache.js';
-import type { Reply } from '../../transport/httpServer.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import { maxStoredBytes } from '../model/bucket.js';
+import type { JobReply } from './replies.js';
 import type { PlacedChunk } from './initialPlacement.js';
 
 /** Of the limits of a transaction and of a value, what a batch may use: sizes are worked out, not measured. */
@@ -28,7 +28,7 @@
   /** Steady time at which its user is answered at the latest. */
   readonly deadline: number;
   /** Answers its user. */
-  readonly settle: (reply: Reply) => void;
+  readonly settle: (reply: JobReply) => void;
 }
 
 /** A bucket of chunks that a batch creates at a peer's shard. */
--- a/src/coordination/jobs/submissionWriter.ts
+++ b/src/coordination/jobs/submissionWriter.ts
@@ -4,15 +4,13 @@
  */
 import { sleep, type Clock } from '../../base/clock.js';
 import { describe, log } from '../../base/log.js';
-import { acceptedAnswer } from '../../protocol/job.js';
 import type { KeyValue, Transaction } from '../../protocol/stateProtocol.js';
 import { keys, type JobRecord } from '../../storage/records.js';
 import type { StateCache } from '../../storage/stateCache.js';
 import type { StateClient, TransactionResult } from '../../storage/stateClient.js';
-import type { Reply } from '../../transport/httpServer.js';
 import type { HomeJob, OwnedShard } from '../leadership/ownedShard.js';
 import type { JobPersistence } from '../persistence/jobPersistence.js';
-import { unavailable } from './replies.js';
+import { statusReply, unavailable, type JobReply } from './replies.js';
 import {
   batchTransaction,
   SubmissionBatcher,
@@ -60,7 +58,7 @@
   constructor(
     private readonly context: SubmissionWriterContext,
     /** The answer for a job that somebody else has stored. */
-    private readonly answerKnown: (id: string) => Promise<Reply>,
+    private readonly answerKnown: (id: string) => Promise<JobReply>,
   ) {
     this.batcher = new SubmissionBatcher(context);
   }
@@ -72,13 +70,13 @@
   }
 
   /** Resolves with the user's answer within `timeoutSeconds`. */
-  submit(homeShard: OwnedShard, submission: Submission, timeoutSeconds: number): Promise<Reply> {
+  submit(homeShard: OwnedShard, submission: Submission, timeoutSeconds: number): Promise<JobReply> {
     const { clock } = this.context;
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         resolve(this.giveUp(queued));
       }, timeoutSeconds * 1000);
-      const settle = (reply: Reply): void => {
+      const settle = (reply: JobReply): void => {
         clearTimeout(timer);
         resolve(reply);
       };
@@ -90,7 +88,7 @@
   }
 
   /** Takes a submission whose user waits no longer off the queue; the answer for its user. */
-  private giveUp(queued: QueuedSubmission): Reply {
+  private giveUp(queued: QueuedSubmission): JobReply {
     const index = this.queue.indexOf(queued);
     if (index < 0) return unavailable('the state service has not confirmed the job yet', 2);
     this.queue.splice(index, 1);
@@ -233,24 +231,26 @@
 
   /** Answers users by the newest record known here: the job may be over before its answer comes. */
   private answerStored(batch: SubmissionBatch): void {
-    const { stateCache } = this.context;
     this.context.requestSchedulingRound();
-    answerAll(batch, ({ id, record }) => {
-      // It depends on a cancelled job, and was stored as cancelled with it.
-      if (record.state === 'cancelled') {
-        return { status: 201, body: acceptedAnswer(id, record.state) };
-      }
-      const known = stateCache.get(keys.job(id))?.value as JobRecord | undefined;
-      if (known === undefined || known.state === 'open') {
-        return { status: 201, body: acceptedAnswer(id, 'queued') };
-      }
-      return { status: 200, body: acceptedAnswer(id, known.state) };
-    });
+    const { homeShard } = batch;
+    answerAll(batch, (submission) => this.replyToStored(homeShard, submission));
+  }
+
+  private replyToStored(homeShard: OwnedShard, { id, record }: Submission): JobReply {
+    // It depends on a cancelled job, and was stored as cancelled with it.
+    if (record.state === 'cancelled') return statusReply(id, record.state, { kind: 'final' }, 201);
+    const known = this.context.stateCache.get(keys.job(id))?.value as JobRecord | undefined;
+    if (known !== undefined && known.state !== 'open') {
+      return statusReply(id, known.state, { kind: 'final' });
+    }
+    const job = homeShard.jobs.get(id);
+    if (job === undefined) return unavailable('this node lost its part');
+    return statusReply(id, 'queued', { kind: 'leader', homeShard, job }, 201);
   }
 }
 
 /** Answers all users of a batch, which is empty then. */
-function answerAll(batch: SubmissionBatch, reply: (job: QueuedSubmission) => Reply): void {
+function answerAll(batch: SubmissionBatch, reply: (job: QueuedSubmission) => JobReply): void {
   for (const job of batch.jobs) job.settle(reply(job));
   batch.jobs = [];
 }
--- a/src/protocol/job.ts
+++ b/src/protocol/job.ts
@@ -140,6 +140,17 @@
   ...(view.reason === null ? {} : { Reason: view.reason }),
 });
 
+const toldJob = v.object({
+  Uid: jobId,
+  Status: v.picklist(['queued', 'running', 'done', 'cancelled']),
+});
+
+/** Which job an answer tells of and what it says, for an answer that a peer has passed on; null: it is none. */
+export function parseJobAnswer(body: unknown): { id: string; status: JobStatus } | null {
+  const result = v.safeParse(toldJob, body);
+  return result.success ? { id: result.output.Uid, status: result.output.Status } : null;
+}
+
 /** The answer to a submission or a cancellation. */
 export const acceptedAnswer = (id: string, status: JobStatus): Record<string, unknown> => ({
   Uid: id,
--- a/src/transport/serverConnection.ts
+++ b/src/transport/serverConnection.ts
@@ -8,6 +8,11 @@
   body: unknown;
   /** Seconds after which the client should come back. */
   retryAfter?: number;
+  /**
+   * Gives what may leave in place of this reply, and is asked just before its first byte: what it rests on may have changed
+   * since it was made. Absent: it may leave as it is.
+   */
+  atSending?: () => Reply;
 }
 
 const REASONS: Record<number, string> = {
@@ -144,7 +149,7 @@
     this.answering = false;
     if (this.ended || this.socket.destroyed) return;
     const close = this.closing || !request.keepAlive || this.events.mustClose(request);
-    const text = formatResponse(reply, close);
+    const text = formatResponse(reply.atSending?.() ?? reply, close);
     if (close) {
       this.socket.end(text);
       return;
--- a/test/cluster/answersToUsers.test.ts
+++ b/test/cluster/answersToUsers.test.ts
@@ -70,4 +70,6 @@
     assertNotOlder(await late, 'cancelled');
     // It was asked before the cancellation was confirmed: either answer is right.
     await early;
+    const counters = cluster.nodes.get('drone-1')?.controller.audit.counters ?? {};
+    assert.equal(counters['invariant-broken.answer-older-than-question'], undefined);
   }));
--- a/test/jobs/jobService.test.ts
+++ b/test/jobs/jobService.test.ts
@@ -66,7 +66,10 @@
   assert.ok(test());
 };
 
-const statusOf = (reply: Reply): unknown => (reply.body as { Status?: string }).Status;
+/** The reply as it leaves: what may be told is decided then. */
+const sent = (reply: Reply): Reply => reply.atSending?.() ?? reply;
+
+const statusOf = (reply: Reply): unknown => (sent(reply).body as { Status?: string }).Status;
 
 const cases: {
   name: string;
@@ -104,7 +107,7 @@
   await until(() => asked.reads.length > 0);
   asked.hearEnd('open');
   asked.reads[0]?.({ status: 404, body: { Epoch: 4 }, retryAfter: null });
-  const { status } = await reply;
+  const { status } = sent(await reply);
   assert.equal(status, 200);
 });
 
--- a/test/jobs/submissionWriter.test.ts
+++ b/test/jobs/submissionWriter.test.ts
@@ -48,7 +48,11 @@
       requestSchedulingRound: () => undefined,
     };
     this.accepting = new SubmissionWriter(node, (id) =>
-      Promise.resolve({ status: 200, body: { known: id } }),
+      Promise.resolve({
+        status: 200,
+        body: { known: id },
+        stated: { job: id, status: 'queued', evidence: { kind: 'final' } },
+      }),
     );
   }
 
--- a/test/transport/http.test.ts
+++ b/test/transport/http.test.ts
@@ -278,3 +278,20 @@
   assert.equal(requests, 1);
   server.close();
 });
+
+test('what leaves in place of a reply is asked for as it is written', async () => {
+  const server = new HttpServer(
+    () =>
+      Promise.resolve({
+        status: 200,
+        body: { Status: 'queued' },
+        atSending: () => ({ status: 503, body: { error: 'too old' }, retryAfter: 1 }),
+      }),
+    SMALL_SERVER,
+  );
+  const port = await server.listen({ host: '127.0.0.1', port: 0 });
+  const client = new HttpClient(2, 1);
+  const answer = await client.call(`127.0.0.1:${port}`, 'GET', '/', undefined, 2);
+  server.close();
+  assert.deepEqual(answer, { status: 503, body: { error: 'too old' }, retryAfter: 1 });
+});
