--- a/test/jobs/jobService.test.ts
+++ b/test/jobs/jobService.test.ts
@@ -5,6 +5,7 @@
 import { Controller } from '../../src/coordination/controller/controller.js';
 import { JobService } from '../../src/coordination/jobs/jobService.js';
 import { defaultTuning, parseSettings } from '../../src/protocol/settings.js';
+import { compactJob } from '../../src/storage/compactRecords.js';
 import { toPlainJob } from '../../src/storage/plainRecords.js';
 import { keys, type JobRecord } from '../../src/storage/records.js';
 import type { Response } from '../../src/transport/httpClient.js';
@@ -120,3 +121,21 @@
   asked.reads[0]?.({ status: 200, body: item, retryAfter: null });
   assert.equal(statusOf(await reply), 'done');
 });
+
+// A job's final state never changes, so "done" must rest on a record that says so. An open record whose description was lost
+// was called done: only records of jobs that are over have none.
+for (const layout of ['plain', 'compact'] as const) {
+  test(`an open record without a description (${layout}) is not called done`, async () => {
+    const asked = new Asked(null);
+    const reply = asked.users.read(ID, true);
+    await until(() => asked.reads.length > 0);
+    const stored = { ...record('open'), spec: null };
+    const value = layout === 'plain' ? toPlainJob(stored) : compactJob(stored);
+    asked.reads[0]?.({
+      status: 200,
+      body: { K: keys.job(ID), Value: value, Stamp: 5 },
+      retryAfter: null,
+    });
+    assert.equal(sent(await reply).status, 503);
+  });
+}
