A job's record tells by its state alone whether it is over

What callers saw: done, for good, for a job that was open, where its record had no description.

Cause: the state and the description were two independent fields, and code that met no description took the job for over, as a done one; a state that is not known counted as done as well.

Why this mend holds: records are a union of open ones, which have a description, and final ones, so that the types leave no such code; what is stored otherwise is an unreadable record, is logged as such, and its job is answered with 503. One test used such a record as an example of a readable one, and now stores the job as done.

--- a/src/coordination/jobs/jobAnswers.ts
+++ b/src/coordination/jobs/jobAnswers.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '../../base/clock.js';
 import type { JobStatus } from '../../protocol/job.js';
-import { keys, type JobRecord } from '../../storage/records.js';
+import { keys, type FinalJobRecord, type JobRecord } from '../../storage/records.js';
 import type { StateCache } from '../../storage/stateCache.js';
 import type { Reply } from '../../transport/httpServer.js';
 import type {
@@ -17,7 +17,7 @@
 import type { AuditTrail } from '../audit/auditTrail.js';
 import type { Authority } from '../leadership/authority.js';
 import type { Pipelines } from '../pipelines/pipelines.js';
-import { finalView, type FinalJobRecord } from './jobViews.js';
+import { finalView } from './jobViews.js';
 import {
   statusReply,
   unavailable,
@@ -80,7 +80,7 @@
 
   private finalCopyOf(job: string): FinalJobRecord | null {
     const record = this.recordOf(job);
-    return record === undefined || record.state === 'open' ? null : (record as FinalJobRecord);
+    return record === undefined || record.state === 'open' ? null : record;
   }
 
   private recordOf(job: string): JobRecord | undefined {
--- a/src/coordination/jobs/jobLookup.ts
+++ b/src/coordination/jobs/jobLookup.ts
@@ -1,10 +1,10 @@
 /** Finds out how a job stands: from this node's copy, its leader, the store or any peer that can tell. */
 import type { JobView } from '../../protocol/job.js';
-import { keys, type JobRecord } from '../../storage/records.js';
+import { keys, type FinalJobRecord, type JobRecord } from '../../storage/records.js';
 import type { StateCache } from '../../storage/stateCache.js';
 import type { StateClient } from '../../storage/stateClient.js';
 import type { Pipelines } from '../pipelines/pipelines.js';
-import { finalView, openView, type FinalJobRecord, type JobViewContext } from './jobViews.js';
+import { finalView, openView, type JobViewContext } from './jobViews.js';
 import type { AnswerEvidence, JobReply, StateReply } from './replies.js';
 import {
   relayToAnyPeer,
@@ -49,8 +49,6 @@
   evidence: { kind: 'final' },
 });
 
-const isFinalRecord = (record: JobRecord): record is FinalJobRecord => record.state !== 'open';
-
 /** Looks jobs up for users. */
 export class JobLookup {
   constructor(private readonly context: JobLookupContext) {}
@@ -82,7 +80,7 @@
   async lookUp(id: string, mayRelay: boolean): Promise<LookupResult> {
     const copy = this.copyOf(id);
     if (copy !== undefined) {
-      if (isFinalRecord(copy)) return ended(copy);
+      if (copy.state !== 'open') return ended(copy);
       const known = this.knownAsLeader(id, copy);
       if (known !== null) return known;
       const reply = mayRelay ? await this.askLeader(id, copy) : null;
@@ -100,8 +98,10 @@
     const homeShard = ownedShards.get(copy.homeShard);
     const job = homeShard?.jobs.get(id);
     if (homeShard === undefined || job === undefined || job.isUncertain === true) return null;
+    const { record } = job;
+    if (record.state !== 'open') return ended(record);
     const evidence = { kind: 'leader', homeShard, job } as const;
-    return { kind: 'found', view: openView(this.context, job.record), evidence };
+    return { kind: 'found', view: openView(this.context, record), evidence };
   }
 
   /** How the job stands by its stored record; null where the store can't be read. */
@@ -110,7 +110,7 @@
     const record = await this.stored(id);
     if (record === undefined) return null;
     if (record === null) return { kind: 'missing' };
-    if (isFinalRecord(record)) return ended(record);
+    if (record.state !== 'open') return ended(record);
     const evidence = { kind: 'store', asOf } as const;
     return { kind: 'found', view: openView(this.context, record), evidence };
   }
--- a/src/coordination/jobs/jobViews.ts
+++ b/src/coordination/jobs/jobViews.ts
@@ -1,7 +1,7 @@
 /** What users are told of a job whose record is known. */
 import type { JobView } from '../../protocol/job.js';
 import type { ChunkIndex } from '../../storage/chunkIndex.js';
-import type { ChunkRecord, JobRecord } from '../../storage/records.js';
+import type { ChunkRecord, FinalJobRecord, OpenJobRecord } from '../../storage/records.js';
 import type { Chunk } from '../model/chunk.js';
 import { chunkRanges } from '../model/chunking.js';
 import { waitReason, type WaitReasonContext } from './waitReasons.js';
@@ -11,18 +11,14 @@
   readonly chunkIndex: Pick<ChunkIndex, 'find'>;
 }
 
-/** The record of a job that is done or cancelled. */
-export type FinalJobRecord = JobRecord & { readonly state: 'done' | 'cancelled' };
-
 /** A job that is done or cancelled. */
 export function finalView({ state: status, taskCount }: FinalJobRecord): JobView {
   return { status, done: status === 'done' ? taskCount : 0, running: 0, reason: null };
 }
 
 /** An open job, its counts gathered from wherever its chunks are. */
-export function openView(context: JobViewContext, record: JobRecord): JobView {
+export function openView(context: JobViewContext, record: OpenJobRecord): JobView {
   const { spec } = record;
-  if (spec === null) return finalView({ ...record, state: 'done' });
   const ranges = chunkRanges(spec.taskCount, record.chunkSize, record.zones);
   let done = 0;
   let running = 0;
--- a/src/coordination/jobs/waitReasons.ts
+++ b/src/coordination/jobs/waitReasons.ts
@@ -1,7 +1,7 @@
 /** Why a job waits, in sentences that an operator can read out on the phone. */
 import type { Clock } from '../../base/clock.js';
 import type { JobSpec } from '../../protocol/job.js';
-import type { JobRecord } from '../../storage/records.js';
+import type { OpenJobRecord } from '../../storage/records.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import type { Chunk } from '../model/chunk.js';
 import type { Pipelines } from '../pipelines/pipelines.js';
@@ -20,11 +20,10 @@
 /** Why a job waits; `localChunks` are those of its open chunks that are at shards of this node. */
 export function waitReason(
   context: WaitReasonContext,
-  record: JobRecord,
+  record: OpenJobRecord,
   localChunks: readonly Chunk[],
 ): string {
   const { spec } = record;
-  if (spec === null) return 'The job is over.';
   const since = Math.max(0, Math.round(context.clock.wall() - record.submittedAt));
   return `${jobReason(context, spec, localChunks)} Submitted ${since} s ago.`;
 }
--- a/src/coordination/persistence/jobPersistence.ts
+++ b/src/coordination/persistence/jobPersistence.ts
@@ -264,7 +264,7 @@
   /** Large jobs are cut step by step, so that no shard holds more of them than it can run. */
   private createMoreChunks(homeShard: OwnedShard, job: HomeJob): void {
     const { record } = job;
-    if (job.isWriteInFlight || record.spec === null || record.state !== 'open') return;
+    if (job.isWriteInFlight || record.state !== 'open') return;
     if (this.host.isBlockedOnDependencies(job.id)) return;
     const open = record.createdChunks - record.doneChunks.length;
     if (
--- a/src/coordination/persistence/missingChunks.ts
+++ b/src/coordination/persistence/missingChunks.ts
@@ -10,6 +10,7 @@
   present: { has(chunk: string): boolean },
   now: number,
 ): Chunk[] {
+  if (record.state !== 'open') return [];
   const {
     spec,
     chunkSize: size,
@@ -20,7 +21,6 @@
     submittedAt: at,
     homeShard,
   } = record;
-  if (spec === null || record.state !== 'open') return [];
   return chunkRanges(spec.taskCount, size, zones)
     .slice(0, cut)
     .flatMap(({ firstTask: from, endTask: to, zone }, index) => {
--- a/src/storage/compactRecords.ts
+++ b/src/storage/compactRecords.ts
@@ -16,7 +16,7 @@
   type JobRecord,
 } from './records.js';
 import { mapValues } from './mapValues.js';
-import { fromPlainBucket, fromPlainJob } from './plainRecords.js';
+import { fromPlainBucket, fromPlainJob, jobRecordOf } from './plainRecords.js';
 import type { StoredBucketRecord, StoredJobRecord } from './storedRecords.js';
 
 type CompactSpec = Omit<StoredJobSpec, keyof SpecDefaults> & Partial<SpecDefaults>;
@@ -96,16 +96,14 @@
   };
 }
 
-/** A job's record of either format. */
-export function decodeJob(stored: unknown): JobRecord {
+/** A job's record of either format, stored under `key`. Throws `CorruptRecordError` where it tells no state. */
+export function decodeJob(key: string, stored: unknown): JobRecord {
   if ((stored as Partial<CompactJob>).v !== 2) {
-    return fromPlainJob(stored as StoredJobRecord);
+    return fromPlainJob(key, stored as StoredJobRecord);
   }
   const { spec, home, state, tasks, at, size, zones, cut, finished, away } = stored as CompactJob;
-  return {
-    spec: spec === undefined ? null : fromStoredSpec(spec),
+  return jobRecordOf(key, state ?? 'open', spec === undefined ? null : fromStoredSpec(spec), {
     homeShard: home,
-    state: state ?? 'open',
     taskCount: tasks,
     submittedAt: at,
     chunkSize: size,
@@ -113,7 +111,7 @@
     createdChunks: cut,
     doneChunks: [...fromRanges(finished ?? [])],
     migratedChunks: [...fromRanges(away ?? [])],
-  };
+  });
 }
 
 /** A bucket of chunks in format 2. */
--- a/src/storage/plainRecords.ts
+++ b/src/storage/plainRecords.ts
@@ -4,7 +4,9 @@
  */
 import { fromStoredSpec, toStoredSpec } from '../protocol/storedJobSpec.js';
 import type { MachineType } from '../protocol/cloudProtocol.js';
+import type { JobSpec } from '../protocol/job.js';
 import { mapValues } from './mapValues.js';
+import { CorruptRecordError } from './recordCodec.js';
 import type {
   BucketRecord,
   ChunkRecord,
@@ -12,6 +14,7 @@
   GroupMachine,
   MachineGroupRecord,
   JobRecord,
+  JobRecordFields,
   LastLeader,
   NodeCapabilityRecord,
   LeaderRecord,
@@ -47,12 +50,11 @@
   };
 }
 
-/** A job's record that was stored in format 1. */
-export function fromPlainJob(stored: StoredJobRecord): JobRecord {
-  return {
-    spec: stored.spec === null ? null : fromStoredSpec(stored.spec),
+/** A job's record that was stored in format 1 under `key`. Throws `CorruptRecordError` where it tells no state. */
+export function fromPlainJob(key: string, stored: StoredJobRecord): JobRecord {
+  const spec = stored.spec === null ? null : fromStoredSpec(stored.spec);
+  return jobRecordOf(key, stored.state, spec, {
     homeShard: stored.home,
-    state: stored.state,
     taskCount: stored.tasks,
     submittedAt: stored.at,
     chunkSize: stored.size,
@@ -60,7 +62,29 @@
     createdChunks: stored.cut,
     doneChunks: stored.finished,
     migratedChunks: stored.away,
-  };
+  });
+}
+
+/**
+ * A job's record from its stored parts. Throws `CorruptRecordError` for an open job without a description and for a state
+ * that this build does not know: either was told as done, which can't be taken back.
+ */
+export function jobRecordOf(
+  key: string,
+  state: StoredJobRecord['state'],
+  spec: JobSpec | null,
+  fields: JobRecordFields,
+): JobRecord {
+  switch (state) {
+    case 'open':
+      if (spec === null) throw new CorruptRecordError(key, 'it is open and has no description');
+      return { ...fields, state, spec };
+    case 'done':
+    case 'cancelled':
+      return { ...fields, state, spec };
+    default:
+      throw new CorruptRecordError(key, 'it tells no state that is known here');
+  }
 }
 
 /** A bucket of chunks as format 1 stores it. */
--- a/src/storage/recordFormat.ts
+++ b/src/storage/recordFormat.ts
@@ -242,7 +242,7 @@
     if (isCompressed(stored)) return this.decodeCompressed(key, stored);
     switch (kindOfRecord(key)) {
       case 'job':
-        return decodeJob(stored);
+        return decodeJob(key, stored);
       case 'bucket':
         return decodeBucket(stored);
       case 'group':
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -90,12 +90,25 @@
   recordFormat: number;
 }
 
-/** A job: its description, home shard and state. */
-export interface JobRecord {
-  /** Dropped once the job is over, so that final states, which are kept for good, stay small. */
+/** A job: its description, home shard and state. Whether it is over is told by its state alone. */
+export type JobRecord = OpenJobRecord | FinalJobRecord;
+
+/** A job that is not over. */
+export interface OpenJobRecord extends JobRecordFields {
+  state: 'open';
+  spec: JobSpec;
+}
+
+/** A job that is over; its record never changes. */
+export interface FinalJobRecord extends JobRecordFields {
+  state: 'done' | 'cancelled';
+  /** Dropped with the end, so that final states, which are kept for good, stay small. */
   spec: JobSpec | null;
+}
+
+/** What all jobs' records have. */
+export interface JobRecordFields {
   homeShard: string;
-  state: 'open' | 'done' | 'cancelled';
   taskCount: number;
   /** Time of day of the submission; orders the queues. */
   submittedAt: number;
--- a/test/jobs/jobAnswers.test.ts
+++ b/test/jobs/jobAnswers.test.ts
@@ -18,23 +18,12 @@
 import { keys, type JobRecord } from '../../src/storage/records.js';
 import type { Reply } from '../../src/transport/httpServer.js';
 import { emptyPart } from '../support/part.js';
-import { spec } from '../support/spec.js';
+import { jobRecord } from '../support/spec.js';
 
 const JOB = 'wk-000077';
 const RECEIVED_AT = 10;
 
-const record = (state: JobRecord['state']): JobRecord => ({
-  spec: state === 'open' ? spec({ id: JOB }) : null,
-  homeShard: 'p',
-  state,
-  taskCount: 3,
-  submittedAt: 1,
-  chunkSize: 8,
-  zones: [],
-  createdChunks: 1,
-  doneChunks: [],
-  migratedChunks: [],
-});
+const record = (state: JobRecord['state']): JobRecord => jobRecord(JOB, 'p', state);
 
 /** A node at the moment at which a reply leaves it. */
 class Node {
--- a/test/jobs/jobService.test.ts
+++ b/test/jobs/jobService.test.ts
@@ -12,7 +12,7 @@
 import type { Reply } from '../../src/transport/httpServer.js';
 import { submission } from '../support/cluster.js';
 import { settingsText } from '../support/settings.js';
-import { spec } from '../support/spec.js';
+import { jobRecord } from '../support/spec.js';
 
 const ID = 'wk-000901';
 
@@ -20,18 +20,7 @@
 
 const SETTINGS = parseSettings(settingsText(PEER));
 
-const record = (state: JobRecord['state']): JobRecord => ({
-  spec: state === 'open' ? spec({ id: ID }) : null,
-  homeShard: 'q',
-  state,
-  taskCount: 3,
-  submittedAt: 1,
-  chunkSize: 8,
-  zones: [],
-  createdChunks: 0,
-  doneChunks: [],
-  migratedChunks: [],
-});
+const record = (state: JobRecord['state']): JobRecord => jobRecord(ID, 'q', state);
 
 /** A node whose reads of the state service are answered when the test says so, and which hears a peer. */
 class Asked {
@@ -129,7 +118,8 @@
     const asked = new Asked(null);
     const reply = asked.users.read(ID, true);
     await until(() => asked.reads.length > 0);
-    const stored = { ...record('open'), spec: null };
+    // No type allows it; what is stored may be anything.
+    const stored = { ...record('open'), spec: null } as unknown as JobRecord;
     const value = layout === 'plain' ? toPlainJob(stored) : compactJob(stored);
     asked.reads[0]?.({
       status: 200,
--- a/test/leadership/shardLoader.test.ts
+++ b/test/leadership/shardLoader.test.ts
@@ -21,7 +21,7 @@
 /** The records of a part with one machine and one chunk of two tasks, one of which an owner has started. */
 function nodeWith(job: Partial<JobRecord>): ShardLoaderContext {
   const task = spec({ id: 'wk-1', taskCount: 2 });
-  const record: JobRecord = {
+  const open: JobRecord = {
     spec: task,
     homeShard: 'p',
     state: 'open',
@@ -32,8 +32,8 @@
     createdChunks: 1,
     doneChunks: [],
     migratedChunks: [],
-    ...job,
   };
+  const record = { ...open, ...job } as JobRecord;
   const chunk = {
     spec: task,
     homeShard: 'p',
--- a/test/storage/compression.test.ts
+++ b/test/storage/compression.test.ts
@@ -103,6 +103,8 @@
   assert.deepEqual(recordFormat.decode(BARRIER_KEY, barrier), barrier);
 });
 
+const SMALL_JOB = { v: 2, home: 'p', state: 'done', tasks: 1, at: 1, size: 1, cut: 0 };
+
 test('one record that cannot be read keeps nobody from the others, and is read again once it is put right', async () => {
   const state = new StateStandIn();
   try {
@@ -115,7 +117,7 @@
     const stored = state.rows.get(bad)?.value as CompressedValue;
     const tear = { Put: bad, Value: { ...stored, sum: stored.sum ^ 1 } };
     state.apply({
-      Then: [tear, { Put: small, Value: { v: 2, home: 'p', tasks: 1, at: 1, size: 1, cut: 0 } }],
+      Then: [tear, { Put: small, Value: SMALL_JOB }],
     });
     const { items } = await client.readRange('b/');
     assert.deepEqual(items.map((item) => item.key).sort(), [good, small]);
--- a/test/support/spec.ts
+++ b/test/support/spec.ts
@@ -1,5 +1,5 @@
 import type { JobSpec } from '../../src/protocol/job.js';
-import type { ChunkRecord } from '../../src/storage/records.js';
+import type { ChunkRecord, JobRecord } from '../../src/storage/records.js';
 
 export const spec = (changes: Partial<JobSpec> = {}): JobSpec => ({
   id: 'wk-1',
@@ -40,3 +40,20 @@
   attempts: [{ task: 0, attemptNumber: 1, machine: 'n-1', agentEpoch: 1 }],
   migrationCount: 0,
 });
+
+/** A job's record without chunks; one that is over has no description. */
+export function jobRecord(id: string, homeShard: string, state: JobRecord['state']): JobRecord {
+  const fields = {
+    homeShard,
+    taskCount: 3,
+    submittedAt: 1,
+    chunkSize: 8,
+    zones: [],
+    createdChunks: 0,
+    doneChunks: [],
+    migratedChunks: [],
+  };
+  return state === 'open'
+    ? { ...fields, state, spec: spec({ id }) }
+    : { ...fields, state, spec: null };
+}
