--- a/test/support/history.ts
+++ b/test/support/history.ts
@@ -1,6 +1,11 @@
 /**
  * What users were told and what ran where, in the order in which it happened, and which rules that breaks. It knows
  * nothing of how the controllers work.
+ *
+ * It knows when a question was sent and when its answer arrived, not when the answer was given: PROTOCOL forbids to give an
+ * older answer once a user has been told of a newer one. That is certain where the older one was asked for after the newer one
+ * had arrived, be they answers to questions, repeated submissions or cancellations; it is a violation. Where it was asked for
+ * before, it may have been given first: it is listed as overtaken. Two different final states are never right.
  */
 
 /** What an answer says of a job; an answer that says nothing (503, none at all) is not recorded. */
--- a/test/tools/history.test.ts
+++ b/test/tools/history.test.ts
@@ -44,6 +44,15 @@
     broken: [],
     overtaken: 1,
   },
+  {
+    name: 'open by a repeated submission that was sent as the cancellation was confirmed',
+    steps: [
+      ['cancel'],
+      ['told', 'cancelled', { sent: 1, at: 2 }],
+      ['told', 'open', { sent: 2, at: 2.15, node: 'q' }],
+    ],
+    broken: ['went_back'],
+  },
   {
     name: 'cancelled after done, although asked before that',
     steps: [
