--- a/src/coordination/jobs/jobAnswers.ts
+++ b/src/coordination/jobs/jobAnswers.ts
@@ -69,8 +69,8 @@
 
   /** What may leave at this moment in place of the reply. */
   private decide(request: UserRequest, reply: JobReply): Reply {
-    const copy = this.finalCopyOf(request.job);
     if (reply.stated === undefined) return this.decideOnRefusal(request, reply);
+    const copy = this.finalCopyOf(request.job);
     if (copy !== null) return this.tellFinal(request, reply, copy);
     const { status, evidence } = reply.stated;
     if (isFinal(status)) return this.tellNewFinal(request, reply);
@@ -100,7 +100,7 @@
     const view = finalView(copy);
     const { status } = reply.stated;
     if (isFinal(status) && status !== view.status) {
-      return this.violated(request, 'final-states-differ', `${status}, by the copy ${view.status}`);
+      return this.withholdSecondEnd(request, `${status}, by the copy ${view.status}`);
     }
     if (isFinal(status)) return this.tell(request, reply);
     const evidence = { kind: 'final' } as const;
@@ -117,7 +117,7 @@
     const { status } = reply.stated;
     const told = this.toldFinal.get(request.job);
     if (told !== undefined && told !== status) {
-      return this.violated(request, 'final-states-differ', `${status}, after ${told}`);
+      return this.withholdSecondEnd(request, `${status}, after ${told}`);
     }
     if (this.toldFinal.size >= PRUNE_SIZE) this.prune();
     this.toldFinal.set(request.job, status);
@@ -151,8 +151,8 @@
     return this.context.authority.mayAct(homeShard) && job.isUncertain !== true;
   }
 
-  private violated(request: UserRequest, invariant: Invariant, detail: string): Reply {
-    this.noteViolation(request, invariant, detail);
+  private withholdSecondEnd(request: UserRequest, detail: string): Reply {
+    this.noteViolation(request, 'final-states-differ', detail);
     return this.withhold(request, 'final-states-differ');
   }
 
--- a/src/coordination/jobs/jobCancellation.ts
+++ b/src/coordination/jobs/jobCancellation.ts
@@ -1,6 +1,6 @@
 /** Users' cancellations: announced to all nodes, stored by the leader of the job's home shard. */
 import type { Clock } from '../../base/clock.js';
-import type { JobRecord } from '../../storage/records.js';
+import type { FinalJobRecord, JobRecord } from '../../storage/records.js';
 import type { HomeJob, OwnedShard } from '../leadership/ownedShard.js';
 import type { PeerRegistry } from '../peers/peerRegistry.js';
 import type { JobPersistence } from '../persistence/jobPersistence.js';
@@ -106,5 +106,5 @@
   request: { method: 'POST', target: `/v1/jobs/${job}/withdraw`, body: '' },
 });
 
-const endedReply = (id: string, state: Exclude<JobRecord['state'], 'open'>): StateReply =>
+const endedReply = (id: string, state: FinalJobRecord['state']): StateReply =>
   statusReply(id, state, { kind: 'final' });
--- a/test/soak/messages.ts
+++ b/test/soak/messages.ts
@@ -58,7 +58,7 @@
 }
 
 /**
- * Seconds since this machine was started: one clock for all processes. Their times of day are each counted from their own
- * start, and were half a second apart where the machine's clock had been set meanwhile.
+ * Seconds since this machine was started: one clock for all processes. Times of day are each counted from their
+ * process's own start, and lines of one seed have shown them half a second apart; why is not known.
  */
 export const machineTime = (): number => Number(process.hrtime.bigint()) / 1e9;
--- a/test/trials/trialUsers.ts
+++ b/test/trials/trialUsers.ts
@@ -244,9 +244,7 @@
   }
 
   private async askEverywhere(id: string, body: unknown): Promise<void> {
-    const questions = Array.from({ length: this.options.nodes }, (_, index) =>
-      this.ask(id, this.nodeAt(index), 'GET', `/v1/jobs/${id}`),
-    );
+    const questions = this.nodes.map((node) => this.ask(id, node, 'GET', `/v1/jobs/${id}`));
     const repeated = this.accepted.has(id)
       ? [this.ask(id, this.nodeAt(id.charCodeAt(id.length - 1)), 'POST', '/v1/jobs', body)]
       : [];
