Soak: a link keeps its address while it refuses connections, and a stand-in that ended keeps nobody waiting

Cause: a link that a fault had closed gave its port up, and another process was given it. Links listen at an address of their process's own now, each at a port that is given once; what is asked of a stand-in that has ended is answered by null, and its end is in the verdict as before.

--- a/test/soak/soakCluster.ts
+++ b/test/soak/soakCluster.ts
@@ -7,6 +7,7 @@
 import type { UserFronts } from '../trials/trialUsers.js';
 import { ControllerProcess } from './controllerProcess.js';
 import { Link } from '../support/link.js';
+import { ownLoopback } from '../support/loopback.js';
 import type { FleetPlan, FleetRequest, StateRequest, TaskEvent } from './messages.js';
 import { SKEW_MS, type SoakPlan } from './plan.js';
 import type { SoakLog } from './soakLog.js';
@@ -175,8 +176,5 @@
 let addressesUsed = 0;
 
 function nextAddress(): string {
-  const number = addressesUsed++;
-  const process16 = process.pid % 0xffff;
-  const [second, third] = [process16 >> 8, process16 & 0xff];
-  return `127.${1 + (second % 250)}.${third}.${1 + (number % 250)}`;
+  return ownLoopback(1 + (addressesUsed++ % 250));
 }
--- a/test/soak/standIn.ts
+++ b/test/soak/standIn.ts
@@ -27,6 +27,7 @@
   private sequence = 0;
   private readonly waiting = new Map<number, (address: string | null) => void>();
   private isClosing = false;
+  private hasEnded = false;
 
   constructor(
     module: string,
@@ -50,7 +51,10 @@
       this.take(message as FromStandIn);
     });
     child.on('exit', () => {
+      this.hasEnded = true;
       if (!this.isClosing) heard.ended();
+      for (const resolve of this.waiting.values()) resolve(null);
+      this.waiting.clear();
     });
     // Told of a request that was on its way when the process was ended.
     child.on('error', (error) => {
@@ -58,8 +62,9 @@
     });
   }
 
+  /** The answer; null where the process has ended, or ends before it answers. */
   ask(request: Request): Promise<string | null> {
-    if (this.isClosing) return Promise.resolve(null);
+    if (this.isClosing || this.hasEnded) return Promise.resolve(null);
     const sequence = ++this.sequence;
     return new Promise((resolve) => {
       this.waiting.set(sequence, resolve);
--- a/test/support/link.ts
+++ b/test/support/link.ts
@@ -4,6 +4,7 @@
  * was begun meanwhile and given up never comes up.
  */
 import net from 'node:net';
+import { nextLinkAddress } from './loopback.js';
 
 export interface LinkState {
   /** Connections are closed at once, and so are those that are open. */
@@ -20,8 +21,6 @@
   delaySeconds: 0,
 };
 
-const HOST = '127.0.0.1';
-
 /** One direction of one connection. */
 class Flow {
   private readonly queue: Buffer[] = [];
@@ -69,7 +68,7 @@
 
 export class Link {
   private state = HEALTHY;
-  private port = 0;
+  private readonly address = nextLinkAddress();
   private isClosed = false;
   private readonly connections = new Set<Connection>();
   private readonly server = net.createServer({ noDelay: true, allowHalfOpen: true }, (client) => {
@@ -79,11 +78,15 @@
   constructor(private readonly target: () => string) {}
 
   async listen(): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(this.port, HOST, resolve));
-    const bound = this.server.address();
-    if (bound === null || typeof bound === 'string') throw new Error('no address');
-    this.port = bound.port;
-    return `${HOST}:${this.port}`;
+    const { host, port } = this.address;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+    return `${host}:${port}`;
   }
 
   /** No connection comes up any more; those that are up stay. */
--- a/test/tools/soak.test.ts
+++ b/test/tools/soak.test.ts
@@ -1,13 +1,16 @@
 /** The soak itself: what a seed draws, what its links do to bytes, which lines make it fail, and its command line. */
 import assert from 'node:assert/strict';
 import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import net from 'node:net';
+import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { parseArguments, UsageError } from '../soak/commandLine.js';
 import { fieldsOf, kindOfJob, runTime } from '../soak/jobKinds.js';
 import { drawPlan, secondsOf } from '../soak/plan.js';
 import { SoakLog } from '../soak/soakLog.js';
+import { StandInProcess } from '../soak/standIn.js';
 import { until } from '../support/cluster.js';
 import { Link } from '../support/link.js';
 
@@ -69,8 +72,15 @@
   }
 });
 
+interface Linked {
+  got: string[];
+  link: Link;
+  address: net.TcpNetConnectOpts;
+  close(): void;
+}
+
 /** A server that keeps what it is sent, and a link to it. */
-async function linked(): Promise<{ got: string[]; link: Link; port: number; close(): void }> {
+async function linked(): Promise<Linked> {
   const got: string[] = [];
   const server = net.createServer((socket) => {
     socket.on('error', () => undefined);
@@ -79,11 +89,11 @@
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port: own } = server.address() as net.AddressInfo;
   const link = new Link(() => `127.0.0.1:${own}`);
-  const address = await link.listen();
+  const [host, port] = (await link.listen()).split(':');
   return {
     got,
     link,
-    port: Number(address.split(':')[1]),
+    address: { host, port: Number(port) },
     close: () => {
       link.close();
       server.close();
@@ -91,16 +101,18 @@
   };
 }
 
-const connect = async (port: number): Promise<net.Socket> => {
-  const socket = net.connect({ host: '127.0.0.1', port });
+const connect = async (address: net.TcpNetConnectOpts): Promise<net.Socket> => {
+  const socket = net.connect(address);
+  await new Promise<void>((resolve, reject) => {
+    socket.once('connect', resolve).once('error', reject);
+  });
   socket.on('error', () => undefined);
-  await new Promise<void>((resolve) => socket.once('connect', resolve));
   return socket;
 };
 
 test('what a link holds is delivered in order at the end, also when its sender has given up', async () => {
-  const { got, link, port, close } = await linked();
-  const socket = await connect(port);
+  const { got, link, address, close } = await linked();
+  const socket = await connect(address);
   socket.write('a');
   await until('the first arrives', () => got.join('') === 'a');
   link.set({ holdsForward: true });
@@ -108,7 +120,7 @@
   socket.write('c');
   socket.end();
   // What was begun meanwhile and given up never arrives.
-  const late = await connect(port);
+  const late = await connect(address);
   late.write('x');
   await new Promise((resolve) => setTimeout(resolve, 50));
   late.destroy();
@@ -120,21 +132,57 @@
 });
 
 test('a link that refuses new connections keeps those that are up, and accepts again at its address', async () => {
-  const { got, link, port, close } = await linked();
-  const socket = await connect(port);
+  const { got, link, address, close } = await linked();
+  const socket = await connect(address);
   link.refuseNew();
-  const refused = net.connect({ host: '127.0.0.1', port });
+  const refused = net.connect(address);
   await new Promise<void>((resolve) => refused.once('error', () => resolve()));
   socket.write('a');
   await until('the open one goes on', () => got.join('') === 'a');
   await link.acceptNew();
-  (await connect(port)).write('b');
+  (await connect(address)).write('b');
   await until('new ones come up', () => got.join('') === 'ab');
   link.set({ isRefusing: true });
   await until('a broken link drops what is open', () => socket.destroyed || !socket.writable);
   close();
 });
 
+test('the address of a link that refuses new connections stays its own', async () => {
+  const { link, address, close } = await linked();
+  const other = await linked();
+  assert.notDeepEqual(other.address, address);
+  link.refuseNew();
+  // Where another process listens that asked for the same port on loopback.
+  const server = net.createServer();
+  const { port } = address;
+  await new Promise<void>((resolve) => server.listen({ host: '127.0.0.1', port }, resolve));
+  await link.acceptNew();
+  (await connect(address)).destroy();
+  close();
+  other.close();
+  server.close();
+});
+
+test(
+  'a stand-in that has ended answers nothing, and keeps nobody waiting',
+  { timeout: 20_000 },
+  async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'soak-'));
+    const module = join(folder, 'endsWhenAsked.mjs');
+    writeFileSync(module, "process.on('message', () => process.exit(1));");
+    let ends = 0;
+    const standIn = new StandInProcess<string>(module, null, {
+      event: () => undefined,
+      output: () => undefined,
+      ended: () => ends++,
+    });
+    assert.equal(await standIn.ask('first'), null);
+    assert.equal(await standIn.ask('second'), null);
+    assert.equal(ends, 1);
+    rmSync(folder, { recursive: true });
+  },
+);
+
 const goodArguments: [string[], Partial<ReturnType<typeof parseArguments>>][] = [
   [['--seeds', '3'], { first: 3, last: 3, size: 'usual', jobs: 1 }],
   [['--seeds', '1..50', '--jobs', '4'], { first: 1, last: 50, jobs: 4 }],
