Tests: the case of a repeated submission makes a node deaf only while that leads its own shard

Cause: on a slow start the node's shard is led by a peer at first. The case made the node deaf to changes before it had its shard back, so it never heard that the peer handed it over and answered 503 "this node is starting" for good. The case waits for its lead now, and takes another job where the repetition was answered without a held read. What is checked is unchanged.

--- a/test/cluster/answersToUsers.test.ts
+++ b/test/cluster/answersToUsers.test.ts
@@ -13,7 +13,8 @@
 import { pause, submission, until } from '../support/cluster.js';
 import { settled, withCluster } from '../support/users.js';
 
-const ID = 'wk-000041';
+/** Jobs have numbers of six digits. */
+const FIRST_JOB = 100_041;
 
 /** Long enough for a request on loopback to reach the controller, in seconds. */
 const REQUEST_TRAVEL_S = 0.2;
@@ -52,17 +53,58 @@
   assert.ok(answer.status === 503 || statusOf(answer) === final, `told ${said} after ${final}`);
 }
 
+interface HeldRepetition {
+  job: string;
+  body: unknown;
+  reads: HeldReads;
+  answer: Promise<Response>;
+}
+
+/** A node hears of no change from now on, but those that it makes, and leads its own shard. */
+async function deafen(cluster: Cluster, node: string): Promise<void> {
+  cluster.state.unwatched.delete(node);
+  await until(`${node} leads its own shard`, () => {
+    const controller = cluster.nodes.get(node)?.controller;
+    return controller?.ownedShards.has(node) === true && controller.leadership.isLeaseValid;
+  });
+  cluster.state.unwatched.add(node);
+}
+
+/** A job that was accepted at drone-0, and whose submission is repeated at drone-1: what that reads of the job is held. */
+async function repeatAtDeafNode(cluster: Cluster, job: string): Promise<HeldRepetition | null> {
+  const body = submission(job, { Pieces: 1 });
+  await deafen(cluster, 'drone-1');
+  await settled(cluster, 'drone-0', 'POST', '/v1/jobs', body);
+  // The first read finds out why the job could not be stored; the second is what the user is told.
+  const reads = new HeldReads(cluster, 'drone-1', job, 1);
+  const answer = cluster.call('drone-1', 'POST', '/v1/jobs', body);
+  let isAnswered = false;
+  void answer.then(() => (isAnswered = true));
+  await until(
+    'the store is read for the repetition, or it is answered',
+    () => reads.count > 0 || isAnswered,
+  );
+  return reads.count > 0 ? { job, body, reads, answer } : null;
+}
+
+/**
+ * The first repetition whose read is held. On a busy machine the node's lease may lapse meanwhile; it leads no shard then
+ * and answers 503 without a read, and can't take its shard up again before it hears of changes.
+ */
+async function heldRepetition(cluster: Cluster): Promise<HeldRepetition> {
+  let number = FIRST_JOB;
+  let held: HeldRepetition | null = null;
+  await until('a repetition is held', async () => {
+    held = await repeatAtDeafNode(cluster, `wk-${number++}`);
+    return held !== null;
+  });
+  return held ?? assert.fail();
+}
+
 test('a submission that is repeated after the cancellation was confirmed is not answered by what was read before', () =>
   withCluster({ nodes: 3, runs: () => 60 }, async (cluster) => {
-    const body = submission(ID, { Pieces: 1 });
-    cluster.state.unwatched.add('drone-1');
-    await settled(cluster, 'drone-0', 'POST', '/v1/jobs', body);
-    // The first read finds out why the job could not be stored; the second is what the user is told.
-    const reads = new HeldReads(cluster, 'drone-1', ID, 1);
-    // On a busy machine the node's lease may lapse, and its user is told to come back: no read is held then.
-    const early = settled(cluster, 'drone-1', 'POST', '/v1/jobs', body);
-    await until('the store is read for the first repetition', () => reads.count > 0);
-    const path = `/v1/jobs/${ID}/withdraw`;
+    const { job, body, reads, answer: early } = await heldRepetition(cluster);
+    const path = `/v1/jobs/${job}/withdraw`;
     const cancelled = await settled(cluster, 'drone-0', 'POST', path);
     assert.equal(statusOf(cancelled), 'cancelled');
     const late = cluster.call('drone-1', 'POST', '/v1/jobs', body);
