--- a/src/coordination/jobs/cancellationPreparations.ts
+++ b/src/coordination/jobs/cancellationPreparations.ts
@@ -7,7 +7,7 @@
 import type { PreparedChunk } from '../../protocol/peerMessages.js';
 import type { Settings } from '../../protocol/settings.js';
 import { keys, type JobRecord, type LeaderRecord } from '../../storage/records.js';
-import type { StateCache } from '../../storage/stateCache.js';
+import { cachedJob, type StateCache } from '../../storage/stateCache.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import type { Chunk } from '../model/chunk.js';
 import type { PeerRegistry } from '../peers/peerRegistry.js';
@@ -119,8 +119,7 @@
     for (const [job, announcedAt] of this.announcedAt) {
       if (stateCache.syncedAt <= announcedAt + STORE_TIMEOUT_SECONDS) continue;
       this.announcedAt.delete(job);
-      const record = stateCache.get(keys.job(job))?.value as JobRecord | undefined;
-      if (record?.state !== 'open') continue;
+      if (cachedJob(stateCache, job)?.state !== 'open') continue;
       for (const { shard } of ownedShards.values()) {
         for (const chunk of shard.chunksOf(job)) shard.abandonCancellation(chunk);
       }
--- a/src/coordination/jobs/jobAnswers.ts
+++ b/src/coordination/jobs/jobAnswers.ts
@@ -5,8 +5,8 @@
  */
 import type { Clock } from '../../base/clock.js';
 import type { JobStatus } from '../../protocol/job.js';
-import { keys, type FinalJobRecord, type JobRecord } from '../../storage/records.js';
-import type { StateCache } from '../../storage/stateCache.js';
+import type { FinalJobRecord } from '../../storage/records.js';
+import { cachedJob, type StateCache } from '../../storage/stateCache.js';
 import type { Reply } from '../../transport/httpServer.js';
 import type {
   AnswerSource,
@@ -79,18 +79,14 @@
   }
 
   private finalCopyOf(job: string): FinalJobRecord | null {
-    const record = this.recordOf(job);
+    const record = cachedJob(this.context.stateCache, job);
     return record === undefined || record.state === 'open' ? null : record;
   }
 
-  private recordOf(job: string): JobRecord | undefined {
-    return this.context.stateCache.get(keys.job(job))?.value as JobRecord | undefined;
-  }
-
   /** A job that is known here was accepted: to say that there is none would be older than what users were told. */
   private decideOnRefusal(request: UserRequest, reply: Reply): Reply {
     const deniesJob = reply.status === 404 || reply.status === 422;
-    if (!deniesJob || this.recordOf(request.job) === undefined) return reply;
+    if (!deniesJob || cachedJob(this.context.stateCache, request.job) === undefined) return reply;
     return this.withhold(request, 'job-is-known');
   }
 
@@ -157,7 +153,7 @@
   }
 
   private noteViolation({ kind, job }: UserRequest, invariant: Invariant, detail: string): void {
-    const shard = this.recordOf(job)?.homeShard ?? '-';
+    const shard = cachedJob(this.context.stateCache, job)?.homeShard ?? '-';
     this.context.audit.note({
       event: 'invariant-violated',
       invariant,
--- a/src/coordination/jobs/jobLookup.ts
+++ b/src/coordination/jobs/jobLookup.ts
@@ -1,7 +1,7 @@
 /** Finds out how a job stands: from this node's copy, its leader, the store or any peer that can tell. */
 import type { JobView } from '../../protocol/job.js';
 import { keys, type FinalJobRecord, type JobRecord } from '../../storage/records.js';
-import type { StateCache } from '../../storage/stateCache.js';
+import { cachedJob, type StateCache } from '../../storage/stateCache.js';
 import type { StateClient } from '../../storage/stateClient.js';
 import type { Pipelines } from '../pipelines/pipelines.js';
 import { finalView, openView, type JobViewContext } from './jobViews.js';
@@ -55,7 +55,7 @@
 
   /** This node's copy of a job's record. */
   copyOf(id: string): JobRecord | undefined {
-    return this.context.stateCache.get(keys.job(id))?.value as JobRecord | undefined;
+    return cachedJob(this.context.stateCache, id);
   }
 
   /**
--- a/src/coordination/jobs/submissionWriter.ts
+++ b/src/coordination/jobs/submissionWriter.ts
@@ -6,7 +6,7 @@
 import { describe, log } from '../../base/log.js';
 import type { KeyValue, Transaction } from '../../protocol/stateProtocol.js';
 import { keys, type JobRecord } from '../../storage/records.js';
-import type { StateCache } from '../../storage/stateCache.js';
+import { cachedJob, type StateCache } from '../../storage/stateCache.js';
 import type { StateClient, TransactionResult } from '../../storage/stateClient.js';
 import type { HomeJob, OwnedShard } from '../leadership/ownedShard.js';
 import type { JobPersistence } from '../persistence/jobPersistence.js';
@@ -239,7 +239,7 @@
   private replyToStored(homeShard: OwnedShard, { id, record }: Submission): JobReply {
     // It depends on a cancelled job, and was stored as cancelled with it.
     if (record.state === 'cancelled') return statusReply(id, record.state, { kind: 'final' }, 201);
-    const known = this.context.stateCache.get(keys.job(id))?.value as JobRecord | undefined;
+    const known = cachedJob(this.context.stateCache, id);
     if (known !== undefined && known.state !== 'open') {
       return statusReply(id, known.state, { kind: 'final' });
     }
--- a/src/coordination/leadership/shardLoader.ts
+++ b/src/coordination/leadership/shardLoader.ts
@@ -3,7 +3,7 @@
 import { describe, log } from '../../base/log.js';
 import { keys, type JobRecord, type BucketRecord } from '../../storage/records.js';
 import type { MachineInventory } from '../../storage/machineInventory.js';
-import type { StateCache } from '../../storage/stateCache.js';
+import { cachedJob, type StateCache } from '../../storage/stateCache.js';
 import type { StateClient } from '../../storage/stateClient.js';
 import type { RecordFormat } from '../../storage/recordFormat.js';
 import { createOwnedShard, type HomeJob, type OwnedShard } from './ownedShard.js';
@@ -84,7 +84,7 @@
     ownedShard.buckets.set(name, bucket);
     for (const [id, record] of Object.entries(value.chunks)) {
       const index = Number(id.slice(id.lastIndexOf('/') + 1));
-      const job = node.stateCache.get(keys.job(record.spec.id))?.value as JobRecord | undefined;
+      const job = cachedJob(node.stateCache, record.spec.id);
       const isOver = job?.state === 'done' || job?.doneChunks.includes(index) === true;
       // What was started of it, perhaps once more, is on a machine until that is known to be over.
       if ((isOver && record.attempts.length === 0) || ownedShard.shard.chunks.has(id)) {
--- a/src/coordination/pipelines/pipelines.ts
+++ b/src/coordination/pipelines/pipelines.ts
@@ -1,8 +1,8 @@
 /** Jobs that wait for others, at one node: what follows there from the graph of dependencies (safety, P1 to P4). */
 import type { Clock } from '../../base/clock.js';
 import { rankOrder, type JobSpec } from '../../protocol/job.js';
-import { keys, type JobRecord } from '../../storage/records.js';
-import type { StateCache } from '../../storage/stateCache.js';
+import type { JobRecord } from '../../storage/records.js';
+import { cachedJob, type StateCache } from '../../storage/stateCache.js';
 import type { JobPersistence } from '../persistence/jobPersistence.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import { DependencyGraph } from './dependencyGraph.js';
@@ -33,7 +33,7 @@
   private readonly jobsBeingCancelled = new Set<string>();
 
   constructor(private readonly context: PipelineContext) {
-    this.graph = new DependencyGraph((job) => this.recordOf(job)?.state, {
+    this.graph = new DependencyGraph((job) => cachedJob(this.context.stateCache, job)?.state, {
       onReleased: (job) => {
         this.release(job);
       },
@@ -46,10 +46,6 @@
     });
   }
 
-  private recordOf(job: string): JobRecord | undefined {
-    return this.context.stateCache.get(keys.job(job))?.value as JobRecord | undefined;
-  }
-
   /** Follows the copy of the records. */
   note(job: string, record: JobRecord): void {
     const { stateCache, clock } = this.context;
@@ -112,7 +108,7 @@
     for (const id of this.graph.withCancelledDependency) {
       if (this.jobsBeingCancelled.size >= MAX_CONCURRENT_WRITES) return;
       if (this.jobsBeingCancelled.has(id)) continue;
-      const home = this.recordOf(id)?.homeShard;
+      const home = cachedJob(this.context.stateCache, id)?.homeShard;
       const ownedShard = home === undefined ? undefined : this.context.ownedShards.get(home);
       const job = ownedShard?.jobs.get(id);
       if (ownedShard === undefined || job === undefined) continue;
--- a/src/storage/stateCache.ts
+++ b/src/storage/stateCache.ts
@@ -2,6 +2,7 @@
 import { sleep, type Clock } from '../base/clock.js';
 import { log, describe } from '../base/log.js';
 import type { KeyValueChange } from '../protocol/stateProtocol.js';
+import { keys, type JobRecord } from './records.js';
 import type { StateClient } from './stateClient.js';
 
 /** Changes after a revision, up to `epoch`. */
@@ -183,3 +184,8 @@
   const end = key.indexOf('/', key.indexOf('/') + 1);
   return end < 0 ? key : key.slice(0, end + 1);
 }
+
+/** The copy of a job's record. It may be older than what is stored, but for a final state, which never changes. */
+export function cachedJob(cache: Pick<StateCache, 'get'>, id: string): JobRecord | undefined {
+  return cache.get(keys.job(id))?.value as JobRecord | undefined;
+}
