Soak: a link passes over a port at which another process listens

A link takes the next port then, and keeps the one that it got for good. Measured: the case fails without (EADDRINUSE).

--- a/test/support/link.ts
+++ b/test/support/link.ts
@@ -4,7 +4,7 @@
  * was begun meanwhile and given up never comes up.
  */
 import net from 'node:net';
-import { nextLinkAddress } from './loopback.js';
+import { nextLinkAddress, type LinkAddress } from './loopback.js';
 
 export interface LinkState {
   /** Connections are closed at once, and so are those that are open. */
@@ -68,7 +68,8 @@
 
 export class Link {
   private state = HEALTHY;
-  private readonly address = nextLinkAddress();
+  /** Its own for good once it has listened there. */
+  private address: LinkAddress | null = null;
   private isClosed = false;
   private readonly connections = new Set<Connection>();
   private readonly server = net.createServer({ noDelay: true, allowHalfOpen: true }, (client) => {
@@ -78,15 +79,33 @@
   constructor(private readonly target: () => string) {}
 
   async listen(): Promise<string> {
+    this.address ??= await this.listenAnywhere();
     const { host, port } = this.address;
-    await new Promise<void>((resolve, reject) => {
+    if (!this.server.listening) await this.listenAt(this.address);
+    return `${host}:${port}`;
+  }
+
+  /** Passes over ports at which another process listens for all addresses of the machine. */
+  private async listenAnywhere(): Promise<LinkAddress> {
+    for (;;) {
+      const address = nextLinkAddress();
+      try {
+        await this.listenAt(address);
+        return address;
+      } catch (error) {
+        if ((error as NodeJS.ErrnoException).code !== 'EADDRINUSE') throw error;
+      }
+    }
+  }
+
+  private listenAt({ host, port }: LinkAddress): Promise<void> {
+    return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, host, () => {
         this.server.off('error', reject);
         resolve();
       });
     });
-    return `${host}:${port}`;
   }
 
   /** No connection comes up any more; those that are up stay. */
--- a/test/support/loopback.ts
+++ b/test/support/loopback.ts
@@ -14,8 +14,14 @@
   return `127.${1 + (second % 250)}.${third}.${last}`;
 }
 
-/** Host and port for a link; each is given once, so that no link takes that of another which is closed for a while. */
-export function nextLinkAddress(): { host: string; port: number } {
+/** Where a link listens. */
+export interface LinkAddress {
+  host: string;
+  port: number;
+}
+
+/** An address for a link; each is given once, so that no link takes that of another which is closed for a while. */
+export function nextLinkAddress(): LinkAddress {
   if (nextLinkPort > LAST_LINK_PORT) throw new Error('no port is left for a link');
   return { host: ownLoopback(LINKS), port: nextLinkPort++ };
 }
--- a/test/tools/soak.test.ts
+++ b/test/tools/soak.test.ts
@@ -147,6 +147,18 @@
   close();
 });
 
+test('a link passes over a port at which somebody else listens', async () => {
+  const first = await linked();
+  const server = net.createServer();
+  const { host, port } = first.address;
+  const taken = port + 1;
+  await new Promise<void>((resolve) => server.listen({ host, port: taken }, resolve));
+  const second = await linked();
+  assert.notEqual(second.address.port, taken);
+  (await connect(second.address)).destroy();
+  for (const open of [first, second, server]) open.close();
+});
+
 test('the address of a link that refuses new connections stays its own', async () => {
   const { link, address, close } = await linked();
   const other = await linked();
