Answers: what may leave is asked for in one place; no field of a reply is copied by hand

Read once more, behaviour unchanged. The server's connections, the relay's gateway and two tests each wrote `atSending?.() ?? reply`: replyAtSending now. JobAnswers copied a reply's fields one by one; JobSubmission looked the copy up by its key beside JobLookup.copyOf; the measurement of answers started a cluster and cancelled a job by loops of its own beside withCluster and settled; a soak's link asked twice whether it listens.

--- a/src/coordination/controller/gateway.ts
+++ b/src/coordination/controller/gateway.ts
@@ -4,7 +4,7 @@
 import type { PeerAnswer, PeerRequest, Relay, Relayed } from '../../protocol/peerMessages.js';
 import { heartbeatPath, paths, rolloutPath } from '../../protocol/routes.js';
 import type { HttpMessage } from '../../transport/httpParser.js';
-import type { Reply } from '../../transport/httpServer.js';
+import { replyAtSending, type Reply } from '../../transport/httpServer.js';
 import { JobService } from '../jobs/jobService.js';
 import { HeartbeatEndpoint } from '../commands/heartbeatEndpoint.js';
 import type { RolloutRoutes } from '../rollout/rolloutRoutes.js';
@@ -122,8 +122,7 @@
 
   private async answerRelayed({ method, target, body }: Relay): Promise<Relayed> {
     const request = { method, path: target, body, isRelayed: true, isFollowUp: false };
-    const routed = await this.route(request);
-    const reply = routed.atSending?.() ?? routed;
+    const reply = replyAtSending(await this.route(request));
     const retryAfter = reply.retryAfter ?? null;
     return { status: reply.status, body: JSON.stringify(reply.body), retryAfter };
   }
--- a/src/coordination/jobs/jobAnswers.ts
+++ b/src/coordination/jobs/jobAnswers.ts
@@ -58,13 +58,7 @@
 
   /** The reply with the decision on it, which is taken as it leaves. */
   decideOnSending(request: UserRequest, reply: JobReply): Reply {
-    const { status, body, retryAfter } = reply;
-    return {
-      status,
-      body,
-      ...(retryAfter === undefined ? {} : { retryAfter }),
-      atSending: () => this.decide(request, reply),
-    };
+    return { ...reply, atSending: () => this.decide(request, reply) };
   }
 
   /** What may leave at this moment in place of the reply. */
--- a/src/coordination/jobs/jobSubmission.ts
+++ b/src/coordination/jobs/jobSubmission.ts
@@ -100,7 +100,7 @@
       const reply = unavailable('no node can store the job now');
       return answered(isRelayed ? reply : this.relay(job.id, body, reply));
     }
-    if (context.stateCache.get(keys.job(job.id)) !== undefined) {
+    if (this.lookup.copyOf(job.id) !== undefined) {
       return answered(this.answerKnown(job.id));
     }
     if (context.machineTypes.size === 0) {
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -5,7 +5,7 @@
 import { ServerConnection, type ConnectionOptions, type Reply } from './serverConnection.js';
 import { TurnQueue } from './turnQueue.js';
 
-export { formatResponse, type Reply } from './serverConnection.js';
+export { formatResponse, replyAtSending, type Reply } from './serverConnection.js';
 
 /** See `ConnectionEvents.answer`. */
 export type Handler = (request: HttpMessage, follows: boolean) => Promise<Reply>;
--- a/src/transport/serverConnection.ts
+++ b/src/transport/serverConnection.ts
@@ -15,6 +15,9 @@
   atSending?: () => Reply;
 }
 
+/** The reply as it may leave at this moment. */
+export const replyAtSending = (reply: Reply): Reply => reply.atSending?.() ?? reply;
+
 const REASONS: Record<number, string> = {
   200: 'OK',
   201: 'Created',
@@ -149,7 +152,7 @@
     this.answering = false;
     if (this.ended || this.socket.destroyed) return;
     const close = this.closing || !request.keepAlive || this.events.mustClose(request);
-    const text = formatResponse(reply.atSending?.() ?? reply, close);
+    const text = formatResponse(replyAtSending(reply), close);
     if (close) {
       this.socket.end(text);
       return;
--- a/test/jobs/jobAnswers.test.ts
+++ b/test/jobs/jobAnswers.test.ts
@@ -16,7 +16,7 @@
   type OwnedShard,
 } from '../../src/coordination/leadership/ownedShard.js';
 import { keys, type JobRecord } from '../../src/storage/records.js';
-import type { Reply } from '../../src/transport/httpServer.js';
+import { replyAtSending, type Reply } from '../../src/transport/httpServer.js';
 import { emptyPart } from '../support/part.js';
 import { jobRecord } from '../support/spec.js';
 
@@ -69,7 +69,7 @@
       { kind, job: JOB, receivedAt: RECEIVED_AT },
       reply,
     );
-    return decided.atSending?.() ?? decided;
+    return replyAtSending(decided);
   }
 
   get violations(): string[] {
--- a/test/jobs/jobService.test.ts
+++ b/test/jobs/jobService.test.ts
@@ -9,7 +9,7 @@
 import { toPlainJob } from '../../src/storage/plainRecords.js';
 import { keys, type JobRecord } from '../../src/storage/records.js';
 import type { Response } from '../../src/transport/httpClient.js';
-import type { Reply } from '../../src/transport/httpServer.js';
+import { replyAtSending, type Reply } from '../../src/transport/httpServer.js';
 import { submission } from '../support/cluster.js';
 import { settingsText } from '../support/settings.js';
 import { jobRecord } from '../support/spec.js';
@@ -56,10 +56,8 @@
   assert.ok(test());
 };
 
-/** The reply as it leaves: what may be told is decided then. */
-const sent = (reply: Reply): Reply => reply.atSending?.() ?? reply;
-
-const statusOf = (reply: Reply): unknown => (sent(reply).body as { Status?: string }).Status;
+const statusOf = (reply: Reply): unknown =>
+  (replyAtSending(reply).body as { Status?: string }).Status;
 
 const cases: {
   name: string;
@@ -97,7 +95,7 @@
   await until(() => asked.reads.length > 0);
   asked.hearEnd('open');
   asked.reads[0]?.({ status: 404, body: { Epoch: 4 }, retryAfter: null });
-  const { status } = sent(await reply);
+  const { status } = replyAtSending(await reply);
   assert.equal(status, 200);
 });
 
@@ -126,6 +124,6 @@
       body: { K: keys.job(ID), Value: value, Stamp: 5 },
       retryAfter: null,
     });
-    assert.equal(sent(await reply).status, 503);
+    assert.equal(replyAtSending(await reply).status, 503);
   });
 }
--- a/test/support/link.ts
+++ b/test/support/link.ts
@@ -79,9 +79,9 @@
   constructor(private readonly target: () => string) {}
 
   async listen(): Promise<string> {
-    this.address ??= await this.listenAnywhere();
+    if (this.address === null) this.address = await this.listenAnywhere();
+    else await this.listenAt(this.address);
     const { host, port } = this.address;
-    if (!this.server.listening) await this.listenAt(this.address);
     return `${host}:${port}`;
   }
 
--- a/test/trials/measureAnswers.ts
+++ b/test/trials/measureAnswers.ts
@@ -3,8 +3,8 @@
  * stand-ins and users share one process, so that the figures serve to compare two versions, not to size a machine.
  */
 import { performance } from 'node:perf_hooks';
-import { Cluster, submission, until } from '../support/cluster.js';
-import { accept, status } from '../support/users.js';
+import { submission, until, type Cluster } from '../support/cluster.js';
+import { accept, settled, status, withCluster } from '../support/users.js';
 
 const JOB = 'wk-000001';
 const CONNECTIONS = 16;
@@ -45,22 +45,12 @@
   console.log(`${name}: ${perSecond.toFixed(0)} answers/s, ${cpuMicros.toFixed(0)} µs each`);
 }
 
-const cluster = new Cluster({ nodes: 3, runs: () => Infinity });
-await cluster.start();
-await until('the nodes are ready', async () => {
-  for (const node of cluster.nodes.keys()) {
-    if ((await cluster.call(node, 'GET', '/ready')).status !== 200) return false;
-  }
-  return true;
+await withCluster({ nodes: 3, runs: () => Infinity }, async (cluster) => {
+  await accept(cluster, 'drone-0', submission(JOB, { Pieces: 1 }));
+  await until('the job runs', async () => (await status(cluster, 'drone-0', JOB)).running === 1);
+  await measure(cluster, "at its leader, from the leader's memory", 'drone-0');
+  await measure(cluster, 'at another node, by a relay to its leader', 'drone-1');
+  await settled(cluster, 'drone-0', 'POST', `/v1/jobs/${JOB}/withdraw`);
+  await measure(cluster, 'of a final state, from the copy', 'drone-0');
 });
-await accept(cluster, 'drone-0', submission(JOB, { Pieces: 1 }));
-await until('the job runs', async () => (await status(cluster, 'drone-0', JOB)).running === 1);
-await measure(cluster, "at its leader, from the leader's memory", 'drone-0');
-await measure(cluster, 'at another node, by a relay to its leader', 'drone-1');
-const path = `/v1/jobs/${JOB}/withdraw`;
-await until('it is cancelled', async () => {
-  return (await cluster.call('drone-0', 'POST', path)).status === 200;
-});
-await measure(cluster, 'of a final state, from the copy', 'drone-0');
-cluster.close();
 process.exit(0);
