Known failures: each entry names its command and seed and what was seen; a list that cannot be read ends the run with one line

Cause: an entry gave a cause, but not what plays it, and a list that could not be read ended the run with a stack trace. Change: FILE: NAME | COMMAND AND SEED | SEEN | ISSUE; a test without its file, an empty field, an issue without a number and a line of the earlier form are refused.

--- a/test/knownRed/main.ts
+++ b/test/knownRed/main.ts
@@ -3,7 +3,13 @@
 import path from 'node:path';
 import { run } from 'node:test';
 import { tap } from 'node:test/reporters';
-import { judge, parseKnownRed, type Outcome } from './knownRed.js';
+import {
+  judge,
+  MalformedListError,
+  parseKnownRed,
+  type ListedTest,
+  type Outcome,
+} from './knownRed.js';
 
 const LIST = 'KNOWN-RED.txt';
 
@@ -23,7 +29,18 @@
   return path.isAbsolute(name) ? `${base}: the file` : `${base}: ${name}`;
 }
 
-const listed = parseKnownRed(existsSync(LIST) ? readFileSync(LIST, 'utf8') : '');
+/** A list that can't be read ends the run with one line. */
+function readList(): ListedTest[] {
+  try {
+    return parseKnownRed(existsSync(LIST) ? readFileSync(LIST, 'utf8') : '');
+  } catch (error) {
+    if (!(error instanceof MalformedListError)) throw error;
+    console.error(`${LIST}: ${error.message}`);
+    process.exit(1);
+  }
+}
+
+const listed = readList();
 const files = process.argv.slice(2).map((file) => path.resolve(file));
 const outcomes: Outcome[] = [];
 const note = (event: TestEvent, passed: boolean): void => {
--- a/test/tools/knownRed.test.ts
+++ b/test/tools/knownRed.test.ts
@@ -3,7 +3,9 @@
 import { test } from 'node:test';
 import { judge, MalformedListError, parseKnownRed } from '../knownRed/knownRed.js';
 
-const LISTED = parseKnownRed('# a comment\n\norders: is late | a lost answer | 33\n');
+const LISTED = parseKnownRed(
+  '# a comment\n\norders: is late | npm run unit, seed 7 | waits for ever | 33\n',
+);
 
 const good = { test: 'orders: is sent', passed: true };
 
@@ -12,7 +14,7 @@
     name: 'a listed test that fails is passed over',
     outcomes: [good, { test: 'orders: is late', passed: false }],
     passed: true,
-    says: /known red, failed: orders: is late \(a lost answer; issue 33\)/,
+    says: /known red, failed: orders: is late \(npm run unit, seed 7; waits for ever; issue 33\)/,
   },
   {
     name: 'a listed test that passes is said so',
@@ -46,10 +48,14 @@
 }
 
 for (const [name, text] of [
-  ['a line without an issue', 'orders: is late | a lost answer'],
-  ['a line with a part too many', 'orders: is late | a | 33 | b'],
-  ['an empty cause', 'orders: is late |  | 33'],
-  ['four tests', ['a', 'b', 'c', 'd'].map((t) => `${t}: x | cause | 33`).join('\n')],
+  ['a line without an issue', 'orders: is late | npm run unit | waits'],
+  ['a line of the earlier form, without a command', 'orders: is late | a lost answer | 33'],
+  ['a line with a field too many', 'orders: is late | npm run unit | waits | 33 | b'],
+  ['an empty command', 'orders: is late |  | waits | 33'],
+  ['nothing that was seen', 'orders: is late | npm run unit |  | 33'],
+  ['an issue without a number', 'orders: is late | npm run unit | waits | later'],
+  ['a test without its file', 'is late | npm run unit | waits | 33'],
+  ['four tests', ['a', 'b', 'c', 'd'].map((t) => `${t}: x | run | waits | 33`).join('\n')],
 ] as const) {
   test(`known red: refused: ${name}`, () => {
     assert.throws(() => parseKnownRed(text), MalformedListError);
