Machines: one typed availability with its evidence, shown in status and logs

Cause: jobs were seen to wait for ever at a shard whose machines are gone. What such a shard rests its estimates on could not be read anywhere: status called a machine that never comes 'coming', no line told why work stays or goes, and placement, estimates and demands each had their own idea of a machine that counts. A machine's boot now counts from its launch, not from a restart of its leader; placement asks the new decision, which is what it was.

--- a/src/cli/query.ts
+++ b/src/cli/query.ts
@@ -53,6 +53,24 @@
   process.stdout.write(`${job}: ${status}, ${done} done, ${running} running\n${why}\n`);
 }
 
+type MachineOverview = Overview['parts'][number]['machines'][number];
+
+/** One machine: its state, and why work may count on it or not. */
+function machineLine({
+  name,
+  type,
+  zone,
+  state,
+  tasks,
+  availability,
+  evidenceAge,
+}: MachineOverview): string {
+  const age =
+    evidenceAge === undefined || evidenceAge === null ? '' : `, evidence ${evidenceAge} s old`;
+  const evidence = availability === undefined ? '' : ` (${availability}${age})`;
+  return `  ${name}  ${type}  ${zone}  ${state}${evidence}  ${tasks} tasks`;
+}
+
 /** `barrowlb status`: prints the shards, queues, machines and counters of a controller. */
 export async function printStatus(server: string): Promise<void> {
   const response = await query(server, paths.overview);
@@ -65,9 +83,7 @@
     lines.push(
       `  queue: ${part.openJobs} open jobs, ${part.runningTasks} tasks running, ${part.waitingTasks} waiting`,
     );
-    for (const { name, type, zone, state, tasks } of part.machines) {
-      lines.push(`  ${name}  ${type}  ${zone}  ${state}  ${tasks} tasks`);
-    }
+    for (const machine of part.machines) lines.push(machineLine(machine));
   }
   // A node of an earlier version counts nothing.
   for (const [name, count] of Object.entries(counters ?? {}))
--- a/src/coordination/audit/auditEvent.ts
+++ b/src/coordination/audit/auditEvent.ts
@@ -88,10 +88,24 @@
       event: 'machine-release-requested';
       shard: string;
       machine: string;
+      /** `never-came`: not up long after its boot; `silent`: it does not respond while others do. */
+      reason: 'never-came' | 'silent';
       tasks: number;
       /** Seconds since the machine was last reached. */
       silentFor: number;
     }
+  /** The peers were asked where work would start sooner. Durations are in seconds. */
+  | {
+      event: 'shard-chosen';
+      job: string;
+      home: string;
+      chosen: string;
+      /** Wait and turnaround estimated at home. */
+      wait: number;
+      turnaround: number;
+      /** As `shard=turnaround` of each answer, separated by commas. */
+      answers: string;
+    }
   /** A user was told how a job stands. */
   | ({
       event: 'job-answered';
--- a/src/coordination/audit/auditTrail.ts
+++ b/src/coordination/audit/auditTrail.ts
@@ -13,6 +13,8 @@
       return event.outcome === 'executed';
     case 'attempt-terminated':
       return event.rule === 'ended';
+    case 'shard-chosen':
+      return event.chosen === event.home;
     case 'job-answered':
       return event.request === 'read' && (event.state === 'queued' || event.state === 'running');
     default:
--- a/src/coordination/audit/statusCounters.ts
+++ b/src/coordination/audit/statusCounters.ts
@@ -37,6 +37,8 @@
       return `answers.${event.source}`;
     case 'answer-withheld':
       return `answers-withheld.${event.reason}`;
+    case 'shard-chosen':
+      return `shard-chosen.${event.chosen === event.home ? 'home' : 'peer'}`;
     case 'invariant-violated':
       return `invariant-broken.${event.invariant}`;
     default:
--- a/src/coordination/controller/overview.ts
+++ b/src/coordination/controller/overview.ts
@@ -1,30 +1,36 @@
 /** The shards, queues and machines of a node, for `barrowlb status`. */
+import type { Clock } from '../../base/clock.js';
 import type { Overview } from '../../protocol/overview.js';
 import type { AuditTrail } from '../audit/auditTrail.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
+import { availabilityOf } from '../model/availability.js';
 import type { Machine } from '../model/machine.js';
 
 /** What is shown of a node. */
 export interface OverviewContext {
   readonly settings: { readonly label: string };
+  readonly clock: Pick<Clock, 'now'>;
   readonly leadership: { readonly isLeaseValid: boolean };
   readonly audit: Pick<AuditTrail, 'counters'>;
   readonly ownedShards: ReadonlyMap<string, OwnedShard>;
 }
 
 type ShardOverview = Overview['parts'][number];
+type MachineOverview = ShardOverview['machines'][number];
 
 /** The answer of `/v1/overview`. */
-export function overview({ settings, leadership, audit, ownedShards }: OverviewContext): Overview {
+export function overview(context: OverviewContext): Overview {
+  const { settings, clock, leadership, audit, ownedShards } = context;
+  const now = clock.now();
   return {
     node: settings.label,
     served: leadership.isLeaseValid,
     counters: audit.counters,
-    parts: [...ownedShards.values()].map(shardOverview),
+    parts: [...ownedShards.values()].map((ownedShard) => shardOverview(ownedShard, now)),
   };
 }
 
-function shardOverview({ shard, fencingToken, jobs }: OwnedShard): ShardOverview {
+function shardOverview({ shard, fencingToken, jobs }: OwnedShard, now: number): ShardOverview {
   const chunks = [...shard.chunks.values()];
   return {
     part: shard.label,
@@ -33,13 +39,20 @@
     openJobs: jobs.size,
     runningTasks: chunks.reduce((sum, chunk) => sum + chunk.runningCount, 0),
     waitingTasks: shard.waitingTaskCount,
-    machines: [...shard.machines.values()].map((machine) => ({
-      name: machine.name,
-      type: machine.type,
-      zone: machine.zone,
-      state: machineState(machine),
-      tasks: machine.placements.size,
-    })),
+    machines: [...shard.machines.values()].map((machine) => machineOverview(machine, now)),
+  };
+}
+
+function machineOverview(machine: Machine, now: number): MachineOverview {
+  const { state: availability, evidenceAt } = availabilityOf(machine, now);
+  return {
+    name: machine.name,
+    type: machine.type,
+    zone: machine.zone,
+    state: machineState(machine),
+    tasks: machine.placements.size,
+    availability,
+    evidenceAge: evidenceAt === null ? null : Math.round((now - evidenceAt) * 10) / 10,
   };
 }
 
--- a/src/coordination/leadership/recordFollower.ts
+++ b/src/coordination/leadership/recordFollower.ts
@@ -24,7 +24,7 @@
 
 /** What is needed of a node. */
 export interface RecordFollowerContext {
-  clock: Pick<Clock, 'now'>;
+  clock: Clock;
   machineTypes: Map<string, MachineType>;
   inventory: MachineInventory;
   chunkIndex: ChunkIndex;
@@ -93,6 +93,7 @@
 
   private onGroup(group: string, change: KeyValueChange): void {
     const now = this.node.clock.now();
+    const wall = this.node.clock.wall();
     const { present, gone } = this.node.inventory.note(
       group,
       change.value as MachineGroupRecord | null,
@@ -101,7 +102,9 @@
       // The record goes only after the cloud has said that the machine is gone.
       for (const name of gone) ownedShard.shard.removeMachine(name, now);
       for (const [name, record] of present) {
-        if (record.shard === ownedShard.shard.label) ownedShard.shard.addMachine(name, record, now);
+        if (record.shard !== ownedShard.shard.label) continue;
+        const age = Math.max(0, wall - record.launchedAt);
+        ownedShard.shard.addMachine(name, record, now, now, age);
       }
     }
     this.node.requestSchedulingRound();
--- a/src/coordination/leadership/shardLoader.ts
+++ b/src/coordination/leadership/shardLoader.ts
@@ -49,8 +49,9 @@
     const now = node.clock.now();
     const { label } = shard;
     const ownedShard = createOwnedShard(shard, leadership, now, renewed);
+    const wall = node.clock.wall();
     for (const [name, record] of node.inventory.of(label))
-      shard.addMachine(name, record, now, renewed);
+      shard.addMachine(name, record, now, renewed, Math.max(0, wall - record.launchedAt));
     const prefix = keys.runs(label);
     // Of two records that hold a chunk the newer one counts: the other is about to be removed (safety, V5).
     const stored = [...node.stateCache.entriesWithPrefix(prefix)].sort(
--- a/src/coordination/migration/migrationInitiator.ts
+++ b/src/coordination/migration/migrationInitiator.ts
@@ -57,6 +57,7 @@
     const answers = await peers.ask(spec, zone, count, this.peerTimeout(queued !== undefined));
     const local = this.estimates(spec, zone, count).filter(({ shard }) => shard !== label);
     const shard = chooseShard(home, [...answers, ...local], tuning);
+    noteChoice(homeShard, spec, home, [...answers, ...local], shard);
     const hasLeader = stateCache.get(keys.owner(shard)) !== undefined;
     if (shard !== label && hasLeader) return shard;
     // No shard has such machines yet: they will be launched for a shard in the zone.
@@ -155,6 +156,25 @@
   }
 }
 
+/** Notes on which estimates work stays or goes. */
+function noteChoice(
+  { shard: { audit } }: OwnedShard,
+  { id }: JobSpec,
+  home: TurnaroundEstimate,
+  answers: TurnaroundEstimate[],
+  chosen: string,
+): void {
+  audit.note({
+    event: 'shard-chosen',
+    job: id,
+    home: home.shard,
+    chosen,
+    wait: home.wait,
+    turnaround: home.turnaround,
+    answers: answers.map((peer) => `${peer.shard}=${peer.turnaround.toFixed(1)}`).join(','),
+  });
+}
+
 /**
  * The first `most` chunks that are due, by rank and then by when the peers were last asked: otherwise the
  * first few would be asked about again and again, and those behind them never.
--- a/src/coordination/model/machine.ts
+++ b/src/coordination/model/machine.ts
@@ -2,6 +2,7 @@
 import type { MachineType } from '../../protocol/cloudProtocol.js';
 import type { Heartbeat, ReportedAttempt } from '../../protocol/workerProtocol.js';
 import type { MachineRecord } from '../../storage/records.js';
+import { availabilityState, type AvailabilityState } from './availability.js';
 import type { Attempt } from './chunk.js';
 import type { EndedAttempt } from './endedAttempt.js';
 import { ImageCache } from './imageCache.js';
@@ -12,6 +13,14 @@
 
 export type { Placement } from './occupancy.js';
 
+/** What tells how long a machine may take to be heard for the first time. In seconds. */
+export interface ArrivalTimes {
+  /** Its age when this controller first heard of it. */
+  readonly ageWhenSeen: number;
+  /** Time between two heartbeats of its worker. */
+  readonly heartbeatInterval: number;
+}
+
 /** One machine of a shard, as its worker last reported it. */
 export class Machine {
   /** `HOST:PORT` of its worker; empty until it is known. */
@@ -60,12 +69,28 @@
     readonly firstSeenAt: number,
     /** Whether a start of the task may be sent now (safety, T18). */
     readonly mayStart: (task: string, now: number) => boolean = () => true,
+    private readonly arrival: ArrivalTimes = { ageWhenSeen: 0, heartbeatInterval: 0 },
   ) {
     this.leaseRenewedAt = firstSeenAt;
     this.address = record.address ?? '';
     this.idleSince = firstSeenAt;
   }
 
+  /** Steady time at which it was rented, as far as its record tells. */
+  get launchedAtSteady(): number {
+    return this.firstSeenAt - this.arrival.ageWhenSeen;
+  }
+
+  /** Seconds between two heartbeats of its worker. */
+  get heartbeatInterval(): number {
+    return this.arrival.heartbeatInterval;
+  }
+
+  /** Seconds that a machine of its type takes to boot; 0 while the cloud has not told the type. */
+  get bootSeconds(): number {
+    return this.machineType?.bootSeconds ?? 0;
+  }
+
   /** Time of day at which it was rented, or first heard of. */
   get launchedAt(): number {
     return this.record.launchedAt;
@@ -112,9 +137,12 @@
 
   /** Whether work may be placed here. */
   isSchedulable(now: number): boolean {
-    const { isPartitioned } = this.reachability;
-    const isAble = this.isUp && !this.isUnresponsive && !isPartitioned && !this.isCordoned;
-    return isAble && this.preemptionDeadline === null && this.quarantinedUntil <= now;
+    return this.availability(now) === 'ready';
+  }
+
+  /** What it is to work, at this steady time. */
+  availability(now: number): AvailabilityState {
+    return availabilityState(this, now);
   }
 
   /** All resources of the machine. */
--- a/src/coordination/reconciliation/machineLiveness.ts
+++ b/src/coordination/reconciliation/machineLiveness.ts
@@ -1,5 +1,7 @@
 /** Which machines of a shard are silent, and since when what ran there is over. */
+import { log } from '../../base/log.js';
 import { AttemptTermination, type LeaseTimes } from './attemptTermination.js';
+import { isCapacity, longestBoot, longestSearch } from '../model/availability.js';
 import type { Machine, Placement } from '../model/machine.js';
 import type { AuditTrail } from '../audit/auditTrail.js';
 
@@ -21,6 +23,8 @@
 export class MachineLiveness {
   /** When most of the machines were last silent: more likely a fault on our side than on theirs. */
   private mostSilentAt = -Infinity;
+  /** The machines that are no capacity, as last logged. */
+  private notedCapacity = 'lost 0, unresponsive 0, overdue 0, partitioned 0';
 
   constructor(
     private readonly shard: MachineLivenessContext,
@@ -41,6 +45,27 @@
         this.shard.terminateAttempt(machine, placement, termination, now);
       }
     }
+    this.noteCapacity(now);
+  }
+
+  /** Logs how many machines work may count on, and why others don't count, when that has changed. */
+  private noteCapacity(now: number): void {
+    const counts = { capacity: 0, lost: 0, unresponsive: 0, overdue: 0, partitioned: 0 };
+    for (const machine of this.shard.machines.values()) {
+      const state = machine.availability(now);
+      if (isCapacity(state)) counts.capacity++;
+      else if (state in counts) counts[state as keyof typeof counts]++;
+    }
+    const { capacity, lost, unresponsive, overdue, partitioned } = counts;
+    const missing =
+      `lost ${lost}, unresponsive ${unresponsive}, overdue ${overdue}, ` +
+      `partitioned ${partitioned}`;
+    if (missing === this.notedCapacity) return;
+    this.notedCapacity = missing;
+    const { label, machines } = this.shard;
+    log.info(
+      `shard ${label}: work may count on ${capacity} of ${machines.size} machines; ${missing}`,
+    );
   }
 
   /**
@@ -63,18 +88,19 @@
         : this.isLost(machine, now);
       if (!isLost) continue;
       lost.push(machine.name);
-      this.noteGivenUp(machine, now);
+      this.noteGivenUp(machine, isNew ? 'never-came' : 'silent', now);
     }
     return lost;
   }
 
-  private noteGivenUp(machine: Machine, now: number): void {
+  private noteGivenUp(machine: Machine, reason: 'never-came' | 'silent', now: number): void {
     if (machine.isReleaseRequested) return;
     machine.isReleaseRequested = true;
     this.shard.audit.note({
       event: 'machine-release-requested',
       shard: this.shard.label,
       machine: machine.name,
+      reason,
       tasks: machine.placements.size,
       silentFor: now - (machine.reachability.lastReachedAt ?? machine.firstSeenAt),
     });
@@ -98,8 +124,8 @@
    */
   private neverCame(machine: Machine, now: number, wall: number, boot: number): boolean {
     const { heartbeatInterval } = this.options;
-    const isOverdue = wall - machine.launchedAt > boot * 1.6 + heartbeatInterval * 2;
-    const isWatched = now - machine.firstSeenAt > heartbeatInterval * 5;
+    const isOverdue = wall - machine.launchedAt > longestBoot(boot, heartbeatInterval);
+    const isWatched = now - machine.firstSeenAt > longestSearch(heartbeatInterval);
     return isOverdue && isWatched && machine.placements.size === 0;
   }
 
--- a/src/coordination/shard/shard.ts
+++ b/src/coordination/shard/shard.ts
@@ -73,15 +73,26 @@
 
   // ---- Machines ----
 
-  /** `renewed`: until when another owner may have renewed the worker's lease. */
-  addMachine(name: string, record: MachineRecord, now: number, renewed = now): Machine {
+  /**
+   * `renewed`: until when another owner may have renewed the worker's lease; `ageWhenSeen`: seconds since the machine was
+   * rented.
+   */
+  addMachine(
+    name: string,
+    record: MachineRecord,
+    now: number,
+    renewed = now,
+    ageWhenSeen = 0,
+  ): Machine {
     const known = this.machines.get(name);
     if (known !== undefined) {
       known.updateRecord(record);
       return known;
     }
     const mayStart = (task: string, at: number): boolean => this.mayStart(task, at);
-    const machine = new Machine(name, record, this.machineTypes, now, mayStart);
+    const { heartbeatInterval } = this.options;
+    const arrival = { ageWhenSeen, heartbeatInterval };
+    const machine = new Machine(name, record, this.machineTypes, now, mayStart, arrival);
     machine.leaseRenewedAt = renewed;
     this.machines.set(name, machine);
     this.waitEstimates.invalidate();
--- a/src/protocol/overview.ts
+++ b/src/protocol/overview.ts
@@ -14,6 +14,16 @@
     openJobs: number;
     runningTasks: number;
     waitingTasks: number;
-    machines: { name: string; type: string; zone: string; state: string; tasks: number }[];
+    machines: {
+      name: string;
+      type: string;
+      zone: string;
+      state: string;
+      tasks: number;
+      /** Whether work may count on it, in one word; a node of an earlier version does not tell. */
+      availability?: string;
+      /** Seconds since the evidence for that; null where it has none. */
+      evidenceAge?: number | null;
+    }[];
   }[];
 }
