Autoscaler: machines that the cloud's list shows to be gone are released, whatever else is silent

What callers saw: with the fault before: ghosts stayed in a shard for good, and a task that had run on one waited for its worker's lease and the grace period of an earlier leader. Cause: of machines that are all silent none is given up, since the fault may be the node's own. The cloud's list, which tells the two apart, was read for new machines only. Change: VanishedMachines takes a recorded machine for gone only if a list that was asked for more than twice the list's lag after a moment at which it certainly existed does not name it; it is then released, and the confirmed release removes the record and ends attempts, as before. A cut node whose list still names its machines releases none.

--- a/src/coordination/autoscaling/autoscaler.ts
+++ b/src/coordination/autoscaling/autoscaler.ts
@@ -83,7 +83,7 @@
     void this.inventorySync.readIfDue(now);
     this.scaleOut.continueOpen(now);
     this.groups.prunePending((name) => this.scaleOut.isOpen(name));
-    this.scaleIn.releaseDue(now, this.inventorySync.failed);
+    this.scaleIn.releaseDue(now, this.inventorySync.unusable);
     this.scaleOut.launchForDemands(now);
   }
 
--- a/src/coordination/autoscaling/inventorySync.ts
+++ b/src/coordination/autoscaling/inventorySync.ts
@@ -5,6 +5,7 @@
 import type { CloudClient } from './cloudClient.js';
 import type { AutoscalingContext } from './autoscalingContext.js';
 import type { MachineGroupStore } from './machineGroupStore.js';
+import { VanishedMachines } from './vanishedMachines.js';
 import { chooseShardFor, groupLimit, splitGroup } from './machineGroups.js';
 
 /** How often the list is read, as a ratio to the time that it lags behind. */
@@ -25,6 +26,7 @@
   private listed = new Map<string, ListedMachine>();
   /** Machines without a record, and since when. */
   private readonly unknownSince = new Map<string, number>();
+  private readonly vanished: VanishedMachines;
   private lastRead = -Infinity;
   private isReading = false;
 
@@ -34,17 +36,19 @@
     private readonly groups: MachineGroupStore,
     /** Whether its release was confirmed: a late list may still show it. */
     private readonly isReleased: (machine: string) => boolean,
-  ) {}
+  ) {
+    this.vanished = new VanishedMachines(node.settings.cloudListLag);
+  }
 
   /** Makes the next `readIfDue` read the list. */
   expire(): void {
     this.lastRead = -Infinity;
   }
 
-  /** Machines that failed to come up. */
-  get failed(): string[] {
+  /** Machines of which the lists say that they failed to come up, or that they are gone. */
+  get unusable(): string[] {
     const failed = [...this.listed.values()].filter(({ status }) => status === 'failed');
-    return failed.map(({ name }) => name);
+    return [...failed.map(({ name }) => name), ...this.vanished.names];
   }
 
   /** Reads the list, if it is due, and stores what is new. */
@@ -55,6 +59,7 @@
       const found = await this.cloud.listMachines();
       if (found === null) return;
       this.listed = found;
+      this.noteVanished(now);
       await this.adoptUnknown();
       await this.storeAddresses();
     } catch (error) {
@@ -65,6 +70,14 @@
     }
   }
 
+  /** `requestedAt`: steady time at which the present list was asked for. */
+  private noteVanished(requestedAt: number): void {
+    const { clock, inventory } = this.node;
+    const isListed = (machine: string): boolean => this.listed.has(machine);
+    const gone = this.vanished.noteList(inventory.names(), isListed, requestedAt, clock.now());
+    if (gone.length > 0) log.info(`the cloud lists no more: ${gone.join(' ')}`);
+  }
+
   /** Assigns unknown machines to shards: late scale-outs, and machines that ran from the start. */
   private async adoptUnknown(): Promise<void> {
     const { node } = this;
--- a/src/coordination/autoscaling/scaleIn.ts
+++ b/src/coordination/autoscaling/scaleIn.ts
@@ -1,4 +1,4 @@
-/** Releases machines that are lost, failed or no longer needed. */
+/** Releases machines that are lost, failed, gone or no longer needed. */
 import { describe, log } from '../../base/log.js';
 import { RELEASE_LIMIT } from '../../protocol/cloudProtocol.js';
 import type { CloudClient } from './cloudClient.js';
@@ -25,10 +25,10 @@
     return this.released.has(machine);
   }
 
-  /** Starts the release of all that is due; `failed` machines never came up. */
-  releaseDue(now: number, failed: string[]): void {
+  /** Starts the release of all that is due; `unusable` machines failed to come up, or are gone by the cloud's lists. */
+  releaseDue(now: number, unusable: string[]): void {
     this.forget(now);
-    const due = [...this.unwanted(failed)].filter(
+    const due = [...this.unwanted(unusable)].filter(
       (machine) => !this.releasing.has(machine) && !this.released.has(machine),
     );
     // All at once: when hundreds of machines are lost together, replicas wait for each of them.
@@ -38,15 +38,15 @@
   }
 
   /** Lost machines first, since their tasks are started anew once they are released; then idle ones. */
-  private unwanted(failed: string[]): Set<string> {
+  private unwanted(unusable: string[]): Set<string> {
     const { gossiper, peers } = this.node;
     const gossips = peers.gossips().filter((gossip) => gossip.isServed);
     return new Set([
       ...gossiper.lostMachines(),
       ...gossips.flatMap((gossip) => gossip.lostMachines),
+      ...unusable,
       ...gossiper.spareMachines(),
       ...gossips.flatMap((gossip) => gossip.idleMachines),
-      ...failed,
     ]);
   }
 
--- a/src/storage/machineInventory.ts
+++ b/src/storage/machineInventory.ts
@@ -37,6 +37,11 @@
     return this.machines.get(name)?.group;
   }
 
+  /** The names of all machines. */
+  names(): IterableIterator<string> {
+    return this.machines.keys();
+  }
+
   /** The machines of a shard. */
   *of(shard: string): IterableIterator<[string, MachineRecord]> {
     for (const [name, { record }] of this.machines)
--- a/test/cluster/machinesTakenAway.test.ts
+++ b/test/cluster/machinesTakenAway.test.ts
@@ -138,3 +138,23 @@
     await Promise.all(cases.map((one) => t.test(one.name, () => play(one))));
   },
 );
+
+test('records of machines that are gone are removed, though all of a shard are silent', () =>
+  withCluster({ nodes: 2, runs: () => 0.3 }, async (cluster) => {
+    const recorded = (): string =>
+      JSON.stringify([...cluster.state.rows].filter(([key]) => key.startsWith('b/fleet/')));
+    await accept(cluster, 'drone-0', submission('wk-000001', { Pieces: 4, Cores: 8 }));
+    await until('its tasks are over', isDone(cluster, 'drone-0', 'wk-000001'));
+    const taken = [...cluster.cloud.workers.values()];
+    assert.ok(taken.length >= 2, `${taken.length} machines`);
+    // Then they are probed after the restart, and are not taken for machines that have not come yet.
+    await until('their addresses are stored', () =>
+      taken.every(({ address }) => recorded().includes(address)),
+    );
+    cluster.crash('drone-0');
+    for (const worker of taken) cluster.cloud.take(worker);
+    cluster.cloud.capacity = 0;
+    await cluster.boot('drone-0');
+    const isRecorded = (): boolean => taken.some(({ name }) => recorded().includes(name));
+    await until('no record names them', () => !isRecorded(), LONGEST_WAIT_S);
+  }));
