Inventory: a machine that two groups name is in one shard for all nodes, and its attempts are kept

Cause: the inventory kept the group that it had heard of first, and lost the other's claim with it. A leader that loaded its shard dropped attempts on machines that were not in it, as if they had been released; one whose machine went to another shard counted the worker's lease from its own last answer, while the other leader renewed it. Change: every claim is kept, and a rule on the records alone chooses (earliest launch, then the group's name); a machine is gone once no record names it, and removals take it out of all groups. Attempts on a machine that the records put into another shard stay until a heartbeat or the confirmed release ends them; nothing is placed or sent there. The autoscaler releases a machine that groups of two shards name. A property test: any order, repeats and removals of records end in the inventory of a fresh load. Two fixtures of tests name the new function that a loader reads; their checks are as they were.

--- a/src/coordination/autoscaling/machineGroupStore.ts
+++ b/src/coordination/autoscaling/machineGroupStore.ts
@@ -40,6 +40,13 @@
     return `${this.node.settings.label}-${this.process}-${++this.sequence}`;
   }
 
+  /** Whether a machine is being stored in another group than this one. */
+  isBeingStoredElsewhere(machine: string, group: string): boolean {
+    for (const [name, machines] of this.pending)
+      if (name !== group && machines.includes(machine)) return true;
+    return false;
+  }
+
   /** Forgets pending machines, but for groups that are still being stored. */
   prunePending(isOpen: (name: string) => boolean): void {
     for (const name of this.pending.keys()) {
@@ -154,9 +161,10 @@
     const groups = new Map<string, MachineGroupRecord | null>();
     const operations = new Map<string, number>();
     let bytes = 0;
-    for (const machine of machines) {
-      const name = inventory.groupOf(machine);
-      if (name === undefined) continue;
+    const claims = machines.flatMap((machine) =>
+      inventory.groupsOf(machine).map((name) => ({ machine, name })),
+    );
+    for (const { machine, name } of claims) {
       const stored = stateCache.get(keys.group(name))?.value as MachineGroupRecord | undefined;
       const before = groups.get(name) ?? stored;
       if (before === undefined) continue;
--- a/src/coordination/autoscaling/scaleIn.ts
+++ b/src/coordination/autoscaling/scaleIn.ts
@@ -39,12 +39,14 @@
 
   /** Lost machines first, since their tasks are started anew once they are released; then idle ones. */
   private unwanted(unusable: string[]): Set<string> {
-    const { gossiper, peers } = this.node;
+    const { gossiper, peers, inventory } = this.node;
     const gossips = peers.gossips().filter((gossip) => gossip.isServed);
     return new Set([
       ...gossiper.lostMachines(),
       ...gossips.flatMap((gossip) => gossip.lostMachines),
       ...unusable,
+      // Two shards count on it: only a confirmed release ends its attempts for both.
+      ...inventory.contested(),
       ...gossiper.spareMachines(),
       ...gossips.flatMap((gossip) => gossip.idleMachines),
     ]);
--- a/src/coordination/commands/commandDispatcher.ts
+++ b/src/coordination/commands/commandDispatcher.ts
@@ -77,7 +77,7 @@
   send(): void {
     for (const ownedShard of this.node.ownedShards.values()) {
       for (const machine of ownedShard.shard.pendingCommands) {
-        if (machine.hasCommandInFlight || machine.address === '') continue;
+        if (machine.hasCommandInFlight || machine.address === '' || machine.isReassigned) continue;
         ownedShard.shard.pendingCommands.delete(machine);
         // Questions go on until it answers one; orders meanwhile would only hold sockets.
         if (machine.isUnresponsive || !this.isDue(ownedShard, machine)) continue;
@@ -278,8 +278,8 @@
   private probeUnreached(ownedShard: OwnedShard): void {
     const unreached: Machine[] = [];
     for (const machine of ownedShard.shard.machines.values()) {
-      if (machine.reachability.lastReachedAt === null && machine.address !== '')
-        unreached.push(machine);
+      if (machine.isReassigned || machine.address === '') continue;
+      if (machine.reachability.lastReachedAt === null) unreached.push(machine);
     }
     unreached.sort(
       (a, b) =>
@@ -292,7 +292,9 @@
   /** Machines that were in reach and have said nothing for too long. */
   private probeOverdue(ownedShard: OwnedShard, now: number): void {
     const { heartbeatInterval } = this.node.settings;
-    const machines = [...ownedShard.shard.machines.values()].filter((machine) => machine.isUp);
+    const machines = [...ownedShard.shard.machines.values()].filter(
+      (machine) => machine.isUp && !machine.isReassigned,
+    );
     // Those that were asked longest ago go first, since not all may get their turn.
     machines.sort((a, b) => a.reachability.lastProbeAt - b.reachability.lastProbeAt);
     const doubtful = [...ownedShard.shard.machines.values()].some(
--- a/src/coordination/jobs/waitReasons.ts
+++ b/src/coordination/jobs/waitReasons.ts
@@ -99,6 +99,7 @@
   partitioned: 'cannot report to the service',
   preempted: 'are about to be taken by the cloud',
   cordoned: 'are being given back',
+  reassigned: 'are being given back',
 };
 
 function unusableReason(states: readonly AvailabilityState[]): string {
--- a/src/coordination/leadership/recordFollower.ts
+++ b/src/coordination/leadership/recordFollower.ts
@@ -99,12 +99,13 @@
       change.value as MachineGroupRecord | null,
     );
     for (const ownedShard of this.node.ownedShards.values()) {
-      // The record goes only after the cloud has said that the machine is gone.
+      // The last record that names it goes only after the cloud has said that the machine is gone.
       for (const name of gone) ownedShard.shard.removeMachine(name, now);
       for (const [name, record] of present) {
-        if (record.shard !== ownedShard.shard.label) continue;
-        const age = Math.max(0, wall - record.launchedAt);
-        ownedShard.shard.addMachine(name, record, now, now, age);
+        const { shard } = ownedShard;
+        // One that was in the shard stays until its attempts there are over.
+        if (record.shard !== shard.label && !shard.machines.has(name)) continue;
+        shard.addMachine(name, record, now, now, Math.max(0, wall - record.launchedAt));
       }
     }
     this.node.requestSchedulingRound();
--- a/src/coordination/leadership/shardLoader.ts
+++ b/src/coordination/leadership/shardLoader.ts
@@ -27,7 +27,7 @@
 /** What is needed of a node. */
 export interface ShardLoaderContext {
   clock: Clock;
-  inventory: Pick<MachineInventory, 'of'>;
+  inventory: Pick<MachineInventory, 'of' | 'get'>;
   stateCache: Pick<StateCache, 'get' | 'entriesWithPrefix' | 'noteRemoved'>;
   stateClient: Pick<StateClient, 'get'>;
   cancellationPreparations: ChunkCancellation;
@@ -81,6 +81,7 @@
   loadBucket(ownedShard: OwnedShard, name: string, value: BucketRecord, revision: number): void {
     const { node } = this;
     const now = node.clock.now();
+    this.keepReassigned(ownedShard, value, now);
     const bucket = new Bucket(name, revision, node.recordFormat);
     ownedShard.buckets.set(name, bucket);
     for (const [id, record] of Object.entries(value.chunks)) {
@@ -100,6 +101,15 @@
     if (bucket.chunks.size === 0) bucket.isDirty = true;
   }
 
+  /** Machines that run attempts of the shard, though the records have put them into another: the attempts are not over for that. */
+  private keepReassigned({ shard }: OwnedShard, { chunks }: BucketRecord, now: number): void {
+    for (const { machine } of Object.values(chunks).flatMap(({ attempts }) => attempts)) {
+      if (shard.machines.has(machine)) continue;
+      const record = this.node.inventory.get(machine);
+      if (record !== undefined) shard.addMachine(machine, record, now);
+    }
+  }
+
   /**
    * A stored bucket has changed. Only what was just sent here is taken up: nothing of it can have been started
    * by this shard's leaders.
--- a/src/coordination/model/availability.ts
+++ b/src/coordination/model/availability.ts
@@ -6,6 +6,7 @@
 
 /**
  * What a machine is to work, the first that applies:
+ * - `reassigned`: the records have put it into another shard;
  * - `lost`: its worker's lease ended with attempts on it, and it has not been reached since;
  * - `cordoned`: it is offered back to the cloud, and nothing is placed on it any more;
  * - `preempted`: the cloud has announced that it takes the machine;
@@ -17,6 +18,7 @@
  * - `ready`: work may be placed on it now.
  */
 export type AvailabilityState =
+  | 'reassigned'
   | 'lost'
   | 'cordoned'
   | 'preempted'
@@ -36,6 +38,7 @@
 
 /** What the decision rests on; `Machine` is one. Times are steady. */
 export interface AvailabilityEvidence {
+  readonly isReassigned: boolean;
   readonly isLost: boolean;
   readonly isCordoned: boolean;
   readonly preemptionDeadline: number | null;
@@ -78,6 +81,7 @@
 /** What a machine is to work at this steady time. */
 export function availabilityState(machine: AvailabilityEvidence, now: number): AvailabilityState {
   const { reachability } = machine;
+  if (machine.isReassigned) return 'reassigned';
   if (machine.isLost) return 'lost';
   if (machine.isCordoned) return 'cordoned';
   if (machine.preemptionDeadline !== null) return 'preempted';
@@ -124,6 +128,7 @@
   switch (state) {
     case 'lost':
       return machine.leaseRenewedAt;
+    case 'reassigned':
     case 'cordoned':
       return null;
     case 'preempted':
--- a/src/coordination/model/machine.ts
+++ b/src/coordination/model/machine.ts
@@ -49,6 +49,11 @@
   isCordoned = false;
   /** Its worker's lease has expired with attempts on it, and it has not been reached since. */
   isLost = false;
+  /**
+   * The records have put it into another shard, whose leader answers its worker and may renew the worker's lease. Nothing is
+   * placed on it or sent to it any more, and its attempts here are over only by its heartbeats or a confirmed release.
+   */
+  isReassigned = false;
   /** The audit trail has an event for the request to release it. */
   isReleaseRequested = false;
   /** Steady time since which nothing is placed here. */
@@ -96,6 +101,11 @@
     return this.record.launchedAt;
   }
 
+  /** The shard that its record names. */
+  get recordedShard(): string {
+    return this.record.shard;
+  }
+
   /** Takes in a changed record; an address that is known stays. */
   updateRecord(record: MachineRecord): void {
     this.record = record;
--- a/src/coordination/reconciliation/attemptTermination.ts
+++ b/src/coordination/reconciliation/attemptTermination.ts
@@ -55,6 +55,8 @@
     { workerLease, heartbeatInterval }: LeaseTimes,
     now: number,
   ): AttemptTermination | null {
+    // Another shard's leader may renew it without our knowledge.
+    if (machine.isReassigned) return null;
     const limit = workerLease * (1 + DRIFT) + heartbeatInterval / 2;
     if (now - machine.leaseRenewedAt <= limit) return null;
     return new AttemptTermination('lease-expired', machine.leaseRenewedAt);
--- a/src/coordination/reconciliation/machineLiveness.ts
+++ b/src/coordination/reconciliation/machineLiveness.ts
@@ -78,6 +78,11 @@
     if (this.mostAreSilent()) this.mostSilentAt = now;
     const lost: string[] = [];
     for (const machine of this.shard.machines.values()) {
+      if (machine.isReassigned) {
+        // It has come back: what ran here is over once its release is confirmed, and not known to be before.
+        if (machine.recordedShard === this.shard.label) lost.push(machine.name);
+        continue;
+      }
       // Its last owner may be alive and answer it: that we can't reach it says nothing of the machine.
       if (machine.reachability.lastReachedAt === null && machine.leaseRenewedAt > now) continue;
       const isNew =
@@ -109,8 +114,9 @@
   private mostAreSilent(): boolean {
     let asked = 0;
     let silent = 0;
-    for (const { reachability } of this.shard.machines.values()) {
+    for (const { reachability, isReassigned } of this.shard.machines.values()) {
       const { lastReachedAt, missedProbes } = reachability;
+      if (isReassigned) continue;
       if (lastReachedAt === null && missedProbes === 0) continue;
       asked++;
       if (missedProbes > 0) silent++;
@@ -151,7 +157,7 @@
     let answering = 0;
     let silent = 0;
     for (const other of this.shard.machines.values()) {
-      if (other === machine || other.isLost) continue;
+      if (other === machine || other.isLost || other.isReassigned) continue;
       if (other.reachability.lastReachedAt !== null && other.reachability.lastReachedAt > since)
         answering++;
       else if (other.reachability.missedProbes > 0) silent++;
--- a/src/coordination/shard/demandEstimator.ts
+++ b/src/coordination/shard/demandEstimator.ts
@@ -128,7 +128,9 @@
    * what arrives on the average. The dearest go first.
    */
   idleMachines(now: number, idleRatio: number): string[] {
-    const idle = [...this.shard.machines.values()].filter((m) => m.placements.size === 0 && m.isUp);
+    const idle = [...this.shard.machines.values()].filter(
+      (m) => m.placements.size === 0 && m.isUp && !m.isReassigned,
+    );
     const waits = this.shard.waitingTaskCount > 0;
     // Worked out once: each that goes takes its own processors out of them.
     let surplus = this.surplus(now);
--- a/src/coordination/shard/shard.ts
+++ b/src/coordination/shard/shard.ts
@@ -2,6 +2,7 @@
  * One shard: its machines, its queue and what runs where. No I/O: reports come in, orders and changed
  * records go out, and the clock is passed in.
  */
+import { log } from '../../base/log.js';
 import type { Random } from '../../base/random.js';
 import type { MachineType } from '../../protocol/cloudProtocol.js';
 import { rankOrder } from '../../protocol/job.js';
@@ -87,6 +88,7 @@
     const known = this.machines.get(name);
     if (known !== undefined) {
       known.updateRecord(record);
+      if (record.shard !== this.label) this.noteReassigned(known);
       return known;
     }
     const mayStart = (task: string, at: number): boolean => this.mayStart(task, at);
@@ -96,9 +98,22 @@
     machine.leaseRenewedAt = renewed;
     this.machines.set(name, machine);
     this.waitEstimates.invalidate();
+    // Its attempts here may run, though the records have put it into another shard since they were started.
+    if (record.shard !== this.label) this.noteReassigned(machine);
     return machine;
   }
 
+  private noteReassigned(machine: Machine): void {
+    if (machine.isReassigned) return;
+    machine.isReassigned = true;
+    this.waitEstimates.invalidate();
+    this.pendingCommands.delete(machine);
+    log.error(
+      `shard ${this.label}: ${machine.name} is recorded for shard ${machine.recordedShard} as well; ` +
+        `${machine.placements.size} attempts are kept until its release is confirmed`,
+    );
+  }
+
   /** The machine is known to be gone, and everything on it. */
   removeMachine(name: string, now: number): void {
     const machine = this.machines.get(name);
@@ -247,7 +262,7 @@
     const chunk = Chunk.load(index, record, now);
     for (const e of record.attempts) {
       const machine = this.machines.get(e.machine);
-      // Its machine's record is deleted only after the machine is gone.
+      // No record names it: the last one is deleted only after the machine is gone.
       if (machine === undefined) continue;
       const attempt: Attempt = {
         ...e,
--- a/test/leadership/shardLoader.test.ts
+++ b/test/leadership/shardLoader.test.ts
@@ -54,7 +54,7 @@
   const machine: MachineRecord = { shard: 'p', type: 'm8', zone: 'a', spot: false, launchedAt: 0 };
   return {
     clock: { now: () => 100, wall: () => 100 },
-    inventory: { of: () => new Map([['n-1', machine]]).entries() },
+    inventory: { of: () => new Map([['n-1', machine]]).entries(), get: () => undefined },
     stateCache: {
       get: (key) => rows.get(key),
       *entriesWithPrefix(prefix) {
@@ -93,3 +93,25 @@
     );
   });
 }
+
+test('an attempt on a machine that the records have put into another shard is not over for that', () => {
+  // It was dropped, and its task was started once more beside it.
+  const node = nodeWith({});
+  const elsewhere = { shard: 'q', type: 'm8', zone: 'a', spot: false, launchedAt: 0 };
+  node.inventory = {
+    of: () => new Map<string, MachineRecord>().entries(),
+    get: (name) => (name === 'n-1' ? elsewhere : undefined),
+  };
+  const part = emptyPart(3, new Map([['m8', m8]]));
+  new ShardLoader(node).load(part, HELD, 100);
+  assert.equal(part.chunks.get('wk-1/0')?.attempts.get(1)?.machine, 'n-1');
+  part.liveness.sweep(100 + 1000);
+  assert.equal(
+    part.chunks.get('wk-1/0')?.attempts.size,
+    1,
+    "another leader renews its worker's lease",
+  );
+  assert.equal(part.machines.get('n-1')?.availability(100), 'reassigned');
+  part.removeMachine('n-1', 100);
+  assert.equal(part.chunks.get('wk-1/0')?.attempts.size, 0, 'its release is confirmed');
+});
--- a/test/persistence/recordLimits.test.ts
+++ b/test/persistence/recordLimits.test.ts
@@ -75,7 +75,7 @@
     const machines = Array.from({ length: REPLICAS }, (_, i) => [`n-${i}`, machine] as const);
     const loader = new ShardLoader({
       clock: { now: () => this.now, wall: () => this.now },
-      inventory: { of: () => new Map(machines).entries() },
+      inventory: { of: () => new Map(machines).entries(), get: () => undefined },
       stateCache: {
         get: (name) => rows.get(name),
         *entriesWithPrefix(prefix) {
--- a/test/shard/shard.test.ts
+++ b/test/shard/shard.test.ts
@@ -89,3 +89,32 @@
   b.decide();
   assert.deepEqual([runs.attempts.size, waits.attempts.size], [1, 1]);
 });
+
+test('a machine that the records put into another shard keeps its attempts, and gets no work or command', () => {
+  // Its lease was taken for over while the other leader renewed it, and its task was started on another machine too.
+  const b = new Bench();
+  const machine = b.machine();
+  const chunk = b.running(machine);
+  const record = { shard: 'q', type: 'm8', zone: 'a', spot: false, launchedAt: 0 };
+  b.part.addMachine('n-1', record, b.now);
+  b.now += 1000;
+  b.machine('n-2');
+  b.part.liveness.sweep(b.now);
+  assert.equal(chunk.attempts.get(0)?.machine, 'n-1');
+  const other = b.chunk({ id: 'wk-2', cpus: 8 });
+  b.decide();
+  assert.equal(other.attempts.get(0)?.machine, 'n-2');
+  assert.deepEqual(
+    b.part.liveness.lostMachines(b.now, () => 30, 0),
+    [],
+  );
+  b.part.addMachine('n-1', { ...record, shard: 'p' }, b.now);
+  b.part.liveness.sweep(b.now);
+  assert.equal(chunk.attempts.size, 1, 'who answered its worker meanwhile is not known');
+  assert.deepEqual(
+    b.part.liveness.lostMachines(b.now, () => 30, 0),
+    ['n-1'],
+  );
+  b.part.removeMachine('n-1', b.now);
+  assert.equal(chunk.attempts.size, 0);
+});
--- a/test/storage/fleetRecords.test.ts
+++ b/test/storage/fleetRecords.test.ts
@@ -1,6 +1,7 @@
 /** The copy of the machines' records: which part a machine is in. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import fc from 'fast-check';
 import { MachineInventory } from '../../src/storage/machineInventory.js';
 import type { MachineGroupRecord } from '../../src/storage/records.js';
 
@@ -17,3 +18,68 @@
   other.note('rental', group('p'));
   assert.equal(one.get('n-1')?.shard, other.get('n-1')?.shard);
 });
+
+/** What a node can be told of an inventory, to compare two of them. */
+function contentOf(inventory: MachineInventory): unknown {
+  const names = [...inventory.names()].sort();
+  return {
+    machines: names.map((name) => [name, inventory.get(name), inventory.groupsOf(name)]),
+    counts: ['p', 'q'].map((shard) =>
+      [...inventory.countsOf(shard)].filter(([, count]) => count > 0),
+    ),
+    ofShards: ['p', 'q'].map((shard) => [...inventory.of(shard)].map(([name]) => name).sort()),
+    contested: inventory.contested().sort(),
+  };
+}
+
+const names = ['n-1', 'n-2', 'n-3'];
+
+/** A group's record, or its removal. */
+const record = fc.option(
+  fc.record({
+    shard: fc.constantFrom('p', 'q'),
+    launches: fc.dictionary(fc.constantFrom(...names), fc.constantFrom(0, 1), {
+      noNullPrototype: true,
+    }),
+  }),
+);
+const changes = fc.array(fc.tuple(fc.constantFrom('a', 'b', 'c'), record), { maxLength: 12 });
+
+test('whatever order and repeats of records a node heard of, its inventory is that of a fresh load', () => {
+  fc.assert(
+    fc.property(changes, fc.infiniteStream(fc.nat({ max: 2 })), (history, order) => {
+      const followed = new MachineInventory();
+      const stored = new Map<string, MachineGroupRecord>();
+      for (const [name, change] of history) {
+        const machines = Object.entries(change?.launches ?? {}).map(
+          ([machine, launchedAt]) => [machine, { launchedAt }] as const,
+        );
+        const value =
+          change === null
+            ? null
+            : { ...group(change.shard), machines: Object.fromEntries(machines) };
+        followed.note(name, value);
+        if (value === null) stored.delete(name);
+        else stored.set(name, value);
+      }
+      const loaded = new MachineInventory();
+      const ranked = [...stored].map((row) => ({ row, rank: order.next().value ?? 0 }));
+      const rows = ranked.sort((a, b) => a.rank - b.rank).map(({ row }) => row);
+      for (const [name, value] of [...rows, ...rows]) loaded.note(name, value);
+      assert.deepEqual(contentOf(followed), contentOf(loaded));
+    }),
+  );
+});
+
+test('a machine is gone only once no group names it, and the other claim counts from then on', () => {
+  const inventory = new MachineInventory();
+  inventory.note('rental', group('p'));
+  inventory.note('adopted', group('q'));
+  const shard = inventory.get('n-1')?.shard;
+  assert.deepEqual(inventory.contested(), ['n-1']);
+  const [first = '', other = ''] = inventory.groupsOf('n-1');
+  assert.deepEqual(inventory.note(first, null).gone, []);
+  assert.notEqual(inventory.get('n-1')?.shard, shard);
+  assert.deepEqual(inventory.contested(), []);
+  assert.deepEqual(inventory.note(other, null).gone, ['n-1']);
+});
