Autoscaler: a rental's conclusion and an adoption exclude each other

What callers saw: a rental whose answer was lost for longer than the cloud's list lags, or any while no machine was recorded, left its machines in two groups' records: that of the rental, and that of the list. Shown with whole controllers; a task that ran twice by it was not seen. Cause: an answer was concluded with all names in it, whatever had been adopted meanwhile. Change: a conclusion leaves out machines that another group names, and waits while one of them is being adopted. Both are written by the elected autoscaler on condition of its leader key, and an election reads all that was written before, so what it sees recorded is complete. A machine that an open rental may have launched is adopted only after four times the list's lag (chosen: the cloud answers or refuses in that time unless it is down, and the machine costs money meanwhile).

--- a/src/coordination/autoscaling/autoscaler.ts
+++ b/src/coordination/autoscaling/autoscaler.ts
@@ -7,6 +7,7 @@
 import type { AutoscalingContext } from './autoscalingContext.js';
 import { MachineGroupStore } from './machineGroupStore.js';
 import { InventorySync } from './inventorySync.js';
+import { OpenRentals } from './openRentals.js';
 import { ScaleIn } from './scaleIn.js';
 import { ScaleOut } from './scaleOut.js';
 
@@ -32,11 +33,11 @@
     const { cloudEndpoint, cloudRate } = settings;
     this.cloud = new CloudClient(links.services, clock, cloudEndpoint, cloudRate);
     this.groups = new MachineGroupStore(node, process);
-    this.scaleOut = new ScaleOut(node, this.cloud, this.groups);
+    const openRentals = new OpenRentals(node);
+    this.scaleOut = new ScaleOut(node, this.cloud, this.groups, openRentals);
     this.scaleIn = new ScaleIn(node, this.cloud, this.groups);
-    this.inventorySync = new InventorySync(node, this.cloud, this.groups, (machine) =>
-      this.scaleIn.isReleased(machine),
-    );
+    const isReleased = (machine: string): boolean => this.scaleIn.isReleased(machine);
+    this.inventorySync = new InventorySync(node, this.cloud, this.groups, openRentals, isReleased);
   }
 
   /** This controller has been elected as the autoscaler. */
--- a/src/coordination/autoscaling/inventorySync.ts
+++ b/src/coordination/autoscaling/inventorySync.ts
@@ -6,6 +6,7 @@
 import type { AutoscalingContext } from './autoscalingContext.js';
 import type { MachineGroupStore } from './machineGroupStore.js';
 import { VanishedMachines } from './vanishedMachines.js';
+import type { OpenRentals } from './openRentals.js';
 import { chooseShardFor, groupLimit, splitGroup } from './machineGroups.js';
 
 /** How often the list is read, as a ratio to the time that it lags behind. */
@@ -14,6 +15,12 @@
 /** How long a group's record waits for the addresses of all its machines, as a ratio to the list's lag. */
 const ADDRESS_WINDOW = 4;
 
+/**
+ * How long a machine that an open rental may have launched waits for the rental's answer before it is adopted, as a ratio to
+ * the list's lag: the cloud may refuse to answer for long, and the machine costs money.
+ */
+const RENTAL_WINDOW = 4;
+
 /** Share of this controller's write rate that addresses may use. */
 const ADDRESS_SHARE = 1 / 10;
 
@@ -34,6 +41,7 @@
     private readonly node: AutoscalingContext,
     private readonly cloud: CloudClient,
     private readonly groups: MachineGroupStore,
+    private readonly openRentals: Pick<OpenRentals, 'mayHaveLaunched'>,
     /** Whether its release was confirmed: a late list may still show it. */
     private readonly isReleased: (machine: string) => boolean,
   ) {
@@ -109,12 +117,14 @@
     }
     // The list may be older than a release by the last autoscaler; without any recorded machine there
     // has been no release.
-    const window = inventory.size === 0 ? 0 : settings.cloudListLag;
+    const usualWindow = inventory.size === 0 ? 0 : settings.cloudListLag;
+    const rentalWindow = settings.cloudListLag * RENTAL_WINDOW;
     const found: ListedMachine[] = [];
     for (const [name, machine] of this.listed) {
       if (inventory.get(name) !== undefined || pending.has(name) || this.isReleased(name)) continue;
       const since = this.unknownSince.get(name) ?? now;
       this.unknownSince.set(name, since);
+      const window = this.openRentals.mayHaveLaunched(machine) ? rentalWindow : usualWindow;
       if (now - since >= window) found.push(machine);
     }
     return found;
--- a/src/coordination/autoscaling/scaleOut.ts
+++ b/src/coordination/autoscaling/scaleOut.ts
@@ -5,6 +5,7 @@
 import type { CloudClient, LaunchResult } from './cloudClient.js';
 import type { AutoscalingContext } from './autoscalingContext.js';
 import type { MachineGroupStore } from './machineGroupStore.js';
+import type { OpenRentals } from './openRentals.js';
 import { chooseShardFor, groupLimit } from './machineGroups.js';
 import { mergePlans, planScaleOut, type ScaleOutPlan } from './scaleOutPlan.js';
 
@@ -62,6 +63,7 @@
     private readonly node: AutoscalingContext,
     private readonly cloud: CloudClient,
     private readonly groups: MachineGroupStore,
+    private readonly openRentals: OpenRentals,
   ) {}
 
   /** This controller has been elected: what it knew of an earlier election's scale-outs is void. */
@@ -149,6 +151,7 @@
       requestedCount: count,
     };
     this.inProgress.add(name);
+    this.openRentals.noteRecorded(name);
     this.pending.set(name, { plan, until: Infinity });
     // Demands that arrive one by one are gathered: together they fill larger, cheaper machines.
     this.cooldownUntil.set(shard, clock.now() + settings.heartbeatInterval);
@@ -209,16 +212,30 @@
   ): Promise<void> {
     const { shard, type, zone, spot, requestedCount: requested = 0 } = group;
     const kind = kindOf(type, zone, spot);
+    // One that is being adopted just now: the request is repeated, and gets the same answer once that is settled.
+    if (names.some((machine) => this.groups.isBeingStoredElsewhere(machine, name))) return;
+    const own = names.filter((machine) => this.mayRecord(machine, name));
     // Until the group is stored, machines that the list shows must not be taken for unknown ones.
-    this.groups.pending.set(name, names);
+    this.groups.pending.set(name, own);
     log.info(`launched ${names.length} of ${requested} ${kind} for ${shard}: ${names.join(' ')}`);
     const launchedAt = this.node.clock.wall();
-    const machines = Object.fromEntries(names.map((machine) => [machine, { launchedAt }]));
+    const machines = Object.fromEntries(own.map((machine) => [machine, { launchedAt }]));
     await this.conclude(name, { shard, type, zone, spot, machines });
     if (names.length < requested) this.noteOutOfStock(kind, shard);
     else this.outOfStock.delete(kind);
   }
 
+  /**
+   * Not a machine that another group names already: its rental's answer was late, and it was adopted meanwhile. That is known
+   * for certain, since all group records are written under this election's key, and those of before were read with it.
+   */
+  private mayRecord(machine: string, name: string): boolean {
+    const groups = this.node.inventory.groupsOf(machine);
+    if (groups.length === 0 || groups.includes(name)) return true;
+    log.info(`${machine} of ${name} is recorded already, in ${groups.join(' ')}`);
+    return false;
+  }
+
   /** Replaces the record of the scale-out by its machines; without an answer the next step tries again. */
   private async conclude(name: string, group: MachineGroupRecord | null): Promise<void> {
     const { clock, leadership, settings } = this.node;
@@ -230,6 +247,7 @@
       // Until the shard has the record and has announced its new demand.
       pending.until = clock.now() + settings.heartbeatInterval * DEMAND_LAG;
     }
+    this.openRentals.forget(name);
     const stored = new Map([[name, count === 0 ? null : group]]);
     const replaced = await this.groups.replace(stored, 'rental');
     if (replaced.kind !== 'conflict') return;
--- /dev/null
+++ b/test/cluster/machineInTwoGroups.test.ts
@@ -0,0 +1,70 @@
+/**
+ * Guards against a machine that the records of two groups name: nodes that heard of them in another order put it into different
+ * shards, and a new leader took the attempts there for over while they ran.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { submission, until, type Cluster } from '../support/cluster.js';
+import { accept, status, withCluster } from '../support/users.js';
+
+/** Seconds between two looks at the stored groups. */
+const LOOK_INTERVAL_S = 0.01;
+
+/** Machines that more than one stored group names. */
+function inTwoGroups(cluster: Cluster): string[] {
+  const seen = new Set<string>();
+  const found: string[] = [];
+  for (const [key, { value }] of cluster.state.rows) {
+    if (!key.startsWith('b/fleet/')) continue;
+    for (const name of Object.keys((value as { machines: object }).machines)) {
+      if (seen.has(name)) found.push(name);
+      seen.add(name);
+    }
+  }
+  return found;
+}
+
+for (const { name, autoscalerCrashes } of [
+  { name: 'the same autoscaler', autoscalerCrashes: false },
+  { name: 'the next autoscaler', autoscalerCrashes: true },
+]) {
+  test(`a rental whose answer is lost for longer than the list lags, concluded by ${name}`, () =>
+    withCluster({ nodes: 2, runs: () => 0.3 }, async (cluster) => {
+      const found = new Set<string>();
+      const watch = setInterval(() => {
+        for (const machine of inTwoGroups(cluster)) found.add(machine);
+      }, LOOK_INTERVAL_S * 1000);
+      try {
+        cluster.cloud.lose = (path) => path === 'POST /rentals';
+        await accept(cluster, 'drone-0', submission('wk-000001', { Pieces: 3, Cores: 8 }));
+        await until('machines were rented', () => cluster.cloud.workers.size > 0);
+        await until('they are recorded by the list', () =>
+          [...cluster.state.rows].some(
+            ([key, { value }]) =>
+              key.startsWith('b/fleet/') && JSON.stringify(value).includes('n-000001'),
+          ),
+        );
+        if (autoscalerCrashes) {
+          cluster.crash('drone-0');
+          cluster.crash('drone-1');
+          await cluster.boot('drone-0');
+          await cluster.boot('drone-1');
+        }
+        cluster.cloud.lose = null;
+        const isOver = async (): Promise<boolean> =>
+          (await status(cluster, 'drone-0', 'wk-000001')).Status === 'done';
+        await until('the job is done', isOver, 60);
+        await until('no rental is open', () => !rentalIsOpen(cluster));
+        assert.deepEqual([...found], []);
+      } finally {
+        clearInterval(watch);
+      }
+    }));
+}
+
+function rentalIsOpen(cluster: Cluster): boolean {
+  return [...cluster.state.rows].some(
+    ([key, { value }]) =>
+      key.startsWith('b/fleet/') && (value as { asked?: number }).asked !== undefined,
+  );
+}
