Autoscaler: addresses that are stored bring back no machine that was released meanwhile

What callers saw: nothing; it cost money: a released machine came back into its group's record, and was released once more. Cause: the groups were read once, and each was written as it had been read, under the revision of the moment. Change: each group is read again just before it is written. Evidence: inventorySync.test failed before, passes now.

--- a/src/coordination/autoscaling/autoscalingContext.ts
+++ b/src/coordination/autoscaling/autoscalingContext.ts
@@ -21,7 +21,15 @@
   readonly stateCache: Pick<StateCache, 'get' | 'note' | 'noteRemoved'>;
   readonly inventory: Pick<
     MachineInventory,
-    'get' | 'size' | 'names' | 'entries' | 'groupsOf' | 'contested' | 'isIntention' | 'countsOf'
+    | 'get'
+    | 'size'
+    | 'names'
+    | 'group'
+    | 'entries'
+    | 'groupsOf'
+    | 'contested'
+    | 'isIntention'
+    | 'countsOf'
   >;
   readonly leadership: Pick<ShardLeadership, 'get' | 'isLeaseValid' | 'verifyLeadership'>;
   readonly peers: Pick<PeerRegistry, 'gossips' | 'demands'>;
--- a/src/coordination/autoscaling/inventorySync.ts
+++ b/src/coordination/autoscaling/inventorySync.ts
@@ -135,8 +135,10 @@
     const { inventory, settings } = this.node;
     // Bookkeeping: requests that users and starts wait for go first.
     let writesLeft = Math.max(1, settings.stateWriteRate * ADDRESS_SHARE);
-    for (const [name, group] of [...inventory.entries()]) {
-      if (!this.hasNewAddresses(group)) continue;
+    for (const name of [...inventory.entries()].map(([group]) => group)) {
+      // As it is now: while others were written its machines may have been released, and must not come back.
+      const group = inventory.group(name);
+      if (group === undefined || !this.hasNewAddresses(group)) continue;
       if (--writesLeft < 0) return;
       await this.groups.replace(new Map([[name, this.withAddresses(group)]]), 'later');
     }
--- a/src/storage/machineInventory.ts
+++ b/src/storage/machineInventory.ts
@@ -78,6 +78,11 @@
     return this.groups.get(group)?.requestedCount !== undefined;
   }
 
+  /** One group's record, as it is now. */
+  group(name: string): MachineGroupRecord | undefined {
+    return this.groups.get(name);
+  }
+
   /** All groups by their names. */
   entries(): IterableIterator<[string, MachineGroupRecord]> {
     return this.groups.entries();
