--- a/src/coordination/autoscaling/scaleOut.ts
+++ b/src/coordination/autoscaling/scaleOut.ts
@@ -160,12 +160,18 @@
     } finally {
       this.inProgress.delete(name);
     }
-    if (stateCache.get(keys.group(name)) === undefined) this.pending.delete(name);
+    if (stateCache.get(keys.group(name)) === undefined) this.forgetUnrecorded(name);
     // Requests go out side by side; once the first has found the kind out of stock, no other is sent.
     else if (this.isOutOfStock(kindOf(type, zone, spot))) await this.conclude(name, null);
     else await this.launch(name, group);
   }
 
+  /** Its record was not stored, as far as is known; if it turns up after all, it is gone on with like an earlier process's. */
+  private forgetUnrecorded(name: string): void {
+    this.pending.delete(name);
+    this.openRentals.forget(name);
+  }
+
   private async launch(name: string, group: MachineGroupRecord): Promise<void> {
     if (this.inProgress.has(name)) return;
     this.inProgress.add(name);
