--- a/src/coordination/commands/commandDispatcher.ts
+++ b/src/coordination/commands/commandDispatcher.ts
@@ -235,10 +235,8 @@
       }
     } catch (error) {
       // Not asked for want of sockets: healthy machines would be taken for silent ones.
-      if (!(error instanceof HttpCallError && error.local)) {
-        machine.reachability.missedProbes++;
-        machine.reachability.firstMissedProbeAt ??= sent;
-      }
+      const wasAsked = !(error instanceof HttpCallError && error.local);
+      if (wasAsked) machine.reachability.noteMissedProbe(sent);
     } finally {
       machine.reachability.isProbeInFlight = false;
       if (silent) this.probesToSilentMachines--;
--- a/src/coordination/reconciliation/heartbeatReconciler.ts
+++ b/src/coordination/reconciliation/heartbeatReconciler.ts
@@ -85,13 +85,8 @@
       machine.highestFencingToken,
       heartbeat.highestFencingToken,
     );
-    machine.reachability.lastHeartbeatAt = now;
     // At once, not with the next sweep: a machine that has just come up is waited for.
-    if (isUnsolicited)
-      [machine.reachability.lastUnsolicitedHeartbeatAt, machine.reachability.isPartitioned] = [
-        now,
-        false,
-      ];
+    machine.reachability.noteHeartbeat(now, isUnsolicited);
     if (origin !== 'unsolicited') machine.markReached(now);
     machine.preemptionDeadline =
       heartbeat.preemptionWarning === null ? null : now + heartbeat.preemptionWarning;
--- a/src/coordination/shard/demandEstimator.ts
+++ b/src/coordination/shard/demandEstimator.ts
@@ -1,14 +1,15 @@
 /** What should be rented for a shard, and which of its machines may be returned: pure. */
 import type { MachineType } from '../../protocol/cloudProtocol.js';
-import { rankName, type JobSpec } from '../../protocol/job.js';
+import { rankName } from '../../protocol/job.js';
 import type { Demand } from '../../protocol/peerMessages.js';
 import { isCapacity } from '../model/availability.js';
 import type { Chunk } from '../model/chunk.js';
 import { ArrivalRate } from '../scheduling/arrivalRate.js';
 import type { Machine } from '../model/machine.js';
 import type { WaitEstimates } from '../scheduling/waitEstimates.js';
-import { satisfiesConstraints, shapeOf } from '../scheduling/placement.js';
-import { fits, subtractResources, type Resources } from '../model/resources.js';
+import { shapeOf } from '../scheduling/placement.js';
+import { CapacityByRank } from './capacityByRank.js';
+import { DemandList } from './demandList.js';
 
 /** How soon work should be through, and over which time arrivals are averaged; in seconds. */
 export interface DemandOptions {
@@ -136,14 +137,10 @@
     let surplus = this.surplus(now);
     let liveRoom = this.serviceHeadroom(now);
     const reserve = this.serviceReserve(now);
-    const price = (m: Machine): number =>
-      ((m.spot ? m.machineType?.spotPrice : m.machineType?.price) ?? 0) /
-      Math.max(1, m.capacity.cpus);
-    for (const machine of idle.sort((a, b) => price(b) - price(a))) {
+    for (const machine of idle.sort((a, b) => pricePerCpu(b) - pricePerCpu(a))) {
       if (machine.isCordoned || waits) continue;
-      const idleSeconds = (machine.machineType?.bootSeconds ?? 60) * idleRatio;
       const { cpus } = machine.capacity;
-      if (now - machine.idleSince < idleSeconds || surplus < cpus) continue;
+      if (now - machine.idleSince < longestIdle(machine, idleRatio) || surplus < cpus) continue;
       if (!machine.spot && liveRoom - cpus < reserve) continue;
       if (this.countsForBatch(machine, now)) surplus -= cpus;
       if (!machine.spot && isCapacity(machine.availability(now))) liveRoom -= cpus;
@@ -234,85 +231,17 @@
   }
 }
 
-/** Chunks that have failed more often ask for no machines: the fault is likely theirs. */
-const FAILURES_WITHOUT_DEMAND = 2;
-
-/**
- * Room on machines for what waits, in the order of the queue: what is placed takes its room before lower
- * ranks do, so work that would be stopped for a waiting service does not make it ask for a machine.
- */
-class CapacityByRank {
-  private readonly rooms: { machine: Machine; room: Resources }[];
-  /** What is placed, by falling rank, and the room that it takes. */
-  private readonly placed: { spec: JobSpec; rank: number; room: Resources }[];
-  private settled = 0;
-  /** Shapes of work for which no room is left. */
-  private readonly full = new Set<string>();
-
-  constructor(machines: Machine[]) {
-    this.rooms = machines.map((machine) => ({ machine, room: { ...machine.capacity } }));
-    this.placed = this.rooms.flatMap(({ machine, room: resources }) =>
-      [...machine.placements.values()].map(({ chunk: { spec, rank } }) => ({
-        spec,
-        rank,
-        room: resources,
-      })),
-    );
-    this.placed.sort((a, b) => b.rank - a.rank);
-  }
-
-  /** Gives how many of a chunk's tasks find no room, and whether some machine could ever hold one. */
-  take(chunk: Chunk): { left: number; hasSuited: boolean } {
-    this.settleDownTo(chunk.rank);
-    const { spec, zone } = chunk;
-    const shape = shapeOf(spec, zone);
-    if (this.full.has(shape)) return { left: chunk.pendingCount, hasSuited: true };
-    let left = chunk.pendingCount;
-    let hasSuited = false;
-    for (const { machine, room: resources } of this.rooms) {
-      if (left === 0) break;
-      if (!satisfiesConstraints(spec, zone, machine)) continue;
-      if (fits(machine.capacity, spec)) hasSuited = true;
-      for (; left > 0 && fits(resources, spec); left--) subtractResources(resources, spec);
-    }
-    if (left > 0 && hasSuited) this.full.add(shape);
-    return { left, hasSuited };
-  }
-
-  private settleDownTo(rank: number): void {
-    for (; this.settled < this.placed.length; this.settled++) {
-      const next = this.placed[this.settled];
-      if (next === undefined || next.rank < rank) return;
-      subtractResources(next.room, next.spec);
-    }
-  }
+/** Idle time in seconds after which a machine may be returned; that of an unknown type counts as booting in a minute. */
+function longestIdle({ machineType }: Machine, idleRatio: number): number {
+  return (machineType?.bootSeconds ?? UNKNOWN_BOOT_S) * idleRatio;
 }
 
-/** One demand for all work that the same machines suit: thousands of tasks may wait. */
-class DemandList {
-  private readonly demands = new Map<string, Demand>();
-
-  get all(): Demand[] {
-    return [...this.demands.values()];
-  }
-
-  get hasService(): boolean {
-    return this.all.some((demand) => demand.isService);
-  }
+const UNKNOWN_BOOT_S = 60;
 
-  add(shape: string, demand: Demand): void {
-    const { rank, isService: service, count } = demand;
-    const key = `${shape} ${rank} ${String(service)}`;
-    const known = this.demands.get(key);
-    if (known === undefined) {
-      this.demands.set(key, demand);
-      return;
-    }
-    const all = known.count + count;
-    known.expectedRunSeconds =
-      (known.expectedRunSeconds * known.count + demand.expectedRunSeconds * count) / all;
-    known.imageGb = (known.imageGb * known.count + demand.imageGb * count) / all;
-    known.count = all;
-    known.onDemandCount += demand.onDemandCount;
-  }
+function pricePerCpu({ spot, machineType, capacity }: Machine): number {
+  const price = spot ? machineType?.spotPrice : machineType?.price;
+  return (price ?? 0) / Math.max(1, capacity.cpus);
 }
+
+/** Chunks that have failed more often ask for no machines: the fault is likely theirs. */
+const FAILURES_WITHOUT_DEMAND = 2;
