Machine says itself whether it is capacity; the groups of a machine are read from its claims

Behaviour unchanged. Four readers asked for a machine's availability and then whether that is capacity: Machine.isCapacity does both. MachineInventory.groupsOf had put the claims together a second time, beside claimsOf. Why a release is requested has one type. The reasons of a waiting job ask the machine, as the others do.

--- a/src/coordination/audit/auditEvent.ts
+++ b/src/coordination/audit/auditEvent.ts
@@ -38,6 +38,9 @@
   | 'dependency-may-be-cancelled'
   | 'job-is-known';
 
+/** `never-came`: not up long after its boot; `silent`: it does not respond while others do. */
+export type MachineReleaseReason = 'never-came' | 'silent';
+
 /** A decision about who may act for a shard, or about an attempt. Durations are in seconds. */
 export type AuditEvent =
   | {
@@ -88,8 +91,7 @@
       event: 'machine-release-requested';
       shard: string;
       machine: string;
-      /** `never-came`: not up long after its boot; `silent`: it does not respond while others do. */
-      reason: 'never-came' | 'silent';
+      reason: MachineReleaseReason;
       tasks: number;
       /** Seconds since the machine was last reached. */
       silentFor: number;
--- a/src/coordination/jobs/waitReasons.ts
+++ b/src/coordination/jobs/waitReasons.ts
@@ -3,7 +3,7 @@
 import type { JobSpec } from '../../protocol/job.js';
 import type { OpenJobRecord } from '../../storage/records.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
-import { availabilityState, isCapacity, type AvailabilityState } from '../model/availability.js';
+import { isCapacity, type AvailabilityState } from '../model/availability.js';
 import type { Chunk } from '../model/chunk.js';
 import type { Pipelines } from '../pipelines/pipelines.js';
 import { fits } from '../model/resources.js';
@@ -74,7 +74,7 @@
   const suitable = [...shard.machines.values()].filter(
     (machine) => satisfiesConstraints(spec, chunk.zone, machine) && fits(machine.capacity, spec),
   );
-  const states = suitable.map((machine) => availabilityState(machine, now));
+  const states = suitable.map((machine) => machine.availability(now));
   const booting = states.filter((state) => state === 'booting').length;
   const queue = queueReason(shard, chunk);
   const demand = `${chunk.pendingCount} task(s) of ${spec.cpus} CPUs and ${spec.memoryGb} GB`;
--- a/src/coordination/model/machine.ts
+++ b/src/coordination/model/machine.ts
@@ -2,7 +2,7 @@
 import type { MachineType } from '../../protocol/cloudProtocol.js';
 import type { Heartbeat, ReportedAttempt } from '../../protocol/workerProtocol.js';
 import type { MachineRecord } from '../../storage/records.js';
-import { availabilityState, type AvailabilityState } from './availability.js';
+import { availabilityState, isCapacity, type AvailabilityState } from './availability.js';
 import type { Attempt } from './chunk.js';
 import type { EndedAttempt } from './endedAttempt.js';
 import { ImageCache } from './imageCache.js';
@@ -155,6 +155,11 @@
     return availabilityState(this, now);
   }
 
+  /** Whether work that waits may count on it, now or soon. */
+  isCapacity(now: number): boolean {
+    return isCapacity(this.availability(now));
+  }
+
   /** All resources of the machine. */
   get capacity(): Readonly<Resources> {
     return this.machineType ?? NO_RESOURCES;
--- a/src/coordination/reconciliation/machineLiveness.ts
+++ b/src/coordination/reconciliation/machineLiveness.ts
@@ -3,6 +3,7 @@
 import { AttemptTermination, type LeaseTimes } from './attemptTermination.js';
 import { isCapacity, longestBoot, longestSearch } from '../model/availability.js';
 import type { Machine, Placement } from '../model/machine.js';
+import type { MachineReleaseReason } from '../audit/auditEvent.js';
 import type { AuditTrail } from '../audit/auditTrail.js';
 
 /** What the liveness checks need of their shard. */
@@ -98,7 +99,7 @@
     return lost;
   }
 
-  private noteGivenUp(machine: Machine, reason: 'never-came' | 'silent', now: number): void {
+  private noteGivenUp(machine: Machine, reason: MachineReleaseReason, now: number): void {
     if (machine.isReleaseRequested) return;
     machine.isReleaseRequested = true;
     this.shard.audit.note({
--- a/src/coordination/scheduling/waitEstimates.ts
+++ b/src/coordination/scheduling/waitEstimates.ts
@@ -1,7 +1,7 @@
 /** Estimates of the wait, run time and image fetch that work would see at a shard (PAPER, III.A). */
 import { rankOrder, type JobSpec } from '../../protocol/job.js';
 import { isAhead, type Chunk } from '../model/chunk.js';
-import { isCapacity, readyIn } from '../model/availability.js';
+import { readyIn } from '../model/availability.js';
 import type { RunTimes } from './runTimes.js';
 import type { Machine, Placement } from '../model/machine.js';
 import { satisfiesConstraints } from './placement.js';
@@ -81,7 +81,7 @@
   fetchFor(spec: JobSpec, zone: string | null, now: number): number {
     let shortest = Infinity;
     for (const machine of this.shard.machines.values()) {
-      if (machine.machineType === undefined || !isCapacity(machine.availability(now))) continue;
+      if (machine.machineType === undefined || !machine.isCapacity(now)) continue;
       if (!satisfiesConstraints(spec, zone, machine)) continue;
       const isCached = machine.hasImage(spec.image) && fits(this.roomFor(machine, spec), spec);
       const rate = Math.max(MIN_FETCH_RATE, machine.machineType.fetchGbPerSecond);
@@ -117,7 +117,7 @@
   private replayMachines(rank: number, now: number): ReplayMachine[] {
     const machines: ReplayMachine[] = [];
     for (const machine of this.shard.machines.values()) {
-      if (machine.machineType === undefined || !isCapacity(machine.availability(now))) continue;
+      if (machine.machineType === undefined || !machine.isCapacity(now)) continue;
       machines.push(this.replayMachine(machine, rank, now));
     }
     return machines;
--- a/src/coordination/shard/demandEstimator.ts
+++ b/src/coordination/shard/demandEstimator.ts
@@ -110,7 +110,7 @@
   serviceHeadroom(now: number): number {
     let cpus = 0;
     for (const machine of this.shard.machines.values()) {
-      if (machine.spot || !isCapacity(machine.availability(now))) continue;
+      if (machine.spot || !machine.isCapacity(now)) continue;
       cpus += machine.capacity.cpus - machine.serviceCpus;
     }
     return cpus;
@@ -143,7 +143,7 @@
       if (now - machine.idleSince < longestIdle(machine, idleRatio) || surplus < cpus) continue;
       if (!machine.spot && liveRoom - cpus < reserve) continue;
       if (this.countsForBatch(machine, now)) surplus -= cpus;
-      if (!machine.spot && isCapacity(machine.availability(now))) liveRoom -= cpus;
+      if (!machine.spot && machine.isCapacity(now)) liveRoom -= cpus;
       machine.isCordoned = true;
     }
     return idle.filter((m) => m.isCordoned).map((m) => m.name);
--- a/src/storage/machineInventory.ts
+++ b/src/storage/machineInventory.ts
@@ -49,9 +49,7 @@
 
   /** The groups that name a machine, that of its shard first. */
   groupsOf(name: string): string[] {
-    const claim = this.machines.get(name);
-    if (claim === undefined) return [];
-    return [claim.group, ...(this.otherClaims.get(name) ?? []).map(({ group }) => group)];
+    return this.claimsOf(name).map(({ group }) => group);
   }
 
   /** The names of all machines. */
@@ -136,6 +134,7 @@
     if (first !== before) change.present.push([name, first.record]);
   }
 
+  /** All claims to a machine, the one that counts first. */
   private claimsOf(name: string): Claim[] {
     const claim = this.machines.get(name);
     return claim === undefined ? [] : [claim, ...(this.otherClaims.get(name) ?? [])];
