--- a/src/coordination/audit/auditEvent.ts
+++ b/src/coordination/audit/auditEvent.ts
@@ -1,5 +1,6 @@
 /** Events of the audit trail, with the field names that its log lines show. */
 import type { JobStatus } from '../../protocol/job.js';
+import type { CancellationEvent } from './cancellationEvent.js';
 import type { CommandOutcome, CommandRoute } from './commandOutcome.js';
 import type { TerminationRule } from './terminationRule.js';
 
@@ -10,7 +11,13 @@
   /** A user's question was about to be answered by what was known of the job before it came. */
   | 'answer-older-than-question'
   /** A job that was called done was about to be called cancelled, or the other way round. */
-  | 'final-states-differ';
+  | 'final-states-differ'
+  /** A start of a task was about to leave though its job's cancellation is announced or stored. */
+  | 'start-of-cancelled-job'
+  /** A worker's lease was renewed over a task of a cancelled job, and no stop of it is on its way. */
+  | 'renewal-without-stop'
+  /** A chunk of a cancelled job was in a shard as if the job were open. */
+  | 'unmarked-cancelled-chunk';
 
 /** What a user has asked of a job. */
 export type UserRequestKind = 'read' | 'submit' | 'cancel';
@@ -43,6 +50,7 @@
 
 /** A decision about who may act for a shard, or about an attempt. Durations are in seconds. */
 export type AuditEvent =
+  | CancellationEvent
   | {
       event: 'leadership-gained';
       shard: string;
--- a/src/coordination/audit/auditTrail.ts
+++ b/src/coordination/audit/auditTrail.ts
@@ -17,6 +17,10 @@
       return event.chosen === event.home;
     case 'job-answered':
       return event.request === 'read' && (event.state === 'queued' || event.state === 'running');
+    case 'cancellation-announced':
+      return event.chunks === 0;
+    case 'cancelled-task-renewed':
+      return event.leaseLeft > 0 && event.stops === event.tasks;
     default:
       return false;
   }
--- /dev/null
+++ b/src/coordination/audit/cancellationEvent.ts
@@ -0,0 +1,74 @@
+/**
+ * Audit events by which one cancellation can be followed: who announced it, who acknowledged it under which fencing token,
+ * what was stored, and which workers' leases were renewed meanwhile (docs/operations.md, Following one cancellation).
+ */
+
+/** Why a node does not acknowledge a cancellation for a chunk that it has. */
+export type AcknowledgementWithheldReason =
+  /** It is, or may be, on its way to another shard. */
+  | 'migrating'
+  /** An earlier leader of the shard may answer the worker of one of its tasks for too long. */
+  | 'previous-leader';
+
+/** What became of the transaction that stores a cancellation. */
+export type CancellationWriteOutcome =
+  'applied' | 'conflict' | 'unknown' | 'refused' | 'no-lease' | 'malformed';
+
+/** A step of a cancellation. Durations are in seconds, revisions are those of the state service. */
+export type CancellationEvent =
+  /** This node was told that a job is about to be cancelled. */
+  | {
+      event: 'cancellation-announced';
+      job: string;
+      /** Chunks of the job at shards that this node leads, and for how many of them it answers. */
+      chunks: number;
+      acknowledged: number;
+      /** As `chunk=reason`, separated by commas. */
+      withheld: string;
+      copyRevision: number;
+      copyAge: number;
+    }
+  /** The leader of the home shard has heard from the nodes, or has waited long enough. */
+  | {
+      event: 'cancellation-prepared';
+      job: string;
+      shard: string;
+      jobRevision: number;
+      /** Open chunks that nobody has acknowledged, by their indices; empty: it may be stored. */
+      missing: string;
+      /** The leadership of each shard that was counted, as `shard=token@revision`. */
+      leaders: string;
+    }
+  /** The transaction that stores the cancellation was tried. */
+  | {
+      event: 'cancellation-write';
+      job: string;
+      shard: string;
+      fencingToken: number;
+      outcome: CancellationWriteOutcome;
+      jobRevision: number;
+      /** Since the storing of this cancellation was begun. */
+      age: number;
+    }
+  /** The job is still open after its cancellation was announced, and goes on here. */
+  | { event: 'cancellation-abandoned'; job: string; age: number; copyRevision: number }
+  /** A chunk of a job whose cancellation is announced or stored has come to a shard. */
+  | {
+      event: 'cancelled-chunk-taken-up';
+      job: string;
+      shard: string;
+      chunk: number;
+      cancellation: 'announced' | 'stored';
+    }
+  /** A 200 has renewed the lease of a worker that reports tasks of cancelled jobs. */
+  | {
+      event: 'cancelled-task-renewed';
+      shard: string;
+      fencingToken: number;
+      machine: string;
+      /** Such tasks, and for how many of them the answer carries the stop. */
+      tasks: number;
+      stops: number;
+      /** Until this node may start no more work; negative: it answers in its grace period. */
+      leaseLeft: number;
+    };
--- a/src/coordination/audit/statusCounters.ts
+++ b/src/coordination/audit/statusCounters.ts
@@ -11,6 +11,10 @@
   'leadership-lost': 'part-lost',
   'fencing-token-advanced': 'token-raised',
   'machine-release-requested': 'machine-given-up',
+  'cancellation-announced': 'cancellations.announced',
+  'cancellation-abandoned': 'cancellations.abandoned',
+  'cancelled-chunk-taken-up': 'cancellations.chunk-taken-up',
+  'cancelled-task-renewed': 'cancellations.task-renewed',
 } as const;
 
 /** The last part of the counter of terminated attempts, by the rule that terminated them. */
@@ -39,6 +43,10 @@
       return `answers-withheld.${event.reason}`;
     case 'shard-chosen':
       return `shard-chosen.${event.chosen === event.home ? 'home' : 'peer'}`;
+    case 'cancellation-prepared':
+      return `cancellations.${event.missing === '' ? 'prepared' : 'not-prepared'}`;
+    case 'cancellation-write':
+      return `cancellations.write.${event.outcome}`;
     case 'invariant-violated':
       return `invariant-broken.${event.invariant}`;
     default:
--- a/src/coordination/commands/commandDispatcher.ts
+++ b/src/coordination/commands/commandDispatcher.ts
@@ -14,6 +14,7 @@
 import type { CommandOutcome, CommandRoute } from '../audit/commandOutcome.js';
 import type { Authority } from '../leadership/authority.js';
 import type { Chunk } from '../model/chunk.js';
+import { assertNoCancelledStarts } from './cancelledTaskMonitor.js';
 import { advanceFencingToken, type OwnedShard } from '../leadership/ownedShard.js';
 import type { Machine } from '../model/machine.js';
 import type { ShardLeadership } from '../leadership/shardLeadership.js';
@@ -172,6 +173,7 @@
     route: CommandRoute,
   ): void {
     const { leadership: ownership, clock } = this.node;
+    assertNoCancelledStarts(ownedShard, machine, commands);
     this.node.audit.note({
       event: 'commands-sent',
       shard: ownedShard.shard.label,
--- a/src/coordination/commands/heartbeatEndpoint.ts
+++ b/src/coordination/commands/heartbeatEndpoint.ts
@@ -17,6 +17,7 @@
 import { cancellationStops, commandsForAnswer } from '../model/dueCommands.js';
 import type { Machine } from '../model/machine.js';
 import type { PeerRegistry } from '../peers/peerRegistry.js';
+import { CancelledTaskMonitor } from './cancelledTaskMonitor.js';
 import type { CommandDispatcher } from './commandDispatcher.js';
 
 /** What the endpoint needs of the controller. */
@@ -26,7 +27,7 @@
   inventory: Pick<MachineInventory, 'get'>;
   ownedShards: ReadonlyMap<string, OwnedShard>;
   authority: Pick<Authority, 'decideHeartbeat' | 'mayAct'>;
-  leadership: Pick<ShardLeadership, 'verifyLeadership'>;
+  leadership: Pick<ShardLeadership, 'verifyLeadership' | 'leaseExpiresAt'>;
   peers: Pick<PeerRegistry, 'relay'>;
   commands: Pick<CommandDispatcher, 'probe' | 'noteSent'>;
   /** The controller that leads a shard, as far as this one knows; null where none is known. */
@@ -65,7 +66,11 @@
   /** When each worker was last redirected: one that comes back cannot reach its shard's leader. */
   private readonly redirectedAt = new Map<string, number>();
 
-  constructor(private readonly context: HeartbeatEndpointContext) {}
+  private readonly cancelledTasks: CancelledTaskMonitor;
+
+  constructor(private readonly context: HeartbeatEndpointContext) {
+    this.cancelledTasks = new CancelledTaskMonitor(context, RESEND_INTERVALS);
+  }
 
   /** The answer to a worker: 200 with commands, 421 with the leader's name, or 400. */
   async handle(body: string, arrival: HeartbeatArrival): Promise<Reply> {
@@ -115,6 +120,7 @@
     machine.leaseRenewedAt = Math.max(machine.leaseRenewedAt, now);
     if (effect === 'changed') this.context.requestSchedulingRound();
     if (commands.length > 0) dispatcher.noteSent(ownedShard, machine, commands, 'answer');
+    this.cancelledTasks.noteRenewal(ownedShard, machine, commands);
     return { status: 200, body: heartbeatAnswer(fencingToken, commands) };
   }
 
--- a/src/coordination/jobs/cancellationPreparations.ts
+++ b/src/coordination/jobs/cancellationPreparations.ts
@@ -8,7 +8,9 @@
 import type { Settings } from '../../protocol/settings.js';
 import { keys, type JobRecord, type LeaderRecord } from '../../storage/records.js';
 import { cachedJob, type StateCache } from '../../storage/stateCache.js';
-import type { OwnedShard } from '../leadership/ownedShard.js';
+import type { AcknowledgementWithheldReason } from '../audit/cancellationEvent.js';
+import type { AuditTrail } from '../audit/auditTrail.js';
+import type { HomeJob, OwnedShard } from '../leadership/ownedShard.js';
 import type { Chunk } from '../model/chunk.js';
 import type { PeerRegistry } from '../peers/peerRegistry.js';
 
@@ -17,8 +19,9 @@
   readonly settings: Pick<Settings, 'heartbeatInterval' | 'workerLease' | 'cancellationTimeout'>;
   readonly clock: Pick<Clock, 'now'>;
   readonly ownedShards: ReadonlyMap<string, OwnedShard>;
-  readonly stateCache: Pick<StateCache, 'get' | 'syncedAt'>;
+  readonly stateCache: Pick<StateCache, 'get' | 'syncedAt' | 'revision'>;
   readonly peers: Pick<PeerRegistry, 'prepareCancel'>;
+  readonly audit: Pick<AuditTrail, 'note'>;
   /** The job waits for others: nothing of it was started, nor is there any chunk of it. */
   isBlockedOnDependencies(job: string): boolean;
   /** Asks for a scheduling round soon. */
@@ -57,20 +60,46 @@
     const now = this.context.clock.now();
     this.announcedAt.set(job, now);
     const prepared: PreparedChunk[] = [];
+    const withheld: string[] = [];
     for (const ownedShard of this.context.ownedShards.values()) {
       const { shard, fencingToken } = ownedShard;
       for (const chunk of shard.chunksOf(job)) {
         shard.prepareCancel(chunk, now);
-        // It may be at the shard that it is on its way to.
-        if (chunk.isMigrating || chunk.mayHaveMigrated) continue;
-        if (!this.isUnderOurControl(ownedShard, chunk, now)) continue;
-        prepared.push({ index: chunk.index, shard: shard.label, fencingToken });
+        const reason = this.whyWithheld(ownedShard, chunk, now);
+        if (reason === null)
+          prepared.push({ index: chunk.index, shard: shard.label, fencingToken });
+        else withheld.push(`${chunk.index}=${reason}`);
       }
     }
+    this.noteAnnounced(job, prepared.length, withheld);
     this.context.requestSchedulingRound();
     return prepared;
   }
 
+  /** Why this node is not sure that nobody else can keep the chunk's tasks alive; null: it is. */
+  private whyWithheld(
+    ownedShard: OwnedShard,
+    chunk: Chunk,
+    now: number,
+  ): AcknowledgementWithheldReason | null {
+    // It may be at the shard that it is on its way to.
+    if (chunk.isMigrating || chunk.mayHaveMigrated) return 'migrating';
+    return this.isUnderOurControl(ownedShard, chunk, now) ? null : 'previous-leader';
+  }
+
+  private noteAnnounced(job: string, acknowledged: number, withheld: string[]): void {
+    const { audit, clock, stateCache } = this.context;
+    audit.note({
+      event: 'cancellation-announced',
+      job,
+      chunks: acknowledged + withheld.length,
+      acknowledged,
+      withheld: withheld.join(','),
+      copyRevision: stateCache.revision,
+      copyAge: clock.now() - stateCache.syncedAt,
+    });
+  }
+
   /** No earlier leader of the shard answers the workers of its tasks for longer than a cancellation may take. */
   private isUnderOurControl(ownedShard: OwnedShard, chunk: Chunk, now: number): boolean {
     const { cancellationTimeout, workerLease, heartbeatInterval } = this.context.settings;
@@ -88,26 +117,42 @@
   }
 
   /** True once the leaders of all open chunks of a job are known to have prepared its cancellation. */
-  async prepareEverywhere(job: string, record: JobRecord): Promise<boolean> {
+  async prepareEverywhere({ id, record, revision }: HomeJob): Promise<boolean> {
     const unprepared = openChunks(record);
+    const counted = new Map<string, string>();
     /** Takes what a node has prepared; true once no chunk is left. */
     const acknowledge = (prepared: PreparedChunk[]): boolean => {
       for (const { index, shard, fencingToken } of prepared) {
         const leader = this.leaderRecord(shard);
         // A node that has lost the shard and does not know it must not be counted.
-        if (leader !== undefined && leader.fencingToken <= fencingToken) unprepared.delete(index);
+        if (leader === undefined || leader.value.fencingToken > fencingToken) continue;
+        unprepared.delete(index);
+        counted.set(shard, `${shard}=${fencingToken}@${leader.revision}`);
       }
       return unprepared.size === 0;
     };
-    const prepared = this.prepare(job);
-    // Should it be released from now on, its chunks are made as prepared ones, by this node.
-    if (this.context.isBlockedOnDependencies(job) || acknowledge(prepared)) return true;
+    const prepared = this.prepare(id);
     const timeout = this.context.settings.heartbeatInterval / PEERS_TIMEOUT_DIVISOR;
-    return this.context.peers.prepareCancel(job, timeout, acknowledge);
+    // Should it be released from now on, its chunks are made as prepared ones, by this node.
+    const isPrepared =
+      this.context.isBlockedOnDependencies(id) ||
+      acknowledge(prepared) ||
+      (await this.context.peers.prepareCancel(id, timeout, acknowledge));
+    this.context.audit.note({
+      event: 'cancellation-prepared',
+      job: id,
+      shard: record.homeShard,
+      jobRevision: revision,
+      missing: isPrepared ? '' : [...unprepared].join(','),
+      leaders: [...counted.values()].join(','),
+    });
+    return isPrepared;
   }
 
-  private leaderRecord(shard: string): LeaderRecord | undefined {
-    return this.context.stateCache.get(keys.owner(shard))?.value as LeaderRecord | undefined;
+  private leaderRecord(shard: string): { value: LeaderRecord; revision: number } | undefined {
+    const cached = this.context.stateCache.get(keys.owner(shard));
+    if (cached === undefined) return undefined;
+    return { value: cached.value as LeaderRecord, revision: cached.revision };
   }
 
   /**
@@ -120,6 +165,12 @@
       if (stateCache.syncedAt <= announcedAt + STORE_TIMEOUT_SECONDS) continue;
       this.announcedAt.delete(job);
       if (cachedJob(stateCache, job)?.state !== 'open') continue;
+      this.context.audit.note({
+        event: 'cancellation-abandoned',
+        job,
+        age: this.context.clock.now() - announcedAt,
+        copyRevision: stateCache.revision,
+      });
       for (const { shard } of ownedShards.values()) {
         for (const chunk of shard.chunksOf(job)) shard.abandonCancellation(chunk);
       }
--- a/src/coordination/jobs/jobCancellation.ts
+++ b/src/coordination/jobs/jobCancellation.ts
@@ -81,10 +81,7 @@
   private async cancelAsLeader(homeShard: OwnedShard, job: HomeJob): Promise<JobReply> {
     const { cancellationPreparations, clock, persistence } = this.context;
     // Else a node that can't read the record would keep tasks of the job alive, or start some.
-    if (
-      job.record.state === 'open' &&
-      !(await cancellationPreparations.prepareEverywhere(job.id, job.record))
-    ) {
+    if (job.record.state === 'open' && !(await cancellationPreparations.prepareEverywhere(job))) {
       return unavailable('a node that may run tasks of the job cannot be asked just now', 2);
     }
     const deadline = clock.now() + REQUEST_TIMEOUT_SECONDS;
--- a/src/coordination/persistence/jobPersistence.ts
+++ b/src/coordination/persistence/jobPersistence.ts
@@ -7,6 +7,7 @@
 import { describe, log } from '../../base/log.js';
 import type { Transaction } from '../../protocol/stateProtocol.js';
 import { keys, type JobRecord } from '../../storage/records.js';
+import type { TransactionResult } from '../../storage/stateClient.js';
 import type { ChunkIndex } from '../../storage/chunkIndex.js';
 import { Chunk } from '../model/chunk.js';
 import { chunkRanges, mayCreateChunk, totalChunks } from '../model/chunking.js';
@@ -164,7 +165,12 @@
   }
 
   /** Stores a job's new record; in memory it changes only after that. */
-  private async writeJob(homeShard: OwnedShard, job: HomeJob, next: JobRecord): Promise<boolean> {
+  private async writeJob(
+    homeShard: OwnedShard,
+    job: HomeJob,
+    next: JobRecord,
+    onOutcome: (outcome: TransactionResult['kind']) => void = () => undefined,
+  ): Promise<boolean> {
     const key = keys.job(job.id);
     const when = [{ key, revision: job.revision }];
     const transaction: Transaction = {
@@ -177,6 +183,7 @@
     // From now on others may read a final state and tell users of it, before its answer gets here.
     if (next.state !== 'open') job.isUncertain = true;
     const result = await this.write(homeShard, transaction, 'granted');
+    onOutcome(result.kind);
     if (result.kind === 'applied') {
       this.applyJob(homeShard, job, next, result.revision);
       return true;
@@ -243,6 +250,18 @@
     job: HomeJob,
     deadline: number,
   ): Promise<JobRecord['state'] | null> {
+    const begun = this.clock.now();
+    const noteOutcome = (outcome: TransactionResult['kind']): void => {
+      homeShard.shard.audit.note({
+        event: 'cancellation-write',
+        job: job.id,
+        shard: homeShard.shard.label,
+        fencingToken: homeShard.fencingToken,
+        outcome,
+        jobRevision: job.revision,
+        age: this.clock.now() - begun,
+      });
+    };
     while (this.clock.now() < deadline && homeShard.isOwned && this.host.isLeaseValid()) {
       if (job.record.state !== 'open') return job.record.state;
       if (job.isWriteInFlight) {
@@ -251,7 +270,7 @@
       }
       job.isWriteInFlight = true;
       try {
-        await this.writeJob(homeShard, job, cancelledRecord(job.record));
+        await this.writeJob(homeShard, job, cancelledRecord(job.record), noteOutcome);
       } catch (error) {
         log.debug(`cancel: ${describe(error)}`);
       } finally {
--- a/test/jobs/cancellationPreparations.test.ts
+++ b/test/jobs/cancellationPreparations.test.ts
@@ -5,8 +5,8 @@
 import { createOwnedShard, type OwnedShard } from '../../src/coordination/leadership/ownedShard.js';
 import { CancellationPreparations } from '../../src/coordination/jobs/cancellationPreparations.js';
 import type { PreparedChunk } from '../../src/protocol/peerMessages.js';
-import { toPlainBucket, toPlainJob } from '../../src/storage/plainRecords.js';
-import { keys, type ChunkRecord, type JobRecord } from '../../src/storage/records.js';
+import { keys, type JobRecord } from '../../src/storage/records.js';
+import { replicasAwayFromHome, runningTasks } from '../support/storedServices.js';
 import { until, type Cluster } from '../support/cluster.js';
 import { emptyPart } from '../support/part.js';
 import { spec as jobSpec } from '../support/spec.js';
@@ -14,45 +14,9 @@
 
 const ID = 'wk-000201';
 
-/** A service of two replicas, at home at drone-1, that runs on machines of drone-0's part. */
-async function awayFromHome(cluster: Cluster): Promise<void> {
-  const spec = jobSpec({
-    id: ID,
-    taskCount: 2,
-    isService: true,
-    rank: 'prod',
-    cpus: 2,
-    memoryGb: 4,
-  });
-  const shared = { spec, homeShard: 'drone-1', submittedAt: 1 };
-  const job: JobRecord = {
-    ...{ ...shared, state: 'open', taskCount: 2, chunkSize: 8 },
-    ...{ zones: [], createdChunks: 1, doneChunks: [], migratedChunks: [0] },
-  };
-  const chunk: ChunkRecord = {
-    ...{ ...shared, firstTask: 0, endTask: 2, zone: null, nextAttemptNumber: 1 },
-    ...{ doneTasks: [], attempts: [], migrationCount: 1 },
-  };
-  const bucket = { chunks: { [`${ID}/0`]: chunk } };
-  const answer = cluster.state.apply({
-    Then: [
-      { Put: keys.job(ID), Value: toPlainJob(job) },
-      { Put: keys.run('drone-0', 's1'), Value: toPlainBucket(bucket) },
-    ],
-  });
-  assert.equal(answer.status, 200);
-  // Its home takes the job's record up when it next owns its part.
-  cluster.crash('drone-1');
-  await cluster.boot('drone-1');
-  await until('it runs', () => running(cluster).length === 2);
-  await until(
-    'its home knows it',
-    async () => (await status(cluster, 'drone-1', ID)).running === 2,
-  );
-}
+const running = (cluster: Cluster): string[] => runningTasks(cluster, ID);
 
-const running = (cluster: Cluster): string[] =>
-  [...cluster.cloud.workers.values()].flatMap((w) => w.tasks).filter((t) => t.startsWith(ID));
+const awayFromHome = (cluster: Cluster): Promise<void> => replicasAwayFromHome(cluster, ID);
 
 async function cancel(
   cluster: Cluster,
@@ -170,7 +134,8 @@
     settings,
     clock: { now: () => NOW },
     ownedShards: new Map([['p', host]]),
-    stateCache: { get: () => undefined, syncedAt: NOW },
+    stateCache: { get: () => undefined, syncedAt: NOW, revision: 1 },
+    audit: { note: () => undefined },
     peers: { prepareCancel: () => Promise.resolve(false) },
     isBlockedOnDependencies: () => false,
     requestSchedulingRound: () => undefined,
@@ -228,7 +193,9 @@
           revision: 1,
         }),
         syncedAt: NOW,
+        revision: 1,
       },
+      audit: { note: () => undefined },
       peers: {
         prepareCancel: (_job, _timeout, note) =>
           Promise.resolve(found.map(note).some((done) => done)),
@@ -238,6 +205,7 @@
     });
     const doneChunks = name.endsWith('is done') ? [0] : [];
     const record = { createdChunks: cut, doneChunks } as unknown as JobRecord;
-    assert.equal(await cancelPreparations.prepareEverywhere(ID, record), enough);
+    const job = { id: ID, record, revision: 1, isWriteInFlight: false };
+    assert.equal(await cancelPreparations.prepareEverywhere(job), enough);
   });
 }
--- /dev/null
+++ b/test/support/storedServices.ts
@@ -0,0 +1,64 @@
+/** Services that are stored without having been submitted, so that a test says where their chunks are. */
+import assert from 'node:assert/strict';
+import { toPlainBucket, toPlainJob } from '../../src/storage/plainRecords.js';
+import { keys, type ChunkRecord, type JobRecord } from '../../src/storage/records.js';
+import { until, type Cluster } from './cluster.js';
+import type { JobSpec } from '../../src/protocol/job.js';
+import { spec as jobSpec } from './spec.js';
+import { status } from './users.js';
+
+const CHUNK_TASKS = 8;
+
+/** Tasks of the job that are on machines. */
+export const runningTasks = (cluster: Cluster, job: string): string[] =>
+  [...cluster.cloud.workers.values()].flatMap((w) => w.tasks).filter((t) => t.startsWith(job));
+
+/** An open service as its home stores it, of which some chunks have been created. */
+const openService = (
+  spec: JobSpec,
+  fields: Pick<JobRecord, 'homeShard' | 'createdChunks' | 'migratedChunks'>,
+): JobRecord => ({
+  ...{ spec, state: 'open', taskCount: spec.taskCount, submittedAt: 1 },
+  ...{ chunkSize: CHUNK_TASKS, zones: [], doneChunks: [], ...fields },
+});
+
+/** Stores records; the home of the job restarts, so that it loads them. */
+async function storeAndReload(
+  cluster: Cluster,
+  home: string,
+  puts: { Put: string; Value: unknown }[],
+): Promise<void> {
+  assert.equal(cluster.state.apply({ Then: puts }).status, 200);
+  cluster.crash(home);
+  await cluster.boot(home);
+}
+
+/** A service of two replicas, at home at drone-1, that runs on machines of drone-0's shard. */
+export async function replicasAwayFromHome(cluster: Cluster, id: string): Promise<void> {
+  const spec = jobSpec({ id, taskCount: 2, isService: true, rank: 'prod', cpus: 2, memoryGb: 4 });
+  const homeShard = 'drone-1';
+  const job = openService(spec, { homeShard, createdChunks: 1, migratedChunks: [0] });
+  const chunk: ChunkRecord = {
+    ...{ spec, homeShard, submittedAt: 1, firstTask: 0, endTask: 2, zone: null },
+    ...{ nextAttemptNumber: 1, doneTasks: [], attempts: [], migrationCount: 1 },
+  };
+  const bucket = { chunks: { [`${id}/0`]: chunk } };
+  await storeAndReload(cluster, homeShard, [
+    { Put: keys.job(id), Value: toPlainJob(job) },
+    { Put: keys.run('drone-0', 's1'), Value: toPlainBucket(bucket) },
+  ]);
+  await until('it runs', () => runningTasks(cluster, id).length === 2);
+  await until(
+    'its home knows it',
+    async () => (await status(cluster, homeShard, id)).running === 2,
+  );
+}
+
+/** A service at home at drone-0 whose chunks are created one after the other; the first is. */
+export async function serviceInManyChunks(cluster: Cluster, id: string): Promise<void> {
+  const taskCount = CHUNK_TASKS * 8;
+  const spec = jobSpec({ id, taskCount, isService: true, rank: 'prod', cpus: 0.1, memoryGb: 0.1 });
+  const homeShard = 'drone-0';
+  const job = openService(spec, { homeShard, createdChunks: 1, migratedChunks: [] });
+  await storeAndReload(cluster, homeShard, [{ Put: keys.job(id), Value: toPlainJob(job) }]);
+}
