Cancellations: the store decides whether what leaders acknowledged still holds

What callers saw: a user was told that a job is cancelled, and its tasks ran on for longer than cancel_s: a leader that had acknowledged the cancellation went on with the job, was then refused by the store and could not learn of it within its grace period.

Cause: a promise kept on stale knowledge. Leaders keep an acknowledgement as a mark in memory, and the transaction that makes it final had no condition on any of it. Three ways, each with a case that failed before: - marks were dropped 5 s after the announcement, whatever had become of the transaction: one without an answer, or one that waited for its turn to write, could reach the store after that; - a leader that restarted, or a shard that changed hands, between acknowledgement and transaction had no mark, and the transaction was stored all the same; where the home's own node held all shards with chunks, no peer had even been told; - a chunk whose creation was on its way when the cancellation was announced entered its shard without a mark and started.

Fix: CancellationEvidence carries the chunks that were acknowledged and the revisions of the leader records that counted; these are conditions of the transaction, and the record's open chunks must all be covered. A mark goes only once its leader record has a new revision and the copy shows what was stored until then (C5, C6). Shard.addChunk is the only way into a shard and asks CancellationPreparations.stateOf (C7). An acknowledgement that is ahead of the home's copy makes it read that leader record.

Writing a job's record has a module of its own (jobRecordWriter.ts). A chunk without a mark in a cancelled job violates an invariant that is looked for at run time.

--- a/src/coordination/controller/clusterView.ts
+++ b/src/coordination/controller/clusterView.ts
@@ -1,5 +1,6 @@
 /** A shard's view of the rest of the cluster: quotas, and what the other shards use and lack. */
 import type { Settings } from '../../protocol/settings.js';
+import type { CancellationPreparations } from '../jobs/cancellationPreparations.js';
 import type { Pipelines } from '../pipelines/pipelines.js';
 import type { ClusterTotals } from '../quota/clusterTotals.js';
 import type { QuotaShares } from '../quota/quotaShares.js';
@@ -11,11 +12,12 @@
   readonly quotas: Pick<QuotaShares, 'allowance'>;
   readonly totals: Pick<ClusterTotals, 'usedElsewhere' | 'starvedElsewhere'>;
   readonly pipelines: Pick<Pipelines, 'inheritedRank'>;
+  readonly cancellations: Pick<CancellationPreparations, 'stateOf'>;
 }
 
 /** The view of the shard with this label. */
 export function createClusterView(sources: ClusterViewSources, label: string): ClusterView {
-  const { teams, quotas, totals, pipelines } = sources;
+  const { teams, quotas, totals, pipelines, cancellations } = sources;
   return {
     allowance: (team) => quotas.allowance(label, team),
     guarantee: (name) => {
@@ -25,5 +27,6 @@
     usedElsewhere: (team) => totals.usedElsewhere(team, label),
     starvedElsewhere: (team) => totals.starvedElsewhere(team, label),
     inheritedRank: (job) => pipelines.inheritedRank(job),
+    cancellationOf: (job) => cancellations.stateOf(job),
   };
 }
--- a/src/coordination/controller/controller.ts
+++ b/src/coordination/controller/controller.ts
@@ -164,8 +164,9 @@
   }
 
   private createTakeover(): ShardTakeover {
-    const { quotas, clusterTotals: totals, pipelines } = this;
-    const sources = { teams: this.settings.teams, quotas, totals, pipelines };
+    const { quotas, clusterTotals: totals, pipelines, cancellationPreparations } = this;
+    const { teams } = this.settings;
+    const sources = { teams, quotas, totals, pipelines, cancellations: cancellationPreparations };
     return new ShardTakeover(this, this.loader, (label) => createClusterView(sources, label));
   }
 
--- a/src/coordination/controller/wiring.ts
+++ b/src/coordination/controller/wiring.ts
@@ -126,7 +126,7 @@
   readonly chunkIndex: ChunkIndex;
   readonly recordFormat: RecordFormat;
   readonly leadership: Pick<ShardLeadership, 'isLeaseValid' | 'verifyLeadership'>;
-  readonly cancellationPreparations: Pick<CancellationPreparations, 'has'>;
+  readonly cancellationPreparations: Pick<CancellationPreparations, 'stateOf'>;
   readonly commands: Pick<CommandDispatcher, 'queueStarts'>;
   isBlockedOnDependencies(job: string): boolean;
 }
@@ -136,7 +136,7 @@
   const { settings, stateClient, stateCache, chunkIndex, clock } = node;
   const owner = {
     ownedShards: node.ownedShards,
-    isBeingCancelled: (job: string) => node.cancellationPreparations.has(job),
+    isBeingCancelled: (job: string) => node.cancellationPreparations.stateOf(job) !== 'none',
     isBlockedOnDependencies: (job: string) => node.isBlockedOnDependencies(job),
     get hasUnreadableChunks() {
       return stateClient.hasUnreadable(BUCKETS);
--- /dev/null
+++ b/src/coordination/jobs/acknowledgements.ts
@@ -0,0 +1,77 @@
+/** Collects what leaders acknowledge of one announced cancellation. */
+import type { PreparedChunk } from '../../protocol/peerMessages.js';
+import { keys, type JobRecord, type LeaderRecord } from '../../storage/records.js';
+import type { StateCache } from '../../storage/stateCache.js';
+import { CancellationEvidence, openChunks } from '../persistence/cancellationEvidence.js';
+
+/** What is missing of a cancellation's acknowledgements, and what they rest on. */
+export class Acknowledgements {
+  private readonly open: ReadonlySet<number>;
+  /** Chunks that count, with the shard that they are at. */
+  private readonly shardByChunk = new Map<number, string>();
+  private readonly leaders = new Map<string, { fencingToken: number; revision: number }>();
+  /** Acknowledgements under a fencing token that this node's copy does not show yet. */
+  private early: PreparedChunk[] = [];
+
+  constructor(
+    record: JobRecord,
+    private readonly stateCache: Pick<StateCache, 'get'>,
+  ) {
+    this.open = openChunks(record);
+  }
+
+  /** Takes what a node has acknowledged; true once no open chunk is left. */
+  take(prepared: readonly PreparedChunk[]): boolean {
+    for (const chunk of prepared) this.takeOne(chunk);
+    return this.isComplete;
+  }
+
+  private takeOne(prepared: PreparedChunk): void {
+    const { index, shard, fencingToken } = prepared;
+    const cached = this.stateCache.get(keys.owner(shard));
+    const known = (cached?.value as LeaderRecord | undefined)?.fencingToken ?? -1;
+    // A leader that has lost the shard and does not know it must not be counted.
+    if (known > fencingToken) return;
+    if (cached === undefined || known < fencingToken) {
+      this.early.push(prepared);
+      return;
+    }
+    this.shardByChunk.set(index, shard);
+    this.leaders.set(shard, { fencingToken, revision: cached.revision });
+  }
+
+  /** Shards whose leader records this node should read, since they have changed. */
+  get shardsToRead(): string[] {
+    return [...new Set(this.early.map(({ shard }) => shard))];
+  }
+
+  /** Looks again at acknowledgements that were ahead of this node's copy; true once no open chunk is left. */
+  takeEarly(): boolean {
+    const { early } = this;
+    this.early = [];
+    return this.take(early);
+  }
+
+  /** Open chunks that no leader has acknowledged. */
+  get missing(): number[] {
+    return [...this.open].filter((index) => !this.shardByChunk.has(index));
+  }
+
+  private get isComplete(): boolean {
+    return this.missing.length === 0;
+  }
+
+  /** The leaderships that count, as `shard=token@revision`, separated by commas. */
+  get description(): string {
+    return [...this.leaders]
+      .map(([shard, { fencingToken, revision }]) => `${shard}=${fencingToken}@${revision}`)
+      .join(',');
+  }
+
+  /** What the cancellation may be stored on; null while a chunk is missing. */
+  get evidence(): CancellationEvidence | null {
+    if (!this.isComplete) return null;
+    const revisions = new Map([...this.leaders].map(([shard, { revision }]) => [shard, revision]));
+    return CancellationEvidence.acknowledged(new Set(this.shardByChunk.keys()), revisions);
+  }
+}
--- a/src/coordination/jobs/cancellationPreparations.ts
+++ b/src/coordination/jobs/cancellationPreparations.ts
@@ -4,22 +4,30 @@
  * on answering its workers, and would keep cancelled tasks alive for longer than they may be (safety, C1).
  */
 import { DRIFT, type Clock } from '../../base/clock.js';
+import { describe, log } from '../../base/log.js';
 import type { PreparedChunk } from '../../protocol/peerMessages.js';
 import type { Settings } from '../../protocol/settings.js';
-import { keys, type JobRecord, type LeaderRecord } from '../../storage/records.js';
+import { keys } from '../../storage/records.js';
 import { cachedJob, type StateCache } from '../../storage/stateCache.js';
+import type { StateClient } from '../../storage/stateClient.js';
 import type { AcknowledgementWithheldReason } from '../audit/cancellationEvent.js';
 import type { AuditTrail } from '../audit/auditTrail.js';
-import type { HomeJob, OwnedShard } from '../leadership/ownedShard.js';
+import { advanceFencingToken, type HomeJob, type OwnedShard } from '../leadership/ownedShard.js';
+import type { ShardLeadership } from '../leadership/shardLeadership.js';
 import type { Chunk } from '../model/chunk.js';
 import type { PeerRegistry } from '../peers/peerRegistry.js';
+import { CancellationEvidence } from '../persistence/cancellationEvidence.js';
+import type { JobCancellationState } from '../quota/teamUsage.js';
+import { Acknowledgements } from './acknowledgements.js';
 
 /** What preparing cancellations needs of a node. */
 export interface CancellationContext {
   readonly settings: Pick<Settings, 'heartbeatInterval' | 'workerLease' | 'cancellationTimeout'>;
   readonly clock: Pick<Clock, 'now'>;
   readonly ownedShards: ReadonlyMap<string, OwnedShard>;
-  readonly stateCache: Pick<StateCache, 'get' | 'syncedAt' | 'revision'>;
+  readonly stateCache: Pick<StateCache, 'get' | 'note' | 'syncedAt' | 'revision'>;
+  readonly stateClient: Pick<StateClient, 'get'>;
+  readonly leadership: Pick<ShardLeadership, 'advanceFencingToken' | 'isLeaseValid'>;
   readonly peers: Pick<PeerRegistry, 'prepareCancel'>;
   readonly audit: Pick<AuditTrail, 'note'>;
   /** The job waits for others: nothing of it was started, nor is there any chunk of it. */
@@ -28,6 +36,14 @@
   requestSchedulingRound(): void;
 }
 
+/** An announced cancellation that is not known to be stored, nor to be impossible. */
+interface Announcement {
+  /** Steady time at which it was announced last. */
+  readonly at: number;
+  /** Revisions of the leader records that this node has acknowledged it under, by shard. */
+  readonly acknowledgedUnder: ReadonlyMap<string, number>;
+}
+
 /** Seconds in which an announced cancellation is stored or given up: its user waits no longer. */
 const STORE_TIMEOUT_SECONDS = 5;
 
@@ -36,20 +52,14 @@
 
 /** Cancellations that were announced to this node and are not known to be stored or given up. */
 export class CancellationPreparations {
-  /** By job: the steady time at which its cancellation was announced. */
-  private readonly announcedAt = new Map<string, number>();
+  private readonly announcements = new Map<string, Announcement>();
 
   constructor(private readonly context: CancellationContext) {}
 
-  /** The cancellation of the job was announced. */
-  has(job: string): boolean {
-    return this.announcedAt.has(job);
-  }
-
-  /** Prepares a chunk that has just come to a shard of this node. */
-  apply(ownedShard: OwnedShard, chunk: Chunk): void {
-    if (!this.has(chunk.spec.id)) return;
-    ownedShard.shard.prepareCancel(chunk, this.context.clock.now());
+  /** Whether a job is cancelled, or is about to be: the one place that says so. */
+  stateOf(job: string): JobCancellationState {
+    if (cachedJob(this.context.stateCache, job)?.state === 'cancelled') return 'stored';
+    return this.announcements.has(job) ? 'announced' : 'none';
   }
 
   /**
@@ -58,7 +68,9 @@
    */
   prepare(job: string): PreparedChunk[] {
     const now = this.context.clock.now();
-    this.announcedAt.set(job, now);
+    // An earlier acknowledgement may still be counted.
+    const acknowledgedUnder = new Map(this.announcements.get(job)?.acknowledgedUnder);
+    this.announcements.set(job, { at: now, acknowledgedUnder });
     const prepared: PreparedChunk[] = [];
     const withheld: string[] = [];
     for (const ownedShard of this.context.ownedShards.values()) {
@@ -66,9 +78,12 @@
       for (const chunk of shard.chunksOf(job)) {
         shard.prepareCancel(chunk, now);
         const reason = this.whyWithheld(ownedShard, chunk, now);
-        if (reason === null)
-          prepared.push({ index: chunk.index, shard: shard.label, fencingToken });
-        else withheld.push(`${chunk.index}=${reason}`);
+        if (reason !== null) {
+          withheld.push(`${chunk.index}=${reason}`);
+          continue;
+        }
+        prepared.push({ index: chunk.index, shard: shard.label, fencingToken });
+        acknowledgedUnder.set(shard.label, ownedShard.revision);
       }
     }
     this.noteAnnounced(job, prepared.length, withheld);
@@ -116,73 +131,121 @@
     return true;
   }
 
-  /** True once the leaders of all open chunks of a job are known to have prepared its cancellation. */
-  async prepareEverywhere({ id, record, revision }: HomeJob): Promise<boolean> {
-    const unprepared = openChunks(record);
-    const counted = new Map<string, string>();
-    /** Takes what a node has prepared; true once no chunk is left. */
-    const acknowledge = (prepared: PreparedChunk[]): boolean => {
-      for (const { index, shard, fencingToken } of prepared) {
-        const leader = this.leaderRecord(shard);
-        // A node that has lost the shard and does not know it must not be counted.
-        if (leader === undefined || leader.value.fencingToken > fencingToken) continue;
-        unprepared.delete(index);
-        counted.set(shard, `${shard}=${fencingToken}@${leader.revision}`);
-      }
-      return unprepared.size === 0;
-    };
-    const prepared = this.prepare(id);
-    const timeout = this.context.settings.heartbeatInterval / PEERS_TIMEOUT_DIVISOR;
-    // Should it be released from now on, its chunks are made as prepared ones, by this node.
-    const isPrepared =
-      this.context.isBlockedOnDependencies(id) ||
-      acknowledge(prepared) ||
-      (await this.context.peers.prepareCancel(id, timeout, acknowledge));
+  /** Has all nodes prepare; null where some chunk may be at a leader that has not. */
+  async prepareEverywhere(job: HomeJob): Promise<CancellationEvidence | null> {
+    const { id, record } = job;
+    const acknowledgements = new Acknowledgements(record, this.context.stateCache);
+    const own = this.prepare(id);
+    const evidence = this.context.isBlockedOnDependencies(id)
+      ? CancellationEvidence.ofBlockedJob()
+      : await this.collect(id, acknowledgements, own);
     this.context.audit.note({
       event: 'cancellation-prepared',
       job: id,
       shard: record.homeShard,
-      jobRevision: revision,
-      missing: isPrepared ? '' : [...unprepared].join(','),
-      leaders: [...counted.values()].join(','),
+      jobRevision: job.revision,
+      missing: evidence === null ? acknowledgements.missing.join(',') : '',
+      leaders: acknowledgements.description,
     });
-    return isPrepared;
+    return evidence;
   }
 
-  private leaderRecord(shard: string): { value: LeaderRecord; revision: number } | undefined {
-    const cached = this.context.stateCache.get(keys.owner(shard));
-    if (cached === undefined) return undefined;
-    return { value: cached.value as LeaderRecord, revision: cached.revision };
+  private async collect(
+    job: string,
+    acknowledgements: Acknowledgements,
+    own: PreparedChunk[],
+  ): Promise<CancellationEvidence | null> {
+    const { peers, settings } = this.context;
+    const timeout = settings.heartbeatInterval / PEERS_TIMEOUT_DIVISOR;
+    if (!acknowledgements.take(own)) {
+      await peers.prepareCancel(job, timeout, (prepared) => acknowledgements.take(prepared));
+    }
+    if (acknowledgements.evidence === null && acknowledgements.shardsToRead.length > 0) {
+      await Promise.all(acknowledgements.shardsToRead.map((shard) => this.readLeader(shard)));
+      acknowledgements.takeEarly();
+    }
+    return acknowledgements.evidence;
+  }
+
+  /** Brings a leader record of this node's copy up to date. */
+  private async readLeader(shard: string): Promise<void> {
+    try {
+      const item = await this.context.stateClient.get(keys.owner(shard));
+      if (item !== null) this.context.stateCache.note(item.key, item.value, item.revision);
+    } catch (error) {
+      log.debug(`leader of ${shard}: ${describe(error)}`);
+    }
   }
 
   /**
-   * Resumes jobs that are still open after their cancellations must have been stored or given up. Only a node that
-   * has read the records since can tell.
+   * Resumes jobs that are still open although their cancellations should have been stored by now. A transaction that got no
+   * answer may be applied late, so nothing is resumed before that has become impossible: the leader record under which the
+   * cancellation was acknowledged must have changed, and this node must have read what was stored until then.
    */
   sweep(): void {
-    const { ownedShards, stateCache } = this.context;
-    for (const [job, announcedAt] of this.announcedAt) {
-      if (stateCache.syncedAt <= announcedAt + STORE_TIMEOUT_SECONDS) continue;
-      this.announcedAt.delete(job);
-      if (cachedJob(stateCache, job)?.state !== 'open') continue;
-      this.context.audit.note({
-        event: 'cancellation-abandoned',
-        job,
-        age: this.context.clock.now() - announcedAt,
-        copyRevision: stateCache.revision,
-      });
-      for (const { shard } of ownedShards.values()) {
-        for (const chunk of shard.chunksOf(job)) shard.abandonCancellation(chunk);
+    const { stateCache } = this.context;
+    this.assertMarked();
+    for (const [job, announcement] of this.announcements) {
+      if (stateCache.syncedAt <= announcement.at + STORE_TIMEOUT_SECONDS) continue;
+      if (cachedJob(stateCache, job)?.state !== 'open') {
+        this.announcements.delete(job);
+        continue;
       }
+      const pending = this.shardsThatMayStillBeCounted(announcement);
+      for (const ownedShard of pending) this.advance(ownedShard);
+      if (pending.length > 0 || !this.hasReadOwnLeaderRecords(announcement)) continue;
+      this.resume(job, announcement);
     }
   }
-}
 
-/** Indices of a job's chunks that are created and not done. */
-function openChunks({ createdChunks, doneChunks }: JobRecord): Set<number> {
-  const open = new Set<number>();
-  for (let index = 0; index < createdChunks; index++) {
-    if (!doneChunks.includes(index)) open.add(index);
+  /** Shards of this node whose leader records are still those that its acknowledgements were given under. */
+  private shardsThatMayStillBeCounted({ acknowledgedUnder }: Announcement): OwnedShard[] {
+    return [...acknowledgedUnder].flatMap(([label, revision]) => {
+      const ownedShard = this.context.ownedShards.get(label);
+      return ownedShard?.revision === revision ? [ownedShard] : [];
+    });
+  }
+
+  /** The copy shows all that was stored before the leader records changed. */
+  private hasReadOwnLeaderRecords({ acknowledgedUnder }: Announcement): boolean {
+    const { ownedShards, stateCache } = this.context;
+    return [...acknowledgedUnder.keys()].every(
+      (label) => (ownedShards.get(label)?.revision ?? 0) <= stateCache.revision,
+    );
+  }
+
+  private resume(job: string, { at }: Announcement): void {
+    const { audit, clock, ownedShards, stateCache } = this.context;
+    this.announcements.delete(job);
+    const age = clock.now() - at;
+    audit.note({ event: 'cancellation-abandoned', job, age, copyRevision: stateCache.revision });
+    for (const { shard } of ownedShards.values()) {
+      for (const chunk of shard.chunksOf(job)) shard.abandonCancellation(chunk);
+    }
+  }
+
+  /**
+   * Gets a new leader record for a shard. All its workers report a higher fencing token, at most once in half of their
+   * lease; nobody waits for what is resumed.
+   */
+  private advance(ownedShard: OwnedShard): void {
+    const { clock, leadership, settings } = this.context;
+    const now = clock.now();
+    if (!leadership.isLeaseValid) return;
+    if (now - ownedShard.fencingTokenAdvancedAt < settings.workerLease / 2) return;
+    ownedShard.fencingTokenAdvancedAt = now;
+    advanceFencingToken(leadership, ownedShard).catch((error: unknown) => {
+      log.debug(`advance ${ownedShard.shard.label}: ${describe(error)}`);
+    });
+  }
+
+  /** Each chunk is asked about as it comes to a shard; none may be here as if its job were open. */
+  private assertMarked(): void {
+    for (const { shard } of this.context.ownedShards.values()) {
+      for (const chunk of shard.chunks.values()) {
+        if (chunk.isCancelRequested || this.stateOf(chunk.spec.id) === 'none') continue;
+        shard.reportInvariantViolation('unmarked-cancelled-chunk', chunk.id);
+      }
+    }
   }
-  return open;
 }
--- a/src/coordination/jobs/jobCancellation.ts
+++ b/src/coordination/jobs/jobCancellation.ts
@@ -80,13 +80,18 @@
   /** Cancels a job whose home shard this node leads. */
   private async cancelAsLeader(homeShard: OwnedShard, job: HomeJob): Promise<JobReply> {
     const { cancellationPreparations, clock, persistence } = this.context;
-    // Else a node that can't read the record would keep tasks of the job alive, or start some.
-    if (job.record.state === 'open' && !(await cancellationPreparations.prepareEverywhere(job))) {
-      return unavailable('a node that may run tasks of the job cannot be asked just now', 2);
-    }
     const deadline = clock.now() + REQUEST_TIMEOUT_SECONDS;
-    const state = await persistence.cancel(homeShard, job, deadline);
-    if (state !== null && state !== 'open') return endedReply(job.id, state);
+    while (clock.now() < deadline) {
+      if (job.record.state !== 'open') return endedReply(job.id, job.record.state);
+      // Else a node that can't read the record would keep tasks of the job alive, or start some.
+      const evidence = await cancellationPreparations.prepareEverywhere(job);
+      if (evidence === null) {
+        return unavailable('a node that may run tasks of the job cannot be asked just now', 2);
+      }
+      const result = await persistence.cancel(homeShard, job, evidence, deadline);
+      if (result.kind === 'ended') return endedReply(job.id, result.state);
+      if (result.kind === 'not-stored') break;
+    }
     return unavailable('the cancellation could not be stored');
   }
 
--- a/src/coordination/leadership/shardLoader.ts
+++ b/src/coordination/leadership/shardLoader.ts
@@ -10,13 +10,6 @@
 import type { Leadership } from './shardLeadership.js';
 import type { Shard } from '../shard/shard.js';
 import { Bucket } from '../model/bucket.js';
-import type { Chunk } from '../model/chunk.js';
-
-/** Applies cancellations that are being prepared. */
-export interface ChunkCancellation {
-  /** A chunk has just come to a shard that this node leads. */
-  apply(ownedShard: OwnedShard, chunk: Chunk): void;
-}
 
 /** Creates the chunks of jobs. */
 export interface ChunkCreation {
@@ -30,7 +23,6 @@
   inventory: Pick<MachineInventory, 'of' | 'get'>;
   stateCache: Pick<StateCache, 'get' | 'entriesWithPrefix' | 'noteRemoved'>;
   stateClient: Pick<StateClient, 'get'>;
-  cancellationPreparations: ChunkCancellation;
   persistence: ChunkCreation;
   recordFormat: RecordFormat;
   requestSchedulingRound(): void;
@@ -95,8 +87,7 @@
       }
       const chunk = ownedShard.shard.loadChunk(index, record, ownedShard.fencingToken, now);
       bucket.add(chunk);
-      node.cancellationPreparations.apply(ownedShard, chunk);
-      if (isOver || job?.state === 'cancelled') ownedShard.shard.cancel(chunk, now);
+      if (isOver) ownedShard.shard.cancel(chunk, now);
     }
     if (bucket.chunks.size === 0) bucket.isDirty = true;
   }
--- a/src/coordination/persistence/bucketWriter.ts
+++ b/src/coordination/persistence/bucketWriter.ts
@@ -79,10 +79,10 @@
   ): Promise<TransactionResult> {
     if (!ownedShard.isOwned || !this.host.isLeaseValid()) return { kind: 'refused' };
     const owner = { key: keys.owner(ownedShard.shard.label), revision: ownedShard.revision };
-    return this.client.transact(
-      { ...transaction, conditions: [owner, ...transaction.conditions] },
-      urgency,
+    const others = transaction.conditions.filter(
+      ({ key, revision }) => key !== owner.key || revision !== owner.revision,
     );
+    return this.client.transact({ ...transaction, conditions: [owner, ...others] }, urgency);
   }
 
   /** Starts the storing of what is due. */
--- a/src/coordination/persistence/jobPersistence.ts
+++ b/src/coordination/persistence/jobPersistence.ts
@@ -5,12 +5,12 @@
  */
 import { sleep, type Clock } from '../../base/clock.js';
 import { describe, log } from '../../base/log.js';
-import type { Transaction } from '../../protocol/stateProtocol.js';
-import { keys, type JobRecord } from '../../storage/records.js';
-import type { TransactionResult } from '../../storage/stateClient.js';
+import { keys, type FinalJobRecord, type JobRecord } from '../../storage/records.js';
 import type { ChunkIndex } from '../../storage/chunkIndex.js';
 import { Chunk } from '../model/chunk.js';
 import { chunkRanges, mayCreateChunk, totalChunks } from '../model/chunking.js';
+import type { CancellationEvidence } from './cancellationEvidence.js';
+import { JobRecordWriter } from './jobRecordWriter.js';
 import { missingChunks } from './missingChunks.js';
 import type { HomeJob, OwnedShard } from '../leadership/ownedShard.js';
 import {
@@ -32,12 +32,20 @@
   readonly hasUnreadableChunks: boolean;
 }
 
+/**
+ * What became of a cancellation. `ended`: the job is over, perhaps otherwise than asked for; `outdated`: a leader has changed or
+ * a chunk was created since the evidence was collected; `not-stored`: not in time.
+ */
+export type CancellationResult =
+  { kind: 'ended'; state: FinalJobRecord['state'] } | { kind: 'outdated' } | { kind: 'not-stored' };
+
 /** Writes jobs' records and, by the bucket writer, their chunks. */
 export class JobPersistence {
   private readonly bucketWriter: BucketWriter;
+  private readonly jobRecords: JobRecordWriter;
 
   constructor(
-    private readonly client: Store,
+    client: Store,
     private readonly stateCache: Copy,
     private readonly chunkIndex: Pick<ChunkIndex, 'entries'>,
     private readonly clock: Clock,
@@ -45,6 +53,13 @@
     private readonly options: BucketWriterOptions,
   ) {
     this.bucketWriter = new BucketWriter(client, stateCache, clock, host, options);
+    this.jobRecords = new JobRecordWriter(client, stateCache, this.bucketWriter, {
+      verifyLeadership: (shard) => host.verifyLeadership(shard),
+      onReread: (homeShard, job) => {
+        this.acceptMissing(homeShard, job);
+      },
+      retry: options.retry,
+    });
   }
 
   /** Applies a transaction for a shard, under the condition that this node leads it. */
@@ -115,9 +130,9 @@
         conditions: when,
         puts: [{ key, value }],
       });
-      if (result.kind === 'applied') this.applyJob(ownedShard, job, value, result.revision);
+      if (result.kind === 'applied') this.jobRecords.apply(ownedShard, job, value, result.revision);
       else if (result.kind === 'conflict') {
-        await this.reread(ownedShard, job, job.isUncertain === true);
+        await this.jobRecords.reread(ownedShard, job, job.isUncertain === true);
       }
     } finally {
       job.isWriteInFlight = false;
@@ -142,7 +157,7 @@
               doneChunks: finished,
               migratedChunks: record.migratedChunks.filter((k) => !finished.includes(k)),
             };
-      await this.writeJob(homeShard, job, next);
+      await this.jobRecords.write(homeShard, job, next);
       // By the record: the change that a conflict was with may have been another one.
       return job.record.state !== 'open' || job.record.doneChunks.includes(index);
     } catch (error) {
@@ -158,64 +173,12 @@
     if (job.isWriteInFlight || job.record.state !== 'open') return false;
     job.isWriteInFlight = true;
     try {
-      return await this.writeJob(homeShard, job, job.record);
+      return await this.jobRecords.write(homeShard, job, job.record);
     } finally {
       job.isWriteInFlight = false;
     }
   }
 
-  /** Stores a job's new record; in memory it changes only after that. */
-  private async writeJob(
-    homeShard: OwnedShard,
-    job: HomeJob,
-    next: JobRecord,
-    onOutcome: (outcome: TransactionResult['kind']) => void = () => undefined,
-  ): Promise<boolean> {
-    const key = keys.job(job.id);
-    const when = [{ key, revision: job.revision }];
-    const transaction: Transaction = {
-      conditions: when,
-      puts: [{ key, value: next }],
-      deletes: [],
-    };
-    await this.client.awaitWriteTurn(1, 'urgent');
-    const wasUnsettled = job.isUncertain === true;
-    // From now on others may read a final state and tell users of it, before its answer gets here.
-    if (next.state !== 'open') job.isUncertain = true;
-    const result = await this.write(homeShard, transaction, 'granted');
-    onOutcome(result.kind);
-    if (result.kind === 'applied') {
-      this.applyJob(homeShard, job, next, result.revision);
-      return true;
-    }
-    if (result.kind === 'conflict') {
-      // Somebody has changed the record, or an earlier copy of ours did: others may know more than this node.
-      job.isUncertain = true;
-      await this.host.verifyLeadership(homeShard.shard.label);
-      return this.reread(homeShard, job, wasUnsettled);
-    }
-    job.isUncertain = wasUnsettled || result.kind === 'unknown';
-    await sleep(this.options.retry);
-    return false;
-  }
-
-  /** True when the stored record was not as we thought, and is now. */
-  private async reread(
-    homeShard: OwnedShard,
-    job: HomeJob,
-    wasUnsettled: boolean,
-  ): Promise<boolean> {
-    const item = await this.client.get(keys.job(job.id));
-    if (!homeShard.isOwned || item === null) return false;
-    if (item.revision === job.revision) {
-      job.isUncertain = wasUnsettled;
-      return false;
-    }
-    this.applyJob(homeShard, job, item.value as JobRecord, item.revision);
-    this.acceptMissing(homeShard, job);
-    return true;
-  }
-
   /**
    * Takes up the chunks of a home job that are neither here nor stored: nothing of them was started. So it is where a
    * shard is loaded, where a change that cut a chunk got no answer, and where a job no longer waits for others.
@@ -232,52 +195,59 @@
     for (const chunk of missingChunks(job.id, job.record, homeShard.shard.chunks, now)) {
       chunk.isNewlyReleased = isReleased;
       homeShard.shard.acceptNewChunk(chunk, now);
-      if (this.host.isBeingCancelled(job.id)) homeShard.shard.prepareCancel(chunk, now);
     }
   }
 
-  private applyJob(homeShard: OwnedShard, job: HomeJob, record: JobRecord, revision: number): void {
-    job.record = record;
-    job.revision = revision;
-    job.isUncertain = false;
-    if (record.state !== 'open') homeShard.jobs.delete(job.id);
-    this.stateCache.note(keys.job(job.id), record, revision);
-  }
-
-  /** Stores a cancellation. Gives the job's state afterwards, or null when it isn't known. */
+  /** Stores a cancellation on the evidence that its tasks are being ended, while nothing has changed of that. */
   async cancel(
     homeShard: OwnedShard,
     job: HomeJob,
+    evidence: CancellationEvidence,
     deadline: number,
-  ): Promise<JobRecord['state'] | null> {
+  ): Promise<CancellationResult> {
     const begun = this.clock.now();
-    const noteOutcome = (outcome: TransactionResult['kind']): void => {
-      homeShard.shard.audit.note({
-        event: 'cancellation-write',
-        job: job.id,
-        shard: homeShard.shard.label,
-        fencingToken: homeShard.fencingToken,
-        outcome,
-        jobRevision: job.revision,
-        age: this.clock.now() - begun,
-      });
-    };
-    while (this.clock.now() < deadline && homeShard.isOwned && this.host.isLeaseValid()) {
-      if (job.record.state !== 'open') return job.record.state;
+    const mayTry = (): boolean =>
+      this.clock.now() < deadline && homeShard.isOwned && this.host.isLeaseValid();
+    while (mayTry()) {
+      if (job.record.state !== 'open') return { kind: 'ended', state: job.record.state };
       if (job.isWriteInFlight) {
         await sleep(this.options.retry / 4);
         continue;
       }
-      job.isWriteInFlight = true;
-      try {
-        await this.writeJob(homeShard, job, cancelledRecord(job.record), noteOutcome);
-      } catch (error) {
-        log.debug(`cancel: ${describe(error)}`);
-      } finally {
-        job.isWriteInFlight = false;
+      if (!evidence.covers(job.record) || !evidence.isCurrent(this.stateCache)) {
+        return { kind: 'outdated' };
       }
+      await this.tryToCancel(homeShard, job, evidence, begun);
+    }
+    const { state } = job.record;
+    return state === 'open' ? { kind: 'not-stored' } : { kind: 'ended', state };
+  }
+
+  private async tryToCancel(
+    homeShard: OwnedShard,
+    job: HomeJob,
+    evidence: CancellationEvidence,
+    begun: number,
+  ): Promise<void> {
+    job.isWriteInFlight = true;
+    const { id, revision } = job;
+    const { shard, fencingToken } = homeShard;
+    try {
+      await this.jobRecords.write(homeShard, job, cancelledRecord(job.record), {
+        conditions: evidence.conditions,
+        onOutcome: (outcome) => {
+          shard.audit.note({
+            event: 'cancellation-write',
+            ...{ job: id, shard: shard.label, fencingToken, outcome },
+            ...{ jobRevision: revision, age: this.clock.now() - begun },
+          });
+        },
+      });
+    } catch (error) {
+      log.debug(`cancel: ${describe(error)}`);
+    } finally {
+      job.isWriteInFlight = false;
     }
-    return job.record.state === 'open' ? null : job.record.state;
   }
 
   /** Large jobs are cut step by step, so that no shard holds more of them than it can run. */
@@ -316,7 +286,7 @@
         ...job.record,
         createdChunks: job.record.createdChunks + 1,
       };
-      if (!(await this.writeJob(homeShard, job, next))) return;
+      if (!(await this.jobRecords.write(homeShard, job, next))) return;
       const isCut = job.record.state === 'open' && job.record.createdChunks === next.createdChunks;
       if (!isCut || !homeShard.isOwned || homeShard.shard.chunks.has(chunk.id)) return;
       homeShard.shard.acceptNewChunk(chunk, this.clock.now());
--- a/src/coordination/pipelines/pipelines.ts
+++ b/src/coordination/pipelines/pipelines.ts
@@ -3,6 +3,7 @@
 import { rankOrder, type JobSpec } from '../../protocol/job.js';
 import type { JobRecord } from '../../storage/records.js';
 import { cachedJob, type StateCache } from '../../storage/stateCache.js';
+import { CancellationEvidence } from '../persistence/cancellationEvidence.js';
 import type { JobPersistence } from '../persistence/jobPersistence.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import { DependencyGraph } from './dependencyGraph.js';
@@ -105,6 +106,7 @@
 
   /** Stores jobs that need a cancelled one as cancelled, where this node leads their home shard. */
   cancelDependents(timeoutSeconds: number): void {
+    const deadline = this.context.clock.now() + timeoutSeconds;
     for (const id of this.graph.withCancelledDependency) {
       if (this.jobsBeingCancelled.size >= MAX_CONCURRENT_WRITES) return;
       if (this.jobsBeingCancelled.has(id)) continue;
@@ -114,7 +116,7 @@
       if (ownedShard === undefined || job === undefined) continue;
       this.jobsBeingCancelled.add(id);
       void this.context.persistence
-        .cancel(ownedShard, job, this.context.clock.now() + timeoutSeconds)
+        .cancel(ownedShard, job, CancellationEvidence.ofBlockedJob(), deadline)
         .finally(() => this.jobsBeingCancelled.delete(id));
     }
   }
--- a/src/coordination/quota/teamUsage.ts
+++ b/src/coordination/quota/teamUsage.ts
@@ -19,8 +19,16 @@
   starvedElsewhere(team: string): StarvedJob | null;
   /** The highest rank of the jobs that depend on a job; below every rank when none does. */
   inheritedRank(job: string): number;
+  /** Whether a job is cancelled, or is about to be. */
+  cancellationOf(job: string): JobCancellationState;
 }
 
+/**
+ * `announced`: all nodes have been told that it is about to be cancelled, and nothing of it may start; `stored`: its record says
+ * that it is cancelled.
+ */
+export type JobCancellationState = 'none' | 'announced' | 'stored';
+
 /** A job that has long been kept waiting by its team's limit. */
 export interface StarvedJob {
   team: string;
@@ -39,6 +47,7 @@
   usedElsewhere: noTeamResources,
   starvedElsewhere: () => null,
   inheritedRank: () => -Infinity,
+  cancellationOf: () => 'none',
 };
 
 /** Room for rounding where amounts are added and taken away again. */
--- a/src/coordination/shard/shard.ts
+++ b/src/coordination/shard/shard.ts
@@ -227,7 +227,7 @@
 
   // ---- Chunks ----
 
-  /** Takes a chunk into the queue. */
+  /** Takes a chunk into the queue, whichever way it comes: it is asked here whether its job is being cancelled. */
   addChunk(chunk: Chunk, now: number): void {
     const replaced = this.chunks.get(chunk.id);
     this.chunks.set(chunk.id, chunk);
@@ -238,6 +238,21 @@
     chunk.rank = this.rankOf(chunk);
     this.demand.noteArrival(chunk, 1, now);
     if (chunk.isComplete) this.finishedChunks.add(chunk);
+    this.applyCancellation(chunk, now);
+  }
+
+  private applyCancellation(chunk: Chunk, now: number): void {
+    const cancellation = this.cluster.cancellationOf(chunk.spec.id);
+    if (cancellation === 'none') return;
+    if (cancellation === 'announced') this.prepareCancel(chunk, now);
+    else this.cancel(chunk, now);
+    this.audit.note({
+      event: 'cancelled-chunk-taken-up',
+      job: chunk.spec.id,
+      shard: this.label,
+      chunk: chunk.index,
+      cancellation,
+    });
   }
 
   /** Jobs that need it have come, or are over. */
--- a/test/cluster/cancelledTasks.test.ts
+++ b/test/cluster/cancelledTasks.test.ts
@@ -112,7 +112,7 @@
     holdCancellations(cluster);
     const answer = cluster.call('drone-0', 'POST', `/v1/jobs/${ID}/withdraw`);
     const { cancellationPreparations } = cluster.nodes.get('drone-0')?.controller ?? assert.fail();
-    await until('it is announced', () => cancellationPreparations.has(ID));
+    await until('it is announced', () => cancellationPreparations.stateOf(ID) === 'announced');
     release();
     await until('a cancellation is sent', () => state.late.length > 0);
     await answer;
--- a/test/jobs/cancellationPreparations.test.ts
+++ b/test/jobs/cancellationPreparations.test.ts
@@ -105,6 +105,10 @@
 // ---- Who may say that a chunk is prepared for its cancellation ----
 
 const NOW = 1000;
+const standIns = {
+  stateClient: { get: () => Promise.resolve(null) },
+  leadership: { isLeaseValid: true, advanceFencingToken: () => Promise.resolve(null) },
+};
 const settings = { heartbeatInterval: 4, workerLease: 18, cancellationTimeout: 43 };
 
 function node(previousOwnerUntil: number, seenToken: number) {
@@ -134,7 +138,8 @@
     settings,
     clock: { now: () => NOW },
     ownedShards: new Map([['p', host]]),
-    stateCache: { get: () => undefined, syncedAt: NOW, revision: 1 },
+    stateCache: { get: () => undefined, note: () => undefined, syncedAt: NOW, revision: 1 },
+    ...standIns,
     audit: { note: () => undefined },
     peers: { prepareCancel: () => Promise.resolve(false) },
     isBlockedOnDependencies: () => false,
@@ -192,9 +197,11 @@
           value: { node: 'x', fencingToken: tokens[key], process: '' },
           revision: 1,
         }),
+        note: () => undefined,
         syncedAt: NOW,
         revision: 1,
       },
+      ...standIns,
       audit: { note: () => undefined },
       peers: {
         prepareCancel: (_job, _timeout, note) =>
@@ -206,6 +213,6 @@
     const doneChunks = name.endsWith('is done') ? [0] : [];
     const record = { createdChunks: cut, doneChunks } as unknown as JobRecord;
     const job = { id: ID, record, revision: 1, isWriteInFlight: false };
-    assert.equal(await cancelPreparations.prepareEverywhere(job), enough);
+    assert.equal((await cancelPreparations.prepareEverywhere(job)) !== null, enough);
   });
 }
--- a/test/leadership/shardLoader.test.ts
+++ b/test/leadership/shardLoader.test.ts
@@ -63,7 +63,6 @@
       noteRemoved: () => undefined,
     },
     stateClient: { get: () => Promise.resolve(null) },
-    cancellationPreparations: { apply: () => undefined },
     persistence: { acceptMissing: () => undefined },
     recordFormat: layoutFor(),
     requestSchedulingRound: () => undefined,
@@ -79,7 +78,9 @@
 
 for (const { name, job, isWanted } of cases) {
   test(`a task that an earlier owner started is counted until it is known to be over: ${name}`, () => {
-    const part = emptyPart(3, new Map([['m8', m8]]));
+    const cancellation = job.state === 'cancelled' ? ('stored' as const) : ('none' as const);
+    const view = { cancellationOf: () => cancellation };
+    const part = emptyPart(3, new Map([['m8', m8]]), view);
     new ShardLoader(nodeWith(job)).load(part, HELD, 100);
     assert.equal(part.teamUsage.usedBy('crew').cpus, 2);
     const machine = part.machines.get('n-1');
@@ -115,3 +116,12 @@
   part.removeMachine('n-1', 100);
   assert.equal(part.chunks.get('wk-1/0')?.attempts.size, 0, 'its release is confirmed');
 });
+
+test('a chunk that a new leader loads while its cancellation is announced is not started there', () => {
+  const view = { cancellationOf: () => 'announced' as const };
+  const part = emptyPart(3, new Map([['m8', m8]]), view);
+  new ShardLoader(nodeWith({})).load(part, HELD, 100);
+  const chunk = part.chunks.get('wk-1/0');
+  assert.equal(chunk?.pendingCount, 0);
+  assert.deepEqual(chunk.attempts.get(1)?.stop, { gracePeriod: 0, sentAt: null });
+});
--- a/test/persistence/jobPersistence.test.ts
+++ b/test/persistence/jobPersistence.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Chunk } from '../../src/coordination/model/chunk.js';
+import { CancellationEvidence } from '../../src/coordination/persistence/cancellationEvidence.js';
 import { JobPersistence } from '../../src/coordination/persistence/jobPersistence.js';
 import {
   createOwnedShard,
@@ -25,6 +26,7 @@
   readonly owned: OwnedShard;
   readonly job: HomeJob;
   readonly commits: JobPersistence;
+  readonly copy: StateCache;
   now = 100;
 
   constructor(cut: number) {
@@ -37,6 +39,7 @@
       readChanges: () => Promise.reject(new Error()),
     };
     const replica = new StateCache(silent, 'b/', clock, { hold: 1, pause: 1 }, () => undefined);
+    this.copy = replica;
     const ownedParts = new Map([['p', this.owned]]);
     this.commits = new JobPersistence(
       this.store,
@@ -165,10 +168,39 @@
 test('a cancelled job keeps no list of chunks that are done or at other shards', async () => {
   const home = new Home(3);
   home.job.record = { ...home.job.record, doneChunks: [0], migratedChunks: [1] };
-  assert.equal(await home.commits.cancel(home.owned, home.job, home.now + 1), 'cancelled');
+  const evidence = CancellationEvidence.acknowledged(new Set([0, 1, 2]), new Map());
+  const result = await home.commits.cancel(home.owned, home.job, evidence, home.now + 1);
+  assert.deepEqual(result, { kind: 'ended', state: 'cancelled' });
   const { spec: storedSpec, state, doneChunks, migratedChunks } = home.stored;
   assert.deepEqual(
     { spec: storedSpec, state, doneChunks, migratedChunks },
     { spec: null, state: 'cancelled', doneChunks: [], migratedChunks: [] },
   );
 });
+
+const outdatedEvidence: {
+  name: string;
+  chunks: number[];
+  /** Revision of the other shard's leader record when its leader acknowledged, and as this node's copy has it. */
+  acknowledged: number;
+  copied: number;
+}[] = [
+  { name: 'a chunk was created since', chunks: [0], acknowledged: 8, copied: 8 },
+  { name: 'a leader is known to have changed', chunks: [0, 1], acknowledged: 7, copied: 8 },
+  { name: 'a leader has changed unheard', chunks: [0, 1], acknowledged: 7, copied: 7 },
+];
+for (const { name, chunks, acknowledged, copied } of outdatedEvidence) {
+  test(`a cancellation is not stored on what was acknowledged before: ${name}`, async () => {
+    const home = new Home(2);
+    const key = keys.owner('q');
+    home.store.rows.set(key, { key, value: {}, revision: 8 });
+    home.copy.note(key, {}, copied);
+    const evidence = CancellationEvidence.acknowledged(
+      new Set(chunks),
+      new Map([['q', acknowledged]]),
+    );
+    const result = await home.commits.cancel(home.owned, home.job, evidence, home.now + 1);
+    assert.deepEqual(result, { kind: 'outdated' });
+    assert.equal(home.stored.state, 'open');
+  });
+}
--- a/test/persistence/recordLimits.test.ts
+++ b/test/persistence/recordLimits.test.ts
@@ -84,7 +84,6 @@
         noteRemoved: () => undefined,
       },
       stateClient: this.store,
-      cancellationPreparations: { apply: () => undefined },
       persistence: commits,
       recordFormat: this.layout,
       requestSchedulingRound: () => undefined,
--- a/test/support/part.ts
+++ b/test/support/part.ts
@@ -1,5 +1,6 @@
 /** An empty part with one type of machine, for tests of what works on parts. */
 import { seededRandom } from '../../src/base/random.js';
+import { singleShardView, type ClusterView } from '../../src/coordination/quota/teamUsage.js';
 import { RunTimes } from '../../src/coordination/scheduling/runTimes.js';
 import { Shard } from '../../src/coordination/shard/shard.js';
 import type { MachineType } from '../../src/protocol/cloudProtocol.js';
@@ -20,6 +21,7 @@
 export function emptyPart(
   heartbeatInterval: number,
   types = new Map<string, MachineType>(),
+  view: Partial<ClusterView> = {},
 ): Shard {
   const options = {
     workerLease: 18,
@@ -28,5 +30,7 @@
     zones: ['a'],
   };
   const pace = { scaleOutWindow: 30, onDemandWindow: 60, headroom: 1, arrivalWindow: 100 };
-  return new Shard('p', { ...options, ...pace }, () => types, new RunTimes(), seededRandom(1));
+  const cluster = { ...singleShardView, ...view };
+  const shardOptions = { ...options, ...pace };
+  return new Shard('p', shardOptions, () => types, new RunTimes(), seededRandom(1), cluster);
 }
