Stops: a saving task is ended with its job, and unknown attempts are stopped without a lease too

What callers saw: a task of a cancelled job went on saving for as long as its checkpoint took, where a preemption, a gang or a notice had begun the save before the cancellation. And a leader whose lease at the state service had ended went on renewing workers' leases over attempts that its shard does not know, for the whole grace period, without a stop.

Cause: two functions decided on the same stops. The one for leaders without a lease (cancellationStops) ended saving tasks and passed over unknown attempts; the one for leaders with a lease (dueStop) stopped unknown attempts, and took a stop that had not been sent for one that must not disturb a checkpoint.

Fix: unconditionalStops names what may always be stopped, dueStop heeds a checkpoint only while the job is not cancelled, and both make their stops in one place. An unknown attempt can't be another leader's: its worker has seen that leader's higher fencing token, gets 421 here and refuses our commands. Each 200 over such a task without its stop violates an invariant at run time (renewal-without-stop).

Evidence: of the four new cases of shard.test.ts two fail without the change (saving with a valid lease, unknown without one), all pass with it.

--- a/src/coordination/commands/cancelledTaskMonitor.ts
+++ b/src/coordination/commands/cancelledTaskMonitor.ts
@@ -7,7 +7,7 @@
 import type { Command } from '../../protocol/workerProtocol.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import type { ShardLeadership } from '../leadership/shardLeadership.js';
-import { cancellationStops } from '../model/dueCommands.js';
+import { unconditionalStops } from '../model/dueCommands.js';
 import type { Machine } from '../model/machine.js';
 
 /** What the monitor needs of a node. */
@@ -27,7 +27,7 @@
 
   /** A 200 with these commands renews the lease of the machine's worker. */
   noteRenewal(ownedShard: OwnedShard, machine: Machine, commands: readonly Command[]): void {
-    const cancelled = cancellationStops(machine);
+    const cancelled = unconditionalStops(machine);
     if (cancelled.length === 0) return;
     const { shard, fencingToken } = ownedShard;
     const now = this.context.clock.now();
--- a/src/coordination/commands/commandDispatcher.ts
+++ b/src/coordination/commands/commandDispatcher.ts
@@ -1,5 +1,5 @@
 /** What machines are told and asked: orders, questions to those that are silent, doubts settled. */
-import { cancellationStops, dueCommands, hasDueCommand } from '../model/dueCommands.js';
+import { unconditionalStops, dueCommands, hasDueCommand } from '../model/dueCommands.js';
 import { describe, log } from '../../base/log.js';
 import {
   commandsRequest,
@@ -89,10 +89,10 @@
     }
   }
 
-  /** Without a valid lease only the ends that users have asked for may be sent: those can't be wrong. */
+  /** Without a valid lease only stops that can't be wrong may be sent. */
   private isDue(ownedShard: OwnedShard, machine: Machine): boolean {
     if (!this.node.authority.mayEnd(ownedShard)) return false;
-    if (!this.node.authority.mayAct(ownedShard)) return cancellationStops(machine).length > 0;
+    if (!this.node.authority.mayAct(ownedShard)) return unconditionalStops(machine).length > 0;
     return hasDueCommand(
       machine,
       this.node.clock.now(),
@@ -109,7 +109,7 @@
     if (!this.isDue(ownedShard, machine)) return;
     const commands: Command[] = this.node.authority.mayAct(ownedShard)
       ? dueCommands(machine, this.node.clock.now(), heartbeatInterval * 1.5)
-      : cancellationStops(machine);
+      : unconditionalStops(machine);
     const { fencingToken } = ownedShard;
     const started = commands.flatMap((o) => {
       const placement = o.verb === 'start' ? machine.placements.get(o.task) : undefined;
@@ -253,7 +253,7 @@
   sweep(): void {
     const now = this.node.clock.now();
     if (!this.node.leadership.isLeaseValid) {
-      this.queueCancellationStops();
+      this.queueUnconditionalStops();
       return;
     }
     for (const ownedShard of this.node.ownedShards.values()) {
@@ -318,11 +318,11 @@
     }
   }
 
-  /** Without a valid lease: only what users have asked to cancel is seen to. */
-  private queueCancellationStops(): void {
+  /** Without a valid lease: only stops that may leave at any time are seen to. */
+  private queueUnconditionalStops(): void {
     for (const { shard } of this.node.ownedShards.values()) {
       for (const machine of shard.machines.values()) {
-        if (cancellationStops(machine).length > 0) shard.pendingCommands.add(machine);
+        if (unconditionalStops(machine).length > 0) shard.pendingCommands.add(machine);
       }
     }
     this.send();
--- a/src/coordination/commands/heartbeatEndpoint.ts
+++ b/src/coordination/commands/heartbeatEndpoint.ts
@@ -14,7 +14,7 @@
 import type { Authority } from '../leadership/authority.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import type { ShardLeadership } from '../leadership/shardLeadership.js';
-import { cancellationStops, commandsForAnswer } from '../model/dueCommands.js';
+import { unconditionalStops, commandsForAnswer } from '../model/dueCommands.js';
 import type { Machine } from '../model/machine.js';
 import type { PeerRegistry } from '../peers/peerRegistry.js';
 import { CancelledTaskMonitor } from './cancelledTaskMonitor.js';
@@ -124,9 +124,9 @@
     return { status: 200, body: heartbeatAnswer(fencingToken, commands) };
   }
 
-  /** Without the right to act only what users have asked to cancel is stopped. */
+  /** Without the right to act only stops that can't be wrong are sent. */
   private commandsFor(machine: Machine, mayAct: boolean, now: number): Command[] {
-    if (!mayAct) return cancellationStops(machine);
+    if (!mayAct) return unconditionalStops(machine);
     const { heartbeatInterval } = this.context.settings;
     return commandsForAnswer(machine, now, heartbeatInterval * RESEND_INTERVALS, heartbeatInterval);
   }
--- a/src/coordination/model/dueCommands.ts
+++ b/src/coordination/model/dueCommands.ts
@@ -14,21 +14,28 @@
 }
 
 /**
- * Stops of tasks whose users have asked to cancel them. They go out with every answer to the worker, whatever else the
- * controller may not do: an answer without them would only keep such tasks alive.
+ * Stops that may leave at any time, whatever else the controller may not do: they can't be wrong, and an answer without them
+ * would only keep such tasks alive. They are those of tasks whose users have asked to cancel them, and of attempts that the shard
+ * does not know: what another leader has started there, its worker does not let a lower fencing token end.
  */
-export function cancellationStops(machine: Machine): Command[] {
-  const commands: Command[] = [];
+export function unconditionalStops(machine: Machine): Command[] {
+  const commands = machine.unknownAttempts.map(stopAtOnce);
   for (const [task, { chunk, attempt }] of machine.placements) {
     const { attemptNumber } = attempt;
     const reported = machine.reportedAttempts.find(task, attemptNumber);
     if (!chunk.isCancelRequested || reported === undefined) continue;
-    if (reported.state !== 'ended')
-      commands.push({ verb: 'stop', task, attemptNumber, gracePeriod: 0 });
+    if (reported.state !== 'ended') commands.push(stopAtOnce({ task, attemptNumber }));
   }
   return commands;
 }
 
+const stopAtOnce = ({ task, attemptNumber }: Pick<Command, 'task' | 'attemptNumber'>): Command => ({
+  verb: 'stop',
+  task,
+  attemptNumber,
+  gracePeriod: 0,
+});
+
 /**
  * Whether something should be sent to the worker at once. Acknowledgements are not worth a request of their own: they
  * are sent with other commands or in the answer to a heartbeat. A stop without effect is due again after `repeatAfter`
@@ -83,16 +90,14 @@
   now: number,
   repeatAfter: number,
 ): Generator<DueCommand> {
-  for (const reported of machine.reportedAttempts.all) {
-    if (!machine.isUnknownAttempt(reported)) continue;
-    const { task, attemptNumber } = reported;
-    yield { command: { verb: 'stop', task, attemptNumber, gracePeriod: 0 }, firstStop: null };
+  for (const unknown of machine.unknownAttempts) {
+    yield { command: stopAtOnce(unknown), firstStop: null };
   }
   for (const [task, { chunk, attempt }] of machine.placements) {
     const { attemptNumber, stop } = attempt;
     const reported = machine.reportedAttempts.find(task, attemptNumber);
     if (stop !== null) {
-      const due = dueStop(stop, reported, now, repeatAfter);
+      const due = dueStop(stop, chunk.isCancelRequested, reported, now, repeatAfter);
       if (due === null) continue;
       const { gracePeriod, isRepeat } = due;
       const command: Command = { verb: 'stop', task, attemptNumber, gracePeriod };
@@ -118,13 +123,15 @@
 /** How an attempt is to be stopped now; null while no stop is due. */
 function dueStop(
   stop: PendingStop,
+  isCancelled: boolean,
   reported: ReportedAttempt | undefined,
   now: number,
   repeatAfter: number,
 ): { gracePeriod: number; isRepeat: boolean } | null {
   if (reported === undefined || reported.state === 'ended') return null;
   const { sentAt, gracePeriod } = stop;
-  if (reported.state === 'saving') {
+  // What a task of a cancelled job would save is of no use.
+  if (reported.state === 'saving' && !isCancelled) {
     // A second stop would end a task that is still writing its checkpoint; only after its time is up.
     const isOverdue = sentAt !== null && now - sentAt > gracePeriod + repeatAfter;
     return isOverdue ? { gracePeriod: 0, isRepeat: true } : null;
--- a/test/shard/shard.test.ts
+++ b/test/shard/shard.test.ts
@@ -1,9 +1,10 @@
 /** A part: starts once they are stored, cancellations, adoption. */
-import { cancellationStops, dueCommands } from '../../src/coordination/model/dueCommands.js';
+import { dueCommands, unconditionalStops } from '../../src/coordination/model/dueCommands.js';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Chunk } from '../../src/coordination/model/chunk.js';
 import { Machine } from '../../src/coordination/model/machine.js';
+import type { Command } from '../../src/protocol/workerProtocol.js';
 import { Bench } from '../support/bench.js';
 import { spec } from '../support/spec.js';
 
@@ -74,12 +75,12 @@
   b.store(runs, waits);
   const on = runs.attempts.get(0)?.machine === machine.name ? machine : other;
   b.report(on, [{}]);
-  assert.deepEqual(cancellationStops(on), []);
+  assert.deepEqual(unconditionalStops(on), []);
   b.part.prepareCancel(runs, b.now);
   b.part.prepareCancel(waits, b.now);
   const halt = { verb: 'stop', task: 'wk-1/0', attemptNumber: 1, gracePeriod: 0 };
   // With every answer: one of them may be lost, and the next would renew the lease.
-  assert.deepEqual([cancellationStops(on), cancellationStops(on)], [[halt], [halt]]);
+  assert.deepEqual([unconditionalStops(on), unconditionalStops(on)], [[halt], [halt]]);
   assert.deepEqual(waits.attempts.size, 0, 'its start was never sent, so nothing can come of it');
   b.report(on, [{ state: 'ended', cause: 'halted' }]);
   b.decide();
@@ -118,3 +119,32 @@
   b.part.removeMachine('n-1', b.now);
   assert.equal(chunk.attempts.size, 0);
 });
+
+for (const { name, isLeaseValid } of [
+  { name: 'with a valid lease', isLeaseValid: true },
+  { name: 'without one', isLeaseValid: false },
+]) {
+  const stopsOn = (b: Bench, machine: Machine): Command[] =>
+    isLeaseValid ? dueCommands(machine, b.now, 6) : unconditionalStops(machine);
+  const stop = { verb: 'stop', task: 'wk-1/0', attemptNumber: 1, gracePeriod: 0 };
+
+  test(`a task that saves before a preemption is ended once its job is cancelled, ${name}`, () => {
+    const b = new Bench();
+    const machine = b.machine();
+    const chunk = b.running(machine, { checkpointInterval: 20, checkpointDuration: 300 });
+    const attempt = chunk.attempts.get(0) ?? assert.fail();
+    b.part.requestStop(machine, attempt, 300);
+    dueCommands(machine, b.now, 6);
+    b.report(machine, [{ state: 'saving' }]);
+    assert.deepEqual(dueCommands(machine, b.now, 6), []);
+    b.part.prepareCancel(chunk, b.now);
+    assert.deepEqual(stopsOn(b, machine), [stop]);
+  });
+
+  test(`an attempt that the shard does not know is stopped, ${name}`, () => {
+    const b = new Bench();
+    const machine = b.machine();
+    b.report(machine, [{}]);
+    assert.deepEqual(stopsOn(b, machine), [stop]);
+  });
+}
