Cancellations: the home shard's leadership counts as an acknowledgement

What callers saw: the same as for other shards, with a job that waits for others: a user was told `cancelled`, and the job, released since, ran on at its home, which the store refused by then.

Cause: a blocked job has no chunk, so its home acknowledged nothing, and dropped its mark 5 s after the announcement while the transaction could still be applied: releasing a job changes no record.

Fix: the home's leader record is part of the evidence of every cancellation, at the revision of the announcement, and the home keeps its mark until that has changed. A job that needs a cancelled one is never released and needs none of this (ofUnreleasableJob).

--- a/src/coordination/jobs/acknowledgements.ts
+++ b/src/coordination/jobs/acknowledgements.ts
@@ -13,11 +13,14 @@
   /** Acknowledgements under a fencing token that this node's copy does not show yet. */
   private early: PreparedChunk[] = [];
 
+  /** `home` leads the home shard: it marks chunks that it creates from now on, while its leader record stays. */
   constructor(
     record: JobRecord,
+    home: { fencingToken: number; revision: number },
     private readonly stateCache: Pick<StateCache, 'get'>,
   ) {
     this.open = openChunks(record);
+    this.leaders.set(record.homeShard, home);
   }
 
   /** Takes what a node has acknowledged; true once no open chunk is left. */
@@ -71,7 +74,18 @@
   /** What the cancellation may be stored on; null while a chunk is missing. */
   get evidence(): CancellationEvidence | null {
     if (!this.isComplete) return null;
-    const revisions = new Map([...this.leaders].map(([shard, { revision }]) => [shard, revision]));
-    return CancellationEvidence.acknowledged(new Set(this.shardByChunk.keys()), revisions);
+    return CancellationEvidence.acknowledged(
+      new Set(this.shardByChunk.keys()),
+      this.revisionByShard,
+    );
+  }
+
+  /** The same for a job that waits for others. */
+  get evidenceOfBlockedJob(): CancellationEvidence {
+    return CancellationEvidence.ofBlockedJob(this.revisionByShard);
+  }
+
+  private get revisionByShard(): Map<string, number> {
+    return new Map([...this.leaders].map(([shard, { revision }]) => [shard, revision]));
   }
 }
--- a/src/coordination/jobs/cancellationPreparations.ts
+++ b/src/coordination/jobs/cancellationPreparations.ts
@@ -16,7 +16,7 @@
 import type { ShardLeadership } from '../leadership/shardLeadership.js';
 import type { Chunk } from '../model/chunk.js';
 import type { PeerRegistry } from '../peers/peerRegistry.js';
-import { CancellationEvidence } from '../persistence/cancellationEvidence.js';
+import type { CancellationEvidence } from '../persistence/cancellationEvidence.js';
 import type { JobCancellationState } from '../quota/teamUsage.js';
 import { Acknowledgements } from './acknowledgements.js';
 
@@ -67,9 +67,15 @@
    * them alive.
    */
   prepare(job: string): PreparedChunk[] {
+    return this.announce(job, null);
+  }
+
+  /** `homeShard`: the job's, where this node leads it; chunks that it creates later count as acknowledged as well. */
+  private announce(job: string, homeShard: OwnedShard | null): PreparedChunk[] {
     const now = this.context.clock.now();
     // An earlier acknowledgement may still be counted.
     const acknowledgedUnder = new Map(this.announcements.get(job)?.acknowledgedUnder);
+    if (homeShard !== null) acknowledgedUnder.set(homeShard.shard.label, homeShard.revision);
     this.announcements.set(job, { at: now, acknowledgedUnder });
     const prepared: PreparedChunk[] = [];
     const withheld: string[] = [];
@@ -132,12 +138,17 @@
   }
 
   /** Has all nodes prepare; null where some chunk may be at a leader that has not. */
-  async prepareEverywhere(job: HomeJob): Promise<CancellationEvidence | null> {
+  async prepareEverywhere(
+    homeShard: OwnedShard,
+    job: HomeJob,
+  ): Promise<CancellationEvidence | null> {
     const { id, record } = job;
-    const acknowledgements = new Acknowledgements(record, this.context.stateCache);
-    const own = this.prepare(id);
+    const { fencingToken, revision } = homeShard;
+    const home = { fencingToken, revision };
+    const acknowledgements = new Acknowledgements(record, home, this.context.stateCache);
+    const own = this.announce(id, homeShard);
     const evidence = this.context.isBlockedOnDependencies(id)
-      ? CancellationEvidence.ofBlockedJob()
+      ? acknowledgements.evidenceOfBlockedJob
       : await this.collect(id, acknowledgements, own);
     this.context.audit.note({
       event: 'cancellation-prepared',
--- a/src/coordination/jobs/jobCancellation.ts
+++ b/src/coordination/jobs/jobCancellation.ts
@@ -84,7 +84,7 @@
     while (clock.now() < deadline) {
       if (job.record.state !== 'open') return endedReply(job.id, job.record.state);
       // Else a node that can't read the record would keep tasks of the job alive, or start some.
-      const evidence = await cancellationPreparations.prepareEverywhere(job);
+      const evidence = await cancellationPreparations.prepareEverywhere(homeShard, job);
       if (evidence === null) {
         return unavailable('a node that may run tasks of the job cannot be asked just now', 2);
       }
--- a/src/coordination/persistence/cancellationEvidence.ts
+++ b/src/coordination/persistence/cancellationEvidence.ts
@@ -34,10 +34,15 @@
   }
 
   /**
-   * The job waits for others. Should it be released now, its home creates its chunks as cancelled ones, and the home's
-   * leader record is a condition of each change of its record.
+   * The job waits for others, and so has no chunk. Should it be released, its home creates its chunks as cancelled ones for as long
+   * as its leader record is that of `revisionByShard`.
    */
-  static ofBlockedJob(): CancellationEvidence {
+  static ofBlockedJob(revisionByShard: ReadonlyMap<string, number>): CancellationEvidence {
+    return new CancellationEvidence(null, revisionByShard);
+  }
+
+  /** The job needs one that is cancelled: it is never released. */
+  static ofUnreleasableJob(): CancellationEvidence {
     return new CancellationEvidence(null, new Map());
   }
 
--- a/src/coordination/pipelines/pipelines.ts
+++ b/src/coordination/pipelines/pipelines.ts
@@ -116,7 +116,7 @@
       if (ownedShard === undefined || job === undefined) continue;
       this.jobsBeingCancelled.add(id);
       void this.context.persistence
-        .cancel(ownedShard, job, CancellationEvidence.ofBlockedJob(), deadline)
+        .cancel(ownedShard, job, CancellationEvidence.ofUnreleasableJob(), deadline)
         .finally(() => this.jobsBeingCancelled.delete(id));
     }
   }
--- a/test/cluster/cancelledTasks.test.ts
+++ b/test/cluster/cancelledTasks.test.ts
@@ -3,8 +3,8 @@
 import { test } from 'node:test';
 import { decodeJob } from '../../src/storage/compactRecords.js';
 import { keys, type JobRecord } from '../../src/storage/records.js';
-import { settled, withCluster } from '../support/users.js';
-import { pause, until, type Cluster } from '../support/cluster.js';
+import { accept, settled, withCluster } from '../support/users.js';
+import { pause, submission, until, type Cluster } from '../support/cluster.js';
 import {
   replicasAwayFromHome,
   runningTasks,
@@ -13,6 +13,9 @@
 
 const ID = 'wk-000201';
 
+/** A job that has to be done first. */
+const FIRST = 'wk-000200';
+
 /** How many chunks of a job are created before one of them is over. */
 const LAST_CREATED = 4;
 
@@ -94,6 +97,23 @@
     await assertKept(cluster, await refuseLeaderThenAll(cluster, 'drone-0', 'drone-1'));
   }));
 
+test('a cancellation that reaches the store after its job was released by the jobs before it is not confirmed', () =>
+  withCluster(
+    { nodes: 2, runs: (task) => (task.startsWith(FIRST) ? 9 : Infinity) },
+    async (cluster) => {
+      const body = { Pieces: 1, Rank: 'high' };
+      await accept(cluster, 'drone-0', submission(FIRST, body));
+      await accept(cluster, 'drone-0', submission(ID, { ...body, WaitsOn: [FIRST] }));
+      holdCancellations(cluster);
+      const answer = await cluster.call('drone-0', 'POST', `/v1/jobs/${ID}/withdraw`);
+      assert.equal(answer.status, 503);
+      await until('it is released and runs', () => runningTasks(cluster, ID).length === 1, 40);
+      cluster.state.refused.add('drone-0');
+      deliverLate(cluster);
+      await assertKept(cluster, await refuseLeaderThenAll(cluster, 'drone-0', 'drone-1'));
+    },
+  ));
+
 test('a chunk whose creation is being stored while its job is cancelled starts nothing', () =>
   withCluster({ nodes: 2, runs: () => Infinity }, async (cluster) => {
     const { state } = cluster;
--- a/test/jobs/cancellationPreparations.test.ts
+++ b/test/jobs/cancellationPreparations.test.ts
@@ -213,6 +213,8 @@
     const doneChunks = name.endsWith('is done') ? [0] : [];
     const record = { createdChunks: cut, doneChunks } as unknown as JobRecord;
     const job = { id: ID, record, revision: 1, isWriteInFlight: false };
-    assert.equal((await cancelPreparations.prepareEverywhere(job)) !== null, enough);
+    const home = createOwnedShard(emptyPart(4), { fencingToken: 4, revision: 1 }, NOW);
+    const evidence = await cancelPreparations.prepareEverywhere(home, job);
+    assert.equal(evidence !== null, enough);
   });
 }
