Soak: cancellations that are given up, stored late, or meet a refused leader; saves, jobs of several chunks

New: users cancel many jobs at one moment; transactions get no answer for seconds meanwhile, carried out at once or late; the state service then refuses one node, with or without its peers, and after that everybody for longer than a cancellation has. One job in ten saves a checkpoint for longer than that, one array in ten has several chunks. The workers of the tests save as PROTOCOL says.

A start that a controller sends more than a second (the travel of a log line) after its job was called cancelled breaks `started_cancelled`; cases of history.test.ts show that it fails, and that a start which left before and is carried out late does not.

--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -1,8 +1,14 @@
 /** Injects planned faults into a cluster of processes, and ends them. */
 import { pause } from '../support/cluster.js';
-import type { SoakPlan, Fault } from './plan.js';
+import type { CancelledThenRefused, Fault, SoakPlan } from './plan.js';
 import type { SoakCluster } from './soakCluster.js';
 
+/** Of the transactions without an answer, those that are carried out at once. */
+const AT_ONCE_SHARE = 0.5;
+
+/** Time for a request to one of the stand-ins to arrive, in seconds. */
+const REQUEST_TRAVEL_S = 0.1;
+
 /** How long after a message a late copy may come, as a ratio to the worker's lease. */
 const MOST_LATE = 1.2;
 
@@ -16,6 +22,8 @@
     private readonly cluster: SoakCluster,
     private readonly plan: SoakPlan,
     private readonly note: (text: string) => void,
+    /** Has users cancel that many jobs now. */
+    private readonly cancelNow: (count: number) => void,
   ) {}
 
   /** All faults of the plan, each at its time; resolves when the last one has ended and everything is up. */
@@ -56,10 +64,12 @@
       case 'owners-in-series':
         return this.killInSeries(fault.nodes, fault.seconds);
       case 'state-refuses':
-        await state.ask({ kind: 'refuse', client: fault.node, isOn: true });
-        await pause(fault.seconds);
-        await state.ask({ kind: 'refuse', client: fault.node, isOn: false });
+        return this.refuse(fault.node, fault.seconds);
+      case 'cancel-now':
+        this.cancelNow(fault.count);
         return;
+      case 'cancelled-then-refused':
+        return this.cancelThenRefuse(fault);
       case 'state-slow':
         await state.ask({ kind: 'slow', client: fault.node, seconds: fault.delay });
         await pause(fault.seconds);
@@ -71,10 +81,7 @@
         await state.ask({ kind: 'late-answers', client: fault.node, most: 0 });
         return;
       case 'answers-lost':
-        await state.ask({ kind: 'lose-answers', share: fault.share, mostLate });
-        await pause(fault.seconds);
-        await state.ask({ kind: 'lose-answers', share: 0, mostLate });
-        return;
+        return this.loseAnswers(fault.share, AT_ONCE_SHARE, fault.seconds);
       case 'peers-cut':
         return this.hold(
           fault.isBothWays
@@ -113,6 +120,35 @@
     }
   }
 
+  private async refuse(client: string, seconds: number): Promise<void> {
+    const { state } = this.cluster;
+    await state.ask({ kind: 'refuse', client, isOn: true });
+    await pause(seconds);
+    await state.ask({ kind: 'refuse', client, isOn: false });
+  }
+
+  private async loseAnswers(share: number, atOnce: number, seconds: number): Promise<void> {
+    const { state } = this.cluster;
+    const mostLate = this.plan.lease * MOST_LATE;
+    await state.ask({ kind: 'lose-answers', share, atOnce, mostLate });
+    await pause(seconds);
+    await state.ask({ kind: 'lose-answers', share: 0, atOnce, mostLate });
+  }
+
+  private async cancelThenRefuse(fault: CancelledThenRefused): Promise<void> {
+    const { node, count, lostSeconds, atOnce, waitSeconds, aloneSeconds } = fault;
+    const left = fault.seconds - waitSeconds;
+    const isLost = lostSeconds > 0;
+    const lost = isLost ? this.loseAnswers(1, atOnce, lostSeconds) : Promise.resolve();
+    if (isLost) await pause(REQUEST_TRAVEL_S);
+    this.cancelNow(count);
+    await pause(waitSeconds);
+    const alone = fault.isApart ? this.setApart(node, left, false) : this.refuse(node, left);
+    await pause(aloneSeconds);
+    await this.refuse('*', left - aloneSeconds);
+    await Promise.all([lost, alone]);
+  }
+
   private async kill(nodes: readonly string[], seconds: number): Promise<void> {
     for (const node of nodes) this.cluster.controller(node).kill();
     await pause(seconds);
--- a/test/soak/fleetMain.ts
+++ b/test/soak/fleetMain.ts
@@ -4,7 +4,7 @@
  */
 import { seededRandom } from '../../src/base/random.js';
 import { CloudStandIn, type WorkerStandIn } from '../support/fleet.js';
-import { runTime } from './jobKinds.js';
+import { runTime, saveTime } from './jobKinds.js';
 import {
   machineTime,
   type FleetPlan,
@@ -19,7 +19,9 @@
 let nodes = new Map<string, string>();
 const runs = (task: string): number => runTime(task, plan.seed, plan.longest);
 const { report, lease } = plan;
-const cloud = new CloudStandIn({ report, lease, runs, isLinked: true }, () => nodes, plan.zones);
+const saves = (task: string): number => saveTime(task, lease);
+const settings = { report, lease, runs, saves, isLinked: true };
+const cloud = new CloudStandIn(settings, () => nodes, plan.zones);
 cloud.capacity = plan.capacity;
 
 const tell = (kind: TaskEvent['kind'], task: string, machine: string): void => {
--- a/test/soak/jobKinds.ts
+++ b/test/soak/jobKinds.ts
@@ -14,7 +14,7 @@
 const RANKS = ['idle', 'normal', 'high'] as const;
 
 /** Fields of its submission beside those that are drawn for all jobs. */
-export function fieldsOf(job: string): Record<string, unknown> {
+export function fieldsOf(job: string, lease = 1): Record<string, unknown> {
   const rank = RANKS[hashOf(job) % RANKS.length];
   switch (kindOfJob(job)) {
     case 'service':
@@ -22,10 +22,31 @@
     case 'gang':
       return { Shape: 'ensemble', Rank: rank };
     case 'array':
-      return { Rank: rank };
+      return savesCheckpoints(job)
+        ? { Rank: 'idle', SnapshotS: 1, FlushS: lease * SAVE_RATIO }
+        : { Rank: rank };
   }
 }
 
+/** Whether its tasks save a checkpoint when they are stopped; one of ten, an array or a later stage. */
+const savesCheckpoints = (job: string): boolean => kindOfJob(job) === 'array' && job.endsWith('6');
+
+/** Seconds that its tasks take to save, as a ratio to the worker's lease: longer than a cancellation has. */
+const SAVE_RATIO = 3;
+
+/** Seconds that a task takes to save its checkpoint when it is stopped; 0: it saves none. */
+export function saveTime(task: string, lease: number): number {
+  const job = task.slice(0, task.lastIndexOf('/'));
+  return savesCheckpoints(job) ? lease * SAVE_RATIO : 0;
+}
+
+/** How many tasks a job has; one of ten is large, so that it is cut into several chunks. */
+export function taskCountOf(job: string, drawn: number, most: number): number {
+  return kindOfJob(job) === 'array' && job.endsWith('7') ? drawn + most * LARGE_RATIO : drawn;
+}
+
+const LARGE_RATIO = 3;
+
 /** Seconds that a task runs; a service's never ends. */
 export function runTime(task: string, seed: number, longest: number): number {
   const job = task.slice(0, task.lastIndexOf('/'));
--- a/test/soak/messages.ts
+++ b/test/soak/messages.ts
@@ -10,8 +10,8 @@
   | { kind: 'slow'; client: string; seconds: number }
   /** Answers to `client`, worked out at once, leave up to so many seconds later; 0: at once. */
   | { kind: 'late-answers'; client: string; most: number }
-  /** Of the transactions, those that get no answer; half are carried out at once, the others late. 0: none. */
-  | { kind: 'lose-answers'; share: number; mostLate: number };
+  /** Of the transactions, those that get no answer; `atOnce` of them are carried out at once, the others late. 0: none. */
+  | { kind: 'lose-answers'; share: number; atOnce: number; mostLate: number };
 
 /** Asked of the process with the cloud and its workers. */
 export type FleetRequest =
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -28,7 +28,27 @@
   | { kind: 'taken'; share: number }
   /** Machines are taken after that long; live services move elsewhere meanwhile. */
   | { kind: 'notice'; share: number; seconds: number }
-  | { kind: 'cloud-refuses'; seconds: number };
+  | { kind: 'cloud-refuses'; seconds: number }
+  /** Users cancel that many jobs at once. */
+  | { kind: 'cancel-now'; count: number }
+  | CancelledThenRefused;
+
+/**
+ * Users cancel many jobs; for `lostSeconds` no transaction gets an answer, and of these `atOnce` is carried out at once, the
+ * others late. After `waitSeconds` the state service refuses the node alone, which with `isApart` loses its peers too, and after
+ * `aloneSeconds` more it refuses everybody, until `seconds` have gone by in all.
+ */
+export interface CancelledThenRefused {
+  kind: 'cancelled-then-refused';
+  node: string;
+  count: number;
+  lostSeconds: number;
+  atOnce: number;
+  waitSeconds: number;
+  isApart: boolean;
+  aloneSeconds: number;
+  seconds: number;
+}
 
 export interface PlannedFault {
   /** Seconds after the users have begun to come. */
@@ -63,6 +83,12 @@
 
 const FLAGS: readonly MachineFlag[] = ['hanging', 'deaf', 'cutOff', 'holdsCommands', 'cutIn'];
 
+/** What a cancellation has, as a ratio to the worker's lease: the deployments have 1.9 and 2.4. A leader that never hears of one outlasts it. */
+const CANCEL_RATIO = 2;
+
+/** Share of the moments with faults at which jobs are cancelled, and the store then refuses one node and then all. */
+const CANCELLED_THEN_REFUSED_SHARE = 0.15;
+
 /** Faults at once, at the most. */
 const MOST_AT_ONCE = 3;
 
@@ -73,7 +99,6 @@
     | 'machines'
     | 'report'
     | 'lease'
-    | 'cancel'
     | 'jobsPerSecond'
     | 'mostTasks'
     | 'longestTask'
@@ -84,15 +109,15 @@
 > = {
   ci: {
     // Times that a machine with other work bears, where each message may take tenths of a second.
-    ...{ machines: 6, report: 1, lease: 6, cancel: 22, jobsPerSecond: 2, mostTasks: 3 },
+    ...{ machines: 6, report: 1, lease: 6, jobsPerSecond: 2, mostTasks: 3 },
     ...{ longestTask: 4, limits: { crew: 30, guests: 14 }, faultSeconds: 16, settle: 240 },
   },
   usual: {
-    ...{ machines: 8, report: 0.5, lease: 4, cancel: 14, jobsPerSecond: 3, mostTasks: 4 },
+    ...{ machines: 8, report: 0.5, lease: 4, jobsPerSecond: 3, mostTasks: 4 },
     ...{ longestTask: 5, limits: { crew: 36, guests: 16 }, faultSeconds: 30, settle: 120 },
   },
   large: {
-    ...{ machines: 300, report: 1, lease: 8, cancel: 26, jobsPerSecond: 6, mostTasks: 60 },
+    ...{ machines: 300, report: 1, lease: 8, jobsPerSecond: 6, mostTasks: 60 },
     ...{ longestTask: 12, limits: { crew: 1600, guests: 700 }, faultSeconds: 40, settle: 150 },
   },
 };
@@ -103,7 +128,8 @@
   const nodes = Array.from({ length: count }, (_, index) => `drone-${index}`);
   const zones = random() < 0.5 ? ['a'] : ['a', 'b'];
   const skew = (): number => Math.round((random() * 2 - 1) * SKEW_MS);
-  const base = { seed, size, nodes, zones, ...SIZES[size] };
+  const sized = SIZES[size];
+  const base = { seed, size, nodes, zones, ...sized, cancel: sized.lease * CANCEL_RATIO };
   const skewMs = Object.fromEntries(nodes.map((node) => [node, skew()]));
   return { ...base, skewMs, faults: drawFaults(random, base) };
 }
@@ -129,6 +155,7 @@
     case 'kill-all':
       return fault.awaySeconds;
     case 'taken':
+    case 'cancel-now':
       return 0;
     default:
       return fault.seconds;
@@ -146,6 +173,7 @@
  * by a change of the store, and what goes wrong before that needs both.
  */
 function drawSimultaneousFaults(random: Random, base: Base): Fault[] {
+  if (random() < CANCELLED_THEN_REFUSED_SHARE) return [drawCancelledThenRefused(random, base)];
   if (random() >= LATE_AND_SLOW_SHARE) return [drawFault(random, base)];
   const seconds = base.lease * 2;
   const delay = base.report * (0.4 + random() * 0.8);
@@ -162,6 +190,30 @@
   ];
 }
 
+/** Seconds after which leaders give up a cancellation that was not stored, and a little more. */
+const GIVEN_UP_SECONDS = 7;
+
+/** Jobs that are cancelled at once. */
+const MOST_CANCELLED = 12;
+
+function drawCancelledThenRefused(random: Random, base: Base): Fault {
+  const { nodes, lease, cancel } = base;
+  const isLost = random() < 0.7;
+  const waitSeconds = random() * (isLost ? GIVEN_UP_SECONDS : 0.6);
+  const aloneSeconds = 0.2 + random() * lease;
+  return {
+    kind: 'cancelled-then-refused',
+    node: nodes[Math.floor(random() * nodes.length)] ?? '',
+    count: 1 + Math.floor(random() * MOST_CANCELLED),
+    lostSeconds: isLost ? Math.min(waitSeconds, 1 + random() * 4) : 0,
+    atOnce: random() < 0.5 ? 0 : 0.5,
+    waitSeconds,
+    isApart: random() < 0.5,
+    aloneSeconds,
+    seconds: waitSeconds + aloneSeconds + cancel * (1 + random() * 0.3),
+  };
+}
+
 function drawFault(random: Random, base: Base): Fault {
   const { nodes, lease, report } = base;
   const pick = <T>(list: readonly T[]): T => list[Math.floor(random() * list.length)] as T;
@@ -201,6 +253,7 @@
     () => ({ kind: 'taken', share: 0.1 + random() * 0.2 }),
     () => ({ kind: 'notice', share: 0.2 + random() * 0.2, seconds: lease * (0.5 + random()) }),
     () => ({ kind: 'cloud-refuses', seconds }),
+    () => ({ kind: 'cancel-now', count: 1 + Math.floor(random() * MOST_CANCELLED) }),
   ];
   return pick(draws)();
 }
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -4,7 +4,7 @@
 import { seededRandom, type Random } from '../../src/base/random.js';
 import { JobArrivals } from '../trials/jobArrivals.js';
 import { TrialUsers } from '../trials/trialUsers.js';
-import { fieldsOf, kindOfJob } from './jobKinds.js';
+import { fieldsOf, kindOfJob, taskCountOf } from './jobKinds.js';
 import { machineTime, type TaskEvent } from './messages.js';
 import { drawPlan, type SoakPlan, type SoakSize } from './plan.js';
 import { SoakCluster } from './soakCluster.js';
@@ -68,7 +68,8 @@
       this.hear(event);
     });
     this.users = new TrialUsers(this.cluster, this.random, {
-      extra: fieldsOf,
+      extra: (job) => fieldsOf(job, this.plan.lease),
+      tasksOf: (job, drawn) => taskCountOf(job, drawn, this.plan.mostTasks),
       nodes: this.plan.nodes.length,
       mostTasks: this.plan.mostTasks,
       cancelWithin: this.plan.cancel + ANSWER_S,
@@ -77,9 +78,19 @@
       pauseAfter: (seconds) => Math.min(MOST_PAUSE_S, 0.25 + seconds / 20),
     });
     this.arrivals = new JobArrivals(this.users, this.random, this.seed);
-    this.faults = new FaultInjector(this.cluster, this.plan, (text) => {
-      this.log.add('soak', text);
-    });
+    this.log.onStartSent = (task) => {
+      this.users.history.startSent(task, machineTime());
+    };
+    this.faults = new FaultInjector(
+      this.cluster,
+      this.plan,
+      (text) => {
+        this.log.add('soak', text);
+      },
+      (jobs) => {
+        this.users.cancelNow(jobs);
+      },
+    );
   }
 
   async run(): Promise<SoakResult> {
--- a/test/soak/stateMain.ts
+++ b/test/soak/stateMain.ts
@@ -16,13 +16,13 @@
   if (most > 0) await sleep(random() * most);
 };
 
-function loseAnswers(share: number, mostLate: number): void {
+function loseAnswers(share: number, atOnce: number, mostLate: number): void {
   state.swallow =
     share === 0
       ? null
       : (body) => {
           if (random() >= share) return false;
-          if (random() < 0.5) state.apply(body);
+          if (random() < atOnce) state.apply(body);
           else setTimeout(() => state.apply(body), random() * mostLate * 1000).unref();
           return true;
         };
@@ -43,7 +43,7 @@
       latestAnswers.set(request.client, request.most);
       return null;
     case 'lose-answers':
-      loseAnswers(request.share, request.mostLate);
+      loseAnswers(request.share, request.atOnce, request.mostLate);
       return null;
   }
 });
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -15,6 +15,8 @@
   lease: number;
   /** Seconds that a task runs, by the job's id; services never end. */
   runs: (task: string) => number;
+  /** Seconds that a task takes to save its checkpoint when it is stopped; without it none does. */
+  saves?: (task: string) => number;
   /** Whether requests to workers go through links that can be cut. */
   isLinked?: boolean;
 }
@@ -78,6 +80,10 @@
       started: (attempt) => {
         this.begin(attempt);
       },
+      saveSeconds: ({ task }) => this.fleet.settings.saves?.(task) ?? 0,
+      saving: (attempt, seconds) => {
+        this.save(attempt, seconds);
+      },
       left: (attempt) => {
         this.fleet.left(attempt.task, this.name);
       },
@@ -141,6 +147,15 @@
     this.ends.set(attempt, setTimeout(finish, seconds * 1000));
   }
 
+  private save(attempt: HeldAttempt, seconds: number): void {
+    clearTimeout(this.ends.get(attempt));
+    const finish = (): void => {
+      this.ends.delete(attempt);
+      this.model.end(attempt, 'halted');
+    };
+    this.ends.set(attempt, setTimeout(finish, seconds * 1000));
+  }
+
   private async serve(request: HttpMessage): Promise<Reply> {
     const isHeld = (): boolean =>
       this.hanging || this.deaf || (this.holdsCommands && request.target !== '/inspect');
--- a/test/support/history.ts
+++ b/test/support/history.ts
@@ -19,6 +19,7 @@
   | 'too_early'
   | 'orphaned'
   | 'ran_cancelled'
+  | 'started_cancelled'
   | 'not_done'
   | 'invented'
   | 'nothing_ran';
@@ -48,6 +49,9 @@
   waitsOn?: readonly string[];
 }
 
+/** Seconds until a line of a controller's log is read. */
+const LOG_TRAVEL_S = 1;
+
 const isFinal = (told: Told): boolean => told === 'done' || told === 'cancelled';
 
 const jobOf = (task: string): string => task.slice(0, task.lastIndexOf('/'));
@@ -203,6 +207,17 @@
     if (!this.hasStarted) this.break('nothing_ran', 'no task was started');
   }
 
+  /**
+   * A start has left a controller, as its log says. All leaders have stopped sending any before a cancellation is confirmed; what
+   * left before may be carried out later.
+   */
+  startSent(task: string, at = this.now()): void {
+    const since = this.cancelledAt.get(jobOf(task));
+    if (since === undefined || at - since <= LOG_TRAVEL_S) return;
+    const late = (at - since).toFixed(1);
+    this.break('started_cancelled', `${task} is sent ${late} s after its job was called cancelled`);
+  }
+
   private checkCancelled(task: string, machine: string, at: number): void {
     const since = this.cancelledAt.get(jobOf(task));
     if (since === undefined || at - since <= this.cancelWithin) return;
--- a/test/support/workerModel.ts
+++ b/test/support/workerModel.ts
@@ -7,18 +7,23 @@
   Verb: 'start' | 'halt' | 'reap';
   Piece: string;
   Try: number;
+  WindDownS?: number;
 }
 
 export interface HeldAttempt {
   readonly task: string;
   readonly attemptNumber: number;
-  state: 'running' | 'ended';
+  state: 'running' | 'saving' | 'ended';
   cause: string | null;
 }
 
 /** What happens to tasks on the machine. */
 export interface WorkerObserver {
   started(attempt: HeldAttempt): void;
+  /** Seconds that it takes to save its checkpoint; 0: it saves none. */
+  saveSeconds?(attempt: HeldAttempt): number;
+  /** It saves its checkpoint and exits after that. */
+  saving?(attempt: HeldAttempt, seconds: number): void;
   left(attempt: HeldAttempt): void;
 }
 
@@ -57,7 +62,7 @@
 
   /** Attempts that have not ended. */
   get running(): HeldAttempt[] {
-    return [...this.held.values()].filter(({ state }) => state === 'running');
+    return [...this.held.values()].filter(({ state }) => state !== 'ended');
   }
 
   find(task: string, attempt: number): HeldAttempt | undefined {
@@ -120,15 +125,24 @@
   }
 
   private carryOut(orders: WorkerOrder[]): void {
-    for (const { Verb, Piece: task, Try: attempt } of orders) {
+    for (const { Verb, Piece: task, Try: attempt, WindDownS = 0 } of orders) {
       const known = this.find(task, attempt);
       if (Verb === 'start') this.start(task, attempt, known);
       else if (known === undefined) continue;
-      else if (Verb === 'halt') this.end(known, 'halted');
+      else if (Verb === 'halt') this.halt(known, WindDownS);
       else if (known.state === 'ended') this.held.delete(keyOf(task, attempt));
     }
   }
 
+  /** A running task saves if it is given the time; every other one exits at once, also one that saves if it is given none. */
+  private halt(attempt: HeldAttempt, windDown: number): void {
+    const seconds = this.observer.saveSeconds?.(attempt) ?? 0;
+    if (attempt.state === 'running' && seconds > 0 && windDown >= seconds) {
+      attempt.state = 'saving';
+      this.observer.saving?.(attempt, seconds);
+    } else if (attempt.state !== 'saving' || windDown === 0) this.end(attempt, 'halted');
+  }
+
   private start(task: string, attemptNumber: number, known: HeldAttempt | undefined): void {
     if (known !== undefined) return;
     const others = this.running;
--- a/test/tools/history.test.ts
+++ b/test/tools/history.test.ts
@@ -11,6 +11,8 @@
   | ['needs', string, string]
   | ['done', string, number?]
   | ['start', string, string, number?]
+  /** Its start leaves a controller. */
+  | ['sent', string, number]
   /** A look at what runs. */
   | ['check', number]
   | ['unknown']
@@ -207,6 +209,29 @@
     ],
     broken: ['ran_cancelled'],
   },
+  {
+    name: 'a start is sent after its job was called cancelled',
+    steps: [
+      ['submit'],
+      ['cancel'],
+      ['told', 'cancelled', { sent: 1, at: 2 }],
+      ['sent', 'wk-1/0', 3.5],
+    ],
+    broken: ['started_cancelled'],
+  },
+  {
+    name: 'a start that was sent before its job was called cancelled is carried out after that',
+    steps: [
+      ['submit'],
+      ['cancel'],
+      ['sent', 'wk-1/0', 1.9],
+      ['told', 'cancelled', { sent: 1, at: 2 }],
+      ['start', 'wk-1/0', 'n-1', 4],
+      ['leave', 'wk-1/0', 'n-1'],
+      ['check', 8],
+    ],
+    broken: [],
+  },
   {
     name: 'called done before its last task is',
     steps: [
@@ -263,7 +288,8 @@
       } else if (step[0] === 'needs') {
         const work = { team: 'crew', cpus: 2, tasks: 1, waitsOn: [step[2]] };
         history.submitted(step[1], work);
-      } else if (step[0] === 'done') history.done(step[1], step[2]);
+      } else if (step[0] === 'sent') history.startSent(step[1], step[2]);
+      else if (step[0] === 'done') history.done(step[1], step[2]);
       else if (step[0] === 'check') history.check(step[1]);
       else if (step[0] === 'unknown') history.notSubmitted('wk-1');
       else if (step[0] === 'finish') history.finish();
--- a/test/tools/soak.test.ts
+++ b/test/tools/soak.test.ts
@@ -38,7 +38,7 @@
       assert.ok(others.length <= 3, `seed ${seed}: ${others.length} others at ${at}`);
     }
   }
-  assert.equal(kinds.size, 17);
+  assert.equal(kinds.size, 19);
   assert.equal(flags.size, 5);
 });
 
@@ -58,6 +58,17 @@
   assert.equal(fieldsOf('wk-001009')['Shape'], 'daemon');
 });
 
+test('a soak hears of starts that leave a controller', () => {
+  const log = new SoakLog();
+  const heard: string[] = [];
+  log.onStartSent = (task) => heard.push(task);
+  const line =
+    'info audit at=1 node=drone-0 event=commands-sent shard=drone-0 route=command commands=';
+  log.add('drone-0', `${line}"start wk-1/0#1,stop wk-2/0#1,start wk-1/12#3" leaseLeft=0.8`);
+  log.add('drone-0', `${line}"acknowledge wk-3/0#1" leaseLeft=0.8`);
+  assert.deepEqual(heard, ['wk-1/0', 'wk-1/12']);
+});
+
 test('lines that make a soak fail', () => {
   for (const [line, fails] of [
     ['error unhandled: x is not a function', true],
--- a/test/trials/trialUsers.ts
+++ b/test/trials/trialUsers.ts
@@ -50,6 +50,8 @@
 }
 
 export interface UserOptions {
+  /** How many tasks a job has, by what was drawn for it. */
+  tasksOf: (job: string, drawn: number) => number;
   /** Fields that a submission has beside those that are drawn for all. */
   extra: (job: string) => Record<string, unknown>;
   nodes: number;
@@ -67,6 +69,7 @@
 }
 
 const DEFAULTS: UserOptions = {
+  tasksOf: (_, drawn) => drawn,
   extra: () => ({}),
   nodes: NODES,
   mostTasks: 3,
@@ -82,6 +85,8 @@
   private readonly options: UserOptions;
   private readonly accepted = new Set<string>();
   private readonly over = new Set<string>();
+  /** Jobs whose users have asked to cancel them. */
+  private readonly calledOff = new Set<string>();
   /** By job: asks everybody again, right after the job was accepted or has ended. */
   private readonly closeLooks = new Map<string, () => Promise<void>>();
   private readonly looking = new Set<Promise<void>>();
@@ -167,7 +172,8 @@
   async user(id: string, waitsOn: string[] = []): Promise<void> {
     const draw = this.random();
     const team = draw < 0.6 ? 'crew' : 'guests';
-    const tasks = 1 + Math.floor(this.random() * this.options.mostTasks);
+    const drawnTasks = 1 + Math.floor(this.random() * this.options.mostTasks);
+    const tasks = this.options.tasksOf(id, drawnTasks);
     const drawn = this.random() < CANCELLED_SHARE ? this.drawCancellation() : Infinity;
     const first = Math.floor(this.random() * this.options.nodes);
     const work = { Owner: team, Pieces: tasks, Cores: CPUS_PER_TASK };
@@ -179,9 +185,8 @@
       ...extra,
       ...(waitsOn.length === 0 ? work : { ...work, WaitsOn: waitsOn }),
     });
-    let hasCancelled = false;
     if (this.random() < this.options.closelyWatched) {
-      this.closeLooks.set(id, () => this.lookClosely(id, body, () => hasCancelled));
+      this.closeLooks.set(id, () => this.lookClosely(id, body, () => this.calledOff.has(id)));
     }
     const began = performance.now();
     this.history.submitted(id, { team, cpus: CPUS_PER_TASK, tasks, waitsOn });
@@ -189,11 +194,9 @@
       const seconds = (performance.now() - began) / 1000;
       const node = this.nodeAt(turn);
       if (!this.accepted.has(id)) await this.ask(id, node, 'POST', '/v1/jobs', body);
-      else if (seconds > cancelAfter) {
+      else if (seconds > cancelAfter || this.calledOff.has(id)) {
         await this.lookBeforeCancelling(id, cancelAfter);
-        this.history.askedToCancel(id);
-        hasCancelled = true;
-        await this.ask(id, node, 'POST', `/v1/jobs/${id}/withdraw`);
+        await this.callOff(id, node);
       }
       await this.askEverywhere(id, body);
       await pause(this.options.pauseAfter(seconds));
@@ -206,12 +209,26 @@
     await Promise.all(this.looking);
   }
 
+  private async callOff(id: string, node: string): Promise<void> {
+    this.history.askedToCancel(id);
+    this.calledOff.add(id);
+    await this.ask(id, node, 'POST', `/v1/jobs/${id}/withdraw`);
+  }
+
+  /** Has users cancel so many accepted jobs now, each at a node of its own choice; they go on until it is confirmed. */
+  cancelNow(count: number): void {
+    const open = this.unfinished.filter((id) => !this.calledOff.has(id));
+    for (const id of open.slice(-count)) {
+      void this.callOff(id, this.nodeAt(Math.floor(this.random() * this.options.nodes)));
+    }
+  }
+
   /** What is asked now may still be on its way when the cancellation is confirmed. */
   private async lookBeforeCancelling(id: string, cancelAfter: number): Promise<void> {
     const look = this.closeLooks.get(id);
     if (look === undefined) return;
     this.keepLooking(look());
-    await pause(cancelAfter % LONGEST_PAUSE_BEFORE_CANCEL_S);
+    await pause(Number.isFinite(cancelAfter) ? cancelAfter % LONGEST_PAUSE_BEFORE_CANCEL_S : 0);
   }
 
   /** Seconds until a user who cancels does so. */
