--- a/test/jobs/cancellationPreparations.test.ts
+++ b/test/jobs/cancellationPreparations.test.ts
@@ -218,3 +218,29 @@
     assert.equal(evidence !== null, enough);
   });
 }
+
+test('a chunk of a cancelled job that is in a shard without a mark violates an invariant', () => {
+  const part = emptyPart(4);
+  const host = createOwnedShard(part, { fencingToken: 7, revision: 1 }, NOW);
+  const spec = jobSpec({ id: ID, taskCount: 1 });
+  // Its shard does not ask whether its job is cancelled.
+  part.acceptNewChunk(new Chunk(spec, 0, 'p', 1, 0, 1, null, NOW), NOW);
+  const preparations = new CancellationPreparations({
+    settings: { ...settings },
+    clock: { now: () => NOW },
+    ownedShards: new Map([['p', host]]),
+    stateCache: {
+      get: () => ({ value: { state: 'cancelled' }, revision: 1 }),
+      note: () => undefined,
+      syncedAt: NOW,
+      revision: 1,
+    },
+    ...standIns,
+    audit: { note: () => undefined },
+    peers: { prepareCancel: () => Promise.resolve(false) },
+    isBlockedOnDependencies: () => false,
+    requestSchedulingRound: () => undefined,
+  });
+  preparations.sweep();
+  assert.equal(part.audit.counters['invariant-broken.unmarked-cancelled-chunk'], 1);
+});
