--- a/test/jobs/cancellationPreparations.test.ts
+++ b/test/jobs/cancellationPreparations.test.ts
@@ -79,7 +79,7 @@
     }));
 }
 
-test('while an owner of its tasks can be neither asked nor replaced, a cancellation is not confirmed', () =>
+test('while a leader of its tasks can be neither asked nor replaced, a cancellation is not confirmed', () =>
   withCluster({ nodes: 2, runs: () => Infinity }, async (cluster) => {
     await awayFromHome(cluster);
     cluster.apart.add('drone-0');
@@ -111,16 +111,16 @@
 };
 const settings = { heartbeatInterval: 4, workerLease: 18, cancellationTimeout: 43 };
 
-function node(previousOwnerUntil: number, seenToken: number) {
-  const part = emptyPart(4);
-  const host: OwnedShard = createOwnedShard(
-    part,
+function node(previousLeaderUntil: number, seenToken: number) {
+  const shard = emptyPart(4);
+  const ownedShard: OwnedShard = createOwnedShard(
+    shard,
     { fencingToken: 7, revision: 1 },
     NOW,
-    previousOwnerUntil,
+    previousLeaderUntil,
   );
   const record = { shard: 'p', type: 'm8', zone: 'a', spot: false, launchedAt: 0 };
-  const machine = part.addMachine('n-1', record, NOW);
+  const machine = shard.addMachine('n-1', record, NOW);
   machine.highestFencingToken = seenToken;
   const entry = { task: 0, attemptNumber: 1, machine: 'n-1', agentEpoch: 1 };
   const stored = new Chunk(
@@ -133,11 +133,11 @@
     null,
     NOW,
   ).toRecord();
-  const chunk = part.loadChunk(0, { ...stored, attempts: [entry] }, 7, NOW);
-  const cancelPreparations = new CancellationPreparations({
+  const chunk = shard.loadChunk(0, { ...stored, attempts: [entry] }, 7, NOW);
+  const preparations = new CancellationPreparations({
     settings,
     clock: { now: () => NOW },
-    ownedShards: new Map([['p', host]]),
+    ownedShards: new Map([['p', ownedShard]]),
     stateCache: { get: () => undefined, note: () => undefined, syncedAt: NOW, revision: 1 },
     ...standIns,
     audit: { note: () => undefined },
@@ -145,32 +145,32 @@
     isBlockedOnDependencies: () => false,
     requestSchedulingRound: () => undefined,
   });
-  return { cancelPreparations, chunk };
+  return { preparations, chunk };
 }
 
 const claims: {
   name: string;
-  previousOwnerUntil: number;
+  previousLeaderUntil: number;
   seen: number;
   moving?: boolean;
   yes: boolean;
 }[] = [
-  { name: 'a part that was always ours', previousOwnerUntil: NOW, seen: 3, yes: true },
+  { name: 'a shard that was always ours', previousLeaderUntil: NOW, seen: 3, yes: true },
   {
-    name: 'an adopted one, its last owner may answer',
-    previousOwnerUntil: NOW + 36,
+    name: 'an adopted one, its last leader may answer',
+    previousLeaderUntil: NOW + 36,
     seen: 3,
     yes: false,
   },
-  { name: 'the worker has seen our token', previousOwnerUntil: NOW + 36, seen: 7, yes: true },
-  { name: 'the last owner ends soon enough', previousOwnerUntil: NOW + 20, seen: 3, yes: true },
-  { name: 'on its way elsewhere', previousOwnerUntil: NOW, seen: 7, moving: true, yes: false },
+  { name: 'the worker has seen our token', previousLeaderUntil: NOW + 36, seen: 7, yes: true },
+  { name: 'the last leader ends soon enough', previousLeaderUntil: NOW + 20, seen: 3, yes: true },
+  { name: 'on its way elsewhere', previousLeaderUntil: NOW, seen: 7, moving: true, yes: false },
 ];
-for (const { name, previousOwnerUntil, seen, moving, yes } of claims) {
+for (const { name, previousLeaderUntil, seen, moving, yes } of claims) {
   test(`a chunk is known to be prepared for its cancellation: ${name}`, () => {
-    const { cancelPreparations, chunk } = node(previousOwnerUntil, seen);
+    const { preparations, chunk } = node(previousLeaderUntil, seen);
     chunk.isMigrating = moving ?? false;
-    assert.equal(cancelPreparations.prepare(ID).length, yes ? 1 : 0);
+    assert.equal(preparations.prepare(ID).length, yes ? 1 : 0);
     assert.equal(chunk.pendingCount, 0);
   });
 }
@@ -178,7 +178,7 @@
 const answers: { name: string; cut: number; found: PreparedChunk[][]; enough: boolean }[] = [
   { name: 'all chunks', cut: 2, found: [[at(0, 'q', 5)], [at(1, 'r', 6)]], enough: true },
   { name: 'one is missing', cut: 3, found: [[at(0, 'q', 5)], [at(1, 'r', 6)]], enough: false },
-  { name: 'an owner that has lost its part', cut: 1, found: [[at(0, 'q', 4)]], enough: false },
+  { name: 'a leader that has lost its shard', cut: 1, found: [[at(0, 'q', 4)]], enough: false },
   { name: 'nobody answers', cut: 1, found: [], enough: false },
   { name: 'the missing one is done', cut: 1, found: [], enough: true },
 ];
@@ -188,7 +188,7 @@
 for (const { name, cut, found, enough } of answers) {
   test(`a cancellation may be confirmed: ${name}`, async () => {
     const tokens: Record<string, number> = { [keys.owner('q')]: 5, [keys.owner('r')]: 6 };
-    const cancelPreparations = new CancellationPreparations({
+    const preparations = new CancellationPreparations({
       settings,
       clock: { now: () => NOW },
       ownedShards: new Map(),
@@ -214,21 +214,21 @@
     const record = { createdChunks: cut, doneChunks } as unknown as JobRecord;
     const job = { id: ID, record, revision: 1, isWriteInFlight: false };
     const home = createOwnedShard(emptyPart(4), { fencingToken: 4, revision: 1 }, NOW);
-    const evidence = await cancelPreparations.prepareEverywhere(home, job);
+    const evidence = await preparations.prepareEverywhere(home, job);
     assert.equal(evidence !== null, enough);
   });
 }
 
 test('a chunk of a cancelled job that is in a shard without a mark violates an invariant', () => {
-  const part = emptyPart(4);
-  const host = createOwnedShard(part, { fencingToken: 7, revision: 1 }, NOW);
+  const shard = emptyPart(4);
+  const ownedShard = createOwnedShard(shard, { fencingToken: 7, revision: 1 }, NOW);
   const spec = jobSpec({ id: ID, taskCount: 1 });
   // Its shard does not ask whether its job is cancelled.
-  part.acceptNewChunk(new Chunk(spec, 0, 'p', 1, 0, 1, null, NOW), NOW);
+  shard.acceptNewChunk(new Chunk(spec, 0, 'p', 1, 0, 1, null, NOW), NOW);
   const preparations = new CancellationPreparations({
     settings: { ...settings },
     clock: { now: () => NOW },
-    ownedShards: new Map([['p', host]]),
+    ownedShards: new Map([['p', ownedShard]]),
     stateCache: {
       get: () => ({ value: { state: 'cancelled' }, revision: 1 }),
       note: () => undefined,
@@ -242,5 +242,5 @@
     requestSchedulingRound: () => undefined,
   });
   preparations.sweep();
-  assert.equal(part.audit.counters['invariant-broken.unmarked-cancelled-chunk'], 1);
+  assert.equal(shard.audit.counters['invariant-broken.unmarked-cancelled-chunk'], 1);
 });
--- a/test/persistence/jobPersistence.test.ts
+++ b/test/persistence/jobPersistence.test.ts
@@ -25,29 +25,29 @@
   readonly store = new MemoryStore();
   readonly owned: OwnedShard;
   readonly job: HomeJob;
-  readonly commits: JobPersistence;
+  readonly persistence: JobPersistence;
   readonly copy: StateCache;
   now = 100;
 
   constructor(cut: number) {
-    const part = emptyPart(3);
-    this.owned = createOwnedShard(part, { fencingToken: 5, revision: 1 }, 0);
+    const shard = emptyPart(3);
+    this.owned = createOwnedShard(shard, { fencingToken: 5, revision: 1 }, 0);
     this.store.rows.set(keys.owner('p'), { key: keys.owner('p'), value: {}, revision: 1 });
     const clock = { now: () => this.now, wall: () => this.now };
     const silent = {
       readRange: () => Promise.reject(new Error()),
       readChanges: () => Promise.reject(new Error()),
     };
-    const replica = new StateCache(silent, 'b/', clock, { hold: 1, pause: 1 }, () => undefined);
-    this.copy = replica;
-    const ownedParts = new Map([['p', this.owned]]);
-    this.commits = new JobPersistence(
+    const stateCache = new StateCache(silent, 'b/', clock, { hold: 1, pause: 1 }, () => undefined);
+    this.copy = stateCache;
+    const ownedShards = new Map([['p', this.owned]]);
+    this.persistence = new JobPersistence(
       this.store,
-      replica,
+      stateCache,
       new ChunkIndex(),
       clock,
       {
-        ownedShards: ownedParts,
+        ownedShards,
         isBeingCancelled: () => false,
         isBlockedOnDependencies: () => false,
         hasUnreadableChunks: false,
@@ -103,7 +103,7 @@
   async passes(count: number): Promise<void> {
     for (let i = 0; i < count; i++) {
       this.now += 3;
-      this.commits.writeDueBuckets();
+      this.persistence.writeDueBuckets();
       await new Promise((resolve) => setTimeout(resolve, 5));
     }
   }
@@ -134,7 +134,7 @@
 test('a chunk that was cut without an answer is taken up, whichever change finds that out', async () => {
   const home = new Home(1);
   home.store.loseNext = true;
-  home.commits.review();
+  home.persistence.review();
   while (!home.store.lost) await new Promise((resolve) => setTimeout(resolve, 1));
   await new Promise((resolve) => setTimeout(resolve, 5));
   assert.equal(home.store.late().kind, 'applied');
@@ -169,7 +169,7 @@
   const home = new Home(3);
   home.job.record = { ...home.job.record, doneChunks: [0], migratedChunks: [1] };
   const evidence = CancellationEvidence.acknowledged(new Set([0, 1, 2]), new Map());
-  const result = await home.commits.cancel(home.owned, home.job, evidence, home.now + 1);
+  const result = await home.persistence.cancel(home.owned, home.job, evidence, home.now + 1);
   assert.deepEqual(result, { kind: 'ended', state: 'cancelled' });
   const { spec: storedSpec, state, doneChunks, migratedChunks } = home.stored;
   assert.deepEqual(
@@ -199,7 +199,7 @@
       new Set(chunks),
       new Map([['q', acknowledged]]),
     );
-    const result = await home.commits.cancel(home.owned, home.job, evidence, home.now + 1);
+    const result = await home.persistence.cancel(home.owned, home.job, evidence, home.now + 1);
     assert.deepEqual(result, { kind: 'outdated' });
     assert.equal(home.stored.state, 'open');
   });
