--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -3,6 +3,7 @@
 import { HttpServer, type Reply } from '../../src/transport/httpServer.js';
 import type { HttpMessage } from '../../src/transport/httpParser.js';
 import { Link } from './link.js';
+import { deliverAgain, type MessageCopies } from './messageCopies.js';
 import {
   WorkerModel,
   type CommandBody,
@@ -21,6 +22,9 @@
   isLinked?: boolean;
 }
 
+/** Answered commands that a worker stand-in keeps for copies. */
+const MOST_KEPT = 200;
+
 const options = {
   bodyLimit: 1 << 20,
   maxConnections: 500,
@@ -58,6 +62,10 @@
   private link: Link | null = null;
   /** All heartbeats that it has sent. */
   readonly sent: string[] = [];
+  /** The newest direct commands that it has carried out and answered. */
+  private readonly answered: CommandBody[] = [];
+  /** Answers to heartbeats that it had to drop: a command with a higher fencing token came before them. */
+  droppedAnswers = 0;
   private readonly server = new HttpServer((r) => this.serve(r), options);
   address = '';
 
@@ -129,6 +137,33 @@
     }, seconds * 1000).unref();
   }
 
+  /** A task on it fails. */
+  fail(task: string): void {
+    const attempt = this.model.running.find((held) => held.task === task);
+    if (attempt === undefined) return;
+    clearTimeout(this.ends.get(attempt));
+    this.model.end(attempt, 'error');
+  }
+
+  /** Why it refuses all starts, as PROTOCOL names the cause; null: it refuses none. */
+  set refusal(cause: string | null) {
+    this.model.refusal = cause;
+  }
+
+  /** Whether it still reports an attempt, in whatever state. */
+  holds(task: string, attemptNumber: number): boolean {
+    return this.model.find(task, attemptNumber) !== undefined;
+  }
+
+  /** Copies of the answered commands that carried this start arrive; the statuses that they get. */
+  repeatStart(task: string, attemptNumber: number): number[] {
+    const hasStart = ({ Orders }: CommandBody): boolean =>
+      Orders.some(({ Verb, Piece, Try }) => {
+        return Verb === 'start' && Piece === task && Try === attemptNumber;
+      });
+    return this.answered.filter(hasStart).map((body) => this.model.command(body).status);
+  }
+
   /** The highest fencing token that it has seen. */
   get seenToken(): number {
     return this.model.token;
@@ -166,10 +201,16 @@
     if (request.target === '/inspect') return { status: 200, body: this.model.report() };
     const body = JSON.parse(request.body) as CommandBody;
     const faults = this.fleet.messageFaults;
-    if (faults === null || faults.random() >= faults.lateCommands) return this.model.command(body);
-    setTimeout(() => {
+    const carryOutLate = (): void => {
       if (!this.stopped && !this.hanging) this.model.command(body);
-    }, faults.delay() * 1000).unref();
+    };
+    if (faults === null || faults.random() >= faults.lateCommands) {
+      this.answered.push(body);
+      if (this.answered.length > MOST_KEPT) this.answered.shift();
+      deliverAgain(this.fleet.copies, carryOutLate);
+      return this.model.command(body);
+    }
+    setTimeout(carryOutLate, faults.delay() * 1000).unref();
     return new Promise(() => undefined);
   }
 
@@ -215,6 +256,7 @@
       const answer = await http.call(address, 'POST', '/hello', report, patience);
       if (this.deaf) throw new Error('no answer came');
       const body = answer.body as { Baton?: number; Orders?: WorkerOrder[]; Foreman?: string };
+      if (answer.status === 200 && (body.Baton ?? 0) < this.model.token) this.droppedAnswers++;
       if (answer.status === 200 && body.Baton !== undefined && body.Baton >= this.model.token) {
         if (this.hanging || this.stopped || session !== this.model.session) return;
         this.renewLease(sent);
@@ -263,6 +305,8 @@
   capacity = Infinity;
   /** What the network does to messages of and to all workers; null: nothing. */
   messageFaults: MessageFaults | null = null;
+  /** Copies of answered commands, rentals and releases; null: there are none. */
+  copies: MessageCopies | null = null;
   /** Requests for which this says yes are carried out, and their answers get lost. */
   lose: ((path: string) => boolean) | null = null;
 
@@ -315,6 +359,7 @@
 
   private async answer(request: HttpMessage): Promise<Reply> {
     const reply = await this.carryOut(request);
+    if (request.method === 'POST') deliverAgain(this.copies, () => this.carryOut(request));
     if (this.lose?.(`${request.method} ${request.target.split('?')[0] ?? ''}`) !== true)
       return reply;
     return new Promise(() => undefined);
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -1,6 +1,7 @@
 /** A stand-in for the state service: as much of PROTOCOL as the tests use. */
 import { HttpServer, type Reply } from '../../src/transport/httpServer.js';
 import type { HttpMessage } from '../../src/transport/httpParser.js';
+import { deliverAgain, type MessageCopies } from './messageCopies.js';
 
 interface Row {
   value: unknown;
@@ -33,6 +34,8 @@
   /** Transactions for which this says yes are kept back and get no answer. */
   swallow: ((body: TxnBody) => boolean) | null = null;
   readonly late: TxnBody[] = [];
+  /** Copies of answered transactions and lease calls; null: there are none. */
+  copies: MessageCopies | null = null;
   /** Seconds that answers to a client take; `*` means everybody. */
   readonly slowness = new Map<string, number>();
   /**
@@ -157,26 +160,18 @@
         this.late.push(body);
         return never;
       }
+      deliverAgain(this.copies, () => this.apply(body));
       return this.apply(body);
     }
     if (url.pathname === '/grants') {
       const ttl = (JSON.parse(request.body) as { TtlMs: number }).TtlMs;
-      const id = this.nextHold++;
-      this.holds.set(id, { ttl, ends: performance.now() + ttl });
-      setTimeout(() => {
-        this.expire();
-      }, ttl + 20).unref();
-      return { status: 200, body: { Hold: id } };
+      deliverAgain(this.copies, () => this.grant(ttl));
+      return this.grant(ttl);
     }
     const extend = /^\/grants\/(\d+)\/extend$/.exec(url.pathname);
     if (extend !== null) {
-      const hold = this.holds.get(Number(extend[1]));
-      if (hold === undefined) return { status: 404, body: {} };
-      hold.ends = performance.now() + hold.ttl;
-      setTimeout(() => {
-        this.expire();
-      }, hold.ttl + 20).unref();
-      return { status: 200, body: {} };
+      deliverAgain(this.copies, () => this.extend(Number(extend[1])));
+      return this.extend(Number(extend[1]));
     }
     if (url.pathname === '/kv') return this.range(url);
     const key = url.pathname.slice('/kv/'.length);
@@ -186,6 +181,27 @@
     return { status: 200, body: { K: key, Value: row.value, Stamp: row.revision } };
   }
 
+  private grant(ttl: number): Reply {
+    const id = this.nextHold++;
+    this.holds.set(id, { ttl, ends: performance.now() + ttl });
+    this.expireAfter(ttl);
+    return { status: 200, body: { Hold: id } };
+  }
+
+  private extend(id: number): Reply {
+    const hold = this.holds.get(id);
+    if (hold === undefined) return { status: 404, body: {} };
+    hold.ends = performance.now() + hold.ttl;
+    this.expireAfter(hold.ttl);
+    return { status: 200, body: {} };
+  }
+
+  private expireAfter(ttl: number): void {
+    setTimeout(() => {
+      this.expire();
+    }, ttl + 20).unref();
+  }
+
   private range(url: URL): Reply {
     const prefix = url.searchParams.get('Under') ?? '';
     const after = url.searchParams.get('From') ?? '';
--- a/test/support/workerModel.ts
+++ b/test/support/workerModel.ts
@@ -47,6 +47,8 @@
 export class WorkerModel {
   session = 1;
   token = 0;
+  /** Why it refuses all starts; null: it refuses those for which it has no room. */
+  refusal: string | null = null;
   /** Seconds until the cloud takes the machine, or null. */
   warning: () => number | null = () => null;
   private tick = 0;
@@ -147,7 +149,8 @@
     if (known !== undefined) return;
     const others = this.running;
     const isBusy = others.some((other) => other.task === task);
-    const refusal = isBusy ? 'busy' : others.length >= this.room ? 'no_room' : null;
+    const hasNoRoom = others.length >= this.room;
+    const refusal = this.refusal ?? (isBusy ? 'busy' : hasNoRoom ? 'no_room' : null);
     const started: HeldAttempt = {
       task,
       attemptNumber: attemptNumber,
