--- a/src/coordination/commands/commandDispatcher.ts
+++ b/src/coordination/commands/commandDispatcher.ts
@@ -1,4 +1,4 @@
-/** What machines are told and asked: orders, questions to those that are silent, doubts settled. */
+/** Commands to machines: those that are due are sent, and what becomes of them is noted. */
 import { unconditionalStops, dueCommands, hasDueCommand } from '../model/dueCommands.js';
 import { describe, log } from '../../base/log.js';
 import {
@@ -9,20 +9,16 @@
   type Heartbeat,
 } from '../../protocol/workerProtocol.js';
 import { TurnQueue } from '../../transport/turnQueue.js';
-import { HttpCallError, type HttpClient } from '../../transport/httpClient.js';
+import { HttpCallError } from '../../transport/httpClient.js';
 import type { AuditTrail } from '../audit/auditTrail.js';
 import type { CommandOutcome, CommandRoute } from '../audit/commandOutcome.js';
 import type { Authority } from '../leadership/authority.js';
 import type { Chunk } from '../model/chunk.js';
 import { assertNoCancelledStarts } from './cancelledTaskMonitor.js';
 import { advanceFencingToken, type OwnedShard } from '../leadership/ownedShard.js';
+import { MachineProber, type MachineProberContext } from './machineProber.js';
 import type { Machine } from '../model/machine.js';
 import type { ShardLeadership } from '../leadership/shardLeadership.js';
-import type { Settings } from '../../protocol/settings.js';
-import type { Clock } from '../../base/clock.js';
-
-/** Machines that one core may ask in a second without noticing it. */
-const PROBES_PER_CORE = 120;
 
 /** How long an ended attempt whose start is unacknowledged stays in heartbeats, as a ratio to the time between heartbeats. */
 const UNACKNOWLEDGED_END_INTERVALS = 4;
@@ -31,15 +27,10 @@
 const COMMANDS_PER_TURN = 4;
 
 /** What is needed of a node. */
-export interface CommandDispatcherContext {
-  settings: Pick<Settings, 'heartbeatInterval' | 'cores' | 'maxSockets'>;
-  clock: Pick<Clock, 'now'>;
-  links: { machines: Pick<HttpClient, 'call'> };
+export interface CommandDispatcherContext extends MachineProberContext {
   leadership: Pick<ShardLeadership, 'isLeaseValid' | 'advanceFencingToken' | 'leaseExpiresAt'>;
   authority: Pick<Authority, 'mayAct' | 'mayEnd'>;
   audit: AuditTrail;
-  ownedShards: ReadonlyMap<string, OwnedShard>;
-  requestSchedulingRound(): void;
 }
 
 const formatCommands = (commands: Command[]): string =>
@@ -51,14 +42,12 @@
   return status === 409 ? 'refused' : 'unanswered';
 }
 
-/** Sends commands to machines, probes those that are silent, and resolves starts without an answer. */
+/** Sends commands to machines, and resolves starts without an answer. */
 export class CommandDispatcher {
-  /** Questions on their way to machines that have left one without an answer. */
-  private probesToSilentMachines = 0;
-
   constructor(
     private readonly node: CommandDispatcherContext,
     private readonly turns = new TurnQueue({ urgent: COMMANDS_PER_TURN, ordinary: 0 }),
+    readonly prober = new MachineProber(node),
   ) {}
 
   /** Starts whose chunks have just been stored may leave now. */
@@ -203,52 +192,6 @@
     });
   }
 
-  /** Asks a machine whose report is overdue: a hanging one is told from one that can't reach us. */
-  async probe(ownedShard: OwnedShard, machine: Machine): Promise<void> {
-    if (machine.reachability.isProbeInFlight || machine.address === '') return;
-    const silent = machine.reachability.missedProbes > 0;
-    // A question to a silent machine holds its socket until its time is up. When a zone is cut off they
-    // are hundreds, and those that answer still must be asked: half of the sockets are left for them.
-    if (silent && this.probesToSilentMachines >= this.node.settings.maxSockets / 12) return;
-    machine.reachability.isProbeInFlight = true;
-    const sent = this.node.clock.now();
-    machine.reachability.lastProbeAt = sent;
-    if (silent) this.probesToSilentMachines++;
-    const { address } = machine;
-    const timeout = this.node.settings.heartbeatInterval / 3;
-    try {
-      const answer = await this.node.links.machines.call(
-        address,
-        'GET',
-        workerPaths.inspect,
-        undefined,
-        timeout,
-      );
-      const heartbeat = parseHeartbeat(answer.body);
-      if (heartbeat !== null && ownedShard.isOwned && machine.address === address) {
-        machine.markReached(this.node.clock.now());
-        const effect = ownedShard.shard.heartbeats.apply(
-          machine,
-          heartbeat,
-          this.node.clock.now(),
-          'response',
-        );
-        if (effect === 'changed') this.node.requestSchedulingRound();
-      }
-    } catch (error) {
-      // Not asked for want of sockets: healthy machines would be taken for silent ones.
-      const wasAsked = !(error instanceof HttpCallError && error.local);
-      if (wasAsked) machine.reachability.noteMissedProbe(sent);
-    } finally {
-      machine.reachability.isProbeInFlight = false;
-      if (silent) this.probesToSilentMachines--;
-    }
-    // Where time was lost with waiting, the second question goes at once, not with the next round.
-    const waited = this.node.clock.now() - sent >= timeout / 2;
-    if (waited && machine.reachability.missedProbes === 1 && ownedShard.isOwned)
-      void this.probe(ownedShard, machine);
-  }
-
   /** The regular look at all machines: probes, stops and starts that are due again. */
   sweep(): void {
     const now = this.node.clock.now();
@@ -260,64 +203,11 @@
       ownedShard.shard.liveness.sweep(now);
       if (log.getLevel() <= log.levels.DEBUG) log.debug(ownedShard.shard.summary(now));
       this.resolveUnacknowledgedStarts(ownedShard, now);
-      this.probeUnreached(ownedShard);
-      this.probeOverdue(ownedShard, now);
+      this.prober.sweep(ownedShard, now);
     }
     this.node.requestSchedulingRound();
   }
 
-  /** Questions a second that this node can afford for each shard: more would take the processor from users. */
-  private get affordableProbes(): number {
-    return (PROBES_PER_CORE * this.node.settings.cores) / this.node.ownedShards.size;
-  }
-
-  /**
-   * Machines stored by an earlier owner are asked directly, since their workers may never come. After a
-   * takeover they are hundreds: those with live services go first, and most of the others report meanwhile.
-   */
-  private probeUnreached(ownedShard: OwnedShard): void {
-    const unreached: Machine[] = [];
-    for (const machine of ownedShard.shard.machines.values()) {
-      if (machine.isReassigned || machine.address === '') continue;
-      if (machine.reachability.lastReachedAt === null) unreached.push(machine);
-    }
-    unreached.sort(
-      (a, b) =>
-        a.reachability.lastProbeAt - b.reachability.lastProbeAt || b.serviceCpus - a.serviceCpus,
-    );
-    const most = Math.ceil(this.affordableProbes * this.node.settings.heartbeatInterval);
-    for (const machine of unreached.slice(0, most)) void this.probe(ownedShard, machine);
-  }
-
-  /** Machines that were in reach and have said nothing for too long. */
-  private probeOverdue(ownedShard: OwnedShard, now: number): void {
-    const { heartbeatInterval } = this.node.settings;
-    const machines = [...ownedShard.shard.machines.values()].filter(
-      (machine) => machine.isUp && !machine.isReassigned,
-    );
-    // Those that were asked longest ago go first, since not all may get their turn.
-    machines.sort((a, b) => a.reachability.lastProbeAt - b.reachability.lastProbeAt);
-    const doubtful = [...ownedShard.shard.machines.values()].some(
-      (machine) => machine.reachability.missedProbes > 0,
-    );
-    // Only those with live services are asked so often: in a large shard they are the fewer.
-    const serviceCpus = machines.reduce((n, machine) => n + (machine.serviceCpus > 0 ? 1 : 0), 0);
-    const watchful = Math.min(
-      1.3,
-      Math.max(0.3, serviceCpus / this.affordableProbes / heartbeatInterval),
-    );
-    for (const machine of machines) {
-      if (machine.reachability.lastReachedAt === null) continue;
-      ownedShard.shard.pendingCommands.add(machine);
-      // Where live services run, silence is noticed within a second or two; elsewhere when a heartbeat
-      // is overdue.
-      // When one does not answer, all are asked: others that answer show that the fault is not ours.
-      const silenceIntervals = machine.serviceCpus > 0 || doubtful ? watchful : 1.3;
-      if (now - machine.reachability.lastReachedAt > heartbeatInterval * silenceIntervals)
-        void this.probe(ownedShard, machine);
-    }
-  }
-
   /** Without a valid lease: only stops that may leave at any time are seen to. */
   private queueUnconditionalStops(): void {
     for (const { shard } of this.node.ownedShards.values()) {
--- a/src/coordination/commands/heartbeatEndpoint.ts
+++ b/src/coordination/commands/heartbeatEndpoint.ts
@@ -29,7 +29,7 @@
   authority: Pick<Authority, 'decideHeartbeat' | 'mayAct'>;
   leadership: Pick<ShardLeadership, 'verifyLeadership' | 'leaseExpiresAt'>;
   peers: Pick<PeerRegistry, 'relay'>;
-  commands: Pick<CommandDispatcher, 'probe' | 'noteSent'>;
+  commands: Pick<CommandDispatcher, 'prober' | 'noteSent'>;
   /** The controller that leads a shard, as far as this one knows; null where none is known. */
   leaderOf(shard: string): string | null;
   requestSchedulingRound(): void;
@@ -111,7 +111,8 @@
     if (machine === undefined) return redirectTo(null);
     const origin = isFollowUp ? 'follow-up' : 'unsolicited';
     const effect = shard.heartbeats.apply(machine, heartbeat, now, origin);
-    if (needsProbe(machine, heartbeat, fencingToken)) void dispatcher.probe(ownedShard, machine);
+    if (needsProbe(machine, heartbeat, fencingToken))
+      void dispatcher.prober.probe(ownedShard, machine);
     const mayAct = effect !== 'stale' && authority.mayAct(ownedShard);
     const commands = this.commandsFor(machine, mayAct, now);
     noteStartsInAnswer(machine, commands);
