Acknowledgements leave under a token that the worker holds against every copy of the start

Callers saw a task on two machines at once: a command with a start that was carried out and answered arrived once more after the worker had been told to forget the attempt, under the same fencing token, and ran it beside its successor.

Cause: the answer to a message was taken for its end. StartCommands (UnacknowledgedStart before) let a 200 settle a start, and the acknowledgement left under the token of the start.

Why it works: a leadership gets a block of 2^24 tokens in the one transaction that writes its key; the record names the first, the counter rises by the block, so record, wire and older versions stay as they are. CommandTokens is the one place that decides a message's token: one with an acknowledgement gets a token above every message with a start for that machine, without a write. The worker itself refuses the copy then, however late; no clock is involved. An attempt that no report shows is given up only once the worker has shown such a token.

The invariant is asserted as a message leaves (acknowledgement-under-start-token) and by what comes back (acknowledged-attempt-returned); commands-sent and commands-outcome name the tokens that tell.

The ratio 1.5 of resent commands stands once.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -39,7 +39,6 @@
 
 // Files that are not split yet (docs/ROADMAP.md). Take one out when it is; never add one.
 const notSplitYet = [
-  'src/coordination/commands/commandDispatcher.ts',
   'src/coordination/leadership/recordFollower.ts',
   'src/coordination/leadership/shardLoader.ts',
   'src/coordination/persistence/bucketWriter.ts',
--- a/src/coordination/audit/auditEvent.ts
+++ b/src/coordination/audit/auditEvent.ts
@@ -8,6 +8,10 @@
 export type Invariant =
   | 'start-beside-live-attempt'
   | 'attempt-vanished'
+  /** A worker was told to forget an attempt under a token that a copy of its start may have as well. */
+  | 'acknowledgement-under-start-token'
+  /** A worker reports an attempt again that it had forgotten. */
+  | 'acknowledged-attempt-returned'
   /** A user's question was about to be answered by what was known of the job before it came. */
   | 'answer-older-than-question'
   /** A job that was called done was about to be called cancelled, or the other way round. */
@@ -69,7 +73,12 @@
   | {
       event: 'commands-sent';
       shard: string;
+      /** The token of the message. */
       fencingToken: number;
+      /** The highest token under which a start has left for the machine before; null: none has under this leadership. */
+      startToken: number | null;
+      /** The highest token that the worker has shown. */
+      seenToken: number;
       machine: string;
       agentEpoch: number;
       route: CommandRoute;
@@ -81,6 +90,8 @@
       event: 'commands-outcome';
       shard: string;
       fencingToken: number;
+      /** By the report that came back; null: none did. Above `fencingToken`: the command was older than that. */
+      seenToken: number | null;
       machine: string;
       outcome: CommandOutcome;
       commands: string;
--- a/src/coordination/commands/heartbeatEndpoint.ts
+++ b/src/coordination/commands/heartbeatEndpoint.ts
@@ -14,7 +14,8 @@
 import type { Authority } from '../leadership/authority.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import type { ShardLeadership } from '../leadership/shardLeadership.js';
-import { unconditionalStops, commandsForAnswer } from '../model/dueCommands.js';
+import { commandsForAnswer, RESEND_INTERVALS, unconditionalStops } from '../model/dueCommands.js';
+import type { SealedCommands } from '../model/commandTokens.js';
 import type { Machine } from '../model/machine.js';
 import type { PeerRegistry } from '../peers/peerRegistry.js';
 import { CancelledTaskMonitor } from './cancelledTaskMonitor.js';
@@ -29,7 +30,7 @@
   authority: Pick<Authority, 'decideHeartbeat' | 'mayAct'>;
   leadership: Pick<ShardLeadership, 'verifyLeadership' | 'leaseExpiresAt'>;
   peers: Pick<PeerRegistry, 'relay'>;
-  commands: Pick<CommandDispatcher, 'prober' | 'noteSent'>;
+  commands: Pick<CommandDispatcher, 'prober' | 'audit'>;
   /** The controller that leads a shard, as far as this one knows; null where none is known. */
   leaderOf(shard: string): string | null;
   requestSchedulingRound(): void;
@@ -41,9 +42,6 @@
   isFollowUp: boolean;
 }
 
-/** A start or stop without effect is sent again after this long, as a ratio to the heartbeat interval. */
-const RESEND_INTERVALS = 1.5;
-
 const redirectTo = (leader: string | null): Reply => ({
   status: 421,
   body: redirectAnswer(leader),
@@ -114,15 +112,30 @@
     if (needsProbe(machine, heartbeat, fencingToken))
       void dispatcher.prober.probe(ownedShard, machine);
     const mayAct = effect !== 'stale' && authority.mayAct(ownedShard);
-    const commands = this.commandsFor(machine, mayAct, now);
+    const message = this.sealedFor(ownedShard, machine, mayAct, now);
+    const { commands } = message;
     noteStartsInAnswer(machine, commands);
     // Also when a probe's response has overtaken this heartbeat: the worker's lease counts from it all the same, and its
     // tasks are not over before that.
     machine.leaseRenewedAt = Math.max(machine.leaseRenewedAt, now);
     if (effect === 'changed') this.context.requestSchedulingRound();
-    if (commands.length > 0) dispatcher.noteSent(ownedShard, machine, commands, 'answer');
+    if (commands.length > 0) dispatcher.audit.noteSent(ownedShard, machine, message, 'answer');
     this.cancelledTasks.noteRenewal(ownedShard, machine, commands);
-    return { status: 200, body: heartbeatAnswer(fencingToken, commands) };
+    return { status: 200, body: heartbeatAnswer(message.token, commands) };
+  }
+
+  private sealedFor(
+    { shard }: OwnedShard,
+    machine: Machine,
+    mayAct: boolean,
+    now: number,
+  ): SealedCommands {
+    const commands = this.commandsFor(machine, mayAct, now);
+    return machine.commandTokens.seal(commands, shard.tokens, {
+      seenToken: machine.highestFencingToken,
+      // The answer may overtake a command that is on its way, which would then be refused.
+      mayRaise: !machine.hasCommandInFlight,
+    });
   }
 
   /** Without the right to act only stops that can't be wrong are sent. */
--- a/src/coordination/leadership/authority.ts
+++ b/src/coordination/leadership/authority.ts
@@ -44,7 +44,7 @@
   decideHeartbeat(ownedShard: OwnedShard, seenToken: number): HeartbeatDecision {
     const { leadership, peers, clock, leaderGracePeriod } = this.node;
     // There is another leader; the worker would ignore our commands for as long as it stayed with us.
-    if (seenToken > ownedShard.fencingToken) return { kind: 'deposed' };
+    if (ownedShard.shard.tokens.isSurpassedBy(seenToken)) return { kind: 'deposed' };
     // Our own lease has expired and a peer says that it leads the shard: send the worker there, or it would stay
     // with us, and the peer would take a healthy machine for a lost one.
     const leader = leadership.isLeaseValid ? null : peers.hostOf(ownedShard.shard.label);
--- a/src/coordination/leadership/leaderRecords.ts
+++ b/src/coordination/leadership/leaderRecords.ts
@@ -1,12 +1,13 @@
 /**
  * The stored leader records. A leader's record stands under the leader's lease; fencing tokens come from one counter, so
- * that any new leadership has a fencing token above every earlier one.
+ * that any new leadership has fencing tokens above every earlier one. It gets a block of them, and its record names the first.
  */
 import { sleep, type Clock } from '../../base/clock.js';
 import type { KeyValue } from '../../protocol/stateProtocol.js';
 import { keys, type FencingTokenRecord, type LeaderRecord } from '../../storage/records.js';
 import type { StateCache } from '../../storage/stateCache.js';
 import type { StateClient, TransactionResult } from '../../storage/stateClient.js';
+import { FencingTokenBlock } from '../model/fencingTokenBlock.js';
 import { lastLeadersAfterHandOver, previousLeaders } from './lastLeaders.js';
 import type { StateLease } from './stateLease.js';
 
@@ -15,6 +16,7 @@
 
 /** This node's leadership of one shard. */
 export interface Leadership {
+  /** The first of its fencing tokens. */
   fencingToken: number;
   /** The revision of the leader record. */
   revision: number;
@@ -64,8 +66,8 @@
       return null;
     }
     const { label: node, process } = this.options;
-    const { tokens, previousLeaderLostAt } = this.advance(counter, shard);
-    const record: LeaderRecord = { node, fencingToken: tokens.lastToken, process };
+    const { tokens, fencingToken, previousLeaderLostAt } = this.advance(counter, shard);
+    const record: LeaderRecord = { node, fencingToken, process };
     const result = await this.client.transact(
       {
         conditions: [
@@ -83,7 +85,7 @@
     const revision = await this.writtenRevision(key, record, result);
     if (revision === null) return null;
     this.stateCache.note(key, record, revision);
-    return { fencingToken: record.fencingToken, revision, previousLeaderLostAt };
+    return { fencingToken, revision, previousLeaderLostAt };
   }
 
   /** Removes this node's record, for the shard's home node or, with `isForAnyPeer`, for whoever claims it first. */
@@ -120,7 +122,7 @@
   private advance(
     counter: KeyValue | null,
     shard: string,
-  ): { tokens: FencingTokenRecord; previousLeaderLostAt: number } {
+  ): { tokens: FencingTokenRecord; fencingToken: number; previousLeaderLostAt: number } {
     const { label: node, leaderGracePeriod } = this.options;
     const before = (counter?.value ?? { lastToken: 0 }) as FencingTokenRecord;
     const lostAtByNode = previousLeaders(
@@ -130,8 +132,10 @@
       leaderGracePeriod,
     );
     const lastLeaders = { ...before.lastLeaders, [shard]: { node, lostAtByNode } };
+    const { first, last } = FencingTokenBlock.startingAt(before.lastToken + 1);
     return {
-      tokens: { lastToken: before.lastToken + 1, lastLeaders },
+      tokens: { lastToken: last, lastLeaders },
+      fencingToken: first,
       previousLeaderLostAt: Math.max(0, ...Object.values(lostAtByNode)),
     };
   }
--- a/src/coordination/leadership/ownedShard.ts
+++ b/src/coordination/leadership/ownedShard.ts
@@ -2,6 +2,7 @@
 import type { JobRecord } from '../../storage/records.js';
 import type { ShardLeadership } from './shardLeadership.js';
 import type { Shard } from '../shard/shard.js';
+import { FencingTokenBlock } from '../model/fencingTokenBlock.js';
 import type { Bucket } from '../model/bucket.js';
 
 /** A job whose home is a shard that this node leads. */
@@ -21,6 +22,7 @@
 /** A shard that this node leads: its own, or one taken over from a peer. */
 export interface OwnedShard {
   shard: Shard;
+  /** The first of the leadership's fencing tokens: leaderships are compared by it. */
   fencingToken: number;
   revision: number;
   /** False once the leadership is lost: nothing is written or started for the shard any more. */
@@ -49,7 +51,7 @@
   now: number,
   previousLeaderUntil = now,
 ): OwnedShard {
-  shard.fencingToken = fencingToken;
+  shard.tokens = FencingTokenBlock.startingAt(fencingToken);
   return {
     shard,
     fencingToken,
@@ -66,7 +68,7 @@
 }
 
 /**
- * Gives the shard a higher fencing token and a new revision: commands and transactions of ours that are still in flight
+ * Gives the shard a block of higher fencing tokens and a new revision: commands and transactions of ours that are still in flight
  * are refused from then on. False where that was not possible just now.
  */
 export async function advanceFencingToken(
@@ -76,7 +78,7 @@
   const leadership = await shardLeadership.advanceFencingToken(ownedShard.shard.label);
   if (leadership === null || !ownedShard.isOwned) return false;
   ownedShard.fencingToken = leadership.fencingToken;
-  ownedShard.shard.fencingToken = leadership.fencingToken;
+  ownedShard.shard.tokens = FencingTokenBlock.startingAt(leadership.fencingToken);
   ownedShard.revision = leadership.revision;
   ownedShard.shard.audit.note({
     event: 'fencing-token-advanced',
--- a/src/coordination/model/chunk.ts
+++ b/src/coordination/model/chunk.ts
@@ -2,7 +2,7 @@
 import { rankOrder, type JobSpec } from '../../protocol/job.js';
 import type { TaskState } from '../../protocol/workerProtocol.js';
 import { fromRanges, toRanges, type ChunkRecord } from '../../storage/records.js';
-import type { UnacknowledgedStart } from './unacknowledgedStart.js';
+import type { StartCommands } from './startCommands.js';
 
 /** One attempt of one task that is, or may be, on a machine. */
 export interface Attempt {
@@ -22,7 +22,7 @@
   placedAt: number;
   runningSince: number | null;
   /** Whether a start sent straight to the worker may still be carried out. */
-  readonly unacknowledgedStart: UnacknowledgedStart;
+  readonly startCommands: StartCommands;
   /** A start rides in the answer to a heartbeat; the worker's next heartbeat settles it. */
   startSentInAnswer: boolean;
   stop: { gracePeriod: number; sentAt: number | null } | null;
--- a/src/coordination/model/dueCommands.ts
+++ b/src/coordination/model/dueCommands.ts
@@ -4,6 +4,9 @@
 import { attemptKey } from './endedAttempt.js';
 import type { Machine } from './machine.js';
 
+/** A start or stop without effect is sent again after this long, as a ratio to the heartbeat interval. */
+export const RESEND_INTERVALS = 1.5;
+
 type PendingStop = NonNullable<Attempt['stop']>;
 
 /** A stop or start that is due now. */
--- /dev/null
+++ b/src/coordination/model/fencingTokenBlock.ts
@@ -0,0 +1,31 @@
+/**
+ * The fencing tokens of one leadership. The counter at the state service rises by a whole block, in the transaction that writes
+ * the leader key; within it the leader raises the token of a single machine without a write (safety, O2).
+ */
+
+/**
+ * Fencing tokens that one leadership may use. A machine needs one for each acknowledgement, at most two a second: this lasts
+ * for three months. The counter stays exact, below 2^53, for half a billion leaderships.
+ */
+export const TOKENS_PER_LEADERSHIP = 2 ** 24;
+
+/** The consecutive fencing tokens from `first` to `last`. */
+export class FencingTokenBlock {
+  constructor(
+    readonly first: number,
+    readonly last: number,
+  ) {}
+
+  /** The block of the leadership whose record names `first`. */
+  static startingAt(first: number): FencingTokenBlock {
+    return new FencingTokenBlock(first, first + TOKENS_PER_LEADERSHIP - 1);
+  }
+
+  /** A worker that has seen this token has heard of a later leadership. */
+  isSurpassedBy(seenToken: number): boolean {
+    return seenToken > this.last;
+  }
+}
+
+/** For a shard that nobody leads yet. */
+export const NO_LEADERSHIP = new FencingTokenBlock(0, Infinity);
--- a/src/coordination/reconciliation/heartbeatReconciler.ts
+++ b/src/coordination/reconciliation/heartbeatReconciler.ts
@@ -34,6 +34,8 @@
   chunksOf(job: string): Chunk[];
   /** Records that a chunk has changed and has to be stored. */
   noteChunkChanged(chunk: Chunk, now: number): void;
+  /** Reports attempts that are back although their worker has forgotten them. */
+  noteReturnedAttempts(machine: Machine): void;
   /** Asks for the stop of an attempt, with seconds for its checkpoint. */
   requestStop(machine: Machine, attempt: Attempt, gracePeriod: number): void;
   /** Ends an attempt that is over. */
@@ -96,7 +98,10 @@
     for (const placement of [...machine.placements.values()]) {
       this.reconcileAttempt(machine, placement, isUnsolicited, now);
     }
-    if (changed) this.shard.unknownAttempts.note(machine);
+    if (changed) {
+      this.shard.unknownAttempts.note(machine);
+      this.shard.noteReturnedAttempts(machine);
+    }
     this.claimOrphanedResults(machine, now);
     // A worker's lease counts from when its agent epoch began, also one that reaches no controller and only answers.
     if (isFirstOfSession && machine.placements.size === 0)
@@ -208,9 +213,8 @@
     attempt: Attempt,
     now: number,
   ): void {
-    const { attemptNumber, task, unacknowledgedStart, startSentInAnswer } = attempt;
-    const start = { unacknowledgedStart, machine };
-    const endedAttempt = new EndedAttempt(chunk, now, startSentInAnswer, start);
+    const { attemptNumber, task, startCommands, startSentInAnswer } = attempt;
+    const endedAttempt = new EndedAttempt(chunk, now, startSentInAnswer, startCommands);
     machine.endedAttempts.set(attemptKey(chunk.taskName(task), attemptNumber), endedAttempt);
   }
 
--- a/src/coordination/scheduling/chunkPlacer.ts
+++ b/src/coordination/scheduling/chunkPlacer.ts
@@ -6,7 +6,7 @@
 import type { Random } from '../../base/random.js';
 import type { Attempt, Chunk } from '../model/chunk.js';
 import type { Machine } from '../model/machine.js';
-import { UnacknowledgedStart } from '../model/unacknowledgedStart.js';
+import { StartCommands } from '../model/startCommands.js';
 import { fits, subtractResources } from '../model/resources.js';
 import { bestFit, sampleCandidates, satisfiesConstraints, shapeOf } from './placement.js';
 import type { QuotaThrottle } from './quotaThrottle.js';
@@ -121,7 +121,7 @@
       state: 'fetching',
       placedAt: now,
       runningSince: null,
-      unacknowledgedStart: new UnacknowledgedStart(),
+      startCommands: new StartCommands(),
       startSentInAnswer: false,
       stop: null,
     };
--- a/src/coordination/shard/shard.ts
+++ b/src/coordination/shard/shard.ts
@@ -12,12 +12,13 @@
 import { AuditTrail } from '../audit/auditTrail.js';
 import { compareByQueueOrder, Chunk, type Attempt } from '../model/chunk.js';
 import type { RunTimes } from '../scheduling/runTimes.js';
+import { NO_LEADERSHIP } from '../model/fencingTokenBlock.js';
 import { Machine, type Placement } from '../model/machine.js';
 import { DemandEstimator, type DemandOptions } from './demandEstimator.js';
 import { MachineLiveness } from '../reconciliation/machineLiveness.js';
 import { HeartbeatReconciler } from '../reconciliation/heartbeatReconciler.js';
 import { Scheduler } from '../scheduling/scheduler.js';
-import { UnacknowledgedStart } from '../model/unacknowledgedStart.js';
+import { StartCommands } from '../model/startCommands.js';
 import { UnknownAttempts } from '../reconciliation/unknownAttempts.js';
 import { singleShardView, TeamUsage, type ClusterView } from '../quota/teamUsage.js';
 import { WaitEstimates } from '../scheduling/waitEstimates.js';
@@ -50,8 +51,8 @@
   readonly liveness: MachineLiveness;
   readonly scheduler: Scheduler;
   readonly unknownAttempts = new UnknownAttempts();
-  /** The token under which we own it. */
-  fencingToken = Infinity;
+  /** The fencing tokens of the leadership. */
+  tokens = NO_LEADERSHIP;
   /** Tasks whose start is held back, as noted in the audit trail. */
   private readonly withheldStarts = new Set<string>();
 
@@ -152,6 +153,16 @@
     this.audit.note({ event: 'invariant-violated', invariant, shard: this.label, detail });
   }
 
+  /** A copy of a start was carried out though the worker was told to forget the attempt: it is ended as any unknown one. */
+  noteReturnedAttempts(machine: Machine): void {
+    for (const attempt of machine.acknowledgedAttempts.noteReport(machine.reportedAttempts)) {
+      this.reportInvariantViolation(
+        'acknowledged-attempt-returned',
+        `${attempt} at ${machine.name}`,
+      );
+    }
+  }
+
   /** The chunks of a job that are here; any of them may be at other shards. */
   chunksOf(job: string): Chunk[] {
     return [...(this.chunksByJob.get(job) ?? [])];
@@ -181,7 +192,7 @@
       evidenceAge: now - termination.evidenceAt,
     });
     // A worker forgets what it has shown us only by our acknowledgement, or with its agent epoch; an adopter's acknowledgement has a higher fencing token.
-    const isDeposed = machine.highestFencingToken > this.fencingToken;
+    const isDeposed = this.tokens.isSurpassedBy(machine.highestFencingToken);
     if (termination.rule === 'absent' && !attempt.isInherited && !isDeposed) {
       this.reportInvariantViolation(
         'attempt-vanished',
@@ -288,7 +299,7 @@
         placedAt: now,
         runningSince: null,
         // Whatever the last owner sent is settled once the worker has seen our fencing token.
-        unacknowledgedStart: new UnacknowledgedStart(fencingToken - 1),
+        startCommands: new StartCommands(fencingToken - 1),
         startSentInAnswer: false,
         stop: null,
       };
--- a/src/protocol/workerProtocol.ts
+++ b/src/protocol/workerProtocol.ts
@@ -108,15 +108,23 @@
   ...(command.verb === 'stop' ? { WindDownS: command.gracePeriod } : {}),
 });
 
+declare const commandToken: unique symbol;
+
+/** The fencing token of one message to a worker: one of its leadership's, which are compared by the first alone. */
+export type CommandToken = number & { readonly [commandToken]: true };
+
 /** The answer that renews the lease of a worker. */
-export const heartbeatAnswer = (token: number, orders: Command[]): Record<string, unknown> => ({
+export const heartbeatAnswer = (
+  token: CommandToken,
+  orders: Command[],
+): Record<string, unknown> => ({
   Baton: token,
   Orders: orders.map(toWireCommand),
 });
 
 /** The body of commands that are sent straight to a worker. */
 export const commandsRequest = (
-  token: number,
+  token: CommandToken,
   session: number,
   orders: Command[],
 ): Record<string, unknown> => ({ Baton: token, Shift: session, Orders: orders.map(toWireCommand) });
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -80,6 +80,7 @@
 /** Who leads a shard; the key goes with the lease of the leader (safety, O1). */
 export interface LeaderRecord {
   node: string;
+  /** The first of the leadership's fencing tokens. */
   fencingToken: number;
   /** Tells one start of a process from the next. */
   process: string;
