Soak and trials: answered messages arrive once more

Commands, transactions, lease calls, rentals and releases are copied by their receiver up to 1.2 worker leases late, so also over a restart of the sender. Each seed draws spells with them, by a random stream of its own: the other faults of a seed are as they were.

The plan's test leaves copies out of its bound on overlapping faults, which are to come beside others, and asks for them in each plan.

--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -104,6 +104,11 @@
         await pause(fault.seconds);
         await fleet.ask({ kind: 'message-faults', lateCommands: 0, copiedReports: 0, mostLate });
         return;
+      case 'copies':
+        await this.copyAnswered(fault.share);
+        await pause(fault.seconds);
+        await this.copyAnswered(0);
+        return;
       case 'taken':
         await fleet.ask({ kind: 'take', share: fault.share });
         return;
@@ -135,6 +140,11 @@
     await state.ask({ kind: 'lose-answers', share: 0, atOnce, mostLate });
   }
 
+  private async copyAnswered(share: number): Promise<void> {
+    const request = { kind: 'copies', share, mostLate: this.plan.lease * MOST_LATE } as const;
+    await Promise.all([this.cluster.state.ask(request), this.cluster.fleet.ask(request)]);
+  }
+
   private async cancelThenRefuse(fault: CancelledThenRefused): Promise<void> {
     const { node, count, lostSeconds, atOnce, waitSeconds, aloneSeconds } = fault;
     const left = fault.seconds - waitSeconds;
--- a/test/soak/fleetMain.ts
+++ b/test/soak/fleetMain.ts
@@ -4,6 +4,7 @@
  */
 import { seededRandom } from '../../src/base/random.js';
 import { CloudStandIn, type WorkerStandIn } from '../support/fleet.js';
+import { copiesAsAsked } from './copies.js';
 import { runTime, saveTime } from './jobKinds.js';
 import {
   machineTime,
@@ -81,6 +82,9 @@
     case 'message-faults':
       setMessageFaults(request.lateCommands, request.copiedReports, request.mostLate);
       return null;
+    case 'copies':
+      cloud.copies = copiesAsAsked(request, random);
+      return null;
     case 'take':
       take(request.share);
       return null;
--- a/test/soak/messages.ts
+++ b/test/soak/messages.ts
@@ -11,7 +11,15 @@
   /** Answers to `client`, worked out at once, leave up to so many seconds later; 0: at once. */
   | { kind: 'late-answers'; client: string; most: number }
   /** Of the transactions, those that get no answer; `atOnce` of them are carried out at once, the others late. 0: none. */
-  | { kind: 'lose-answers'; share: number; atOnce: number; mostLate: number };
+  | { kind: 'lose-answers'; share: number; atOnce: number; mostLate: number }
+  | CopyRequest;
+
+/** Of the answered messages, those of which a copy comes, up to `mostLate` seconds later. 0: none. */
+export interface CopyRequest {
+  kind: 'copies';
+  share: number;
+  mostLate: number;
+}
 
 /** Asked of the process with the cloud and its workers. */
 export type FleetRequest =
@@ -22,6 +30,7 @@
   | { kind: 'flag'; id: number; flag: MachineFlag; share: number }
   | { kind: 'unflag'; id: number }
   | { kind: 'message-faults'; lateCommands: number; copiedReports: number; mostLate: number }
+  | CopyRequest
   /** A share of the machines loses its power. */
   | { kind: 'take'; share: number }
   /** A share of the machines is told that it will be taken. */
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -25,6 +25,8 @@
   | { kind: 'workers-cut'; node: string; seconds: number }
   | { kind: 'machines'; flag: MachineFlag; share: number; seconds: number }
   | { kind: 'messages'; lateCommands: number; copiedReports: number; seconds: number }
+  /** Of the answered commands, transactions, lease calls, rentals and releases that share arrives once more, late. */
+  | { kind: 'copies'; share: number; seconds: number }
   | { kind: 'taken'; share: number }
   /** Machines are taken after that long; live services move elsewhere meanwhile. */
   | { kind: 'notice'; share: number; seconds: number }
@@ -138,7 +140,27 @@
   const sized = SIZES[size];
   const base = { seed, size, nodes, zones, ...sized, cancel: sized.lease * CANCEL_RATIO };
   const skewMs = Object.fromEntries(nodes.map((node) => [node, skew()]));
-  return { ...base, skewMs, faults: drawFaults(random, base) };
+  const faults = [...drawFaults(random, base), ...drawCopies(seed, base)];
+  return { ...base, skewMs, faults: faults.sort((a, b) => a.at - b.at) };
+}
+
+/** Seeds of copies are that far from those of other faults: what else a seed stands for is as it was without copies. */
+const COPIES_SEED_OFFSET = 1_000_000;
+
+/** The longest time without copies between two spells with them, as a ratio to the worker's lease. */
+const MOST_LEASES_BETWEEN_COPIES = 1.5;
+
+/** Spells in which answered messages are copied, beside whatever other faults there are. */
+function drawCopies(seed: number, { faultSeconds, lease }: Base): PlannedFault[] {
+  const random = seededRandom(seed + COPIES_SEED_OFFSET);
+  const faults: PlannedFault[] = [];
+  let at = 2 + random() * lease;
+  while (at < faultSeconds) {
+    const seconds = lease * (0.5 + random() * 2);
+    faults.push({ at, fault: { kind: 'copies', share: 0.1 + random() * 0.3, seconds } });
+    at += seconds + random() * lease * MOST_LEASES_BETWEEN_COPIES;
+  }
+  return faults;
 }
 
 type Base = Omit<SoakPlan, 'skewMs' | 'faults'>;
--- a/test/soak/stateMain.ts
+++ b/test/soak/stateMain.ts
@@ -2,6 +2,7 @@
 import { sleep } from '../../src/base/clock.js';
 import { seededRandom } from '../../src/base/random.js';
 import { StateStandIn } from '../support/state.js';
+import { copiesAsAsked } from './copies.js';
 import type { StateRequest } from './messages.js';
 import { serveRequests } from './standIn.js';
 
@@ -45,5 +46,8 @@
     case 'lose-answers':
       loseAnswers(request.share, request.atOnce, request.mostLate);
       return null;
+    case 'copies':
+      state.copies = copiesAsAsked(request, random);
+      return null;
   }
 });
--- a/test/tools/soak.test.ts
+++ b/test/tools/soak.test.ts
@@ -8,7 +8,7 @@
 import { test } from 'node:test';
 import { parseArguments, UsageError } from '../soak/commandLine.js';
 import { fieldsOf, kindOfJob, runTime } from '../soak/jobKinds.js';
-import { drawPlan, secondsOf } from '../soak/plan.js';
+import { drawPlan, secondsOf, type SoakSize } from '../soak/plan.js';
 import { SoakLog } from '../soak/soakLog.js';
 import { StandInProcess } from '../soak/standIn.js';
 import { until } from '../support/cluster.js';
@@ -34,14 +34,27 @@
       kinds.add(fault.kind);
       if (fault.kind === 'machines') flags.add(fault.flag);
       assert.ok(at >= 2 && at <= faultSeconds);
-      const others = faults.filter((s) => s.at < at && s.at + secondsOf(s.fault) > at);
+      // Copies of answered messages come beside whatever else there is.
+      if (fault.kind === 'copies') continue;
+      const others = faults.filter(
+        (s) => s.fault.kind !== 'copies' && s.at < at && s.at + secondsOf(s.fault) > at,
+      );
       assert.ok(others.length <= 3, `seed ${seed}: ${others.length} others at ${at}`);
     }
   }
-  assert.equal(kinds.size, 19);
+  assert.equal(kinds.size, 20);
   assert.equal(flags.size, 5);
 });
 
+test('copies of answered messages are drawn for each seed', () => {
+  const kindsOf = (seed: number, size: SoakSize): string[] =>
+    drawPlan(seed, size).faults.map(({ fault }) => fault.kind);
+  for (const seed of SEEDS) {
+    assert.ok(kindsOf(seed, 'usual').includes('copies'), `seed ${seed}`);
+    assert.ok(kindsOf(seed, 'ci').includes('copies'), `seed ${seed} in CI`);
+  }
+});
+
 test('what a job is can be told from its id alone', () => {
   const kinds: [string, string][] = [
     ['wk-001000', 'array'],
--- a/test/trials/faults.ts
+++ b/test/trials/faults.ts
@@ -45,6 +45,16 @@
   state.swallow = null;
 };
 
+/** Some messages that were answered arrive once more, up to five seconds later. */
+const copyAnswered: Fault = async ({ cloud, state }, random, seconds) => {
+  const copies = { share: 0.3, delay: () => random() * 5, random };
+  cloud.copies = copies;
+  state.copies = copies;
+  await pause(seconds);
+  cloud.copies = null;
+  state.copies = null;
+};
+
 export const FAULTS: readonly Fault[] = [
   (cluster, random, seconds) => restart(cluster, someNode(random), seconds),
   (cluster, random) => restart(cluster, someNode(random), 0.05),
@@ -62,6 +72,8 @@
   },
   loseTransactions,
   loseTransactions,
+  copyAnswered,
+  copyAnswered,
   onMachines('hanging'),
   onMachines('deaf'),
   onMachines('cutOff'),
