Buckets: what a leadership has created stays until it ends, so that no copy of the creation is applied

Callers would have seen a task on two machines: a chunk was stored, moved to a peer and ran there, and a copy of the answered transaction that had stored it was applied once more, since its record had been removed. Its home took the chunk up again and started it as well.

Why it works: the record stays, empty, while the leadership that its creation is conditional on stands; after that the leader key refuses the copy.

--- a/src/coordination/model/bucket.ts
+++ b/src/coordination/model/bucket.ts
@@ -14,11 +14,11 @@
   /** Its record still holds chunks that are over; nobody needs that stored in a hurry. */
   isDirty = false;
   /**
-   * A transaction that creates its record got no answer. Were the record removed, that transaction could be
-   * applied late and bring back chunks that are at other shards by then. So the record stays, empty if need
-   * be, for as long as the ownership that the transaction is conditional on.
+   * A transaction that creates its record has left under this leadership. Were the record removed, a late copy could be applied,
+   * answered before or not, and bring back chunks that are at other shards by then (safety, T13). So the record stays, empty if
+   * need be, for as long as the leadership that the transaction is conditional on.
    */
-  isUncertain = false;
+  mayBeCreatedAgain = false;
   /**
    * Chunks that were here when the record turned out to be beyond the limit. It is not written again, and removed once
    * all of them are stored elsewhere.
--- a/src/coordination/persistence/bucketWriter.ts
+++ b/src/coordination/persistence/bucketWriter.ts
@@ -226,9 +226,10 @@
       const puts: Transaction['puts'] = [];
       const removes: string[] = [];
       for (const bucket of buckets) {
-        if (bucket.chunks.size > 0 || bucket.isUncertain)
+        if (bucket.chunks.size > 0 || bucket.mayBeCreatedAgain) {
           puts.push({ key: this.key(ownedShard, bucket), value: bucket.toRecord() });
-        else if (bucket.revision > 0) removes.push(this.key(ownedShard, bucket));
+          if (bucket.revision === 0) bucket.mayBeCreatedAgain = true;
+        } else if (bucket.revision > 0) removes.push(this.key(ownedShard, bucket));
         bucket.isDirty = false;
       }
       for (const { chunk } of stored) chunk.dirtySince = null;
@@ -245,7 +246,6 @@
       for (const { chunk } of stored) chunk.dirtySince ??= this.clock.now();
       for (const bucket of buckets) {
         bucket.isDirty = true;
-        if (result.kind === 'unknown' && bucket.revision === 0) bucket.isUncertain = true;
       }
       if (result.kind === 'conflict') await this.resolve(ownedShard, buckets);
       // Sent again at once it would be refused again, and keep others from their turn.
@@ -379,7 +379,7 @@
     chunk: Chunk,
   ): Pick<Transaction, 'puts' | 'deletes'> {
     const key = this.key(ownedShard, bucket);
-    if (bucket.chunks.size === 1 && !bucket.isUncertain) return { puts: [], deletes: [key] };
+    if (bucket.chunks.size === 1 && !bucket.mayBeCreatedAgain) return { puts: [], deletes: [key] };
     const others = Object.entries(bucket.toRecord().chunks).filter(([id]) => id !== chunk.id);
     const value: BucketRecord = { chunks: Object.fromEntries(others) };
     return { puts: [{ key, value }], deletes: [] };
--- a/test/persistence/bucketWriter.test.ts
+++ b/test/persistence/bucketWriter.test.ts
@@ -300,6 +300,20 @@
   }
 });
 
+test('a copy of an answered change brings back no chunk that has left its bucket', async () => {
+  for (const leave of ['moved', 'dropped'] as const) {
+    const desk = new Desk();
+    const chunk = desk.job('wk-1');
+    await desk.round();
+    if (leave === 'moved') assert.equal((await desk.move(chunk)).kind, 'applied');
+    else desk.host.shard.dropChunk(chunk);
+    await desk.round();
+    await desk.round();
+    assert.deepEqual(new Set(desk.store.repeatAnswered()), new Set(['conflict']), leave);
+    assert.deepEqual(desk.where(chunk), leave === 'moved' ? ['q'] : []);
+  }
+});
+
 test('what has started does not move', async () => {
   const desk = new Desk();
   desk.machine('n-1');
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -14,7 +14,8 @@
   revision: number;
   removed: boolean;
 }
-interface TxnBody {
+/** The body of a transaction. */
+export interface TransactionBody {
   When?: { K: string; Stamp: number }[];
   Then?: { Put?: string; Remove?: string; Value?: unknown; Hold?: number }[];
 }
@@ -32,8 +33,8 @@
   /** Clients that get 503; '*' means everybody. */
   readonly refused = new Set<string>();
   /** Transactions for which this says yes are kept back and get no answer. */
-  swallow: ((body: TxnBody) => boolean) | null = null;
-  readonly late: TxnBody[] = [];
+  swallow: ((body: TransactionBody) => boolean) | null = null;
+  readonly late: TransactionBody[] = [];
   /** Copies of answered transactions and lease calls; null: there are none. */
   copies: MessageCopies | null = null;
   /** Seconds that answers to a client take; `*` means everybody. */
@@ -108,7 +109,7 @@
   }
 
   /** Applies a transaction as the service would, also one that was kept back. */
-  apply(body: TxnBody): Reply {
+  apply(body: TransactionBody): Reply {
     this.expire();
     if (this.isBeyondLimits(body)) {
       this.malformed++;
@@ -135,7 +136,7 @@
     return { status: 200, body: { Epoch: revision } };
   }
 
-  private isBeyondLimits({ When = [], Then = [] }: TxnBody): boolean {
+  private isBeyondLimits({ When = [], Then = [] }: TransactionBody): boolean {
     const { valueBytes, txnOps } = this.limits;
     if (Then.length > txnOps || When.length > txnOps * 4) return true;
     return Then.some(({ Value }) => Buffer.byteLength(JSON.stringify(Value ?? null)) > valueBytes);
@@ -155,7 +156,7 @@
     if (this.refused.has(client) || this.refused.has('*')) return { status: 503, body: {} };
     this.expire();
     if (url.pathname === '/multi') {
-      const body = JSON.parse(request.body) as TxnBody;
+      const body = JSON.parse(request.body) as TransactionBody;
       if (this.swallow?.(body) === true) {
         this.late.push(body);
         return never;
--- a/test/support/store.ts
+++ b/test/support/store.ts
@@ -12,6 +12,8 @@
   /** So many transactions are refused. */
   refuseNext = 0;
   private kept: Transaction | null = null;
+  /** Transactions that were applied and answered, in their order. */
+  private readonly answered: Transaction[] = [];
   readonly writeRate = 1000;
   /** What is asked for of the changes, as a ratio to them. */
   writeLoad = 0;
@@ -56,7 +58,14 @@
       this.kept = copy;
       return Promise.resolve({ kind: 'unknown' });
     }
-    return Promise.resolve(this.apply(copy));
+    const result = this.apply(copy);
+    if (result.kind === 'applied') this.answered.push(copy);
+    return Promise.resolve(result);
+  }
+
+  /** A copy of each answered transaction arrives once more; what becomes of each. */
+  repeatAnswered(): TransactionResult['kind'][] {
+    return this.answered.splice(0).map((transaction) => this.apply(transaction).kind);
   }
 
   get lost(): boolean {
