--- a/src/base/version.ts
+++ b/src/base/version.ts
@@ -1,2 +1,2 @@
 /** The version of this build, as operators know it. */
-export const VERSION = '0.4.4';
+export const VERSION = '0.4.5';
--- a/src/coordination/commands/commandDispatcher.ts
+++ b/src/coordination/commands/commandDispatcher.ts
@@ -43,7 +43,7 @@
   return status === 409 ? 'refused' : 'unanswered';
 }
 
-/** The commands so far with the starts that are among these. */
+/** Where the commands with the starts among these are noted, attempt by attempt. */
 function startCommandsOf(machine: Machine, commands: readonly Command[]): StartCommands[] {
   return commands.flatMap(({ verb, task }) => {
     const placement = verb === 'start' ? machine.placements.get(task) : undefined;
@@ -51,7 +51,7 @@
   });
 }
 
-/** Sends commands to machines, and resolves starts without an answer. */
+/** Sends commands to machines, and raises their fencing tokens where an attempt waits for that. */
 export class CommandDispatcher {
   /** Notes what leaves for workers, by whichever route. */
   readonly audit: CommandAudit;
