--- a/test/reconciliation/startCommands.test.ts
+++ b/test/reconciliation/startCommands.test.ts
@@ -92,6 +92,21 @@
   assert.deepEqual(b.bench.part.audit.counters, { 'attempt-over.ended': 1 });
 });
 
+test('a worker that is back as if new refuses copies from our first answer on', async () => {
+  const b = new CommandBench();
+  const machine = b.machine('n-1');
+  const chunk = b.bench.chunk();
+  b.place(chunk);
+  await b.send(machine);
+  b.worker(machine).end(held(b, machine, TASK), 'done');
+  b.hello(machine);
+  b.bench.store(chunk);
+  b.helloForOrders(machine);
+  b.worker(machine).token = 0;
+  b.helloForOrders(machine);
+  assert.deepEqual(new Set(b.deliverCopies()), new Set([409]));
+});
+
 test('an attempt that its worker had forgotten and reports again is noted and ended', async () => {
   const b = new CommandBench();
   const machine = b.machine('n-1');
