--- a/test/persistence/bucketWriter.test.ts
+++ b/test/persistence/bucketWriter.test.ts
@@ -4,6 +4,7 @@
 import { Chunk } from '../../src/coordination/model/chunk.js';
 import { createOwnedShard, type OwnedShard } from '../../src/coordination/leadership/ownedShard.js';
 import { chooseShardFor } from '../../src/coordination/autoscaling/machineGroups.js';
+import { ShardLoader } from '../../src/coordination/leadership/shardLoader.js';
 import { BucketWriter } from '../../src/coordination/persistence/bucketWriter.js';
 import { shareOf } from '../../src/storage/rateLimiter.js';
 import { MachineInventory } from '../../src/storage/machineInventory.js';
@@ -186,6 +187,36 @@
     return this.bucketWriter.move(this.host, chunk, 'q', { conditions: [], puts: [] });
   }
 
+  /** The peer sends the chunk back, and this part hears of it. */
+  sendBack(chunk: Chunk): void {
+    const { rows } = this.store;
+    const found = [...rows.values()].find(({ key }) => key.startsWith('b/run/q/'));
+    assert.ok(found, 'it is at the peer');
+    rows.delete(found.key);
+    const name = `${chunk.id.replace('/', '-')}-2`;
+    const sent = { ...chunk.toRecord(), migrationCount: 2 };
+    const value: BucketRecord = { chunks: { [chunk.id]: sent } };
+    const key = keys.run('p', name);
+    const revision = ++this.store.epoch;
+    rows.set(key, { key, value, revision });
+    const loader = new ShardLoader({
+      clock: { now: () => this.now, wall: () => this.now },
+      inventory: { of: () => new Map<string, never>().entries(), get: () => undefined },
+      stateCache: {
+        get: (any) => rows.get(any),
+        *entriesWithPrefix() {
+          // Nothing else is loaded.
+        },
+        noteRemoved: () => undefined,
+      },
+      stateClient: this.store,
+      persistence: { acceptMissing: () => undefined },
+      recordFormat: layoutFor(),
+      requestSchedulingRound: () => undefined,
+    });
+    loader.noteBucket(this.host, name, value, revision);
+  }
+
   /** Parts whose stored buckets hold the chunk. */
   where(chunk: Chunk): string[] {
     return [...this.store.rows.values()].flatMap(({ key, value }) =>
@@ -300,6 +331,21 @@
   }
 });
 
+test('a chunk that comes back before its move away is known to be applied is not lost', async () => {
+  const desk = new Desk();
+  const chunk = desk.job('wk-1');
+  await desk.round();
+  desk.store.loseNext = true;
+  assert.equal((await desk.move(chunk)).kind, 'unknown');
+  assert.equal(desk.store.late().kind, 'applied');
+  desk.sendBack(chunk);
+  await desk.round();
+  desk.machine('n-1');
+  for (let round = 0; round < 4; round++) await desk.round();
+  assert.deepEqual(desk.where(chunk), ['p']);
+  assert.ok(desk.started.includes('wk-1/0@n-1'), 'it waits for good');
+});
+
 test('a copy of an answered change brings back no chunk that has left its bucket', async () => {
   for (const leave of ['moved', 'dropped'] as const) {
     const desk = new Desk();
