--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -23,7 +23,7 @@
   /** Starts everything, and waits until all controllers are ready and the machines are in use. */
   async start(
     record: Recorder,
-    machines: { small: number; large: number } = { small: 4, large: 2 },
+    machines: { small: number; large: number; capacity?: number } = { small: 4, large: 2 },
     settings: SiteSettings = PANTRACK,
   ): Promise<Parts> {
     const state = new StateService({ rps: 150, writeRps: 60, valueKb: 16, txnOps: 32 });
@@ -31,7 +31,7 @@
     const controllers = (): Map<string, string> => nodes.addresses();
     const fleet = new Fleet(
       {
-        ...{ reportS: 3, leaseS: 34, listLagS: 6, cloudRps: 6, capacity: 48 },
+        ...{ reportS: 3, leaseS: 34, listLagS: 6, cloudRps: 6, capacity: machines.capacity ?? 48 },
         ...{ flavours: PANTRACK_FLAVOURS, controllers },
       },
       record,
@@ -50,15 +50,15 @@
     return this.parts;
   }
 
-  /** Submits a job whose tasks run for `runS` seconds; it must be accepted. */
-  async accept(job: Submission, runS: number): Promise<void> {
+  /** Submits a job whose tasks run for `runS` seconds; it must be accepted. `label`: by this controller. */
+  async accept(job: Submission, runS: number, label?: string): Promise<void> {
     if (this.parts === null) throw new CannotRun('nothing runs');
     const { fleet, users } = this.parts;
     fleet.jobs.set(job.Uid, {
       ...{ cores: job.Cores, memoryGb: job.MemoryGb, runS },
       ...{ pullGb: job.PullGb, bundle: job.Bundle },
     });
-    if (!(await users.submit(job))) throw new CannotRun(`${job.Uid} was not accepted`);
+    if (!(await users.submit(job, 60, label))) throw new CannotRun(`${job.Uid} was not accepted`);
   }
 
   /** Ends everything. */
--- a/review/lib/state.ts
+++ b/review/lib/state.ts
@@ -15,7 +15,8 @@
   isRemoved: boolean;
 }
 
-interface Transaction {
+/** A transaction in its wire form. */
+export interface Transaction {
   When?: { K: string; Stamp: number }[];
   Then?: { Put?: string; Remove?: string; Value?: unknown; Hold?: number }[];
 }
@@ -69,8 +70,8 @@
   private readonly timer: NodeJS.Timeout;
   /** Controllers whose requests get 503; `*`: all. */
   readonly refused = new Set<string>();
-  /** Largest answer to a watch, in bytes. */
-  largestLog = 0;
+  /** Selects transactions that are neither carried out nor answered; null: none. */
+  loses: ((label: string, transaction: Transaction) => boolean) | null = null;
   /** Answers with 429, and malformed transactions. */
   limited = 0;
   malformed = 0;
@@ -149,7 +150,10 @@
     await sleep(0.002 + Math.random() * 0.004);
     if (this.isRefused(label)) return { status: 503, body: { error: 'trouble' } };
     if (!this.requests.take(1)) return this.tooMany();
-    if (url.pathname === '/multi') return this.transact(JSON.parse(text) as Transaction);
+    if (url.pathname === '/multi') {
+      const transaction = JSON.parse(text) as Transaction;
+      return this.loses?.(label, transaction) === true ? null : this.transact(transaction);
+    }
     const grant = /^\/grants(?:\/(\d+))?(\/extend)?$/.exec(url.pathname);
     if (grant !== null) return this.grant(method, grant, text);
     if (url.pathname === '/kv') return this.range(url);
@@ -272,10 +276,6 @@
     const log = found.map(({ key, value, stamp, isRemoved }) =>
       isRemoved ? { Remove: key, Stamp: stamp } : { Put: key, Value: value, Stamp: stamp },
     );
-    const body = { Epoch: this.epoch, Log: log };
-    if (found.length > 100) {
-      this.largestLog = Math.max(this.largestLog, Buffer.byteLength(JSON.stringify(body)));
-    }
-    return { status: 200, body };
+    return { status: 200, body: { Epoch: this.epoch, Log: log } };
   }
 }
--- a/review/lib/users.ts
+++ b/review/lib/users.ts
@@ -62,16 +62,17 @@
     return request(new http.Agent({ keepAlive: false }), address, method, path, body, seconds);
   }
 
-  private address(): string {
+  private address(label?: string): string {
+    if (label !== undefined) return this.addresses().get(label) ?? '';
     const all = [...this.addresses().values()];
     return all[this.next++ % all.length] ?? '';
   }
 
-  /** Submits a job, and retries for up to 60 s; true once it is accepted. */
-  async submit(job: Submission, retryS = 60): Promise<boolean> {
+  /** Submits a job, and retries for up to 60 s; true once it is accepted. `label`: the load balancer chooses this node. */
+  async submit(job: Submission, retryS = 60, label?: string): Promise<boolean> {
     const until = elapsed() + retryS;
     do {
-      const answer = await this.call(this.address(), 'POST', '/v1/jobs', wireForm(job), 5);
+      const answer = await this.call(this.address(label), 'POST', '/v1/jobs', wireForm(job), 5);
       this.record.note(`POST /v1/jobs ${job.Uid}: ${answer?.status ?? 'no answer'}`);
       if (answer?.status === 201 || answer?.status === 200) return true;
       if (answer?.status === 400 || answer?.status === 422) return false;
