--- a/review/lib/controllers.ts
+++ b/review/lib/controllers.ts
@@ -81,13 +81,34 @@
   },
 ];
 
+/** Below the range from which the system takes the ports of outgoing connections. */
+const FIRST_PORT = 11_000;
+const PORTS = 20_000;
+
+const takenPorts = new Set<number>();
+
+/** Whether nobody listens on the port. */
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
+
 async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const address = server.address();
-  const port = typeof address === 'object' && address !== null ? address.port : 0;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (takenPorts.has(port) || !(await isFree(port))) continue;
+    takenPorts.add(port);
+    return port;
+  }
 }
 
 interface Node {
