Review: the stand-ins use a loopback address of their own, and case 3 names its type of machine

Cause: cases that ran side by side could pick the same port (one run with TROUBLE=0 of case 4 then spoke to another case's controller), and the array of case 3 got slow small machines in one run with TROUBLE=0 (exit 2).

--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -5,7 +5,7 @@
 
 /** Tasks of the array: PROTOCOL allows 100,000. A worker's report of 1,040 tasks is still below 64 KiB. */
 const PIECES = hasTrouble ? 1040 : 400;
-/** CPUs of a task: fewer tasks take as much together, so that the same type of machine is rented. */
+/** CPUs of a task: fewer tasks take as much together. */
 const CORES = hasTrouble ? 0.02 : 0.05;
 
 /** `cancel_s` of the settings, and a second for the measurement. */
@@ -21,7 +21,9 @@
     // By then each controller has stored which record format it reads, and chunks have their full size.
     await sleep(5);
     const job = 'wk-000001';
-    await deployment.accept(sweepOf(job, { Pieces: PIECES, Cores: CORES, MemoryGb: 0.05 }), 600);
+    // One type, so that the tasks come to one machine.
+    const array = sweepOf(job, { Pieces: PIECES, Cores: CORES, MemoryGb: 0.05 });
+    await deployment.accept({ ...array, Flavours: ['panyard-large'] }, 600);
     const isRunning = await waitFor(() => fleet.onMachines(job) === PIECES, 45, 0.5);
     record.note(`${fleet.onMachines(job)} tasks are on machines`);
     await users.poll(job);
--- a/review/lib/controllers.ts
+++ b/review/lib/controllers.ts
@@ -85,6 +85,9 @@
 const FIRST_PORT = 11_000;
 const PORTS = 20_000;
 
+/** A loopback address of this case alone, so that cases may run side by side. */
+const HOST = `127.${10 + (process.pid % 200)}.${(process.pid >> 8) % 250}.1`;
+
 const takenPorts = new Set<number>();
 
 /** Whether nobody listens on the port. */
@@ -94,7 +97,7 @@
     server.once('error', () => {
       resolve(false);
     });
-    server.listen(port, '127.0.0.1', () => {
+    server.listen(port, HOST, () => {
       server.close(() => {
         resolve(true);
       });
@@ -156,8 +159,8 @@
     const { sites, zones, rest } = this.settings;
     for (const [i, site] of sites.entries()) {
       const label = `drone-${i}`;
-      const client = `127.0.0.1:${await freePort()}`;
-      const back = `127.0.0.1:${await freePort()}`;
+      const client = `${HOST}:${await freePort()}`;
+      const back = `${HOST}:${await freePort()}`;
       const file = join(this.folder, `${label}.toml`);
       const log = join(this.folder, `${label}.log`);
       this.nodes.push({ label, site, client, back, file, log, process: null, isKilled: false });
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -47,6 +47,7 @@
     nodes.startAll();
     if (!(await waitFor(async () => (await users.ready()).length === nodes.nodes.length, 30)))
       throw new CannotRun('the controllers are not ready');
+    if (nodes.ends.length > 0) throw new CannotRun('a controller did not start');
     return this.parts;
   }
 
