A chunk that was moved back is no longer lost: a record with more migrations replaces the chunk in memory

Cause: the shard still had the chunk in memory, as one that may have migrated. The loader took the record of the returned chunk for a duplicate of it and removed the record; then the next write of the old bucket conflicted, and the chunk in memory was dropped as moved.

Why it works: the number of migrations is in the record and in memory, and rises with each move. A higher one in the record proves that the chunk has left; nothing of the chunk in memory was started, since its bucket can't have been written since. A late answer to the move no longer drops the chunk that came back under the same id.

--- a/src/coordination/leadership/shardLoader.ts
+++ b/src/coordination/leadership/shardLoader.ts
@@ -1,7 +1,12 @@
 /** Loads a shard from its stored records, and adds buckets that are stored for it later. */
 import type { Clock } from '../../base/clock.js';
 import { describeError, log } from '../../base/log.js';
-import { keys, type JobRecord, type BucketRecord } from '../../storage/records.js';
+import {
+  keys,
+  type BucketRecord,
+  type ChunkRecord,
+  type JobRecord,
+} from '../../storage/records.js';
 import type { MachineInventory } from '../../storage/machineInventory.js';
 import { cachedJob, type StateCache } from '../../storage/stateCache.js';
 import type { StateClient } from '../../storage/stateClient.js';
@@ -10,6 +15,7 @@
 import type { Leadership } from './shardLeadership.js';
 import type { Shard } from '../shard/shard.js';
 import { Bucket } from '../model/bucket.js';
+import type { Chunk } from '../model/chunk.js';
 
 /** Creates the chunks of jobs. */
 export interface ChunkCreation {
@@ -87,7 +93,12 @@
       const job = cachedJob(node.stateCache, record.spec.id);
       const isOver = job?.state === 'done' || job?.doneChunks.includes(index) === true;
       // Attempts of a chunk that is over count as running until they are known to have terminated.
-      if ((isOver && record.attempts.length === 0) || ownedShard.shard.chunks.has(id)) {
+      if (isOver && record.attempts.length === 0) {
+        bucket.isDirty = true;
+        continue;
+      }
+      const present = ownedShard.shard.chunks.get(id);
+      if (present !== undefined && !this.replaceIfOutdated(ownedShard, present, record)) {
         bucket.isDirty = true;
         continue;
       }
@@ -98,6 +109,24 @@
     if (bucket.chunks.size === 0) bucket.isDirty = true;
   }
 
+  /**
+   * Removes the chunk in memory if the record shows that it has migrated more often: it has left and come back, although the
+   * transaction that moved it away got no answer. Nothing of it was started since: its bucket can't have been written (safety,
+   * T24). Returns false if the record holds an older copy.
+   */
+  private replaceIfOutdated(
+    { shard }: OwnedShard,
+    present: Chunk,
+    { migrationCount }: ChunkRecord,
+  ): boolean {
+    if (migrationCount <= present.migrationCount) return false;
+    log.info(
+      `chunk ${present.id} is back in shard ${shard.label}: its unanswered migration was applied`,
+    );
+    shard.migrateAway(present, this.node.clock.now());
+    return true;
+  }
+
   /** Adds machines that run attempts of the shard but are recorded in another shard: the attempts may still run. */
   private addReassignedMachines(
     { shard }: OwnedShard,
--- a/src/coordination/shard/shard.ts
+++ b/src/coordination/shard/shard.ts
@@ -324,13 +324,16 @@
 
   /** Drops a chunk that has migrated to another shard, and subtracts its work from the arrival rate. */
   migrateAway(chunk: Chunk, now: number): void {
+    if (chunk.isDropped) return;
     this.demand.noteArrival(chunk, -1, now);
     this.dropChunk(chunk);
   }
 
   /** Removes a chunk that is no longer in this shard. */
   dropChunk(chunk: Chunk): void {
-    if (!chunk.isDropped) this.teamUsage.add(chunk.spec, -chunk.attempts.size);
+    // The same chunk may have come back in the meantime, and is then in the shard under the same id.
+    if (chunk.isDropped) return;
+    this.teamUsage.add(chunk.spec, -chunk.attempts.size);
     chunk.isDropped = true;
     chunk.bucket?.remove(chunk);
     this.chunks.delete(chunk.id);
--- a/test/persistence/bucketWriter.test.ts
+++ b/test/persistence/bucketWriter.test.ts
@@ -354,6 +354,7 @@
   }
 });
 
+// Guards against the loss of a chunk that was moved back before its move away was known to be applied.
 test('a chunk that comes back before its move away is known to be applied is not lost', async () => {
   const fixture = new WriterFixture();
   const chunk = fixture.addJob('wk-1');
@@ -369,6 +370,22 @@
   assert.ok(fixture.started.includes('wk-1/0@n-1'), 'it waits forever');
 });
 
+// Guards against a late answer that removes the chunk that has come back, instead of the one that had left.
+test('a chunk that comes back before the answer to its move away arrives is not lost', async () => {
+  const fixture = new WriterFixture();
+  const chunk = fixture.addJob('wk-1');
+  await fixture.runRound();
+  fixture.store.onApplied = () => {
+    fixture.store.onApplied = () => undefined;
+    fixture.migrateBack(chunk);
+  };
+  assert.equal((await fixture.move(chunk)).kind, 'applied');
+  fixture.addMachine('n-1');
+  for (let round = 0; round < 4; round++) await fixture.runRound();
+  assert.deepEqual(fixture.shardsStoring(chunk), ['p']);
+  assert.ok(fixture.started.includes('wk-1/0@n-1'), 'it waits forever');
+});
+
 test('a late copy of an answered transaction does not restore a chunk that has left its bucket', async () => {
   for (const leave of ['moved', 'dropped'] as const) {
     const fixture = new WriterFixture();
--- a/test/support/memoryStore.ts
+++ b/test/support/memoryStore.ts
@@ -10,6 +10,8 @@
   changeCount = 0;
   /** Whether the outcome of the next transaction stays unknown; `applyWithheld` applies it later. */
   withholdNext = false;
+  /** Called after a transaction was applied, before it is answered. */
+  onApplied: () => void = () => undefined;
   /** Number of transactions to refuse from now on. */
   refuseNext = 0;
   private withheld: Transaction | null = null;
@@ -61,7 +63,10 @@
       return Promise.resolve({ kind: 'unknown' });
     }
     const result = this.apply(copy);
-    if (result.kind === 'applied') this.answered.push(copy);
+    if (result.kind === 'applied') {
+      this.answered.push(copy);
+      this.onApplied();
+    }
     return Promise.resolve(result);
   }
 
