An unanswered move is settled by a write that is due by itself: its job runs, moves and can be withdrawn

Cause: the chunk is held until its bucket is written again, and the bucket was marked as dirty for that. A dirty bucket is written only if it is empty or a chunk in it has changed, and a waiting chunk does not change.

The new test in bucketWriter.test.ts failed before.

Why it works: the chunk counts as changed, as after any change that has to be stored, so the write is due within the flush delay and is repeated until it is answered. If it is applied the move never can be, and if it conflicts the bucket is read. docs/safety.md lists everything that waits for a write, and what makes the write due.

--- a/src/coordination/persistence/bucketWriter.ts
+++ b/src/coordination/persistence/bucketWriter.ts
@@ -373,11 +373,7 @@
         this.onApplied(ownedShard, [bucket], otherChunks, puts, result.revision);
         this.stateCache.applyPut(key, value, result.revision);
       } else if (result.kind === 'conflict') await this.resolveConflict(ownedShard, [bucket]);
-      // Until its bucket is written again the chunk may have migrated, and none of its tasks can be started.
-      else if (result.kind === 'unknown') {
-        chunk.mayHaveMigrated = true;
-        bucket.isDirty = true;
-      }
+      else if (result.kind === 'unknown') this.noteMigrationUnanswered(ownedShard, chunk);
       return result;
     } finally {
       chunk.isMigrating = false;
@@ -386,6 +382,17 @@
     }
   }
 
+  /**
+   * Until its bucket is written again the chunk may have migrated: it can't start, migrate or be cancelled. The chunk counts as
+   * changed, since a bucket is written only if a chunk in it has changed (safety, T24).
+   */
+  private noteMigrationUnanswered({ shard }: OwnedShard, chunk: Chunk): void {
+    log.info(`no answer to the migration of chunk ${chunk.id} from shard ${shard.label}`);
+    if (chunk.isDropped) return;
+    chunk.mayHaveMigrated = true;
+    shard.noteChunkChanged(chunk, this.clock.now());
+  }
+
   /**
    * Returns the change of a bucket that a chunk leaves. A bucket that becomes empty is deleted, unless a late copy of the
    * transaction that creates it could then be applied.
--- a/test/persistence/bucketWriter.test.ts
+++ b/test/persistence/bucketWriter.test.ts
@@ -354,6 +354,24 @@
   }
 });
 
+// Guards against a job that neither runs nor can be cancelled: the write that settles an unanswered move was never due.
+test('an unanswered move of a waiting chunk is settled by the next write of its bucket, whenever it is applied', async () => {
+  for (const early of [true, false]) {
+    const fixture = new WriterFixture();
+    const chunk = fixture.addJob('wk-1');
+    await fixture.runRound();
+    fixture.store.withholdNext = true;
+    assert.equal((await fixture.move(chunk)).kind, 'unknown');
+    if (early) assert.equal(fixture.store.applyWithheld().kind, 'applied');
+    assert.ok(!chunk.isMigratable, 'it may be in either shard');
+    // There is no machine here, so nothing else makes a write due.
+    for (let round = 0; round < 3; round++) await fixture.runRound();
+    assert.ok(chunk.isDropped === early && chunk.isMigratable === !early);
+    if (!early) assert.equal(fixture.store.applyWithheld().kind, 'conflict');
+    assert.deepEqual(fixture.shardsStoring(chunk), [early ? 'q' : 'p']);
+  }
+});
+
 // Guards against the loss of a chunk that was moved back before its move away was known to be applied.
 test('a chunk that comes back before its move away is known to be applied is not lost', async () => {
   const fixture = new WriterFixture();
