A new leader keeps a chunk until outdated copies of it are gone from other records

What callers could have seen: a task on two machines.

Cause: a chunk of a bucket beyond the limits stays in its shard until the old record is gone (V5), but only the leader that moved it to another bucket knew. A new leader marked the old record as dirty, which makes no write due while it holds other chunks, and let the chunk migrate: the copy would have been loaded by the next leader.

Evidence: the new test in recordLimits.test.ts failed before: the copy was never removed, and the chunk could migrate.

Why it works: the loader notes the copy as the leader before it had. Until the record is written without it the chunk can't migrate, and that write is due although nothing else in the record changes.

--- a/src/coordination/leadership/shardLoader.ts
+++ b/src/coordination/leadership/shardLoader.ts
@@ -99,7 +99,7 @@
       }
       const present = ownedShard.shard.chunks.get(id);
       if (present !== undefined && !this.replaceIfOutdated(ownedShard, present, record)) {
-        bucket.isDirty = true;
+        bucket.noteOutdatedCopy(present);
         continue;
       }
       const chunk = ownedShard.shard.loadChunk(index, record, ownedShard.fencingToken, now);
--- a/src/coordination/model/bucket.ts
+++ b/src/coordination/model/bucket.ts
@@ -6,6 +6,9 @@
 /** Bytes of the task numbers at the bounds of one range of done tasks. */
 const RANGE_BYTES = 8;
 
+/** The lowest version of a chunk that is stored. */
+const FIRST_VERSION = 1;
+
 /** One stored record with several chunks of a shard, as the shard's leader knows it. */
 export class Bucket implements ChunkBucket {
   readonly chunks = new Set<Chunk>();
@@ -77,6 +80,21 @@
     return false;
   }
 
+  /**
+   * Whether the record should be written although none of its chunks has changed: it is empty, or it holds copies of chunks
+   * that are stored elsewhere by now and that can't migrate before the copies are gone.
+   */
+  get mustBeTidied(): boolean {
+    return (this.chunks.size === 0 || this.retired.size > 0) && !this.hasUnstoredRetiredChunks;
+  }
+
+  /** Notes that the record holds an outdated copy of a chunk whose current record is in another bucket (safety, V5). */
+  noteOutdatedCopy(chunk: Chunk): void {
+    this.retired.set(chunk, Math.max(FIRST_VERSION, chunk.storedVersion));
+    chunk.retiredFrom = this;
+    this.isDirty = true;
+  }
+
   /**
    * Removes a chunk that is to be stored in another bucket; the record keeps its copy until the current version of the chunk is
    * stored there.
@@ -87,9 +105,11 @@
     chunk.retiredFrom = this;
   }
 
-  /** Clears the retired chunks after the record, with its copies of them, has been removed. */
+  /** Clears the retired chunks after the record has been removed, or written without its copies of them. */
   clearRetiredChunks(): void {
-    for (const chunk of this.retired.keys()) chunk.retiredFrom = null;
+    for (const chunk of this.retired.keys()) {
+      if (chunk.retiredFrom === this) chunk.retiredFrom = null;
+    }
     this.retired.clear();
   }
 
--- a/src/coordination/persistence/bucketWriter.ts
+++ b/src/coordination/persistence/bucketWriter.ts
@@ -147,8 +147,8 @@
     }
     if (isBusy) return due;
     for (const bucket of ownedShard.buckets.values()) {
-      const isEmpty = bucket.chunks.size === 0 && !bucket.hasUnstoredRetiredChunks;
-      if (isEmpty && bucket.isDirty && !bucket.isWriteInFlight) due.set(bucket, 'later');
+      if (bucket.isDirty && bucket.mustBeTidied && !bucket.isWriteInFlight)
+        due.set(bucket, 'later');
     }
     return due;
   }
@@ -384,7 +384,7 @@
 
   /**
    * Until its bucket is written again the chunk may have migrated: it can't start, migrate or be cancelled. The chunk counts as
-   * changed, since a bucket is written only if a chunk in it has changed (safety, T24).
+   * changed, since a bucket is written only if a chunk in it has changed (safety, T25).
    */
   private noteMigrationUnanswered({ shard }: OwnedShard, chunk: Chunk): void {
     log.info(`no answer to the migration of chunk ${chunk.id} from shard ${shard.label}`);
--- a/test/persistence/recordLimits.test.ts
+++ b/test/persistence/recordLimits.test.ts
@@ -215,6 +215,22 @@
   );
 });
 
+// Guards against a chunk in two shards: a new leader let it migrate while an older record still held a copy of it.
+test('a chunk with an outdated copy in another record migrates only once that record is written without it', async () => {
+  const waiting = { ...service('wk-0'), attempts: [] };
+  const fixture = new LoweredLimitsFixture({ 'wk-0/0': waiting, 'wk-1/0': service('wk-1') });
+  const key = keys.bucket('p', 'new');
+  const revision = ++fixture.store.revision;
+  fixture.store.rows.set(key, { key, value: { chunks: { 'wk-0/0': waiting } }, revision });
+  fixture.loadAsNewLeader();
+  const chunk = fixture.ownedShard.shard.chunks.get('wk-0/0');
+  assert.equal(chunk?.isMigratable, false);
+  await fixture.runAllPasses();
+  const old = fixture.store.rows.get(keys.bucket('p', 'old'))?.value as BucketRecord;
+  assert.deepEqual(Object.keys(old.chunks), ['wk-1/0'], 'the copy was never removed');
+  assert.ok(chunk.isMigratable);
+});
+
 test('a chunk with more attempts than one record holds is stored in fragments and can change', async () => {
   const attempts = Array.from({ length: 150 }, (_, task): AttemptRecord => {
     return { task, attemptNumber: task + 1, machine: `n-${task % REPLICAS}`, agentEpoch: 1 };
