Commands to a worker leave in messages of at most 64 KiB, stops first

Cause: nothing limited a message to a worker. The 1,040 stops left as one request of 66,220 bytes, which the worker answered with 413, and the same message was sent every 5 s; in answers to heartbeats they were one line of more than 64 KiB, which it drops.

Why it works: a message carries what fits, and only that is marked as sent. Stops come first, since users wait for them. Sizes are bounded first without encoding anything, so usual messages cost a sum. The check for renewals without a stop counts an answer that is full of stops as kept.

--- a/src/coordination/commands/cancelledTaskMonitor.ts
+++ b/src/coordination/commands/cancelledTaskMonitor.ts
@@ -7,6 +7,7 @@
 import type { Command } from '../../protocol/workerProtocol.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import type { ShardLeadership } from '../leadership/shardLeadership.js';
+import { isMessageFull } from '../model/commandSelection.js';
 import { unconditionalStops } from '../model/dueCommands.js';
 import type { Machine } from '../model/machine.js';
 
@@ -51,8 +52,11 @@
       stops: cancelled.length - missing.length,
       leaseLeft: this.context.leadership.leaseExpiresAt - now,
     });
-    for (const { task } of missing) {
+    for (const stop of missing) {
+      const { task } = stop;
       if (this.wasStopSentRecently(machine, task, now)) continue;
+      // The other stops leave with the next message, which follows as soon as this one shows an effect.
+      if (carriesOnlyStops(commands) && isMessageFull(commands, stop)) return;
       shard.reportInvariantViolation('renewal-without-stop', `${task} at ${machine.name}`);
     }
   }
@@ -64,6 +68,9 @@
   }
 }
 
+const carriesOnlyStops = (commands: readonly Command[]): boolean =>
+  commands.every(({ verb }) => verb === 'stop');
+
 /** Reports an invariant violation for each start of a cancelled job's task among commands that are about to be sent. */
 export function assertNoCancelledStarts(
   { shard }: OwnedShard,
--- a/src/coordination/commands/commandDispatcher.ts
+++ b/src/coordination/commands/commandDispatcher.ts
@@ -5,6 +5,7 @@
   RESEND_INTERVALS,
   unconditionalStops,
 } from '../model/dueCommands.js';
+import { selectForMessage } from '../model/commandSelection.js';
 import type { CommandBatch } from '../model/commandTokens.js';
 import type { StartCommands } from '../model/startCommands.js';
 import { describeError, log } from '../../base/log.js';
@@ -135,7 +136,7 @@
     const now = this.node.clock.now();
     const commands: Command[] = this.node.authority.mayAct(ownedShard)
       ? dueCommands(machine, now, this.resendAfter)
-      : unconditionalStops(machine);
+      : [...selectForMessage(unconditionalStops(machine))];
     const { fencingTokens } = ownedShard.shard;
     const seenToken = machine.highestFencingToken;
     return machine.commandTokens.assignToken(commands, fencingTokens, {
@@ -171,7 +172,11 @@
       const answer = await links.machines.call(
         ...[address, 'POST', target, body, timeout, maySend],
       );
-      return { outcome: outcomeOf(answer.status), heartbeat: parseHeartbeat(answer.body) };
+      const outcome = outcomeOf(answer.status);
+      if (outcome === 'unanswered') {
+        log.error(`${name} answered ${commands.length} command(s) with status ${answer.status}`);
+      }
+      return { outcome, heartbeat: parseHeartbeat(answer.body) };
     } catch (error) {
       log.debug(`sending commands to ${name} failed: ${describeError(error)}`);
       const isUnsent = error instanceof HttpCallError && error.unsent;
--- a/src/coordination/commands/heartbeatEndpoint.ts
+++ b/src/coordination/commands/heartbeatEndpoint.ts
@@ -14,6 +14,7 @@
 import type { Authority } from '../leadership/authority.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import type { ShardLeadership } from '../leadership/shardLeadership.js';
+import { selectForMessage } from '../model/commandSelection.js';
 import { commandsForAnswer, RESEND_INTERVALS, unconditionalStops } from '../model/dueCommands.js';
 import type { CommandBatch } from '../model/commandTokens.js';
 import type { Machine } from '../model/machine.js';
@@ -140,7 +141,7 @@
 
   /** Without the right to act for the shard only stops that can't be wrong are sent. */
   private commandsFor(machine: Machine, mayAct: boolean, now: number): Command[] {
-    if (!mayAct) return unconditionalStops(machine);
+    if (!mayAct) return [...selectForMessage(unconditionalStops(machine))];
     const { heartbeatInterval } = this.context.settings;
     return commandsForAnswer(machine, now, heartbeatInterval * RESEND_INTERVALS, heartbeatInterval);
   }
--- a/src/coordination/model/dueCommands.ts
+++ b/src/coordination/model/dueCommands.ts
@@ -1,6 +1,10 @@
-/** Computes which commands a worker should execute now. The only side effect is that returned stops are marked as sent. */
+/**
+ * Computes which commands a worker should execute now, as many as one message holds. The only side effect is that returned stops
+ * are marked as sent.
+ */
 import type { Command, ReportedAttempt } from '../../protocol/workerProtocol.js';
 import type { Attempt, Chunk } from './chunk.js';
+import { selectForMessage } from './commandSelection.js';
 import { attemptKey } from './endedAttempt.js';
 import type { Machine } from './machine.js';
 
@@ -42,7 +46,8 @@
 
 /**
  * Whether a command should be sent to the worker at once. Acknowledgements don't justify a request of their own: they are sent
- * with other commands or in the answer to a heartbeat. A stop without effect is due again after `resendAfter` seconds.
+ * with other commands or in the answer to a heartbeat, unless ended attempts crowd the worker's heartbeat. A stop without effect
+ * is due again after `resendAfter` seconds.
  */
 export function hasDueCommand(machine: Machine, now: number, resendAfter: number): boolean {
   return dueStopsAndStarts(machine, now, resendAfter).next().done !== true;
@@ -70,8 +75,13 @@
 /** Acknowledgements, stops and starts that the worker should execute now; marks the stops as sent. */
 export function dueCommands(machine: Machine, now: number, resendAfter: number): Command[] {
   const due = [...dueStopsAndStarts(machine, now, resendAfter)];
-  for (const { stopToMark } of due) if (stopToMark !== null) stopToMark.sentAt = now;
-  return [...acknowledgements(machine), ...due.map(({ command }) => command)];
+  const commands = [...acknowledgements(machine), ...due.map(({ command }) => command)];
+  const selected = selectForMessage(commands);
+  const isSelected = selected.length < commands.length ? new Set(selected) : null;
+  for (const { command, stopToMark } of due) {
+    if (stopToMark !== null && isSelected?.has(command) !== false) stopToMark.sentAt = now;
+  }
+  return [...selected];
 }
 
 /** Acknowledgements of ended attempts that the worker may forget. */
--- a/src/protocol/workerProtocol.ts
+++ b/src/protocol/workerProtocol.ts
@@ -1,6 +1,27 @@
 /** Heartbeats of workers and commands to them. */
 import * as v from 'valibot';
 
+/** Maximum bytes of a request's body, and of a line in a response to a worker (PROTOCOL). */
+export const MAX_MESSAGE_BYTES = 64 * 1024;
+
+/** Bytes of a message around its commands: the fencing token, the agent epoch and the names of the fields. */
+const COMMAND_ENVELOPE_BYTES = 256;
+
+/** Maximum bytes of the commands in one message. */
+export const MAX_COMMAND_BYTES = MAX_MESSAGE_BYTES - COMMAND_ENVELOPE_BYTES;
+
+/** Bytes of a heartbeat around its attempts: the description of the machine. */
+const HEARTBEAT_ENVELOPE_BYTES = 1024;
+
+/** Maximum bytes of the attempts in one heartbeat. */
+export const MAX_REPORT_BYTES = MAX_MESSAGE_BYTES - HEARTBEAT_ENVELOPE_BYTES;
+
+/**
+ * Maximum bytes of a heartbeat that is accepted. A worker that reports more than `MAX_REPORT_BYTES` is heard all the same: if it
+ * were refused, its lease would end and all of its tasks with it.
+ */
+export const MAX_ACCEPTED_HEARTBEAT_BYTES = 16 * MAX_MESSAGE_BYTES;
+
 /** The state of an attempt on its worker. */
 export type TaskState = 'fetching' | 'running' | 'saving' | 'ended' | 'waiting';
 
@@ -108,6 +129,36 @@
   ...(command.verb === 'stop' ? { WindDownS: command.gracePeriod } : {}),
 });
 
+/** Bytes of a command in a message, with the comma that follows it. */
+export const commandBytes = (command: Command): number =>
+  Buffer.byteLength(JSON.stringify(toWireCommand(command))) + 1;
+
+/** Bytes of a command besides the name of its task, at the most. */
+const MAX_COMMAND_FRAME_BYTES = 96;
+
+/** Maximum bytes of one character of a task's name in JSON. */
+const MAX_CHARACTER_BYTES = 6;
+
+/** An upper bound of `commandBytes` that is quick to compute. */
+export const maxCommandBytes = ({ task }: Command): number =>
+  MAX_COMMAND_FRAME_BYTES + MAX_CHARACTER_BYTES * task.length;
+
+/** Bytes of an attempt in a heartbeat besides its task, its number and its cause. */
+const REPORTED_ATTEMPT_FRAME_BYTES = '{"Piece":"","Try":,"Status":"fetching"},'.length;
+
+/** Further bytes of an attempt that has a cause and a checkpoint, besides the cause. */
+const REPORTED_END_FRAME_BYTES = ',"Cause":"","Kept":true'.length;
+
+/** Approximate bytes of an attempt in its worker's heartbeat; `cause`: null unless it has ended. */
+export function reportedAttemptBytes(
+  task: string,
+  attemptNumber: number,
+  cause: string | null = null,
+): number {
+  const endBytes = cause === null ? 0 : REPORTED_END_FRAME_BYTES + cause.length;
+  return REPORTED_ATTEMPT_FRAME_BYTES + task.length + String(attemptNumber).length + endBytes;
+}
+
 declare const commandToken: unique symbol;
 
 /** The fencing token of one message to a worker: one of the leader's block; leaderships compare by their first token. */
--- a/test/support/commandHarness.ts
+++ b/test/support/commandHarness.ts
@@ -24,6 +24,9 @@
 
 const HEARTBEAT_INTERVAL_S = 3;
 
+/** Maximum bytes of a request's body (PROTOCOL). */
+const MAX_BODY_BYTES = 64 * 1024;
+
 export class CommandHarness {
   readonly fixture = new ShardFixture();
   readonly ownedShard: OwnedShard;
@@ -36,6 +39,10 @@
   readonly deliveryOutcomes: DeliveryOutcome[] = [];
   /** Whether this node may start tasks. */
   mayAct = true;
+  /** Number of commands that workers refused since their message was too large. */
+  refusedForSize = 0;
+  /** Bytes of each answer to a heartbeat. */
+  readonly answerBytes: number[] = [];
   private readonly workers = new Map<string, WorkerModel>();
   /** Callbacks that deliver the held commands, in order. */
   private readonly heldDeliveries: (() => void)[] = [];
@@ -116,7 +123,9 @@
     const seenToken = machine.highestFencingToken;
     const { fencingTokens: tokens } = this.ownedShard.shard;
     const message = machine.commandTokens.assignToken(due, tokens, { seenToken, mayRaise: true });
-    worker.handleAnswer(worker.agentEpoch, heartbeatAnswer(message.token, message.commands));
+    const answer = heartbeatAnswer(message.token, message.commands);
+    this.answerBytes.push(Buffer.byteLength(JSON.stringify(answer)));
+    worker.handleAnswer(worker.agentEpoch, answer);
   }
 
   /** Places waiting tasks, and marks the chunk as stored. */
@@ -146,8 +155,13 @@
   private call(endpoint: string, body: unknown): Promise<Response> {
     const worker = this.workers.get(endpoint);
     if (worker === undefined) return Promise.reject(new HttpCallError('no such machine', true));
+    const text = JSON.stringify(body);
+    if (Buffer.byteLength(text) > MAX_BODY_BYTES) {
+      this.refusedForSize++;
+      return Promise.resolve({ status: 413, body: null, retryAfter: null });
+    }
     // A copy: the dispatcher may change its objects after the command was sent.
-    const sent = JSON.parse(JSON.stringify(body)) as CommandBody;
+    const sent = JSON.parse(text) as CommandBody;
     switch (this.deliveryOutcomes.shift() ?? 'arrives') {
       case 'arrives':
         this.duplicateDeliveries.push(() => worker.handleCommand(sent).status);
