A machine gets no more tasks than its worker can report in 64 KiB, and larger reports are read

Cause: tasks were placed by CPUs and memory alone. The worker's report of more than 64 KiB was answered 413, so its lease ended.

Why it works: a machine whose report has no room is full: it does not count as capacity, so that other machines are asked for, and its tasks go on. Ended attempts that crowd a report are acknowledged by a message of their own.

--- a/src/coordination/controller/gateway.ts
+++ b/src/coordination/controller/gateway.ts
@@ -3,6 +3,7 @@
 import { decodeRequest, decodeSpec, encodeAnswer } from '../../protocol/peerCodec.js';
 import type { PeerAnswer, PeerRequest, Relay, Relayed } from '../../protocol/peerMessages.js';
 import { heartbeatPath, paths, rolloutPath } from '../../protocol/routes.js';
+import { MAX_ACCEPTED_HEARTBEAT_BYTES, MAX_MESSAGE_BYTES } from '../../protocol/workerProtocol.js';
 import type { HttpMessage } from '../../transport/httpParser.js';
 import { replyAtSending, type Reply } from '../../transport/httpServer.js';
 import { JobService } from '../jobs/jobService.js';
@@ -15,6 +16,10 @@
 export const isEssential = ({ target }: HttpMessage): boolean =>
   target === heartbeatPath || target === paths.ready;
 
+/** Maximum bytes of the body of a request with this target. */
+export const maxBodyBytes = (target: string): number =>
+  target === heartbeatPath ? MAX_ACCEPTED_HEARTBEAT_BYTES : MAX_MESSAGE_BYTES;
+
 const ROLLOUT_OFF: Reply = {
   status: 404,
   body: { error: 'rollouts are switched off at this node' },
--- a/src/coordination/jobs/waitReasons.ts
+++ b/src/coordination/jobs/waitReasons.ts
@@ -97,6 +97,7 @@
   unresponsive: 'do not answer',
   lost: 'do not answer',
   partitioned: 'cannot report to the service',
+  full: 'have as many tasks as they can report',
   preempted: 'are about to be taken by the cloud',
   cordoned: 'are being given back',
   reassigned: 'are being given back',
--- a/src/coordination/model/availability.ts
+++ b/src/coordination/model/availability.ts
@@ -15,6 +15,7 @@
  * - `booting`: it has not been reached yet, and may still be booting;
  * - `overdue`: it has not been reached for longer than machines take to boot;
  * - `partitioned`: it responds, but its worker reaches no controller;
+ * - `full`: its worker's heartbeat has no room for another attempt;
  * - `quarantined`: tasks failed there, and nothing is placed on it for a while;
  * - `ready`: work may be placed on it now.
  */
@@ -27,6 +28,7 @@
   | 'booting'
   | 'overdue'
   | 'partitioned'
+  | 'full'
   | 'quarantined'
   | 'ready';
 
@@ -43,6 +45,7 @@
   readonly isLost: boolean;
   readonly isCordoned: boolean;
   readonly preemptionDeadline: number | null;
+  readonly isReportFull: boolean;
   readonly quarantinedUntil: number;
   readonly leaseRenewedAt: number;
   readonly firstSeenAt: number;
@@ -89,13 +92,14 @@
   if (reachability.isUnresponsive) return 'unresponsive';
   if (reachability.lastReachedAt === null) return isOverdue(machine, now) ? 'overdue' : 'booting';
   if (reachability.isPartitioned) return 'partitioned';
+  if (machine.isReportFull) return 'full';
   return machine.quarantinedUntil > now ? 'quarantined' : 'ready';
 }
 
 /** The availability of a machine, with the time of its evidence. */
 export function availabilityOf(machine: AvailabilityEvidence, now: number): Availability {
   const state = availabilityState(machine, now);
-  return { state, evidenceAt: evidenceTime(machine, state) };
+  return { state, evidenceAt: EVIDENCE_TIMES[state](machine) };
 }
 
 /** Whether queued work can be expected to start on a machine in this state, now or soon. */
@@ -127,25 +131,24 @@
   return now > Math.max(bootDeadline, rediscoveryDeadline);
 }
 
-function evidenceTime(machine: AvailabilityEvidence, state: AvailabilityState): number | null {
-  const { reachability } = machine;
-  switch (state) {
-    case 'lost':
-      return machine.leaseRenewedAt;
-    case 'reassigned':
-    case 'cordoned':
-      return null;
-    case 'preempted':
-    case 'quarantined':
-      return reachability.lastHeartbeatAt;
-    case 'unresponsive':
-      return reachability.firstMissedProbeAt;
-    case 'booting':
-    case 'overdue':
-      return machine.launchedAtMonotonic;
-    case 'partitioned':
-      return reachability.lastUnsolicitedHeartbeatAt ?? machine.firstSeenAt;
-    case 'ready':
-      return reachability.lastReachedAt;
-  }
-}
+type EvidenceTime = (machine: AvailabilityEvidence) => number | null;
+
+const lastHeartbeatTime: EvidenceTime = ({ reachability }) => reachability.lastHeartbeatAt;
+const launchTime: EvidenceTime = ({ launchedAtMonotonic }) => launchedAtMonotonic;
+const noEvidence: EvidenceTime = () => null;
+
+/** The monotonic time of the evidence for each state. */
+const EVIDENCE_TIMES: Record<AvailabilityState, EvidenceTime> = {
+  reassigned: noEvidence,
+  lost: ({ leaseRenewedAt }) => leaseRenewedAt,
+  cordoned: noEvidence,
+  preempted: lastHeartbeatTime,
+  unresponsive: ({ reachability }) => reachability.firstMissedProbeAt,
+  booting: launchTime,
+  overdue: launchTime,
+  partitioned: ({ reachability, firstSeenAt }) =>
+    reachability.lastUnsolicitedHeartbeatAt ?? firstSeenAt,
+  full: lastHeartbeatTime,
+  quarantined: lastHeartbeatTime,
+  ready: ({ reachability }) => reachability.lastReachedAt,
+};
--- a/src/coordination/model/dueCommands.ts
+++ b/src/coordination/model/dueCommands.ts
@@ -50,6 +50,7 @@
  * is due again after `resendAfter` seconds.
  */
 export function hasDueCommand(machine: Machine, now: number, resendAfter: number): boolean {
+  if (machine.isReportCrowded && acknowledgements(machine).next().done !== true) return true;
   return dueStopsAndStarts(machine, now, resendAfter).next().done !== true;
 }
 
--- a/src/coordination/model/machine.ts
+++ b/src/coordination/model/machine.ts
@@ -1,6 +1,10 @@
 /** State of one machine of a shard. */
 import type { MachineType } from '../../protocol/cloudProtocol.js';
-import type { Heartbeat, ReportedAttempt } from '../../protocol/workerProtocol.js';
+import {
+  MAX_REPORT_BYTES,
+  type Heartbeat,
+  type ReportedAttempt,
+} from '../../protocol/workerProtocol.js';
 import type { MachineRecord } from '../../storage/records.js';
 import { availabilityState, isCapacity, type AvailabilityState } from './availability.js';
 import { AcknowledgedAttempts } from './acknowledgedAttempts.js';
@@ -23,6 +27,9 @@
   readonly heartbeatInterval: number;
 }
 
+/** Share of a heartbeat's size limit above which ended attempts are acknowledged by a request of their own. */
+const CROWDED_REPORT_RATIO = 1 / 2;
+
 /** One machine of a shard, as its worker last reported it. */
 export class Machine {
   /** `HOST:PORT` of its worker; empty while it is unknown. */
@@ -185,6 +192,21 @@
     return this.occupancy.useOf(this.machineType).allocatedCpus;
   }
 
+  /** Bytes that its worker's heartbeat has left for further attempts. */
+  get reportRoomBytes(): number {
+    return Math.max(0, MAX_REPORT_BYTES - this.occupancy.reportBytes);
+  }
+
+  /** Whether its worker can't report another attempt. */
+  get isReportFull(): boolean {
+    return this.occupancy.isReportFull;
+  }
+
+  /** Whether ended attempts should be acknowledged soon, since they take room that its worker's heartbeat is short of. */
+  get isReportCrowded(): boolean {
+    return this.occupancy.reportBytes > MAX_REPORT_BYTES * CROWDED_REPORT_RATIO;
+  }
+
   /** The shard's attempts that are, or may be, here, by task name. */
   get placements(): ReadonlyMap<string, Placement> {
     return this.occupancy.placements;
--- a/src/coordination/model/occupancy.ts
+++ b/src/coordination/model/occupancy.ts
@@ -1,6 +1,10 @@
 /** Occupancy of a machine: the placements of its shard, and the attempts that its worker reports. */
 import type { MachineType } from '../../protocol/cloudProtocol.js';
-import type { ReportedAttempt } from '../../protocol/workerProtocol.js';
+import {
+  MAX_REPORT_BYTES,
+  reportedAttemptBytes,
+  type ReportedAttempt,
+} from '../../protocol/workerProtocol.js';
 import type { Attempt, Chunk } from './chunk.js';
 import { ReportedAttempts } from './reportedAttempts.js';
 import { subtractResources, type Resources } from './resources.js';
@@ -23,6 +27,9 @@
   readonly allocatedCpus: number;
 }
 
+/** Bytes in a heartbeat of an attempt with the longest possible name. */
+export const MAX_REPORTED_ATTEMPT_BYTES = 160;
+
 /** Resources of a machine whose type is unknown, or on which nothing may be placed. */
 export const NO_RESOURCES: Readonly<Resources> = { cpus: 0, gpus: 0, memoryGb: 0 };
 
@@ -30,6 +37,9 @@
 export class Occupancy {
   private latestReport = new ReportedAttempts();
   private readonly placementsByTask = new Map<string, Placement>();
+  /** Bytes in a heartbeat of the placed attempts, and of the ended ones that are not acknowledged. */
+  private placedBytes = 0;
+  private endedBytes = 0;
   /** Cached, since placement decisions read it far more often than it changes. */
   private cachedUse: ResourceUse | null = null;
 
@@ -50,22 +60,38 @@
     );
   }
 
+  /** Approximate bytes of the attempts in the worker's next heartbeat. */
+  get reportBytes(): number {
+    return this.placedBytes + this.endedBytes;
+  }
+
+  /** Whether the worker's heartbeat has no room for another attempt. */
+  get isReportFull(): boolean {
+    return this.reportBytes + MAX_REPORTED_ATTEMPT_BYTES > MAX_REPORT_BYTES;
+  }
+
   /** Adds an attempt, replacing an earlier one of the same task. */
   place(placement: Placement): void {
-    this.placementsByTask.set(placement.chunk.taskName(placement.attempt.task), placement);
-    this.cachedUse = null;
+    const task = placement.chunk.taskName(placement.attempt.task);
+    this.remove(task);
+    this.placementsByTask.set(task, placement);
+    this.placedBytes += placementBytes(task, placement);
   }
 
   /** Removes the attempt of a task. */
   remove(task: string): void {
-    this.placementsByTask.delete(task);
+    const removed = this.placementsByTask.get(task);
     this.cachedUse = null;
+    if (removed === undefined) return;
+    this.placementsByTask.delete(task);
+    this.placedBytes -= placementBytes(task, removed);
   }
 
   /** Replaces the reported attempts; returns false if nothing has changed, as in most heartbeats. */
   updateReportedAttempts(attempts: ReportedAttempt[]): boolean {
     if (this.latestReport.isSameAs(attempts)) return false;
     this.latestReport = new ReportedAttempts(attempts);
+    this.endedBytes = endedAttemptBytes(attempts);
     this.cachedUse = null;
     return true;
   }
@@ -94,8 +120,28 @@
       allocatedCpus += chunk.spec.cpus;
       if (chunk.spec.isService) serviceCpus += chunk.spec.cpus;
     }
-    // The resources of an unknown attempt can't be determined, so nothing is placed beside it.
+    // The resources of an unknown attempt can't be determined, so nothing is placed beside it. A machine with more attempts than
+    // its worker can report would seem to be silent.
     const hasUnknown = this.latestReport.all.some((reported) => this.isUnknownAttempt(reported));
-    return { machineType, free: hasUnknown ? NO_RESOURCES : free, serviceCpus, allocatedCpus };
+    const isUnusable = hasUnknown || this.isReportFull;
+    return {
+      machineType,
+      free: isUnusable ? NO_RESOURCES : free,
+      serviceCpus,
+      allocatedCpus,
+    };
+  }
+}
+
+/** Bytes in a heartbeat of a placed attempt. */
+const placementBytes = (task: string, { attempt }: Placement): number =>
+  reportedAttemptBytes(task, attempt.attemptNumber);
+
+/** Bytes in a heartbeat of the attempts that have ended and are not acknowledged. */
+function endedAttemptBytes(attempts: readonly ReportedAttempt[]): number {
+  let bytes = 0;
+  for (const { task, attemptNumber, state, cause } of attempts) {
+    if (state === 'ended') bytes += reportedAttemptBytes(task, attemptNumber, cause ?? '');
   }
+  return bytes;
 }
--- a/src/coordination/scheduling/chunkPlacer.ts
+++ b/src/coordination/scheduling/chunkPlacer.ts
@@ -6,6 +6,7 @@
 import type { Random } from '../../base/random.js';
 import type { Attempt, Chunk } from '../model/chunk.js';
 import type { Machine } from '../model/machine.js';
+import { reportableTasks } from '../model/reportRoom.js';
 import { StartCommands } from '../model/startCommands.js';
 import { fits, subtractResources } from '../model/resources.js';
 import { bestFit, sampleCandidates, satisfiesConstraints, shapeOf } from './placement.js';
@@ -100,8 +101,10 @@
       if (!machine.isSchedulable(now) || !satisfiesConstraints(spec, zone, machine)) continue;
       if (avoidsFailedMachines && chunk.failedMachines.has(machine.name)) continue;
       const free = { ...machine.free };
-      while (unplaced > 0 && fits(free, spec)) {
+      let reportable = reportableTasks(machine.reportRoomBytes, spec);
+      while (unplaced > 0 && reportable > 0 && fits(free, spec)) {
         unplaced--;
+        reportable--;
         subtractResources(free, spec);
       }
     }
--- a/src/coordination/shard/capacityByRank.ts
+++ b/src/coordination/shard/capacityByRank.ts
@@ -2,15 +2,34 @@
 import type { JobSpec } from '../../protocol/job.js';
 import type { Chunk } from '../model/chunk.js';
 import type { Machine } from '../model/machine.js';
+import { attemptBytesOf, reportableTasks } from '../model/reportRoom.js';
 import { fits, subtractResources, type Resources } from '../model/resources.js';
 import { satisfiesConstraints, shapeOf } from '../scheduling/placement.js';
 
+/** The room of one machine that is not allocated yet. */
+interface MachineRoom {
+  readonly machine: Machine;
+  readonly room: Resources;
+  /** Bytes that its worker's heartbeat has left. */
+  reportRoomBytes: number;
+}
+
+/** Allocates room for up to `count` tasks; returns their number. */
+function allocateOn(machineRoom: MachineRoom, spec: JobSpec, count: number): number {
+  const { room, reportRoomBytes } = machineRoom;
+  const most = Math.min(count, reportableTasks(reportRoomBytes, spec));
+  let allocated = 0;
+  for (; allocated < most && fits(room, spec); allocated++) subtractResources(room, spec);
+  machineRoom.reportRoomBytes -= allocated * attemptBytesOf(spec);
+  return allocated;
+}
+
 /**
  * Room on machines for queued chunks, which are allocated in queue order. Placed tasks occupy their room only for chunks of
  * their rank or below: a service that can preempt tasks of a lower rank does not create a demand for a machine.
  */
 export class CapacityByRank {
-  private readonly rooms: { machine: Machine; room: Resources }[];
+  private readonly rooms: MachineRoom[];
   /** Placed tasks by descending rank, each with the room of its machine. */
   private readonly placed: { spec: JobSpec; rank: number; room: Resources }[];
   /** Number of entries of `placed` that are subtracted from the room of their machines. */
@@ -19,7 +38,11 @@
   private readonly shapesWithoutRoom = new Set<string>();
 
   constructor(machines: Machine[]) {
-    this.rooms = machines.map((machine) => ({ machine, room: { ...machine.capacity } }));
+    this.rooms = machines.map((machine) => ({
+      machine,
+      room: { ...machine.capacity },
+      reportRoomBytes: machine.reportRoomBytes,
+    }));
     this.placed = this.rooms.flatMap(({ machine, room }) =>
       [...machine.placements.values()].map(({ chunk: { spec, rank } }) => ({
         spec,
@@ -42,11 +65,11 @@
       return { unplaced: chunk.pendingCount, hasSuitableMachine: true };
     let unplaced = chunk.pendingCount;
     let hasSuitableMachine = false;
-    for (const { machine, room } of this.rooms) {
+    for (const machineRoom of this.rooms) {
       if (unplaced === 0) break;
-      if (!satisfiesConstraints(spec, zone, machine)) continue;
-      if (fits(machine.capacity, spec)) hasSuitableMachine = true;
-      for (; unplaced > 0 && fits(room, spec); unplaced--) subtractResources(room, spec);
+      if (!satisfiesConstraints(spec, zone, machineRoom.machine)) continue;
+      if (fits(machineRoom.machine.capacity, spec)) hasSuitableMachine = true;
+      unplaced -= allocateOn(machineRoom, spec, unplaced);
     }
     if (unplaced > 0 && hasSuitableMachine) this.shapesWithoutRoom.add(shape);
     return { unplaced, hasSuitableMachine };
--- a/src/main.ts
+++ b/src/main.ts
@@ -13,7 +13,7 @@
 import { printStatus, printWhy, QueryError } from './cli/query.js';
 import { addRolloutCommands } from './cli/rolloutCommands.js';
 import { Controller } from './coordination/controller/controller.js';
-import { Gateway, isEssential } from './coordination/controller/gateway.js';
+import { Gateway, isEssential, maxBodyBytes } from './coordination/controller/gateway.js';
 import { EXIT_REFUSED, setUpRollout } from './coordination/rollout/rolloutSetup.js';
 import {
   defaultTuning,
@@ -29,9 +29,6 @@
 import { HttpServer } from './transport/httpServer.js';
 import { PeerServer } from './transport/peerLink.js';
 
-/** Maximum size of a request body in bytes. */
-const BODY_LIMIT = 64 * 1024;
-
 /** Seconds within which a client must send a complete request. */
 const REQUEST_TIMEOUT_S = 10;
 
@@ -104,7 +101,7 @@
   if (tuning.drainSeconds > 0) drainOnSigterm(controller, tuning.drainSeconds);
   const gateway = new Gateway(controller);
   const server = new HttpServer((request, isFollowUp) => gateway.handle(request, isFollowUp), {
-    bodyLimit: BODY_LIMIT,
+    bodyLimit: maxBodyBytes,
     maxConnections: Math.floor(maxSockets * 0.75),
     maxInFlight: Math.floor(maxSockets / 10),
     requestTimeout: REQUEST_TIMEOUT_S,
--- a/src/transport/httpParser.ts
+++ b/src/transport/httpParser.ts
@@ -40,7 +40,8 @@
 
   constructor(
     private readonly kind: 'request' | 'response',
-    private readonly bodyLimit: number,
+    /** Maximum bytes of a body; for requests it may depend on the target. */
+    private readonly bodyLimit: number | ((target: string) => number),
   ) {}
 
   /** True between messages, before any byte of the next one has arrived. */
@@ -213,7 +214,9 @@
 
   private addToBodyLength(bytes: number): void {
     this.bodyLength += bytes;
-    if (this.bodyLength > this.bodyLimit) throw new HttpError(413, 'body too large');
+    const { bodyLimit } = this;
+    const limit = typeof bodyLimit === 'number' ? bodyLimit : bodyLimit(this.message?.target ?? '');
+    if (this.bodyLength > limit) throw new HttpError(413, 'body too large');
   }
 
   private finish(done: HttpMessage[]): void {
--- a/src/transport/serverConnection.ts
+++ b/src/transport/serverConnection.ts
@@ -46,7 +46,8 @@
 
 /** Limits of one connection. */
 export interface ConnectionOptions {
-  bodyLimit: number;
+  /** Maximum bytes of a request's body, which may depend on its target. */
+  bodyLimit: number | ((target: string) => number);
   /** Seconds within which an incomplete request must be completed. */
   requestTimeout: number;
   /** Seconds after which an idle connection is closed. */
--- a/test/commands/messageSize.test.ts
+++ b/test/commands/messageSize.test.ts
@@ -2,13 +2,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { CancelledTaskMonitor } from '../../src/coordination/commands/cancelledTaskMonitor.js';
+import { maxBodyBytes } from '../../src/coordination/controller/gateway.js';
 import { createOwnedShard } from '../../src/coordination/leadership/ownedShard.js';
 import type { Chunk } from '../../src/coordination/model/chunk.js';
 import { selectForMessage } from '../../src/coordination/model/commandSelection.js';
 import { unconditionalStops } from '../../src/coordination/model/dueCommands.js';
 import type { Machine } from '../../src/coordination/model/machine.js';
 import { commandBytes, type Command } from '../../src/protocol/workerProtocol.js';
+import { HttpParser } from '../../src/transport/httpParser.js';
 import { CommandHarness } from '../support/commandHarness.js';
+import { ShardFixture } from '../support/shardFixture.js';
 
 /** Maximum bytes of a request's body, and of a line in an answer (PROTOCOL). */
 const MAX_BYTES = 64 * 1024;
@@ -19,6 +22,8 @@
 /** Small enough for all tasks on one machine of 8 CPUs. */
 const SMALL = { id: 'wk-000001', cpus: 0.005, memoryGb: 0.001 };
 
+const bytesOf = (body: unknown): number => Buffer.byteLength(JSON.stringify(body));
+
 /** A machine that runs `TASKS` small tasks of one job. */
 async function crowdedMachine(): Promise<{
   harness: CommandHarness;
@@ -58,6 +63,16 @@
   assert.ok(Math.max(...harness.answerBytes) <= MAX_BYTES);
 });
 
+// Guards against a heartbeat that ended attempts make too large: acknowledgements alone waited for the next heartbeat.
+test('many ended attempts are acknowledged without a heartbeat', async () => {
+  const { harness, machine, chunk } = await crowdedMachine();
+  harness.fixture.shard.prepareCancel(chunk, harness.fixture.now);
+  for (let message = 0; message < 3; message++) await harness.sendCommands(machine);
+  harness.fixture.markStored(chunk);
+  for (let message = 0; message < 3; message++) await harness.sendCommands(machine);
+  assert.ok(bytesOf(harness.worker(machine).heartbeat()) < MAX_BYTES / 2);
+});
+
 test('a message that is too small for all commands carries stops first, and keeps their order', () => {
   const commands = (verb: Command['verb'], count: number): Command[] =>
     Array.from({ length: count }, (_, n) => {
@@ -102,3 +117,50 @@
     assert.equal(Math.min(1, counted), violations);
   }
 });
+
+// Guards against tasks that are started again and again: their worker could not report them all, and its lease ended.
+test('a machine gets no more tasks than its worker can report, and others are asked for', () => {
+  const fixture = new ShardFixture();
+  const machine = fixture.addMachine();
+  const chunk = fixture.addChunk({ ...SMALL, taskCount: 1500 });
+  fixture.runSchedulingRound();
+  const placed = chunk.attempts.size;
+  assert.ok(placed > 1000 && placed < 1500, `${placed} tasks were placed`);
+  fixture.markStored(chunk);
+  const reported = [...machine.placements].map(([task, { attempt }]) => ({
+    task,
+    attemptNumber: attempt.attemptNumber,
+  }));
+  const pieces = reported.map(({ task, attemptNumber }) => ({
+    Piece: task,
+    Try: attemptNumber,
+    Status: 'fetching',
+  }));
+  assert.ok(bytesOf(pieces) <= MAX_BYTES);
+  fixture.applyHeartbeat(machine, reported);
+  assert.equal(machine.availability(fixture.now), 'full');
+  const [demand] = fixture.shard.demand.demands(fixture.now);
+  assert.equal(demand?.count, 1500 - placed);
+  // Once some have ended and are acknowledged, the rest follows.
+  fixture.applyHeartbeat(machine, [
+    ...reported
+      .slice(0, 600)
+      .map((attempt) => ({ ...attempt, state: 'ended', cause: 'done' }) as const),
+    ...reported.slice(600),
+  ]);
+  fixture.markStored(chunk);
+  fixture.applyHeartbeat(machine, reported.slice(600));
+  fixture.runSchedulingRound();
+  assert.equal(chunk.attempts.size, 1500 - 600);
+});
+
+test('a heartbeat beyond the size of other requests is read, so that its worker keeps its lease', () => {
+  const request = (target: string): Buffer => {
+    const body = 'x'.repeat(90 * 1024);
+    return Buffer.from(`POST ${target} HTTP/1.1\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+  };
+  const parse = (target: string): number =>
+    new HttpParser('request', maxBodyBytes).push(request(target)).length;
+  assert.equal(parse('/hello'), 1);
+  assert.throws(() => parse('/v1/jobs'), { status: 413 });
+});
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -3,7 +3,7 @@
 import { setLogLevel } from '../../src/base/log.js';
 import { seededRandom } from '../../src/base/random.js';
 import { Controller } from '../../src/coordination/controller/controller.js';
-import { Gateway, isEssential } from '../../src/coordination/controller/gateway.js';
+import { Gateway, isEssential, maxBodyBytes } from '../../src/coordination/controller/gateway.js';
 import { rolloutDisabled, type RolloutSetup } from '../../src/coordination/rollout/rolloutSetup.js';
 import * as rolloutModules from '../../src/coordination/rollout/rolloutModules.js';
 import { defaultTuning, parseSettings } from '../../src/protocol/settings.js';
@@ -82,7 +82,7 @@
 }
 
 const SERVER_LIMITS = {
-  bodyLimit: 65536,
+  bodyLimit: maxBodyBytes,
   maxConnections: 200,
   maxInFlight: 100,
   requestTimeout: 5,
