What the state service rejects as malformed is divided and set aside, and holds up no others

Cause: a bucket that was rejected as malformed was sent again for ever and waited after each time with one of the three writes that a shard may have in flight; a batch of submissions kept one of three, and all of its users were refused together.

Why it works: a rejected transaction is certainly not applied, so its buckets can be written apart, then their chunks. A single chunk that is rejected is set aside for a while: it holds no write, and its tasks, which can't have been started, hold no room. The jobs of a batch are stored one by one; one that is rejected alone is refused with 400, unless it is stored already. Users read that a start waits to be stored, which was called the fetch of an image.

--- a/src/coordination/jobs/replies.ts
+++ b/src/coordination/jobs/replies.ts
@@ -71,5 +71,11 @@
 export const isolatedReply = (): StatelessReply =>
   unavailable('this node is cut off from the others and the state service', 2);
 
+/** The reply to a submission whose records would be beyond the limits of the state service. */
+export const TOO_LARGE: StatelessReply = {
+  status: 400,
+  body: { error: 'the description is too large to be stored' },
+};
+
 /** The reply if no job with this id was ever accepted. */
 export const NO_SUCH_JOB: StatelessReply = { status: 404, body: { error: 'no such job' } };
--- a/src/coordination/jobs/submissionBatch.ts
+++ b/src/coordination/jobs/submissionBatch.ts
@@ -29,6 +29,8 @@
   readonly deadline: number;
   /** Answers its user. */
   readonly settle: (reply: JobReply) => void;
+  /** It is stored by a transaction of its own, since one with other jobs was rejected as malformed. */
+  isStoredAlone: boolean;
 }
 
 /** A bucket of chunks that a batch creates at a peer's shard. */
@@ -71,9 +73,11 @@
     for (let i = 0; i < queue.length; i++) {
       const next = queue[i];
       if (next?.homeShard !== homeShard) continue;
-      if (!size.add(next) && jobs.length > 0) break;
+      const mustBeFirst = next.isStoredAlone || !size.add(next);
+      if (mustBeFirst && jobs.length > 0) break;
       jobs.push(next);
       queue.splice(i--, 1);
+      if (next.isStoredAlone) break;
     }
     const batch = { homeShard, jobs, transfers: new Map(), mayBeStored: false };
     this.assignTransfers(batch);
--- a/src/coordination/jobs/submissionWriter.ts
+++ b/src/coordination/jobs/submissionWriter.ts
@@ -10,7 +10,7 @@
 import type { StateClient, TransactionResult } from '../../storage/stateClient.js';
 import type { HomeJob, OwnedShard } from '../leadership/ownedShard.js';
 import type { JobPersistence } from '../persistence/jobPersistence.js';
-import { statusReply, unavailable, type JobReply } from './replies.js';
+import { statusReply, TOO_LARGE, unavailable, type JobReply } from './replies.js';
 import {
   batchTransaction,
   SubmissionBatcher,
@@ -81,7 +81,13 @@
         resolve(reply);
       };
       const deadline = clock.now() + timeoutSeconds;
-      const queued: QueuedSubmission = { ...submission, homeShard, deadline, settle };
+      const queued: QueuedSubmission = {
+        ...submission,
+        homeShard,
+        deadline,
+        settle,
+        isStoredAlone: false,
+      };
       this.queue.push(queued);
       void this.writeBatches();
     });
@@ -155,13 +161,49 @@
       case 'unknown':
         batch.mayBeStored = true;
         return false;
+      case 'malformed':
+        return this.divideRejected(batch);
       case 'refused':
       case 'no-lease':
-      case 'malformed':
         return false;
     }
   }
 
+  /**
+   * Divides a batch that the state service rejects as malformed: repeated as it is it would be rejected again, and refuse all of its
+   * users. Its jobs are stored one by one; one that is rejected alone is stored without chunks at peers, or refused. Returns true
+   * if nothing is left to store.
+   */
+  private async divideRejected(batch: SubmissionBatch): Promise<boolean> {
+    const [first, ...others] = batch.jobs;
+    if (first === undefined) return true;
+    if (others.length > 0) {
+      for (const job of batch.jobs) job.isStoredAlone = true;
+      this.queue.unshift(...others);
+      batch.jobs = [first];
+      void this.writeBatches();
+    } else if (batch.transfers.size > 0) {
+      // Its chunks are created at the home shard once it is stored.
+      batch.jobs = [
+        { ...first, initialChunks: [], record: { ...first.record, migratedChunks: [] } },
+      ];
+    } else {
+      await this.refuse(first);
+      batch.jobs = [];
+    }
+    this.batcher.assignTransfers(batch);
+    return batch.jobs.length === 0;
+  }
+
+  /** Refuses a job that can't be stored, unless it is stored already: the retry of an accepted submission is never refused. */
+  private async refuse({ id, settle }: QueuedSubmission): Promise<void> {
+    const existing = await this.context.stateClient.get(keys.job(id));
+    if (existing === null) {
+      log.error(`the state service rejects job ${id} as malformed; it is refused`);
+      settle(TOO_LARGE);
+    } else settle(await this.answerExisting(id));
+  }
+
   /** Handles a conflict: jobs are stored already or a shard has another leader. Returns true if nothing is left to store. */
   private async resolveConflict(batch: SubmissionBatch): Promise<boolean> {
     const { stateClient, leadership } = this.context;
--- a/src/coordination/jobs/waitReasons.ts
+++ b/src/coordination/jobs/waitReasons.ts
@@ -53,8 +53,13 @@
 
 /** Why a chunk at one of this node's shards waits. */
 function chunkReason(shard: Shard, chunk: Chunk, spec: JobSpec, now: number): string {
+  if (chunk.isUnstorable) {
+    return 'Its description is larger than the service can store, so no task of it can start. Please tell the operators.';
+  }
   if (chunk.pendingCount === 0) {
     const attempts = [...chunk.attempts.values()];
+    const unstored = attempts.filter((attempt) => !chunk.isDurable(attempt)).length;
+    if (unstored > 0) return `${unstored} task(s) have a machine and start once that is stored.`;
     const fetching = attempts.filter((attempt) => attempt.state === 'fetching').length;
     return `${fetching} task(s) have a machine and wait for image ${spec.image} (${spec.imageGb} GB) to be fetched.`;
   }
--- a/src/coordination/model/bucket.ts
+++ b/src/coordination/model/bucket.ts
@@ -28,6 +28,10 @@
    * on it is stored in another bucket. The record is not written again, and removed once all of them are stored elsewhere.
    */
   private readonly retired = new Map<Chunk, number>();
+  /** It is written by a transaction of its own, since one with other buckets was rejected as malformed. */
+  isWrittenAlone = false;
+  /** Monotonic time before which it is not written again, after its write was rejected as malformed. */
+  notWrittenBefore = -Infinity;
   /** Whether it has been checked if the record may grow beyond the size limit. */
   isSizeChecked = false;
 
--- a/src/coordination/model/chunk.ts
+++ b/src/coordination/model/chunk.ts
@@ -55,6 +55,12 @@
   bucket: ChunkBucket | null = null;
   /** A migration to another shard got no answer: it may have been applied, until the bucket is written again. */
   mayHaveMigrated = false;
+  /** It shares no bucket with other chunks, since a bucket with them was rejected as malformed. */
+  needsOwnBucket = false;
+  /** The state service rejected its record as malformed, and has not stored it since. */
+  isUnstorable = false;
+  /** The state service rejected its migration as malformed: it stays in its shard. */
+  isMigrationRejected = false;
   /** Its previous bucket, whose record exceeded the size limit and still contains a copy of it. */
   retiredFrom: ChunkBucket | null = null;
   /** Its job's dependencies have just released it, and the peers are to be asked about it as at a submission. */
@@ -143,8 +149,9 @@
     const { bucket } = this;
     const isSettled =
       bucket !== null && !bucket.isWriteInFlight && bucket.revision > 0 && this.storedVersion > 0;
-    const isFree = !this.mayHaveMigrated && this.retiredFrom === null && !this.isCancelRequested;
-    return isSettled && this.isJobStored && isFree && this.attempts.size === 0;
+    const isHeld = this.mayHaveMigrated || this.retiredFrom !== null || this.isMigrationRejected;
+    const isWanted = this.isJobStored && !this.isCancelRequested;
+    return isSettled && isWanted && !isHeld && this.attempts.size === 0;
   }
 
   /** Name of a task on the wire: the job's id and the task's number. */
--- a/src/coordination/persistence/bucketWriter.ts
+++ b/src/coordination/persistence/bucketWriter.ts
@@ -14,6 +14,7 @@
 import type { Chunk } from '../model/chunk.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import { maxStoredBytes, Bucket, bucketOf } from '../model/bucket.js';
+import { RejectedWrites } from './rejectedWrites.js';
 
 /** Queries and events of the bucket writer. */
 export interface BucketWriterEvents {
@@ -53,6 +54,9 @@
 /** Factor on the flush delay while other requests queue for the state service. */
 const BUSY_DELAY_FACTOR = 4;
 
+/** Pause before a write that was rejected as malformed is tried again, as a ratio to the flush delay. */
+const REJECTED_RETRY_RATIO = 20;
+
 /** Demand, as a share of this node's write rate, above which writes count as scarce. */
 const BUSY_WRITE_LOAD = 1 / 2;
 
@@ -62,6 +66,7 @@
 /** Writes the buckets of owned shards under the conditions of safety O3. */
 export class BucketWriter {
   private createdBuckets = 0;
+  private readonly rejectedWrites: RejectedWrites;
 
   constructor(
     private readonly client: StateServiceAccess,
@@ -69,7 +74,9 @@
     private readonly clock: Clock,
     private readonly events: BucketWriterEvents,
     private readonly options: BucketWriterOptions,
-  ) {}
+  ) {
+    this.rejectedWrites = new RejectedWrites(clock, options.flushDelay * REJECTED_RETRY_RATIO);
+  }
 
   /** Applies a transaction of a shard, under the condition of its leader record and only while the lease is valid. */
   async write(
@@ -139,7 +146,7 @@
     const due = new Map<Bucket, RequestPriority>();
     for (const chunk of ownedShard.shard.unsavedChunks) {
       const bucket = bucketOf(chunk);
-      if (bucket === null || bucket.isWriteInFlight || due.get(bucket) === 'urgent') continue;
+      if (bucket === null || !isWritable(bucket, now) || due.get(bucket) === 'urgent') continue;
       const isOverdue = chunk.dirtySince !== null && now - chunk.dirtySince >= maxDelay;
       if (isWriteUrgent(chunk) && (chunk.spec.isService || !areBatchStartsDeferred))
         due.set(bucket, 'urgent');
@@ -147,7 +154,7 @@
     }
     if (isBusy) return due;
     for (const bucket of ownedShard.buckets.values()) {
-      if (bucket.isDirty && bucket.mustBeTidied && !bucket.isWriteInFlight)
+      if (bucket.isDirty && bucket.mustBeTidied && isWritable(bucket, now))
         due.set(bucket, 'later');
     }
     return due;
@@ -171,7 +178,9 @@
       const cost = this.operationsFor(ownedShard, bucket, size);
       const isFull =
         operations + cost > maxOperations ||
-        bytes + size > MAX_TRANSACTION_CHANGE_BYTES * TRANSACTION_FILL_RATIO;
+        bytes + size > MAX_TRANSACTION_CHANGE_BYTES * TRANSACTION_FILL_RATIO ||
+        bucket.isWrittenAlone ||
+        batch[0]?.isWrittenAlone === true;
       if (batch.length > 0 && isFull) send();
       batch.push(bucket);
       bytes += size;
@@ -205,6 +214,7 @@
       // Services change seldom and batch tasks often: separate buckets avoid rewriting one for changes of the other.
       const [firstChunk] = bucket.chunks;
       if (firstChunk !== undefined && firstChunk.spec.isService !== chunk.spec.isService) continue;
+      if (chunk.needsOwnBucket || firstChunk?.needsOwnBucket === true) continue;
       if (bucket === chunk.retiredFrom || bucket.hasUnstoredRetiredChunks) continue;
       const usedBytes = bucket.maxStoredBytes;
       if (usedBytes + neededBytes <= maxRecordBytes && usedBytes > mostUsed)
@@ -262,8 +272,7 @@
         bucket.isDirty = true;
       }
       if (result.kind === 'conflict') await this.resolveConflict(ownedShard, buckets);
-      // Repeated at once it would be rejected again and delay other writes.
-      else if (result.kind === 'malformed') await sleep(this.options.flushDelay);
+      else if (result.kind === 'malformed') this.rejectedWrites.handle(ownedShard, buckets);
       else await sleep(this.options.retryDelay);
     } catch (error) {
       log.debug(`writing buckets failed: ${describeError(error)}`);
@@ -283,6 +292,7 @@
   ): void {
     for (const { chunk, version } of stored) {
       chunk.storedVersion = Math.max(chunk.storedVersion, version);
+      chunk.isUnstorable = false;
       // The bucket's revision has changed, so a transaction that migrates the chunk away can no longer be applied.
       chunk.mayHaveMigrated = false;
       if (chunk.version === chunk.storedVersion) ownedShard.shard.unsavedChunks.delete(chunk);
@@ -374,6 +384,7 @@
         this.stateCache.applyPut(key, value, result.revision);
       } else if (result.kind === 'conflict') await this.resolveConflict(ownedShard, [bucket]);
       else if (result.kind === 'unknown') this.noteMigrationUnanswered(ownedShard, chunk);
+      else if (result.kind === 'malformed') chunk.isMigrationRejected = true;
       return result;
     } finally {
       chunk.isMigrating = false;
@@ -410,6 +421,9 @@
   }
 }
 
+const isWritable = (bucket: Bucket, now: number): boolean =>
+  !bucket.isWriteInFlight && now >= bucket.notWrittenBefore;
+
 /** Whether starts, or the completion of the chunk in its job, wait until the chunk is stored. */
 const isWriteUrgent = (chunk: Chunk): boolean =>
   hasUnstoredStarts(chunk) || (chunk.isComplete && !chunk.isCancelled);
--- a/src/coordination/persistence/jobRecordWriter.ts
+++ b/src/coordination/persistence/jobRecordWriter.ts
@@ -25,6 +25,9 @@
   readonly retryDelay: number;
 }
 
+/** Pause after a write that was rejected as malformed, as a ratio to the retry delay. */
+const REJECTED_PAUSE_RATIO = 10;
+
 /** Writes job records. The caller sets the job's `isWriteInFlight` first. */
 export class JobRecordWriter {
   constructor(
@@ -67,7 +70,9 @@
       return this.reread(homeShard, job, wasOutcomeUnknown);
     }
     job.isOutcomeUnknown = wasOutcomeUnknown || result.kind === 'unknown';
-    await sleep(this.options.retryDelay);
+    // Repeated at once it would be rejected again.
+    const pauseRatio = result.kind === 'malformed' ? REJECTED_PAUSE_RATIO : 1;
+    await sleep(this.options.retryDelay * pauseRatio);
     return false;
   }
 
--- a/test/jobs/submissionWriter.test.ts
+++ b/test/jobs/submissionWriter.test.ts
@@ -7,6 +7,7 @@
 } from '../../src/coordination/jobs/submissionWriter.js';
 import { Chunk } from '../../src/coordination/model/chunk.js';
 import { createOwnedShard, type OwnedShard } from '../../src/coordination/leadership/ownedShard.js';
+import type { JobSpec } from '../../src/protocol/job.js';
 import { keys, type JobRecord, type BucketRecord } from '../../src/storage/records.js';
 import type { Reply } from '../../src/transport/httpServer.js';
 import { recordFormatFor } from '../support/recordFormat.js';
@@ -60,8 +61,13 @@
   }
 
   /** Submits a job of two chunks, the second of which is placed at the peer's shard. */
-  submit(id: string, timeoutSeconds = 4, at = this.now): Promise<void> {
-    const s = jobSpec({ id, taskCount: 4 });
+  submit(
+    id: string,
+    timeoutSeconds = 4,
+    at = this.now,
+    changes: Partial<JobSpec> = {},
+  ): Promise<void> {
+    const s = jobSpec({ id, taskCount: 4, ...changes });
     const chunk = (k: number): Chunk => new Chunk(s, k, 'p', at, 2 * k, 2 * k + 2, null, this.now);
     const initialChunks = [
       { shard: 'p', chunk: chunk(0) },
@@ -253,3 +259,40 @@
   await fixture.submit('wk-1');
   assert.deepEqual(fixture.answers.get('wk-1')?.body, { Uid: 'wk-1', Status: 'cancelled' });
 });
+
+/** A description beyond the limits of a value. */
+const LARGE = { machineTypes: Array.from({ length: 2000 }, (_, n) => `machine-type-${n}`) };
+
+// Guards against users that are refused together with one whose job can't be stored, and who waits for a clear answer.
+test('a job that the state service rejects as malformed is refused at once, and the others of its batch are stored', async () => {
+  const fixture = new WriterFixture();
+  const ids = ['wk-1', 'wk-2', 'wk-9', 'wk-3'];
+  await Promise.all(ids.map((id) => fixture.submit(id, 4, 0, id === 'wk-9' ? LARGE : {})));
+  assert.deepEqual(
+    ids.map((id) => fixture.status(id)),
+    [201, 201, 400, 201],
+  );
+  assert.deepEqual(fixture.answers.get('wk-9')?.body, {
+    error: 'the description is too large to be stored',
+  });
+  for (const id of ['wk-1', 'wk-2', 'wk-3']) assert.equal(fixture.transferCount(id), 1);
+});
+
+test('a repeated submission is not refused as too large if the job is stored', async () => {
+  const fixture = new WriterFixture();
+  const key = keys.job('wk-9');
+  fixture.store.rows.set(key, { key, value: { state: 'open', submittedAt: 77 }, revision: 9 });
+  await fixture.submit('wk-9', 4, 0, LARGE);
+  assert.equal(fixture.status('wk-9'), 200);
+});
+
+test('a job whose chunks at peers do not fit into its transaction is stored without them', async () => {
+  const fixture = new WriterFixture();
+  const types = Array.from({ length: 250 }, (_, n) => `machine-type-${n}`);
+  fixture.store.limits.txn = 8 * 1024;
+  await fixture.submit('wk-1', 4, 0, { machineTypes: types });
+  assert.equal(fixture.status('wk-1'), 201);
+  assert.equal(fixture.transferCount('wk-1'), 0);
+  const stored = fixture.store.rows.get(keys.job('wk-1'))?.value as JobRecord;
+  assert.deepEqual(stored.migratedChunks, [], 'the home shard creates the chunk');
+});
--- a/test/persistence/bucketWriter.test.ts
+++ b/test/persistence/bucketWriter.test.ts
@@ -6,6 +6,7 @@
 import { chooseShardFor } from '../../src/coordination/autoscaling/machineGroups.js';
 import { ShardLoader } from '../../src/coordination/leadership/shardLoader.js';
 import { BucketWriter } from '../../src/coordination/persistence/bucketWriter.js';
+import type { JobSpec } from '../../src/protocol/job.js';
 import { rateShareOf } from '../../src/storage/rateLimiter.js';
 import { MachineInventory } from '../../src/storage/machineInventory.js';
 import { keys, type MachineGroupRecord, type BucketRecord } from '../../src/storage/records.js';
@@ -174,9 +175,9 @@
     this.ownedShard.shard.heartbeats.apply(machine, { ...report, ...rest }, this.now, 'response');
   }
 
-  addJob(id: string, tasks = 1): Chunk {
+  addJob(id: string, tasks = 1, changes: Partial<JobSpec> = {}): Chunk {
     const chunk = new Chunk(
-      jobSpec({ id, taskCount: tasks }),
+      jobSpec({ id, taskCount: tasks, ...changes }),
       0,
       'p',
       this.now,
@@ -452,3 +453,75 @@
     assert.equal(chooseShardFor(node, zone, wanted), shard, name);
   }
 });
+
+/** A description beyond the limits of a value. */
+const LARGE = { machineTypes: Array.from({ length: 2000 }, (_, n) => `machine-type-${n}`) };
+
+// Guards against a shard that starts nothing any more: chunks that can't be stored held all of its writes.
+test('chunks that the state service rejects as malformed are set aside, and hold up no others', async () => {
+  const fixture = new WriterFixture();
+  fixture.addMachine('n-1');
+  const large = [0, 1, 2, 3, 4].map((n) =>
+    fixture.addJob(`wk-9${n}`, 1, { ...LARGE, machineTypes: ['m8', ...LARGE.machineTypes] }),
+  );
+  await fixture.runRound(0.1);
+  const ordinary = ['wk-1', 'wk-2'].map((id) => fixture.addJob(id));
+  for (let round = 0; round < 6; round++) await fixture.runRound();
+  assert.deepEqual(
+    ordinary.map((chunk) => fixture.shardsStoring(chunk)),
+    [['p'], ['p']],
+  );
+  assert.deepEqual(fixture.started, ['wk-1/0@n-1', 'wk-2/0@n-1']);
+  assert.ok(large.every((chunk) => chunk.isUnstorable && chunk.attempts.size === 0));
+  // Once the limits allow it they are stored, and start.
+  fixture.store.limits.value = 64 * 1024;
+  for (const chunk of ordinary) fixture.ownedShard.shard.dropChunk(chunk);
+  for (let round = 0; round < 12; round++) await fixture.runRound();
+  assert.ok(large.some((chunk) => !chunk.isUnstorable && chunk.attempts.size === 1));
+});
+
+test('a write that is rejected as malformed is not repeated as it is', async () => {
+  const fixture = new WriterFixture();
+  fixture.addMachine('n-1');
+  fixture.addJob('wk-9', 1, { machineTypes: ['m8', ...LARGE.machineTypes] });
+  let transactions = 0;
+  const transact = fixture.store.transact.bind(fixture.store);
+  fixture.store.transact = (transaction) => {
+    transactions++;
+    return transact(transaction);
+  };
+  for (let round = 0; round < 20; round++) await fixture.runRound(0.5);
+  assert.equal(transactions, 1);
+});
+
+test('the chunks of a bucket that is rejected as malformed are stored apart, and none is lost', async () => {
+  for (const isStored of [false, true]) {
+    const fixture = new WriterFixture();
+    fixture.addMachine('n-1');
+    if (!isStored) fixture.store.limits.value = 600;
+    const chunks = ['wk-1', 'wk-2', 'wk-3'].map((id) => fixture.addJob(id));
+    await fixture.runRound();
+    if (isStored) {
+      fixture.store.limits.value = 600;
+      for (const chunk of chunks) fixture.ownedShard.shard.noteChunkChanged(chunk, fixture.now);
+    }
+    for (let round = 0; round < 6; round++) await fixture.runRound();
+    for (const chunk of chunks) {
+      assert.deepEqual(fixture.shardsStoring(chunk), ['p'], chunk.id);
+      assert.equal(chunk.retiredFrom, null);
+    }
+    assert.equal(fixture.started.length, 3);
+  }
+});
+
+test('a migration that is rejected as malformed is not tried again, and the chunk stays', async () => {
+  const fixture = new WriterFixture();
+  const chunk = fixture.addJob('wk-1');
+  await fixture.runRound();
+  const { value } = fixture.store.limits;
+  fixture.store.limits.value = 100;
+  assert.equal((await fixture.move(chunk)).kind, 'malformed');
+  fixture.store.limits.value = value;
+  assert.equal((await fixture.move(chunk)).kind, 'refused');
+  assert.deepEqual(fixture.shardsStoring(chunk), ['p']);
+});
