A job is accepted only if all records that it leads to can be stored, and keeps only machine types that the cloud has

Cause: the job's own record was checked, against the values that a transaction holds and not against its 64 KiB in all, and the record of its chunk, some 200 bytes longer, was not checked. Thousands of names of machine types that the cloud does not have were part of every record, demand and question to peers.

The tests in recordSizes.test.ts (nearly 64 KiB) and jobPersistence.test.ts (a stored job) failed before.

Why it works: the largest records that a job can come to are computed when it is submitted, with the escapes of fragments, and compared with the smaller of the two limits; beyond it the answer is 400 at once, unless the job is stored. Unknown and repeated names are left out of a description, so that what PROTOCOL lets a user send is stored and runs; chunks of jobs that an earlier version accepted are made in the same way. The stand-in of the state service keeps to 64 KiB.

--- a/src/coordination/controller/wiring.ts
+++ b/src/coordination/controller/wiring.ts
@@ -1,5 +1,6 @@
 /** Creates a node's components from its settings and connects them through callbacks. */
 import { sleep, type Clock } from '../../base/clock.js';
+import type { MachineType } from '../../protocol/cloudProtocol.js';
 import type { Settings } from '../../protocol/settings.js';
 import type { KeyValueChange } from '../../protocol/stateProtocol.js';
 import type { ChunkIndex } from '../../storage/chunkIndex.js';
@@ -131,6 +132,7 @@
   readonly leadership: Pick<ShardLeadership, 'isLeaseValid' | 'verifyLeadership'>;
   readonly cancellationPreparations: Pick<CancellationPreparations, 'stateOf'>;
   readonly commands: Pick<CommandDispatcher, 'queueStarts'>;
+  readonly machineTypes: ReadonlyMap<string, MachineType>;
   isBlockedOnDependencies(job: string): boolean;
 }
 
@@ -141,6 +143,9 @@
     ownedShards: node.ownedShards,
     isBeingCancelled: (job: string) => node.cancellationPreparations.stateOf(job) !== 'none',
     isBlockedOnDependencies: (job: string) => node.isBlockedOnDependencies(job),
+    get machineTypes() {
+      return node.machineTypes;
+    },
     get hasUnreadableChunks() {
       return stateClient.hasUnreadable(BUCKET_PREFIX);
     },
--- a/src/coordination/jobs/jobAnswers.ts
+++ b/src/coordination/jobs/jobAnswers.ts
@@ -47,6 +47,9 @@
 /** Number of remembered final states at which those that the cache shows by now are dropped. */
 const PRUNE_THRESHOLD = 256;
 
+/** Statuses that tell a user that the job is not, and will not be, accepted. */
+const DENYING_STATUSES = [400, 404, 422];
+
 const isFinal = (status: JobStatus): boolean => status === 'done' || status === 'cancelled';
 
 /** Decides which replies about jobs may be sent. */
@@ -79,7 +82,7 @@
 
   /** Withholds a reply that denies a cached job: the job was accepted, and users may know that already. */
   private decideOnStatelessReply(request: UserRequest, reply: Reply): Reply {
-    const deniesJob = reply.status === 404 || reply.status === 422;
+    const deniesJob = DENYING_STATUSES.includes(reply.status);
     if (!deniesJob || cachedJob(this.context.stateCache, request.job) === undefined) return reply;
     return this.withhold(request, 'job-is-known');
   }
--- a/src/coordination/jobs/jobSubmission.ts
+++ b/src/coordination/jobs/jobSubmission.ts
@@ -2,19 +2,21 @@
 import type { Clock } from '../../base/clock.js';
 import type { JobSpec } from '../../protocol/job.js';
 import type { Settings } from '../../protocol/settings.js';
-import { keys, type JobRecord } from '../../storage/records.js';
+import { keys, type JobRecord, type OpenJobRecord } from '../../storage/records.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
+import { withKnownMachineTypes } from '../model/allowedMachineTypes.js';
 import { chunkRanges, chunkSize, mayCreateChunk, zonesFor } from '../model/chunking.js';
 import { checkDependencies, type DependencyCheck } from '../pipelines/dependencyAdmission.js';
 import { placeInitialChunks, type ShardChooser } from './initialPlacement.js';
 import { feasibleZones, infeasibilityReason, type FeasibilityContext } from './jobFeasibility.js';
 import type { JobLookup } from './jobLookup.js';
-import { isolatedReply, statusReply, unavailable, type JobReply } from './replies.js';
+import { isolatedReply, statusReply, TOO_LARGE, unavailable, type JobReply } from './replies.js';
 import {
   relayToAnyPeer,
   REQUEST_TIMEOUT_SECONDS,
   type RequestRelayContext,
 } from './requestRelay.js';
+import { isStorable } from './storability.js';
 import { SubmissionWriter, type SubmissionWriterContext } from './submissionWriter.js';
 
 /** Maximum number of chunks that are created together with their job. */
@@ -137,10 +139,11 @@
     return unavailable(isUnavailable ? 'the state service is out of reach' : 'try again');
   }
 
-  private async accept(homeShard: OwnedShard, spec: JobSpec): Promise<JobReply> {
+  private async accept(homeShard: OwnedShard, submitted: JobSpec): Promise<JobReply> {
     const { context } = this;
-    const reason = infeasibilityReason(context, spec);
-    if (reason !== null) return this.refuse(spec.id, reason);
+    const reason = infeasibilityReason(context, submitted);
+    if (reason !== null) return this.refuse(submitted.id, reason);
+    const spec = withKnownMachineTypes(submitted, context.machineTypes);
     // The transaction that stores a job fails if the job exists already, so the state service is asked beforehand only
     // if there may be no transaction.
     if (!context.stateClient.isHealthy) {
@@ -197,7 +200,7 @@
     return this.writer.submit(homeShard, submission, REQUEST_TIMEOUT_SECONDS);
   }
 
-  private newRecord(homeShard: OwnedShard, spec: JobSpec): JobRecord {
+  private newRecord(homeShard: OwnedShard, spec: JobSpec): OpenJobRecord {
     const { clock, recordFormat, shards } = this.context;
     const maxTasks = recordFormat.maxTasksPerChunk(spec);
     return {
@@ -222,15 +225,13 @@
       .slice(0, this.maxInitialChunks)
       .filter((_, index) => mayCreateChunk(record, index));
     record.createdChunks = ranges.length;
-    const key = keys.job(spec.id);
-    if (
-      recordFormat.isCompact &&
-      recordFormat.encodedBytes(key, record) > recordFormat.maxRecordBytes(1)
-    ) {
-      return { status: 400, body: { error: 'the description is too large to be stored' } };
+    if (!isStorable(recordFormat, record)) {
+      // Records are limited to one value until all nodes are known to read larger ones.
+      if (!recordFormat.isCompact) return unavailable('the service is starting', 2);
+      return (await this.answerIfStored(spec.id)) ?? TOO_LARGE;
     }
     // A fragmented record leaves no room in its transaction for chunks at peers' shards.
-    const isFragmented = recordFormat.operations(key, record) > 1;
+    const isFragmented = recordFormat.operations(keys.job(spec.id), record) > 1;
     const initialChunks =
       spec.dependencies.length > 0 || isFragmented
         ? []
--- a/src/coordination/persistence/jobPersistence.ts
+++ b/src/coordination/persistence/jobPersistence.ts
@@ -6,6 +6,8 @@
 import { describeError, log } from '../../base/log.js';
 import { keys, type FinalJobRecord, type JobRecord } from '../../storage/records.js';
 import type { ChunkIndex } from '../../storage/chunkIndex.js';
+import type { MachineType } from '../../protocol/cloudProtocol.js';
+import { withKnownMachineTypes } from '../model/allowedMachineTypes.js';
 import { Chunk } from '../model/chunk.js';
 import { chunkRanges, mayCreateChunk, totalChunks } from '../model/chunking.js';
 import type { CancellationEvidence } from './cancellationEvidence.js';
@@ -27,6 +29,8 @@
   isBeingCancelled(job: string): boolean;
   /** Whether the job waits for its dependencies; it has no chunks before these are done. */
   isBlockedOnDependencies(job: string): boolean;
+  /** The machine types of the cloud, by name; empty while they are not known. */
+  readonly machineTypes: ReadonlyMap<string, MachineType>;
   /** Whether a stored bucket cannot be read; tasks of its chunks may be running unknown to any node. */
   readonly hasUnreadableChunks: boolean;
 }
@@ -196,12 +200,24 @@
       return;
     const now = this.clock.now();
     const isReleased = (job.record.spec?.dependencies.length ?? 0) > 0;
-    for (const chunk of missingChunks(job.id, job.record, homeShard.shard.chunks, now)) {
+    for (const chunk of missingChunks(
+      job.id,
+      this.withKnownMachineTypes(job.record),
+      homeShard.shard.chunks,
+      now,
+    )) {
       chunk.isNewlyReleased = isReleased;
       homeShard.shard.acceptNewChunk(chunk, now);
     }
   }
 
+  /** The record as the job's chunks are created from it: an earlier version accepted descriptions that no chunk can hold. */
+  private withKnownMachineTypes(record: JobRecord): JobRecord {
+    if (record.state !== 'open') return record;
+    const spec = withKnownMachineTypes(record.spec, this.context.machineTypes);
+    return spec === record.spec ? record : { ...record, spec };
+  }
+
   /** Stores a cancellation, provided that the evidence that the job's tasks are being stopped is still current. */
   async cancel(
     homeShard: OwnedShard,
@@ -271,7 +287,7 @@
       record.createdChunks
     ];
     if (range === undefined) return;
-    const spec = record.spec;
+    const spec = withKnownMachineTypes(record.spec, this.context.machineTypes);
     const { label } = homeShard.shard;
     const { submittedAt, createdChunks: index } = record;
     const now = this.clock.now();
--- a/src/storage/recordFormat.ts
+++ b/src/storage/recordFormat.ts
@@ -7,6 +7,7 @@
  */
 import type { MachineType } from '../protocol/cloudProtocol.js';
 import type { JobSpec } from '../protocol/job.js';
+import { MAX_TRANSACTION_CHANGE_BYTES } from '../protocol/stateProtocol.js';
 import { toStoredSpec } from '../protocol/storedJobSpec.js';
 import {
   compactBucket,
@@ -80,6 +81,9 @@
   2: { overheadBytes: 190, taskBytes: 30 },
 };
 
+/** Bytes of a put in a transaction besides its key and its value. */
+const PUT_OVERHEAD_BYTES = '{"Put":"","Value":},'.length;
+
 /** Share of a record's size limit that one chunk may grow to. */
 const CHUNK_FILL_RATIO = 0.9;
 
@@ -151,15 +155,27 @@
   /** Returns the maximum bytes of one record in a transaction with this number of other operations. */
   maxRecordBytes(otherOperations: number): number {
     const fragments = this.isCompact ? Math.max(1, this.limits.txnOps - otherOperations) : 1;
-    return fragments * (this.limits.valueBytes - FRAGMENT_OVERHEAD_BYTES);
+    const fragmentBytes = this.limits.valueBytes - FRAGMENT_OVERHEAD_BYTES;
+    return Math.min(fragments * fragmentBytes, MAX_TRANSACTION_CHANGE_BYTES);
+  }
+
+  /** Returns the bytes of the puts that store a value, in a transaction. */
+  storedBytes(key: string, value: unknown): number {
+    return this.encodePuts(key, value).reduce(
+      (sum, put) => sum + jsonBytes(put.value) + put.key.length + PUT_OVERHEAD_BYTES,
+      0,
+    );
   }
 
-  /** Returns the bytes of a job's description as it is stored. */
+  /** Returns the bytes of a job's description as its chunks store it. */
   specBytes(spec: JobSpec): number {
     const cachedBytes = this.specSizes.get(spec);
     if (cachedBytes !== undefined) return cachedBytes;
     const { dependencies: waitsOn } = spec;
-    const stored = this.isCompact ? compactSpec(spec) : { ...toStoredSpec(spec), waitsOn };
+    // Dependencies are stored only in the job's record.
+    const stored = this.isCompact
+      ? compactSpec({ ...spec, dependencies: [] })
+      : { ...toStoredSpec(spec), waitsOn };
     const bytes = jsonBytes(stored);
     this.specSizes.set(spec, bytes);
     return bytes;
--- a/test/persistence/jobPersistence.test.ts
+++ b/test/persistence/jobPersistence.test.ts
@@ -13,7 +13,7 @@
 import { keys, type JobRecord } from '../../src/storage/records.js';
 import { StateCache } from '../../src/storage/stateCache.js';
 import { recordFormatFor } from '../support/recordFormat.js';
-import { emptyShard } from '../support/emptyShard.js';
+import { emptyShard, m8 } from '../support/emptyShard.js';
 import { jobSpec } from '../support/jobSpec.js';
 import { MemoryStore } from '../support/memoryStore.js';
 
@@ -57,6 +57,7 @@
         isBeingCancelled: () => false,
         isBlockedOnDependencies: () => false,
         hasUnreadableChunks: false,
+        machineTypes: new Map([['m8', m8]]),
         isLeaseValid: () => true,
         verifyLeadership: () => Promise.resolve(),
         onChunksStored: () => undefined,
@@ -243,3 +244,16 @@
     assert.equal(fixture.stored.state, 'open');
   });
 }
+
+// Guards against a job that an earlier version accepted and whose chunks it could never store.
+test('the chunks of a stored job with thousands of unknown machine types are created without those', () => {
+  const fixture = new HomeShardFixture(1);
+  const { job, ownedShard } = fixture;
+  const [chunk] = ownedShard.shard.chunks.values();
+  if (chunk !== undefined) ownedShard.shard.dropChunk(chunk);
+  const unknown = Array.from({ length: 3000 }, (_, n) => `type-${n}`);
+  const spec = jobSpec({ id: ID, taskCount: 24, machineTypes: ['m8', ...unknown] });
+  job.record = { ...job.record, state: 'open', spec };
+  fixture.persistence.createMissingChunks(ownedShard, job);
+  assert.deepEqual(ownedShard.shard.chunks.get(`${ID}/0`)?.spec.machineTypes, ['m8']);
+});
--- a/test/persistence/recordSizes.test.ts
+++ b/test/persistence/recordSizes.test.ts
@@ -6,11 +6,14 @@
 import { MAX_RENTAL_COUNT } from '../../src/protocol/cloudProtocol.js';
 import type { JobSpec } from '../../src/protocol/job.js';
 import { Chunk } from '../../src/coordination/model/chunk.js';
-import { keys, type BucketRecord } from '../../src/storage/records.js';
+import { isStorable } from '../../src/coordination/jobs/storability.js';
+import { withKnownMachineTypes } from '../../src/coordination/model/allowedMachineTypes.js';
+import { transactionRequest } from '../../src/protocol/stateProtocol.js';
+import { keys, type BucketRecord, type OpenJobRecord } from '../../src/storage/records.js';
 import { recordFormatFor } from '../support/recordFormat.js';
 import { submission, until } from '../support/cluster.js';
 import { jobSpec } from '../support/jobSpec.js';
-import { submitUntilAccepted, jobStatus, withCluster } from '../support/users.js';
+import { callUntilServed, jobStatus, submitUntilAccepted, withCluster } from '../support/users.js';
 
 for (const [nodes, zones] of [
   [1, ['a']],
@@ -89,3 +92,93 @@
     }
   });
 }
+
+const openRecord = (spec: JobSpec, chunkSize: number): OpenJobRecord => ({
+  ...{ spec, homeShard: 'drone-0', state: 'open', taskCount: spec.taskCount, submittedAt: 1e9 },
+  ...{ chunkSize, zones: [], createdChunks: 1, doneChunks: [], migratedChunks: [] },
+});
+
+// Guards against a job that is accepted and never runs: its own record fitted a transaction, and that of its chunk did not.
+test('a job is storable only if its record and those of its chunks fit a transaction, at their largest', () => {
+  const recordFormat = recordFormatFor(16 * 1024, 32, true);
+  const quoted = (count: number): string[] => Array.from({ length: count }, (_, n) => `type-${n}`);
+  for (let count = 3000; count < 7000; count += 5) {
+    const spec = jobSpec({ taskCount: 8, machineTypes: quoted(count) });
+    const record = openRecord(spec, 8);
+    const chunk = new Chunk(spec, 0, 'drone-0', 1e9, 0, 8, null, 0).toRecord();
+    const attempts = Array.from({ length: 8 }, (_, task) => {
+      return { task, attemptNumber: 100 + task, machine: `n-${task}00000`, agentEpoch: 1 };
+    });
+    const bucket = { chunks: { 'wk-1/0': { ...chunk, attempts } } };
+    const bytes = (key: string, value: unknown): number =>
+      JSON.stringify(
+        transactionRequest({
+          conditions: [],
+          puts: recordFormat.encodePuts(key, value),
+          deletes: [],
+        }),
+      ).length;
+    const largest = Math.max(bytes(keys.job('wk-1'), record), bytes(keys.bucket('p', 'x'), bucket));
+    if (isStorable(recordFormat, record)) assert.ok(largest < 63 * 1024, `${count}: ${largest}`);
+    else assert.ok(largest > 59 * 1024, `${count}: ${largest}`);
+  }
+});
+
+test('names of machine types that the cloud does not have are left out of a description', () => {
+  const types = new Map([
+    ['m8', 1],
+    ['g8', 1],
+  ]);
+  const cases: [string, string[] | null, string[] | null][] = [
+    ['any type', null, null],
+    ['known types', ['g8', 'm8'], ['g8', 'm8']],
+    ['unknown types', ['x', 'm8', 'y'], ['m8']],
+    ['a repeated type', ['m8', 'm8', 'g8'], ['m8', 'g8']],
+    ['only unknown types', ['x'], ['x']],
+  ];
+  for (const [name, machineTypes, kept] of cases) {
+    const spec = jobSpec({ machineTypes });
+    assert.deepEqual(withKnownMachineTypes(spec, types).machineTypes, kept, name);
+  }
+});
+
+// Guards against a service that starts nothing: nine jobs with long lists were accepted and held all writes.
+test('jobs with descriptions of nearly 64 KiB are accepted and run, and so do the others', () =>
+  withCluster({ nodes: 2, taskRunSeconds: () => 0.2 }, async (cluster) => {
+    cluster.state.limits = { valueBytes: 16 * 1024, txnOps: 32 };
+    const flavours = ['m8', ...Array.from({ length: 3240 }, (_, n) => `yard-type-0${1000 + n}`)];
+    const ids = [1, 2, 3, 4].map((n) => `wk-00010${n}`);
+    const jobs = ids.map((id, n) =>
+      submission(id, { Flavours: n < 3 ? flavours : null, Pieces: 2 }),
+    );
+    assert.ok(JSON.stringify(jobs[0]).length > 57 * 1024);
+    for (const job of jobs) await submitUntilAccepted(cluster, 'drone-0', job);
+    for (const id of ids) {
+      await until(`${id} is done`, async () => {
+        return (await jobStatus(cluster, 'drone-1', id)).Status === 'done';
+      });
+    }
+    assert.equal(cluster.state.malformedCount, 0);
+  }));
+
+// Guards against a job whose user is asked to try again for as long as that takes, since its record can't be stored.
+test('a description that cannot be stored is refused at once with its reason', () =>
+  withCluster(
+    { nodes: 1, taskRunSeconds: () => Infinity, nextStateLimits: 'value_kb = 2.0\ntxn_ops = 3' },
+    async (cluster) => {
+      const isCompact = (): boolean =>
+        cluster.nodes.get('drone-0')?.controller.recordFormat.isCompact === true;
+      await until('larger records are written', isCompact);
+      const waitsOn = [1, 2, 3, 4].map((n) => `wk-${'x'.repeat(90)}${n}`);
+      for (const id of waitsOn) {
+        await submitUntilAccepted(cluster, 'drone-0', submission(id));
+      }
+      const longName = '\u0001'.repeat(256);
+      const names = { Jobclass: longName, Bundle: longName };
+      const job = submission('wk-000009', { ...names, WaitsOn: waitsOn });
+      const answer = await callUntilServed(cluster, 'drone-0', 'POST', '/v1/jobs', job);
+      assert.equal(answer.status, 400, JSON.stringify(answer.body));
+      assert.deepEqual(answer.body, { error: 'the description is too large to be stored' });
+      assert.equal(cluster.state.malformedCount, 0);
+    },
+  ));
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -22,6 +22,9 @@
   Then?: { Put?: string; Remove?: string; Value?: unknown; Hold?: number }[];
 }
 
+/** Maximum bytes of a transaction (PROTOCOL). */
+const MAX_TRANSACTION_BYTES = 64 * 1024;
+
 const NO_ANSWER = new Promise<Reply>(() => undefined);
 
 export class StateStandIn {
@@ -141,8 +144,10 @@
     return { status: 200, body: { Epoch: revision } };
   }
 
-  private isBeyondLimits({ When = [], Then = [] }: TransactionBody): boolean {
+  private isBeyondLimits(body: TransactionBody): boolean {
+    const { When = [], Then = [] } = body;
     const { valueBytes, txnOps } = this.limits;
+    if (Buffer.byteLength(JSON.stringify(body)) > MAX_TRANSACTION_BYTES) return true;
     if (Then.length > txnOps || When.length > txnOps * 4) return true;
     return Then.some(({ Value }) => Buffer.byteLength(JSON.stringify(Value ?? null)) > valueBytes);
   }
