Rollout tests: the large jobs of their users are large by their longest names

Their list of 150 machine types that the cloud doesn't have is no longer stored, so no record was fragmented and the test of three upgraded controllers waited for one. Two names of 256 characters that take six bytes each make a description of 3.4 KB, 2.9 KB before.

--- a/test/support/rolloutCluster.ts
+++ b/test/support/rolloutCluster.ts
@@ -10,10 +10,11 @@
 export const FEATURES = ['rollout', 'compressed-records'];
 export const LABELS = Array.from({ length: NODE_COUNT }, (_, index) => `drone-${index}`);
 
-/** Fields of a job whose list of machine types makes its description larger than one record. */
-export const LARGE_JOB = {
-  Flavours: ['m8', ...Array.from({ length: 150 }, (_, i) => `type-${i}-unknown`)],
-};
+/** The longest name, of characters that take six bytes each in JSON. */
+const LONGEST_NAME = '\u0001'.repeat(256);
+
+/** Fields of a job whose names make its description larger than one record. */
+export const LARGE_JOB = { Jobclass: LONGEST_NAME, Bundle: LONGEST_NAME };
 const LIMITS = { valueBytes: 2048, txnOps: 8 };
 
 export class RolloutCluster {
