Storability: the lists of a job's record are bounded by its open chunks, and escapes count only in fragments

A bound by all chunks of a job would have refused large arrays where values are small, and a factor for escapes those whose chunks fill a value. Jobs of a usual description and any size are storable in a new test; a job has at most MAX_OPEN_CHUNKS open chunks, a name that three places share. Gangs are compared with what a transaction holds, without the double room that was right for larger limits.

--- a/src/coordination/jobs/jobFeasibility.ts
+++ b/src/coordination/jobs/jobFeasibility.ts
@@ -2,7 +2,7 @@
 import type { MachineType } from '../../protocol/cloudProtocol.js';
 import type { JobSpec } from '../../protocol/job.js';
 import type { Settings } from '../../protocol/settings.js';
-import type { RecordFormat } from '../../storage/recordFormat.js';
+import { FRAGMENT_ESCAPE_RATIO, type RecordFormat } from '../../storage/recordFormat.js';
 import type { ClusterTotals } from '../quota/clusterTotals.js';
 import { limitOf } from '../quota/quotaShares.js';
 import { fits } from '../model/resources.js';
@@ -48,7 +48,8 @@
 
 /** Whether a gang fits into one record: it is a single chunk, whose record holds an entry for each running task. */
 const isGangRecordable = (recordFormat: RecordFormat, spec: JobSpec): boolean =>
-  spec.taskCount * recordFormat.sizes.taskBytes * 2 <= recordFormat.maxRecordBytes(1);
+  spec.taskCount * recordFormat.sizes.taskBytes * FRAGMENT_ESCAPE_RATIO <=
+  recordFormat.maxRecordBytes(1);
 
 /** Zones that have a machine type which can hold a task; those with the most headroom come first. */
 export function feasibleZones(context: FeasibilityContext, spec: JobSpec): string[] {
--- a/src/coordination/jobs/jobSubmission.ts
+++ b/src/coordination/jobs/jobSubmission.ts
@@ -5,7 +5,13 @@
 import { keys, type JobRecord, type OpenJobRecord } from '../../storage/records.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import { withKnownMachineTypes } from '../model/allowedMachineTypes.js';
-import { chunkRanges, chunkSize, mayCreateChunk, zonesFor } from '../model/chunking.js';
+import {
+  chunkRanges,
+  chunkSize,
+  MAX_OPEN_CHUNKS,
+  mayCreateChunk,
+  zonesFor,
+} from '../model/chunking.js';
 import { checkDependencies, type DependencyCheck } from '../pipelines/dependencyAdmission.js';
 import { placeInitialChunks, type ShardChooser } from './initialPlacement.js';
 import { feasibleZones, infeasibilityReason, type FeasibilityContext } from './jobFeasibility.js';
@@ -19,9 +25,6 @@
 import { isStorable } from './storability.js';
 import { SubmissionWriter, type SubmissionWriterContext } from './submissionWriter.js';
 
-/** Maximum number of chunks that are created together with their job. */
-const MAX_INITIAL_CHUNKS = 4;
-
 /** Minimum number of chunks that are created together with their job, if it has that many. */
 const MIN_INITIAL_CHUNKS = 2;
 
@@ -247,6 +250,6 @@
     const { txnOps, stateWriteRate } = this.context.settings;
     const affordable = Math.floor(stateWriteRate * INITIAL_CHUNKS_WRITE_SHARE);
     // The job's own record is in the same transaction.
-    return Math.max(MIN_INITIAL_CHUNKS, Math.min(MAX_INITIAL_CHUNKS, txnOps - 2, affordable));
+    return Math.max(MIN_INITIAL_CHUNKS, Math.min(MAX_OPEN_CHUNKS, txnOps - 2, affordable));
   }
 }
--- a/src/coordination/jobs/storability.ts
+++ b/src/coordination/jobs/storability.ts
@@ -1,11 +1,8 @@
 /** Whether the records of a job can be stored, in whatever state the job comes to. */
 import { keys, type OpenJobRecord } from '../../storage/records.js';
-import type { RecordFormat } from '../../storage/recordFormat.js';
+import { FRAGMENT_ESCAPE_RATIO, type RecordFormat } from '../../storage/recordFormat.js';
 import { Chunk } from '../model/chunk.js';
-import { totalChunks } from '../model/chunking.js';
-
-/** Factor for the quotes of attempts in a record that is stored in fragments, where they are escaped. */
-const ESCAPE_FACTOR = 1.2;
+import { MAX_OPEN_CHUNKS, totalChunks } from '../model/chunking.js';
 
 /** Whether the job's own record and that of each of its chunks stay within the limits of a transaction until the job ends. */
 export function isStorable(recordFormat: RecordFormat, record: OpenJobRecord): boolean {
@@ -14,11 +11,14 @@
   return maxJobBytes(recordFormat, record) <= limit && maxChunkBytes(recordFormat, record) <= limit;
 }
 
-/** Bytes of the job's record once each of its chunks is listed as done and as migrated. */
+/**
+ * Bytes of the job's record with the longest lists of done and of migrated chunks: only a few chunks are open at a time, so that the
+ * lists consist of a few ranges.
+ */
 function maxJobBytes(recordFormat: RecordFormat, record: OpenJobRecord): number {
-  const chunks = totalChunks(record);
-  const numberBytes = String(chunks).length + ','.length;
-  return recordFormat.storedBytes(keys.job(record.spec.id), record) + 2 * chunks * numberBytes;
+  const numberBytes = String(totalChunks(record)).length + ','.length;
+  const listBytes = 2 * (MAX_OPEN_CHUNKS + 1) * numberBytes;
+  return recordFormat.storedBytes(keys.job(record.spec.id), record) + 2 * listBytes;
 }
 
 /** Bytes of a bucket with nothing but the job's largest chunk, all of whose tasks have attempts. */
@@ -28,6 +28,9 @@
   const chunk = new Chunk(spec, 0, homeShard, submittedAt, 0, size, zones[0] ?? null, 0);
   const bucket = { chunks: { [chunk.id]: chunk.toRecord() } };
   const key = keys.bucket(homeShard, chunk.id);
-  const taskBytes = recordFormat.sizes.taskBytes * size * ESCAPE_FACTOR;
-  return recordFormat.storedBytes(key, bucket) + taskBytes;
+  const attemptBytes = recordFormat.sizes.taskBytes * size;
+  const isFragmented =
+    recordFormat.encodedBytes(key, bucket) + attemptBytes > recordFormat.valueBytes;
+  const escapeRatio = isFragmented ? FRAGMENT_ESCAPE_RATIO : 1;
+  return recordFormat.storedBytes(key, bucket) + attemptBytes * escapeRatio;
 }
--- a/src/coordination/model/chunking.ts
+++ b/src/coordination/model/chunking.ts
@@ -9,6 +9,9 @@
   zone: string | null;
 }
 
+/** Maximum number of chunks of a job that are created and not done. */
+export const MAX_OPEN_CHUNKS = 4;
+
 /**
  * The ranges of all chunks of a job, by chunk index. A spread job is split into two halves that are bound to different zones,
  * so that at most half of its tasks, rounded up, can ever be in one zone, whichever shards run them and whichever machines are
--- a/src/coordination/persistence/jobPersistence.ts
+++ b/src/coordination/persistence/jobPersistence.ts
@@ -9,7 +9,7 @@
 import type { MachineType } from '../../protocol/cloudProtocol.js';
 import { withKnownMachineTypes } from '../model/allowedMachineTypes.js';
 import { Chunk } from '../model/chunk.js';
-import { chunkRanges, mayCreateChunk, totalChunks } from '../model/chunking.js';
+import { chunkRanges, MAX_OPEN_CHUNKS, mayCreateChunk, totalChunks } from '../model/chunking.js';
 import type { CancellationEvidence } from './cancellationEvidence.js';
 import { JobRecordWriter } from './jobRecordWriter.js';
 import { missingChunks } from './missingChunks.js';
@@ -277,7 +277,7 @@
     if (this.context.isBlockedOnDependencies(job.id)) return;
     const openChunks = record.createdChunks - record.doneChunks.length;
     if (
-      openChunks >= 4 ||
+      openChunks >= MAX_OPEN_CHUNKS ||
       record.createdChunks >= totalChunks(record) ||
       !mayCreateChunk(record, record.createdChunks)
     )
--- a/src/storage/recordFormat.ts
+++ b/src/storage/recordFormat.ts
@@ -81,6 +81,9 @@
   2: { overheadBytes: 190, taskBytes: 30 },
 };
 
+/** Bytes of attempts in a record that is stored in fragments, where quotes are escaped, as a ratio to those in one value. */
+export const FRAGMENT_ESCAPE_RATIO = 1.2;
+
 /** Bytes of a put in a transaction besides its key and its value. */
 const PUT_OVERHEAD_BYTES = '{"Put":"","Value":},'.length;
 
--- a/test/persistence/recordSizes.test.ts
+++ b/test/persistence/recordSizes.test.ts
@@ -124,6 +124,22 @@
   }
 });
 
+test('a job with a usual description is storable, whatever its size and the limits of the state service', () => {
+  for (const kilobytes of [2, 4, 16, 32, 64]) {
+    for (const isCompact of kilobytes > 2 ? [true, false] : [true]) {
+      const recordFormat = recordFormatFor(kilobytes * 1024, 5, isCompact);
+      for (const taskCount of [1, 120, 5000, 100_000]) {
+        for (const cpus of [0, 64, 1e6]) {
+          const spec = jobSpec({ id: 'wk-000001', taskCount });
+          const size = chunkSize(spec, cpus, recordFormat.maxTasksPerChunk(spec), 5);
+          const name = `${taskCount} tasks in chunks of ${size}, values of ${kilobytes} KiB`;
+          assert.ok(isStorable(recordFormat, openRecord(spec, size)), name);
+        }
+      }
+    }
+  }
+});
+
 test('names of machine types that the cloud does not have are left out of a description', () => {
   const types = new Map([
     ['m8', 1],
