--- a/src/coordination/persistence/bucketWriter.ts
+++ b/src/coordination/persistence/bucketWriter.ts
@@ -14,6 +14,7 @@
 import type { Chunk } from '../model/chunk.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 import { maxStoredBytes, Bucket, bucketOf } from '../model/bucket.js';
+import { dueBuckets } from './dueBuckets.js';
 import { RejectedWrites } from './rejectedWrites.js';
 
 /** Queries and events of the bucket writer. */
@@ -133,31 +134,16 @@
     );
   }
 
-  /** Returns the buckets to be written now, with the priority of each. */
+  /**
+   * Returns the buckets to be written now. Terminated attempts can wait while users and starts need the write rate: after a crash
+   * the workers still report them.
+   */
   private dueBuckets(ownedShard: OwnedShard): Map<Bucket, RequestPriority> {
-    const now = this.clock.now();
-    // Terminated attempts can wait while users and starts need the write rate: after a crash the workers still report
-    // them. Waiting also avoids repeated writes of a chunk whose tasks end one by one.
     const { flushDelay } = this.options;
     const isBusy =
       this.client.writeDelay('later') > flushDelay / 2 || this.client.writeLoad > BUSY_WRITE_LOAD;
     const maxDelay = flushDelay * (isBusy ? BUSY_DELAY_FACTOR : 1);
-    const areBatchStartsDeferred = now < ownedShard.batchStartsDeferredUntil;
-    const due = new Map<Bucket, RequestPriority>();
-    for (const chunk of ownedShard.shard.unsavedChunks) {
-      const bucket = bucketOf(chunk);
-      if (bucket === null || !isWritable(bucket, now) || due.get(bucket) === 'urgent') continue;
-      const isOverdue = chunk.dirtySince !== null && now - chunk.dirtySince >= maxDelay;
-      if (isWriteUrgent(chunk) && (chunk.spec.isService || !areBatchStartsDeferred))
-        due.set(bucket, 'urgent');
-      else if (isOverdue) due.set(bucket, 'later');
-    }
-    if (isBusy) return due;
-    for (const bucket of ownedShard.buckets.values()) {
-      if (bucket.isDirty && bucket.mustBeTidied && isWritable(bucket, now))
-        due.set(bucket, 'later');
-    }
-    return due;
+    return dueBuckets(ownedShard, this.clock.now(), { isBusy, maxDelay });
   }
 
   /** Writes buckets, as many in one transaction as fit its limits. */
@@ -420,18 +406,3 @@
     return { puts: [{ key, value }], deletes: [] };
   }
 }
-
-const isWritable = (bucket: Bucket, now: number): boolean =>
-  !bucket.isWriteInFlight && now >= bucket.notWrittenBefore;
-
-/** Whether starts, or the completion of the chunk in its job, wait until the chunk is stored. */
-const isWriteUrgent = (chunk: Chunk): boolean =>
-  hasUnstoredStarts(chunk) || (chunk.isComplete && !chunk.isCancelled);
-
-/** Whether the chunk has placements that are not stored yet; their starts wait for that. */
-function hasUnstoredStarts(chunk: Chunk): boolean {
-  for (const attempt of chunk.attempts.values()) {
-    if (attempt.chunkVersion > chunk.storedVersion && attempt.stop === null) return true;
-  }
-  return false;
-}
