A reduced share of a team's limit that was not stored is sent again

What callers could have seen: jobs of a team wait although it is below its limit.

Cause: a reduction counts from when it is sent until the record has changed. Whether one is due was decided against the share in use, which was reduced already, so a reduction that the state service refused, or lost, was never sent again.

Evidence: the new test in quotaShares.test.ts failed before, for a refused, a lost and a late transaction.

Why it works: it is compared with the stored share, and sent again under the same conditions; a late copy of the first conflicts.

--- a/src/coordination/quota/quotaShares.ts
+++ b/src/coordination/quota/quotaShares.ts
@@ -114,7 +114,9 @@
     );
     const before = this.usableShare(label, team.name);
     const after = newShares[label] ?? before;
-    const mayReduce = isBelow(after, before) && this.isThrottledElsewhere(team.name);
+    // Compared with the stored share: a reduction that was not stored is sent again.
+    const isReduction = isBelow(after, shares[label] ?? zeroTeamResources());
+    const mayReduce = isReduction && this.isThrottledElsewhere(team.name);
     if (!isBelow(before, after) && !mayReduce) return;
     // A reduction takes effect at once, before it is stored; an increase only once it is stored.
     this.reductions.set(reductionKey(label, team.name), {
--- a/test/quota/quotaShares.test.ts
+++ b/test/quota/quotaShares.test.ts
@@ -189,6 +189,25 @@
   assert.equal(node.allowance('a').cpus, 40);
 });
 
+// Guards against a share that nobody can use: a reduction that was not stored counted as made, and was not sent again.
+test('a reduction that was not stored is sent again, whatever became of the first', async () => {
+  for (const outcome of ['refused', 'lost', 'late'] as const) {
+    const store = storeWith({ a: { cpus: 30, gpus: 0 } });
+    const node = new QuotaTestNode(store);
+    node.sync();
+    node.lead('a', { cpus: 5, gpus: 0 });
+    node.want('a', { cpus: 0, gpus: 0 });
+    if (outcome === 'refused') store.refuseNext = 1;
+    else store.withholdNext = true;
+    await node.quotas.rebalance();
+    assert.equal(stored(store)['a']?.cpus, 30);
+    await node.quotas.rebalance();
+    assert.equal(stored(store)['a']?.cpus, 5, outcome);
+    assert.equal(node.allowance('a').cpus, 5);
+    if (outcome === 'late') assert.equal(store.applyWithheld().kind, 'conflict');
+  }
+});
+
 test('a share whose reduction was refused can be used again', async () => {
   const store = storeWith({ a: { cpus: 30, gpus: 0 } });
   const node = new QuotaTestNode(store);
