--- a/test/persistence/recordSizes.test.ts
+++ b/test/persistence/recordSizes.test.ts
@@ -158,16 +158,26 @@
   }
 });
 
+/** Bytes of one more name in a list of machine types. */
+const BYTES_OF_NAME = '"yard-type-01000",'.length;
+
 // Guards against a service that starts nothing: nine jobs with long lists were accepted and held all writes.
-test('jobs with descriptions of nearly 64 KiB are accepted and run, and so do the others', () =>
+test('jobs with descriptions of up to 64 KiB are accepted and run, and so do the others', () =>
   withCluster({ nodes: 2, taskRunSeconds: () => 0.2 }, async (cluster) => {
     cluster.state.limits = { valueBytes: 16 * 1024, txnOps: 32 };
-    const flavours = ['m8', ...Array.from({ length: 3240 }, (_, n) => `yard-type-0${1000 + n}`)];
-    const ids = [1, 2, 3, 4].map((n) => `wk-00010${n}`);
-    const jobs = ids.map((id, n) =>
-      submission(id, { Flavours: n < 3 ? flavours : null, Pieces: 2 }),
-    );
-    assert.ok(JSON.stringify(jobs[0]).length > 57 * 1024);
+    const flavours = ['m8', ...Array.from({ length: 3700 }, (_, n) => `yard-type-0${1000 + n}`)];
+    const maxBytes = [58 * 1024, 62 * 1024, 64 * 1024, 0];
+    const ids = maxBytes.map((_, n) => `wk-00010${n}`);
+    const jobs = maxBytes.map((max, n) => {
+      const job = submission(`wk-00010${n}`, { Flavours: flavours, Pieces: 2 });
+      const surplusNames = Math.ceil((JSON.stringify(job).length - max) / BYTES_OF_NAME);
+      const kept = Math.max(1, flavours.length - surplusNames);
+      return submission(`wk-00010${n}`, { Flavours: flavours.slice(0, kept), Pieces: 2 });
+    });
+    const bytes = jobs.map((job) => JSON.stringify(job).length);
+    for (const [n, max] of maxBytes.slice(0, 3).entries()) {
+      assert.ok((bytes[n] ?? 0) > max - BYTES_OF_NAME && (bytes[n] ?? 0) <= max);
+    }
     for (const job of jobs) await submitUntilAccepted(cluster, 'drone-0', job);
     for (const id of ids) {
       await until(`${id} is done`, async () => {
