--- a/src/coordination/shard/capacityByRank.ts
+++ b/src/coordination/shard/capacityByRank.ts
@@ -14,9 +14,10 @@
   reportRoomBytes: number;
 }
 
-/** Allocates room for up to `count` tasks; returns their number. */
+/** Allocates room for up to `count` tasks; returns their number. Most machines have none, which must be found out cheaply. */
 function allocateOn(machineRoom: MachineRoom, spec: JobSpec, count: number): number {
   const { room, reportRoomBytes } = machineRoom;
+  if (!fits(room, spec)) return 0;
   const most = Math.min(count, reportableTasks(reportRoomBytes, spec));
   let allocated = 0;
   for (; allocated < most && fits(room, spec); allocated++) subtractResources(room, spec);
