--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -1,7 +1,6 @@
 // Starts the controllers with the command of the deploy file, as processes of their own, on loopback addresses.
 import { spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync, createWriteStream } from 'node:fs';
-import net from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -26,13 +25,8 @@
   }
 }
 
-async function freePort() {
-  const server = net.createServer();
-  await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
+/** Addresses of this run alone: no other process can take their ports. */
+const NETWORK = `127.${1 + Math.floor(Math.random() * 250)}.${Math.floor(Math.random() * 250)}`;
 
 /** The command of deploy/service.toml: a program with its arguments. */
 function runCommand() {
@@ -51,11 +45,9 @@
 
   /** Chooses the addresses and writes the settings files. `peerOf(a, b)`: where `a` reaches `b`, if not directly. */
   async prepare(peerOf = async (_, address) => address) {
-    for (const { label } of this.nodes) {
-      this.addresses.set(label, {
-        client: `127.0.0.1:${await freePort()}`,
-        back: `127.0.0.1:${await freePort()}`,
-      });
+    for (const [i, { label }] of this.nodes.entries()) {
+      const host = `${NETWORK}.${1 + i}`;
+      this.addresses.set(label, { client: `${host}:8080`, back: `${host}:8081` });
     }
     for (const { label, site } of this.nodes) {
       const peers = [];
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -122,7 +122,7 @@
     plan,
     record,
     closers,
-    { bootSeconds = null, addresses = [], machines = [] } = {},
+    { bootSeconds = null, addresses = null, machines = [] } = {},
   ) {
     const state = new StateService(plan.state, record);
     closers.push(() => state.close());
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -8,6 +8,10 @@
 const ANSWER_TIMEOUT_S = 4;
 const SHORTEST_REPORT_PAUSE_S = 0.5;
 
+/** An address of this run alone, and the ports there that machines have had. */
+const NETWORK = `127.${1 + Math.floor(Math.random() * 250)}.${Math.floor(Math.random() * 250)}.200`;
+let lastPort = 9000;
+
 /** One machine's worker. */
 export class Worker {
   constructor(fleet, name, kind, address) {
@@ -232,7 +236,8 @@
 export class Fleet {
   /**
    * `types`: as GET /machine_types lists them, with `boot` as the seconds that a boot takes here; `capacity`: machines by
-   * `type/zone/spot`; `addresses`: what the machines of the cloud's network get, the lowest free one first.
+   * `type/zone/spot`; `addresses`: what the machines of the cloud's network get, the lowest free one first; null: each
+   * machine gets an address that no other has had.
    */
   constructor({ record, reportS, leaseS, listLagS, types, capacity, addresses, runSeconds }) {
     Object.assign(this, { record, reportS, leaseS, listLagS, types, capacity, addresses });
@@ -318,7 +323,7 @@
   }
 
   async boot(machine) {
-    machine.address = this.addresses.shift() ?? '127.0.0.1:0';
+    machine.address = this.addresses?.shift() ?? `${NETWORK}:${++lastPort}`;
     machine.worker = new Worker(this, machine.name, machine.kind, machine.address);
     await machine.worker.start();
     machine.address = machine.worker.address;
@@ -339,10 +344,9 @@
     machine.worker?.stop();
     this.record.add('machine-gone', { machine: machine.name, why, address: machine.address });
     if (this.capacity[machine.slot] !== undefined) this.capacity[machine.slot]++;
-    if (machine.address !== '') {
-      this.addresses.push(machine.address);
-      this.addresses.sort();
-    }
+    if (machine.address === '' || this.addresses === null) return;
+    this.addresses.push(machine.address);
+    this.addresses.sort();
   }
 
   release({ Drones }) {
