--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -70,6 +70,12 @@
     }
   }
 
+  /** An address for a link, which no other has. */
+  linkAddress() {
+    this.links = (this.links ?? 0) + 1;
+    return `${NETWORK}.100:${9000 + this.links}`;
+  }
+
   /** The addresses at which users and workers reach the controllers. */
   get clientAddresses() {
     return new Map([...this.addresses].map(([label, { client }]) => [label, client]));
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -1,6 +1,7 @@
 // The two small deployments of the brief, with stand-ins for state service, cloud, workers and users.
 import { Cluster, settingsText, sleep, until } from './cluster.mjs';
 import { Fleet } from './fleet.mjs';
+import { Link } from './link.mjs';
 import { now } from './record.mjs';
 import { StateService } from './state.mjs';
 
@@ -116,13 +117,16 @@
   };
 }
 
-/** Prepares a deployment; `machines`: those that are up at the start; its controllers are started by `startAll`. */
+/**
+ * Prepares a deployment; `machines`: those that are up at the start; `links`: receives the links between the controllers, by
+ * `from>to`, else they are direct. Its controllers are started by `startAll`.
+ */
 export class Deployment {
   static async create(
     plan,
     record,
     closers,
-    { bootSeconds = null, addresses = null, machines = [] } = {},
+    { bootSeconds = null, addresses = null, machines = [], links = null } = {},
   ) {
     const state = new StateService(plan.state, record);
     closers.push(() => state.close());
@@ -139,7 +143,13 @@
     for (const { label } of nodes) stateOf.set(label, await state.listenFor(label));
     const cluster = new Cluster({ record, nodes, settings: settingsText(plan), stateOf, cloud });
     closers.push(() => cluster.close());
-    await cluster.prepare();
+    await cluster.prepare(async (name, address) => {
+      if (links === null) return address;
+      const link = new Link(address);
+      links.set(name, link);
+      closers.push(() => link.close());
+      return link.listen(cluster.linkAddress());
+    });
     fleet.nodes = cluster.clientAddresses;
     for (const [type, zone, spot] of machines) fleet.add(type, zone, spot, 0);
     return new Deployment({ plan, record, state, fleet, cluster, nodes });
