Review stand-ins: end the controllers however a script ends

Cause: a script that ran out of its 118 s, or was ended by a signal, left its controllers behind. Change: they and the temporary folder go with the process.

--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -34,6 +34,14 @@
   return /^run = "(.*)"$/m.exec(text)[1].split(' ');
 }
 
+/** Ends what is still there of a cluster when the test ends, in whatever way: its controllers and its folder. */
+function endWithProcess(cluster) {
+  process.on('exit', () => {
+    for (const child of cluster.children.values()) child.kill('SIGKILL');
+    if (process.env.KEEP === undefined) rmSync(cluster.folder, { recursive: true, force: true });
+  });
+}
+
 export class Cluster {
   constructor({ record, nodes, settings, stateOf, cloud, logLevel }) {
     Object.assign(this, { record, nodes, settings, stateOf, cloud, logLevel });
@@ -41,6 +49,7 @@
     this.addresses = new Map();
     this.children = new Map();
     this.exits = [];
+    endWithProcess(this);
   }
 
   /** Chooses the addresses and writes the settings files. `peerOf(a, b)`: where `a` reaches `b`, if not directly. */
@@ -211,6 +220,7 @@
 export async function runCase(test) {
   let code = 2;
   const closers = [];
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => process.exit(2));
   const limit = setTimeout(() => process.exit(2), 118_000);
   try {
     code = (await test(closers)) ? 1 : 0;
