The peers are asked at once about chunks that are created after the submission

Callers saw: replicas of a spread service that waited for 10 s or more while machines of their zone were rented, stood idle beside a peer and were released, again and again (96 replicas, two zones: all ran after 20 s).

Cause: the chunks that are created with their job go to the shard that a peer's estimate recommends, later ones always began at home. A home shard in another zone never gets machines for them; it asked its peers only after the threshold of blocked chunks, about one at a time, since a migration that another one's write kept from being tried counted as an answer.

Fix: each later chunk is asked about as at a submission, and again until its migration was tried.

Test: chunkCreator.test.ts (the peers are asked at once …) failed before.

--- a/src/coordination/migration/migrationInitiator.ts
+++ b/src/coordination/migration/migrationInitiator.ts
@@ -130,16 +130,15 @@
         this.isDue(candidate, now),
       )) {
         chunk.peersAskedAt = now;
-        chunk.isNewlyReleased = false;
         void this.migrateIfBetter(ownedShard, chunk);
       }
     }
   }
 
-  /** Whether the peers should be asked about the chunk: it is newly released, or has been blocked for long enough. */
+  /** Whether the peers should be asked about the chunk: it is newly created, or has been blocked for long enough. */
   private isDue(chunk: Chunk, now: number): boolean {
     const threshold = this.threshold(chunk.spec);
-    if (!chunk.isNewlyReleased) {
+    if (!chunk.isNewlyCreated) {
       if (chunk.blockedSince === null || now - chunk.blockedSince < threshold) return false;
       const pause = Math.max(threshold, this.node.settings.heartbeatInterval);
       if (now - chunk.peersAskedAt < pause) return false;
@@ -148,22 +147,32 @@
   }
 
   private async migrateIfBetter(ownedShard: OwnedShard, chunk: Chunk): Promise<void> {
-    const { node } = this;
+    const { isNewlyCreated } = chunk;
     this.pendingChunks.add(chunk);
+    chunk.isNewlyCreated = false;
     try {
-      const zone = chunk.zone ?? chunk.spec.zone;
-      const spec: JobSpec = { ...chunk.spec, rank: rankName(chunk.rank) };
-      const shard = await this.chooseShard(ownedShard, spec, zone, chunk.pendingCount, chunk);
+      const shard = await this.chooseShardFor(ownedShard, chunk);
       if (shard === ownedShard.shard.label || !ownedShard.isOwned || chunk.isDropped) return;
-      if (!chunk.isMigratable) return;
-      log.info(`migrating chunk ${chunk.id} from shard ${ownedShard.shard.label} to ${shard}`);
-      await node.persistence.migrate(ownedShard, chunk, shard);
+      // Another chunk of the same bucket or job may be migrating at the moment.
+      const wasTried = chunk.isMigratable && (await this.migrate(ownedShard, chunk, shard));
+      if (!wasTried) chunk.isNewlyCreated = isNewlyCreated;
     } catch (error) {
       log.debug(`migrating chunk ${chunk.id} failed: ${describeError(error)}`);
     } finally {
       this.pendingChunks.delete(chunk);
     }
   }
+
+  private chooseShardFor(ownedShard: OwnedShard, chunk: Chunk): Promise<string> {
+    const zone = chunk.zone ?? chunk.spec.zone;
+    const spec: JobSpec = { ...chunk.spec, rank: rankName(chunk.rank) };
+    return this.chooseShard(ownedShard, spec, zone, chunk.pendingCount, chunk);
+  }
+
+  private migrate(ownedShard: OwnedShard, chunk: Chunk, shard: string): Promise<boolean> {
+    log.info(`migrating chunk ${chunk.id} from shard ${ownedShard.shard.label} to ${shard}`);
+    return this.node.persistence.migrate(ownedShard, chunk, shard);
+  }
 }
 
 /** Records in the audit trail the estimates on which a shard was chosen. */
--- a/src/coordination/model/chunk.ts
+++ b/src/coordination/model/chunk.ts
@@ -63,8 +63,8 @@
   isMigrationRejected = false;
   /** Its previous bucket, whose record exceeded the size limit and still contains a copy of it. */
   retiredFrom: ChunkBucket | null = null;
-  /** Its job's dependencies have just released it, and the peers are to be asked about it as at a submission. */
-  isNewlyReleased = false;
+  /** It was created after its job was accepted, and the peers are to be asked about it as they are at a submission. */
+  isNewlyCreated = false;
   dirtySince: number | null = null;
   isCancelled = false;
   /** Monotonic time at which its job's cancellation was announced; null while no cancellation is prepared. */
--- a/src/coordination/persistence/chunkCreator.ts
+++ b/src/coordination/persistence/chunkCreator.ts
@@ -99,10 +99,9 @@
   private addMissing({ shard }: OwnedShard, job: HomeJob, firstIndex: number): void {
     const now = this.clock.now();
     const record = this.withKnownMachineTypes(job.record);
-    const isReleased = (job.record.spec?.dependencies.length ?? 0) > 0;
     for (const chunk of missingChunks(job.id, record, shard.chunks, now)) {
       if (chunk.index < firstIndex) continue;
-      chunk.isNewlyReleased = isReleased;
+      chunk.isNewlyCreated = true;
       shard.acceptNewChunk(chunk, now);
     }
   }
--- a/src/coordination/persistence/jobPersistence.ts
+++ b/src/coordination/persistence/jobPersistence.ts
@@ -108,14 +108,17 @@
     }
   }
 
-  /** Migrates a chunk without attempts to another shard. */
-  async migrate(ownedShard: OwnedShard, chunk: Chunk, targetShard: string): Promise<void> {
+  /**
+   * Migrates a chunk without attempts to another shard. Returns false if the migration was not tried, since another write of the
+   * job's record is in flight.
+   */
+  async migrate(ownedShard: OwnedShard, chunk: Chunk, targetShard: string): Promise<boolean> {
     if (chunk.homeShard !== ownedShard.shard.label) {
       await this.bucketWriter.migrate(ownedShard, chunk, targetShard, { conditions: [], puts: [] });
-      return;
+      return true;
     }
     const job = ownedShard.jobs.get(chunk.spec.id);
-    if (job === undefined || job.isWriteInFlight) return;
+    if (job === undefined || job.isWriteInFlight) return false;
     job.isWriteInFlight = true;
     try {
       const key = keys.job(job.id);
@@ -130,6 +133,7 @@
       else if (result.kind === 'conflict') {
         await this.jobRecords.reread(ownedShard, job, job.isOutcomeUnknown === true);
       }
+      return true;
     } finally {
       job.isWriteInFlight = false;
     }
--- a/test/persistence/chunkCreator.test.ts
+++ b/test/persistence/chunkCreator.test.ts
@@ -44,6 +44,16 @@
   });
 }
 
+// Guards against replicas that wait at a shard without machines of their zone, until it asks its peers about blocked chunks.
+test('the peers are asked at once about a chunk that is created after its job was accepted', async () => {
+  const fixture = new HomeShardFixture(4, { isService: true, taskCount: 40 });
+  await review(fixture, 2);
+  assert.deepEqual(
+    [0, 3, 4].map((index) => fixture.chunk(index).isNewlyCreated),
+    [false, false, true],
+  );
+});
+
 // Guards against an array that waits beside idle machines, because a few of its tasks run for long.
 test('an array gets its next chunk while one long task is left of each chunk before', async () => {
   const fixture = new HomeShardFixture(4, { taskCount: 80 });
