Demands: room counts for batch work only where that work may go and fits

Cause: where some machine of the shard could hold a task if it were idle, whatever holds it, the demand was limited to the CPUs that the whole shard lacked, a sum over all machines. Free CPUs of machines that the work may not use, or does not fit, hid the demand for as long as a live service kept the others.

Fix: besides the total, the shortage is computed for each shape of tasks, from its own backlog and from the slots that its machines have for it (type, zone, kind, CPUs, accelerators, memory, room in the report) once the tasks that end within a stated time have ended: the scale-out window, or the shortest boot if that is longer. Live services and tasks that take longer keep their room, and a task that is late is expected to take as long again. On-demand machines are justified in the same way. Short queues behind tasks that end before a boot get none, as before.

--- a/src/coordination/autoscaling/scaleOutPlan.ts
+++ b/src/coordination/autoscaling/scaleOutPlan.ts
@@ -1,7 +1,7 @@
 /** Plans which machines to launch for work that has no room: pure functions of demands and machine types. */
 import type { MachineType } from '../../protocol/cloudProtocol.js';
 import type { Demand } from '../../protocol/peerMessages.js';
-import type { Resources } from '../model/resources.js';
+import { timesThatFit, type Resources } from '../model/resources.js';
 
 /** Machines of one kind to launch for one shard. */
 export interface ScaleOutPlan {
@@ -34,9 +34,6 @@
 /** Ranks of demands in the order in which they are planned for. */
 const RANKS = ['prod', 'high', 'normal', 'idle'];
 
-/** Tolerance for rounding errors in the division of resources. */
-const EPSILON = 1e-9;
-
 /** Shortest horizon of batch work, in seconds, and its ratio to the expected run time. */
 const MIN_BATCH_HORIZON = 60;
 const BATCH_HORIZON_RUNS = 2;
@@ -112,9 +109,10 @@
     let count = demand.count;
     for (const [plan, room] of this.spare) {
       const type = this.machineTypes.get(plan.type);
-      if (type === undefined || !this.mayUse(demand, plan) || tasksIn(type, demand) < 1) continue;
+      if (type === undefined || !this.mayUse(demand, plan) || timesThatFit(type, demand) < 1)
+        continue;
       const successive = successiveTasks(demand, type, this.context);
-      const tasks = Math.min(count, tasksIn(room, demand, successive));
+      const tasks = Math.min(count, timesThatFit(room, demand, successive));
       count -= tasks;
       room.cpus -= (tasks * demand.cpus) / successive;
       room.memoryGb -= (tasks * demand.memoryGb) / successive;
@@ -153,17 +151,6 @@
   memoryGb: memoryGb * count,
 });
 
-/** How many tasks of the demand the resources hold, where each is used `times` times in succession. */
-function tasksIn(resources: Resources, demand: Demand, times = 1): number {
-  const quotient = (available: number, needed: number): number =>
-    needed > 0 ? Math.floor((available * times) / needed + EPSILON) : Infinity;
-  return Math.min(
-    quotient(resources.cpus, demand.cpus),
-    quotient(resources.gpus, demand.gpus),
-    quotient(resources.memoryGb, demand.memoryGb),
-  );
-}
-
 /** How many short tasks may run one after the other on one machine and still complete in the window. */
 function successiveTasks(demand: Demand, type: MachineType, context: ScaleOutContext): number {
   if (demand.isService) return 1;
@@ -177,7 +164,7 @@
   const offers: Offer[] = [];
   for (const type of context.machineTypes) {
     if (demand.machineTypes !== null && !demand.machineTypes.includes(type.name)) continue;
-    const fits = tasksIn(type, demand);
+    const fits = timesThatFit(type, demand);
     if (fits < 1) continue;
     for (const zone of type.zones) {
       if (demand.zone !== null && demand.zone !== zone) continue;
--- a/src/coordination/model/resources.ts
+++ b/src/coordination/model/resources.ts
@@ -22,3 +22,17 @@
   available.gpus -= times * need.gpus;
   available.memoryGb -= times * need.memoryGb;
 }
+
+/** Tolerance for rounding errors when resources are divided. */
+const DIVISION_EPSILON = 1e-9;
+
+/** How many times `need` fits into the available resources, if each of them can be used `uses` times in succession. */
+export function timesThatFit(available: Resources, need: Resources, uses = 1): number {
+  const quotient = (amount: number, needed: number): number =>
+    needed > 0 ? Math.floor((amount * uses) / needed + DIVISION_EPSILON) : Infinity;
+  return Math.min(
+    quotient(available.cpus, need.cpus),
+    quotient(available.gpus, need.gpus),
+    quotient(available.memoryGb, need.memoryGb),
+  );
+}
--- a/src/coordination/scheduling/waitEstimates.ts
+++ b/src/coordination/scheduling/waitEstimates.ts
@@ -5,7 +5,7 @@
 import type { RunTimes } from './runTimes.js';
 import type { Machine, Placement } from '../model/machine.js';
 import { satisfiesConstraints } from './placement.js';
-import { fits, type Resources, subtractResources } from '../model/resources.js';
+import { fits, type Resources, subtractResources, timesThatFit } from '../model/resources.js';
 import { replayQueue, ReplaySnapshot, type ReplayMachine, type ReplayItem } from './queueReplay.js';
 
 /** Maximum age of a snapshot of the machines, as a ratio to the heartbeat interval. */
@@ -14,9 +14,6 @@
 /** Lower limit of fetch rates in GB per second, to avoid a division by zero. */
 const MIN_FETCH_RATE = 1e-3;
 
-/** Tolerance for rounding errors when resources are divided. */
-const EPSILON = 1e-9;
-
 interface Snapshot {
   start: ReplaySnapshot;
   /** Monotonic time at which it was taken. */
@@ -147,7 +144,7 @@
       const { free } = machine;
       if (!fits(free, spec) || !machine.isSchedulable(now)) continue;
       if (!satisfiesConstraints(spec, zone, machine)) continue;
-      unplaced -= tasksThatFit(free, spec);
+      unplaced -= timesThatFit(free, spec);
       if (unplaced <= 0) return true;
     }
     return false;
@@ -163,14 +160,3 @@
     return room;
   }
 }
-
-/** Number of the job's tasks that fit into these resources. */
-function tasksThatFit(free: Resources, spec: JobSpec): number {
-  const quotient = (available: number, needed: number): number =>
-    needed > 0 ? Math.floor(available / needed + EPSILON) : Infinity;
-  return Math.min(
-    quotient(free.cpus, spec.cpus),
-    quotient(free.gpus, spec.gpus),
-    quotient(free.memoryGb, spec.memoryGb),
-  );
-}
--- a/src/coordination/shard/demandEstimator.ts
+++ b/src/coordination/shard/demandEstimator.ts
@@ -8,6 +8,7 @@
 import type { Machine } from '../model/machine.js';
 import type { WaitEstimates } from '../scheduling/waitEstimates.js';
 import { shapeOf } from '../scheduling/placement.js';
+import { availableToBatch, BatchShortage, workOf } from './batchShortage.js';
 import { CapacityByRank } from './capacityByRank.js';
 import { DemandList } from './demandList.js';
 
@@ -82,13 +83,8 @@
     return isCapacity(state) && state !== 'quarantined';
   }
 
-  /** CPUs that batch work uses or may use here, including those of booting machines. */
-  private batchCpus(now: number): number {
-    let cpus = 0;
-    for (const machine of this.shard.machines.values()) {
-      if (this.countsForBatch(machine, now)) cpus += machine.capacity.cpus - machine.serviceCpus;
-    }
-    return cpus;
+  private machinesForBatch(now: number): Machine[] {
+    return [...this.shard.machines.values()].filter((m) => this.countsForBatch(m, now));
   }
 
   /** Backlog of batch work in CPU-seconds. */
@@ -96,16 +92,14 @@
     let work = 0;
     for (const chunk of this.shard.chunks.values()) {
       if (chunk.spec.isService || chunk.isCancelled) continue;
-      const run = this.shard.waitEstimates.expectedRun(chunk.spec);
-      work += (chunk.pendingCount * run + chunk.attempts.size * run * 0.5) * chunk.spec.cpus;
+      work += workOf(chunk, this.shard.waitEstimates.expectedRun(chunk.spec));
     }
     return work;
   }
 
-  /** CPUs that batch work needs: for the average of arriving work, or for the backlog if that needs more. */
-  private batchNeed(now: number): number {
-    const arriving = this.batchArrivals.rate(now) * this.options.headroom;
-    return Math.max(arriving, this.backlog() / this.options.scaleOutWindow);
+  /** CPUs that the average of arriving batch work needs. */
+  private arrivingCpus(now: number): number {
+    return this.batchArrivals.rate(now) * this.options.headroom;
   }
 
   /** CPUs of on-demand machines that are not allocated to live services, including those of booting machines. */
@@ -153,9 +147,10 @@
     return idle.filter((m) => m.isCordoned).map((m) => m.name);
   }
 
-  /** CPUs beyond the need of batch work. */
+  /** CPUs beyond the need of batch work: for the average of arriving work, or for the backlog if that needs more. */
   surplus(now: number): number {
-    return this.batchCpus(now) - this.batchNeed(now);
+    const need = Math.max(this.arrivingCpus(now), this.backlog() / this.options.scaleOutWindow);
+    return availableToBatch(this.machinesForBatch(now)) - need;
   }
 
   /** Demand for the reserved capacity of live services that is missing; null if none is. */
@@ -185,39 +180,45 @@
 
   /** Demands for machines, for work that neither running nor booting machines can complete in time. */
   demands(now: number): Demand[] {
-    const capacity = new CapacityByRank(
-      [...this.shard.machines.values()].filter((machine) => this.countsForBatch(machine, now)),
-    );
+    const machines = this.machinesForBatch(now);
+    const capacity = new CapacityByRank(machines);
+    const shortage = this.batchShortage(machines, now);
     const list = new DemandList();
-    const availableCpus = this.batchCpus(now);
-    let missingCpus = Math.max(0, this.batchNeed(now) - availableCpus);
-    // On-demand machines are justified by the backlog only, not by the average of arriving work.
-    let missingOnDemandCpus = Math.max(
-      0,
-      this.backlog() / this.options.onDemandWindow - availableCpus,
-    );
     for (const chunk of this.shard.queuedChunks()) {
       if (chunk.failureCount > MAX_FAILURES_FOR_DEMAND) continue;
-      const { spec } = chunk;
       const { unplaced, hasSuitableMachine } = capacity.allocate(chunk);
-      let count = unplaced;
-      if (!spec.isService && hasSuitableMachine) {
-        // Short tasks end before a new machine has booted, so only the lasting shortage of CPUs counts.
-        count = Math.min(count, Math.ceil(missingCpus / spec.cpus));
-        missingCpus -= count * spec.cpus;
-      }
-      if (count <= 0) continue;
-      const onDemandCount = spec.isService
-        ? 0
-        : Math.min(count, Math.ceil(missingOnDemandCpus / spec.cpus));
-      missingOnDemandCpus = Math.max(0, missingOnDemandCpus - onDemandCount * spec.cpus);
-      list.add(shapeOf(spec, chunk.zone), this.demandOf(chunk, count, onDemandCount));
+      if (unplaced === 0) continue;
+      const { count, onDemandCount } = chunk.spec.isService
+        ? { count: unplaced, onDemandCount: 0 }
+        : shortage.take(chunk, unplaced, hasSuitableMachine);
+      if (count === 0) continue;
+      list.add(shapeOf(chunk.spec, chunk.zone), this.demandOf(chunk, count, onDemandCount));
     }
     const reserveDemand = this.serviceReserveDemand(now);
     if (reserveDemand !== null && !list.hasService) list.add('', reserveDemand);
     return list.all;
   }
 
+  private batchShortage(machines: readonly Machine[], now: number): BatchShortage {
+    const { scaleOutWindow, onDemandWindow } = this.options;
+    const { chunks, waitEstimates } = this.shard;
+    return new BatchShortage({
+      ...{ chunks: chunks.values(), machines, now, scaleOutWindow, onDemandWindow },
+      maxWait: this.maxWait,
+      arrivingCpus: this.arrivingCpus(now),
+      expectedRun: (spec) => waitEstimates.expectedRun(spec),
+    });
+  }
+
+  /** Seconds within which a machine has to become free for batch work that waits for it: none can be launched sooner. */
+  private get maxWait(): number {
+    const { scaleOutWindow } = this.options;
+    const bootTimes = [...this.machineTypes().values()].map((type) => type.bootSeconds);
+    return bootTimes.length === 0
+      ? scaleOutWindow
+      : Math.max(scaleOutWindow, Math.min(...bootTimes));
+  }
+
   private demandOf(chunk: Chunk, count: number, onDemandCount: number): Demand {
     const { spec } = chunk;
     return {
