Waits are checked at run time, and users read what a job truly waits for

Callers saw: "all taken" for an array whose machine a service held for good, "one is being asked for" where none was, "Its last tasks are being completed." for replicas that had no chunk yet.

Cause: the text was made from the machines alone; what the shard demanded was not looked at. And nothing noticed work that counted on room it never got.

Fix: the demand estimator keeps the shapes that it has demands for, and the text says whether the cloud is being asked. Work without a demand of which nothing is placed for longer than the stated wait and a boot is logged as an error, once for each wait. Jobs that have failed too often for a demand are told so.

--- a/src/coordination/jobs/waitReasons.ts
+++ b/src/coordination/jobs/waitReasons.ts
@@ -100,17 +100,30 @@
   const booting = states.filter((state) => state === 'booting').length;
   const queue = queueReason(shard, chunk);
   const demand = `${chunk.pendingCount} task(s) of ${spec.cpus} CPUs and ${spec.memoryGb} GB`;
+  const request = requestReason(shard, chunk);
   if (suitable.length === 0) {
-    return `${demand} wait for a machine${zone}; none is there and one is being asked for. ${queue}`;
+    return `${demand} wait for a machine${zone}; none is there and ${request}. ${queue}`;
   }
   if (booting > 0) {
     return `${demand} wait for room${zone}; ${booting} machine(s) are on their way. ${queue}`;
   }
   const usable = states.filter(isCapacity).length;
   if (usable === 0) {
-    return `${demand} wait for a machine${zone}; ${unusableReason(states)}, and one is being asked for. ${queue}`;
+    return `${demand} wait for a machine${zone}; ${unusableReason(states)}, and ${request}. ${queue}`;
   }
-  return `${demand} wait for room${zone} on ${usable} machine(s), all taken. ${queue}`;
+  const outlook = shard.demand.isDemanded(chunk)
+    ? `all taken, and ${request}`
+    : 'all taken; they should have room soon';
+  return `${demand} wait for room${zone} on ${usable} machine(s), ${outlook}. ${queue}`;
+}
+
+/** Whether the cloud is asked for a machine that the chunk may use. */
+function requestReason(shard: Shard, chunk: Chunk): string {
+  if (chunk.hasFailedTooOften)
+    return `no other is asked for, since its tasks have failed ${chunk.failureCount} times`;
+  return shard.demand.isDemanded(chunk)
+    ? 'the cloud is being asked for one'
+    : 'the cloud will be asked for one';
 }
 
 /** Wording for the states in which a machine cannot be used. */
--- a/src/coordination/model/chunk.ts
+++ b/src/coordination/model/chunk.ts
@@ -29,6 +29,9 @@
   stop: { gracePeriod: number; sentAt: number | null } | null;
 }
 
+/** Failures after which no machine is launched for a chunk: the fault is probably in the job. */
+const MAX_FAILURES_FOR_DEMAND = 2;
+
 /** The bucket, a stored record of several chunks, that contains a chunk. */
 export interface ChunkBucket {
   /** Name of the record within the shard. */
@@ -133,6 +136,10 @@
   get isComplete(): boolean {
     return this.doneTasks.size === this.size;
   }
+  /** Whether its tasks have failed so often that no machine is launched for them. */
+  get hasFailedTooOften(): boolean {
+    return this.failureCount > MAX_FAILURES_FOR_DEMAND;
+  }
   /** Whether its user has requested a cancellation, so that the results of its tasks are no longer needed. */
   get isCancelRequested(): boolean {
     return this.isCancelled || this.cancellationPreparedAt !== null;
--- a/src/coordination/shard/demandEstimator.ts
+++ b/src/coordination/shard/demandEstimator.ts
@@ -8,9 +8,10 @@
 import type { Machine } from '../model/machine.js';
 import type { WaitEstimates } from '../scheduling/waitEstimates.js';
 import { shapeOf } from '../scheduling/placement.js';
-import { availableToBatch, BatchShortage, workOf } from './batchShortage.js';
+import { availableToBatch, BatchShortage, workOf, type LaunchCounts } from './batchShortage.js';
 import { CapacityByRank } from './capacityByRank.js';
 import { DemandList } from './demandList.js';
+import { WaitCheck } from './waitCheck.js';
 
 /** Time targets of demand estimation; times are in seconds. */
 export interface DemandOptions {
@@ -30,6 +31,7 @@
   readonly machines: ReadonlyMap<string, Machine>;
   readonly chunks: ReadonlyMap<string, Chunk>;
   readonly waitEstimates: Pick<WaitEstimates, 'expectedRun'>;
+  readonly scheduler: { readonly throttledTeams: ReadonlySet<string> };
   /** Number of tasks that are not placed. */
   readonly waitingTaskCount: number;
   /** Chunks with pending tasks, in queue order. */
@@ -42,6 +44,9 @@
   private readonly serviceArrivals: ArrivalRate;
   /** The service chunk that arrived or left last; its size and resources stand for those of the next one. */
   private lastService: Chunk | null = null;
+  /** The shapes of queued work that machines are demanded for. */
+  private readonly demandedShapes = new Set<string>();
+  private readonly waitCheck: WaitCheck;
 
   constructor(
     private readonly shard: DemandContext,
@@ -50,6 +55,7 @@
   ) {
     this.batchArrivals = new ArrivalRate(options.arrivalWindow);
     this.serviceArrivals = new ArrivalRate(options.arrivalWindow);
+    this.waitCheck = new WaitCheck(shard.label);
   }
 
   /** Counts a chunk's work as arrived or, with a `sign` of -1, as migrated to another shard. */
@@ -184,21 +190,46 @@
     const capacity = new CapacityByRank(machines);
     const shortage = this.batchShortage(machines, now);
     const list = new DemandList();
+    const undemanded: Chunk[] = [];
+    this.demandedShapes.clear();
     for (const chunk of this.shard.queuedChunks()) {
-      if (chunk.failureCount > MAX_FAILURES_FOR_DEMAND) continue;
+      if (chunk.hasFailedTooOften) continue;
       const { unplaced, hasSuitableMachine } = capacity.allocate(chunk);
-      if (unplaced === 0) continue;
-      const { count, onDemandCount } = chunk.spec.isService
-        ? { count: unplaced, onDemandCount: 0 }
-        : shortage.take(chunk, unplaced, hasSuitableMachine);
-      if (count === 0) continue;
-      list.add(shapeOf(chunk.spec, chunk.zone), this.demandOf(chunk, count, onDemandCount));
+      const { count, onDemandCount } = launchCounts(chunk, unplaced, () =>
+        shortage.take(chunk, unplaced, hasSuitableMachine),
+      );
+      const shape = shapeOf(chunk.spec, chunk.zone);
+      if (count > 0) {
+        this.demandedShapes.add(shape);
+        list.add(shape, this.demandOf(chunk, count, onDemandCount));
+      } else if (this.mayBePlaced(chunk, now)) undemanded.push(chunk);
     }
+    this.checkWaits(undemanded, now);
     const reserveDemand = this.serviceReserveDemand(now);
     if (reserveDemand !== null && !list.hasService) list.add('', reserveDemand);
     return list.all;
   }
 
+  /** Whether machines have been demanded for work of the chunk's shape, at the last computation of the demands. */
+  isDemanded({ spec, zone }: Chunk): boolean {
+    return this.demandedShapes.has(shapeOf(spec, zone));
+  }
+
+  /** Whether only machines without room keep the chunk's tasks from being placed, and nothing that its user is told of. */
+  private mayBePlaced(chunk: Chunk, now: number): boolean {
+    const isThrottled = this.shard.scheduler.throttledTeams.has(chunk.spec.team);
+    const isHeld = chunk.isUnstorable || chunk.mayHaveMigrated || chunk.retryNotBefore > now;
+    return !isThrottled && !isHeld;
+  }
+
+  /** Reports work that has waited without a demand for longer than a machine would have taken to be launched for it. */
+  private checkWaits(undemanded: readonly Chunk[], now: number): void {
+    const bootTimes = [...this.machineTypes().values()].map((type) => type.bootSeconds);
+    const limit = this.maxWait + Math.max(0, ...bootTimes);
+    const waiting = undemanded.filter((chunk) => !this.isDemanded(chunk));
+    this.waitCheck.update(waiting, this.shard.chunks.values(), now, limit);
+  }
+
   private batchShortage(machines: readonly Machine[], now: number): BatchShortage {
     const { scaleOutWindow, onDemandWindow } = this.options;
     const { chunks, waitEstimates } = this.shard;
@@ -241,6 +272,16 @@
   }
 }
 
+/** Tasks to launch machines for: all replicas of a service that have no room, and batch tasks by the shortage of machines. */
+function launchCounts(
+  { spec }: Chunk,
+  unplaced: number,
+  takeFromShortage: () => LaunchCounts,
+): LaunchCounts {
+  if (unplaced === 0) return { count: 0, onDemandCount: 0 };
+  return spec.isService ? { count: unplaced, onDemandCount: 0 } : takeFromShortage();
+}
+
 /** Idle time in seconds after which a machine may be released. */
 function releaseIdleSeconds({ machineType }: Machine, idleRatio: number): number {
   return (machineType?.bootSeconds ?? DEFAULT_BOOT_S) * idleRatio;
@@ -253,6 +294,3 @@
   const price = spot ? machineType?.spotPrice : machineType?.price;
   return (price ?? 0) / Math.max(1, capacity.cpus);
 }
-
-/** Chunks that have failed more often create no demand: the fault is probably in the job. */
-const MAX_FAILURES_FOR_DEMAND = 2;
--- a/test/shard/demand.test.ts
+++ b/test/shard/demand.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Chunk } from '../../src/coordination/model/chunk.js';
+import { WaitCheck } from '../../src/coordination/shard/waitCheck.js';
 import type { Machine } from '../../src/coordination/model/machine.js';
 import type { Demand } from '../../src/protocol/peerMessages.js';
 import type { JobSpec } from '../../src/protocol/job.js';
@@ -119,3 +120,20 @@
     assert.equal(demands.length > 0, isDemanded);
   });
 }
+
+// Guards against work that waits for ever without a trace: it counts as having room, and never gets it.
+test('work is reported that waits without a demand for longer than a launch takes, until some of it is placed', () => {
+  const fixture = new DemandFixture();
+  const chunk = fixture.addChunk({ taskCount: 4 });
+  const check = new WaitCheck('p');
+  const isOverdue = (now: number, waiting: Chunk[] = [chunk]): boolean =>
+    check.update(waiting, fixture.shard.chunks.values(), now, 80).size > 0;
+  assert.ok(!isOverdue(0));
+  assert.ok(!isOverdue(80));
+  assert.ok(isOverdue(81));
+  chunk.nextAttemptNumber++;
+  assert.ok(!isOverdue(82), 'a task was placed');
+  assert.ok(isOverdue(163));
+  assert.ok(!isOverdue(164, []), 'a machine is demanded');
+  assert.ok(!isOverdue(300));
+});
