Replicas beside others of their chunk get machines of their own shard

Machines were rented for them in the other zone, stood idle at a peer and were released, again and again.

Cause: machines go to a shard of their own zone, and the work follows them by migrating. A chunk with attempts does not migrate. Where the zone of its shard had no machines left, the demand of its waiting replicas was served by machines that they could never use. It takes no large service: one replica beside another of its chunk is enough.

Fix: a demand says how many replicas are bound to its shard in this way. They get machines of the shard's zone and, where the cloud has none, machines of another zone that belong to the shard.

Tests: scaleOutPlan.test.ts (replicas beside others of their chunk …), demand.test.ts (replicas are bound …).

--- a/src/coordination/autoscaling/scaleOutPlan.ts
+++ b/src/coordination/autoscaling/scaleOutPlan.ts
@@ -97,7 +97,7 @@
 
   plan(demands: Demand[]): ScaleOutPlan[] {
     const sorted = [...demands].sort((a, b) => RANKS.indexOf(a.rank) - RANKS.indexOf(b.rank));
-    for (const demand of sorted) {
+    for (const demand of sorted.flatMap(splitBound)) {
       const count = this.placeOnSpare(demand);
       if (count > 0) this.launchFor(demand, count);
     }
@@ -127,24 +127,45 @@
       (demand.machineTypes === null || demand.machineTypes.includes(plan.type)) &&
       (demand.zone === null || demand.zone === plan.zone) &&
       (demand.allowsSpot || !plan.spot) &&
-      plan.shard === this.context.shardFor(plan.zone, demand.shard)
+      plan.shard === this.shardFor(plan.zone, demand)
     );
   }
 
+  /** The shard that machines of a zone go to for the demand; machines of any other would not serve bound replicas. */
+  private shardFor(zone: string, demand: Demand): string {
+    return isBound(demand) ? demand.shard : this.context.shardFor(zone, demand.shard);
+  }
+
   private launchFor(demand: Demand, wantedCount: number): void {
-    const best = offersFor({ ...demand, count: wantedCount }, this.context)[0];
+    const offers = offersFor({ ...demand, count: wantedCount }, this.context);
+    const ownZone = this.context.zoneOf(demand.shard);
+    const inOwnZone = isBound(demand) ? offers.find(({ zone }) => zone === ownZone) : undefined;
+    const best = inOwnZone ?? offers[0];
     if (best === undefined) return;
     const { type, zone, spot, fits } = best;
     const isOnDemandBatch = demand.allowsSpot && !demand.isService && !spot;
     const count = isOnDemandBatch ? Math.min(wantedCount, demand.onDemandCount) : wantedCount;
     const machines = Math.ceil(count / (fits * successiveTasks(demand, type, this.context)));
-    const shard = this.context.shardFor(zone, demand.shard);
+    const shard = this.shardFor(zone, demand);
     const plan = { shard, type: type.name, zone, spot, count: machines };
     this.plans.push(plan);
     this.spare.set(plan, multiply(demand, Math.max(0, machines * fits - count)));
   }
 }
 
+/** Whether all replicas of the demand can be started by the demanding shard only. */
+const isBound = ({ boundCount, count }: Demand): boolean => boundCount > 0 && boundCount >= count;
+
+/** The demand for bound replicas, if there are any, and that for all other work. */
+function splitBound(demand: Demand): Demand[] {
+  const { count, boundCount } = demand;
+  if (boundCount === 0 || isBound(demand)) return [demand];
+  return [
+    { ...demand, count: boundCount },
+    { ...demand, count: count - boundCount, boundCount: 0 },
+  ];
+}
+
 const multiply = ({ cpus, gpus, memoryGb }: Resources, count: number): Resources => ({
   cpus: cpus * count,
   gpus: gpus * count,
--- a/src/coordination/shard/demandEstimator.ts
+++ b/src/coordination/shard/demandEstimator.ts
@@ -180,6 +180,7 @@
       count: Math.ceil(missing / cpus),
       isUrgent: false,
       onDemandCount: 0,
+      boundCount: 0,
       expectedRunSeconds: 0,
     };
   }
@@ -267,6 +268,7 @@
       count,
       isUrgent: spec.isService,
       onDemandCount,
+      boundCount: spec.isService && chunk.attempts.size > 0 ? count : 0,
       expectedRunSeconds: spec.isService ? 0 : this.shard.waitEstimates.expectedRun(spec),
     };
   }
--- a/src/coordination/shard/demandList.ts
+++ b/src/coordination/shard/demandList.ts
@@ -30,5 +30,6 @@
     merged.imageGb = (merged.imageGb * merged.count + demand.imageGb * count) / total;
     merged.count = total;
     merged.onDemandCount += demand.onDemandCount;
+    merged.boundCount += demand.boundCount;
   }
 }
--- a/src/protocol/peerCodec.ts
+++ b/src/protocol/peerCodec.ts
@@ -145,7 +145,8 @@
     imageGb: demand.imageGb,
     count: demand.count,
     urgent: demand.isUrgent,
-    pressing: demand.onDemandCount,
+    // The wire form has one field for two counts, of which services have one and batch work has the other.
+    pressing: demand.isService ? demand.boundCount : demand.onDemandCount,
     run: demand.expectedRunSeconds,
   };
 }
@@ -165,7 +166,8 @@
     imageGb: demand.imageGb,
     count: demand.count,
     isUrgent: demand.urgent,
-    onDemandCount: demand.pressing,
+    onDemandCount: demand.service ? 0 : demand.pressing,
+    boundCount: demand.service ? demand.pressing : 0,
     expectedRunSeconds: demand.run,
   };
 }
--- a/src/protocol/peerMessages.ts
+++ b/src/protocol/peerMessages.ts
@@ -18,6 +18,8 @@
   isUrgent: boolean;
   /** Number of batch tasks that would miss their objective otherwise: on-demand machines may be rented for them. */
   onDemandCount: number;
+  /** Number of service replicas that only the demanding shard can start, since others of their chunk run there. */
+  boundCount: number;
   /** Expected run time of one task, corrected by the measured run times of its class. */
   expectedRunSeconds: number;
 }
--- a/test/autoscaling/scaleOutPlan.test.ts
+++ b/test/autoscaling/scaleOutPlan.test.ts
@@ -6,6 +6,7 @@
   planScaleOut,
   type ScaleOutPlan,
 } from '../../src/coordination/autoscaling/scaleOutPlan.js';
+import type { Demand } from '../../src/protocol/peerMessages.js';
 
 const type = (name: string, cpus: number, price: number, spotPrice: number, boot: number) => ({
   name,
@@ -20,6 +21,13 @@
   zones: ['a', 'b'],
 });
 
+const serviceDemand = (changes: Partial<Demand> = {}): Demand => ({
+  ...{ shard: 'p', cpus: 4, gpus: 0, memoryGb: 4, machineTypes: null, zone: null },
+  ...{ allowsSpot: false, rank: 'prod', isService: true, image: 'i', imageGb: 1, count: 1 },
+  ...{ isUrgent: true, onDemandCount: 0, boundCount: 0, expectedRunSeconds: 0 },
+  ...changes,
+});
+
 test('a plan uses the cheapest kind for the work, within the constraints of the job', () => {
   const outOfStock = new Set<string>();
   const context = {
@@ -48,6 +56,7 @@
     count: 1,
     isUrgent: false,
     onDemandCount: 0,
+    boundCount: 0,
     expectedRunSeconds: 0,
   };
   const kinds = (d: typeof demand): string[] =>
@@ -84,3 +93,27 @@
   const merged = mergePlans(planScaleOut([demand, { ...demand, count: 2 }], context));
   assert.equal(merged.length, 1);
 });
+
+// Guards against machines that are rented, again and again, for a peer of the shard that alone can start the waiting replicas.
+test('replicas beside others of their chunk get machines of their own shard, from another zone if there are none in its own', () => {
+  const outOfStock = new Set<string>();
+  const context = {
+    machineTypes: [type('small', 4, 0.2, 0.08, 50)],
+    isOutOfStock: (_: string, zone: string) => outOfStock.has(zone),
+    shardFor: (zone: string) => (zone === 'a' ? 'p' : 'q'),
+    zoneOf: () => 'a',
+    pending: [] as ScaleOutPlan[],
+    batchWindow: 60,
+    serviceHorizon: 600,
+    urgentServiceHorizon: 60,
+  };
+  const planned = (boundCount: number): string[] =>
+    planScaleOut([serviceDemand({ count: 3, boundCount })], context).map(
+      ({ count, zone, shard }) => `${count} in ${zone} for ${shard}`,
+    );
+  assert.deepEqual(planned(2), ['2 in a for p', '1 in a for p']);
+  outOfStock.add('a');
+  assert.deepEqual(planned(0), ['3 in b for q']);
+  assert.deepEqual(planned(3), ['3 in b for p']);
+  assert.deepEqual(planned(2), ['2 in b for p', '1 in b for q']);
+});
--- a/test/shard/demand.test.ts
+++ b/test/shard/demand.test.ts
@@ -137,3 +137,16 @@
   assert.ok(!isOverdue(164, []), 'a machine is demanded');
   assert.ok(!isOverdue(300));
 });
+
+test('replicas are bound to the shard in which others of their chunk run, which then cannot migrate', () => {
+  const fixture = new DemandFixture();
+  const service = { isService: true, rank: 'prod' as const, cpus: 4, taskCount: 3 };
+  fixture.addChunk({ ...service, id: 'wk-1' });
+  fixture.addChunk({ ...service, id: 'wk-2', memoryGb: 8 });
+  const bound = (): number[] =>
+    fixture.shard.demand.demands(fixture.now).map(({ boundCount }) => boundCount);
+  assert.deepEqual(bound(), [0, 0]);
+  fixture.addKind('n-1');
+  fixture.runSchedulingRound();
+  assert.deepEqual(bound(), [1, 0]);
+});
--- a/test/support/messages.ts
+++ b/test/support/messages.ts
@@ -33,6 +33,7 @@
           count: 4,
           isUrgent: false,
           onDemandCount: 0,
+          boundCount: 0,
           expectedRunSeconds: 9,
         },
       ],
