Demands: tasks that keep their room are neither counted as work nor as room

Cause: the shortage of a shape counted the rest of all running tasks as work, but not the slots of those that run for longer than queued work should wait. So running tasks alone made a shortage, and on-demand machines were justified by tasks that would end within their window.

Fix: a task that keeps its room beyond a window counts on neither side, and the on-demand window has a deadline of its own.

--- a/src/coordination/shard/batchRoom.ts
+++ b/src/coordination/shard/batchRoom.ts
@@ -13,22 +13,27 @@
   readonly reportRoomBytes: number;
 }
 
+/** The machines, and the number of kept tasks by chunk. */
+interface ShardOutlook {
+  readonly machines: readonly MachineOutlook[];
+  readonly keptTasks: ReadonlyMap<Chunk, number>;
+}
+
 /**
  * Room that queued work may use within a stated time: that of machines which it may use, less what live services and long tasks
  * keep. A sum of CPUs over all machines would count room that some work can never use.
  */
 export class BatchRoom {
-  private readonly outlooks: readonly MachineOutlook[];
+  /** Created when it is needed: each placed task is visited for it. */
+  private lazyOutlook: ShardOutlook | null = null;
   private readonly slotsByShape = new Map<string, number>();
 
   /** `endOf`: monotonic time at which a placed task is expected to end; room that is free at `deadline` counts. */
   constructor(
-    machines: readonly Machine[],
-    endOf: (placement: Placement) => number,
+    private readonly machines: readonly Machine[],
+    private readonly endOf: (placement: Placement) => number,
     private readonly deadline: number,
-  ) {
-    this.outlooks = machines.map((machine) => this.outlookOf(machine, endOf));
-  }
+  ) {}
 
   /** Number of tasks like the chunk's that the machines can run at the same time, from the deadline on at the latest. */
   slotsFor(chunk: Chunk): number {
@@ -37,16 +42,35 @@
     const known = this.slotsByShape.get(key);
     if (known !== undefined) return known;
     let slots = 0;
-    for (const outlook of this.outlooks) slots += slotsOn(outlook, chunk);
+    for (const machine of this.outlook.machines) slots += slotsOn(machine, chunk);
     this.slotsByShape.set(key, slots);
     return slots;
   }
 
-  private outlookOf(machine: Machine, endOf: (placement: Placement) => number): MachineOutlook {
+  /** Number of the chunk's placed tasks that keep their room beyond the deadline. */
+  keptTasksOf(chunk: Chunk): number {
+    return this.outlook.keptTasks.get(chunk) ?? 0;
+  }
+
+  private get outlook(): ShardOutlook {
+    this.lazyOutlook ??= this.createOutlook();
+    return this.lazyOutlook;
+  }
+
+  private createOutlook(): ShardOutlook {
+    const machines = this.machines.map((machine) => this.outlookOf(machine));
+    const keptTasks = new Map<Chunk, number>();
+    for (const chunk of machines.flatMap(({ kept }) => kept)) {
+      keptTasks.set(chunk, (keptTasks.get(chunk) ?? 0) + 1);
+    }
+    return { machines, keptTasks };
+  }
+
+  private outlookOf(machine: Machine): MachineOutlook {
     const kept: Chunk[] = [];
     let { reportRoomBytes } = machine;
     for (const placement of machine.placements.values()) {
-      if (endOf(placement) > this.deadline) kept.push(placement.chunk);
+      if (this.endOf(placement) > this.deadline) kept.push(placement.chunk);
       else reportRoomBytes += attemptBytesOf(placement.chunk.spec);
     }
     return { machine, kept, reportRoomBytes };
--- a/src/coordination/shard/batchShortage.ts
+++ b/src/coordination/shard/batchShortage.ts
@@ -41,30 +41,32 @@
  */
 export class BatchShortage {
   private readonly total: MissingCpus;
-  private readonly byShape = new Map<string, MissingCpus>();
-  /** Queued and running work in CPU-seconds, by shape. */
-  private readonly backlogByShape = new Map<string, number>();
-  /** Created when it is needed: it visits each placed task. */
-  private lazyRoom: BatchRoom | null = null;
+  private readonly missingByShape = new Map<string, MissingCpus>();
+  /** Chunks of batch work, by shape. */
+  private readonly chunksByShape = new Map<string, Chunk[]>();
+  private readonly scaleOutRoom: BatchRoom;
+  private readonly onDemandRoom: BatchRoom;
 
   constructor(private readonly context: BatchShortageContext) {
+    const { scaleOutWindow, onDemandWindow, maxWait } = context;
+    this.scaleOutRoom = this.roomWithin(maxWait);
+    this.onDemandRoom = this.roomWithin(Math.max(maxWait, onDemandWindow));
     let backlog = 0;
     for (const chunk of context.chunks) {
       if (chunk.spec.isService || chunk.isCancelled) continue;
-      const work = workOf(chunk, context.expectedRun(chunk.spec));
       const shape = shapeOf(chunk.spec, chunk.zone);
-      this.backlogByShape.set(shape, (this.backlogByShape.get(shape) ?? 0) + work);
-      backlog += work;
+      const ofShape = this.chunksByShape.get(shape) ?? [];
+      ofShape.push(chunk);
+      this.chunksByShape.set(shape, ofShape);
+      backlog += workOf(chunk, context.expectedRun(chunk.spec));
     }
     const availableCpus = availableToBatch(context.machines);
-    this.total = this.missingCpus(backlog, availableCpus);
-    // On-demand machines are justified by the backlog only, not by the average of arriving work.
-    this.total.scaleOut = Math.max(this.total.scaleOut, context.arrivingCpus - availableCpus);
-  }
-
-  /** Number of tasks like the chunk's that its machines can run at the same time, within the time that work may wait. */
-  slotsFor(chunk: Chunk): number {
-    return this.room.slotsFor(chunk);
+    const neededCpus = Math.max(backlog / scaleOutWindow, context.arrivingCpus);
+    this.total = {
+      scaleOut: Math.max(0, neededCpus - availableCpus),
+      // On-demand machines are justified by the backlog only, not by the average of arriving work.
+      onDemand: Math.max(0, backlog / onDemandWindow - availableCpus),
+    };
   }
 
   /**
@@ -87,32 +89,32 @@
     return { count, onDemandCount };
   }
 
-  private get room(): BatchRoom {
-    const { machines, now, maxWait } = this.context;
-    this.lazyRoom ??= new BatchRoom(
-      machines,
-      (placement) => this.expectedEnd(placement),
-      now + maxWait,
-    );
-    return this.lazyRoom;
+  private roomWithin(seconds: number): BatchRoom {
+    const { machines, now } = this.context;
+    return new BatchRoom(machines, (placement) => this.expectedEnd(placement), now + seconds);
   }
 
   private missingFor(chunk: Chunk): MissingCpus {
+    const { scaleOutWindow, onDemandWindow } = this.context;
     const shape = shapeOf(chunk.spec, chunk.zone);
-    const known = this.byShape.get(shape);
+    const known = this.missingByShape.get(shape);
     if (known !== undefined) return known;
-    const backlog = this.backlogByShape.get(shape) ?? 0;
-    const missing = this.missingCpus(backlog, this.room.slotsFor(chunk) * chunk.spec.cpus);
-    this.byShape.set(shape, missing);
+    const missing = {
+      scaleOut: this.missingCpus(chunk, shape, this.scaleOutRoom, scaleOutWindow),
+      onDemand: this.missingCpus(chunk, shape, this.onDemandRoom, onDemandWindow),
+    };
+    this.missingByShape.set(shape, missing);
     return missing;
   }
 
-  private missingCpus(backlog: number, availableCpus: number): MissingCpus {
-    const { scaleOutWindow, onDemandWindow } = this.context;
-    return {
-      scaleOut: Math.max(0, backlog / scaleOutWindow - availableCpus),
-      onDemand: Math.max(0, backlog / onDemandWindow - availableCpus),
-    };
+  /** CPUs that work of the chunk's shape lacks: tasks that keep their room beyond the window are neither work nor room. */
+  private missingCpus(chunk: Chunk, shape: string, room: BatchRoom, window: number): number {
+    let backlog = 0;
+    for (const other of this.chunksByShape.get(shape) ?? []) {
+      const run = this.context.expectedRun(other.spec);
+      backlog += workOf(other, run, room.keptTasksOf(other));
+    }
+    return Math.max(0, backlog / window - room.slotsFor(chunk) * chunk.spec.cpus);
   }
 
   /** When a placed task is expected to end. One that is late is expected to take as long again as it is late already. */
@@ -128,9 +130,16 @@
   missing[kind] = Math.max(0, missing[kind] - cpus);
 }
 
-/** Queued and running work of a batch chunk in CPU-seconds; running tasks are half done on average. */
-export function workOf({ spec, pendingCount, attempts }: Chunk, expectedRun: number): number {
-  return (pendingCount + attempts.size * 0.5) * expectedRun * spec.cpus;
+/**
+ * Queued and running work of a batch chunk in CPU-seconds; running tasks are half done on average. `keptTasks`: number of running
+ * tasks that are not counted.
+ */
+export function workOf(
+  { spec, pendingCount, attempts }: Chunk,
+  expectedRun: number,
+  keptTasks = 0,
+): number {
+  return (pendingCount + (attempts.size - keptTasks) * 0.5) * expectedRun * spec.cpus;
 }
 
 /** CPUs that batch work uses or may use on these machines. */
