One service cannot fill the heap of every controller

Cause: all chunks of a service are created now, and any one controller may have to lead all shards. An attempt with its report and record takes some 530 bytes.

Fix: no further chunk is created, beyond those that are created with a job, while the open chunks of all shards have 40,000 tasks. What ends gives them back; users read why the rest waits.

--- a/src/coordination/jobs/jobService.ts
+++ b/src/coordination/jobs/jobService.ts
@@ -18,7 +18,9 @@
   readonly pipelines: JobLookupContext['pipelines'] & JobAnswersContext['pipelines'];
   readonly peers: JobLookupContext['peers'];
   readonly leadership: JobSubmissionContext['leadership'] & JobAnswersContext['leadership'];
-  readonly persistence: JobSubmissionContext['persistence'] & JobCancellationContext['persistence'];
+  readonly persistence: JobLookupContext['persistence'] &
+    JobSubmissionContext['persistence'] &
+    JobCancellationContext['persistence'];
 }
 
 /** Answers users' requests and those relayed by peers (`isRelayed`), which are not relayed again. */
--- a/src/coordination/jobs/waitReasons.ts
+++ b/src/coordination/jobs/waitReasons.ts
@@ -6,6 +6,7 @@
 import { isCapacity, type AvailabilityState } from '../model/availability.js';
 import type { Chunk } from '../model/chunk.js';
 import { chunkRanges, mayCreateChunk } from '../model/chunking.js';
+import type { JobPersistence } from '../persistence/jobPersistence.js';
 import type { Pipelines } from '../pipelines/pipelines.js';
 import { fits } from '../model/resources.js';
 import { satisfiesConstraints } from '../scheduling/placement.js';
@@ -17,6 +18,7 @@
   readonly leadership: { readonly isLeaseValid: boolean };
   readonly pipelines: Pick<Pipelines, 'waitReason'>;
   readonly ownedShards: ReadonlyMap<string, OwnedShard>;
+  readonly persistence: Pick<JobPersistence, 'isTaskLimitReached'>;
 }
 
 /** Why a job waits; `localChunks` are its open chunks at the shards of this node. */
@@ -43,7 +45,7 @@
   const chunk = localChunks.find((c) => c.pendingCount > 0 || c.attempts.size > c.runningCount);
   if (chunk === undefined) {
     if (localChunks.length === 0) return 'It waits at another node of the service.';
-    return uncreatedReason(record) ?? 'Its last tasks are being completed.';
+    return uncreatedReason(context, record) ?? 'Its last tasks are being completed.';
   }
   const shard = [...context.ownedShards.values()].find(
     (ownedShard) => ownedShard.shard.chunks.get(chunk.id) === chunk,
@@ -53,13 +55,15 @@
 }
 
 /** Why tasks wait that no chunk exists for yet; null if there are none. */
-function uncreatedReason(record: OpenJobRecord): string | null {
+function uncreatedReason({ persistence }: WaitReasonContext, record: OpenJobRecord): string | null {
   const { spec, chunkSize, zones, createdChunks } = record;
   const waiting = chunkRanges(spec.taskCount, chunkSize, zones)
     .slice(createdChunks)
     .reduce((count, { firstTask, endTask }) => count + endTask - firstTask, 0);
   if (waiting === 0) return null;
   if (mayCreateChunk(record, createdChunks)) {
+    if (persistence.isTaskLimitReached)
+      return `${waiting} further task(s) wait until others have ended: the service has as many as it can hold.`;
     return `${waiting} further task(s) are queued as those before them start.`;
   }
   const zone = zones[0] ?? '';
--- a/src/coordination/persistence/chunkCreator.ts
+++ b/src/coordination/persistence/chunkCreator.ts
@@ -10,6 +10,7 @@
 import { creatableChunks, type ChunkProgress } from '../model/chunking.js';
 import type { JobRecordWriter } from './jobRecordWriter.js';
 import { missingChunks } from './missingChunks.js';
+import { MAX_OPEN_TASKS, OpenTaskBudget } from './openTaskBudget.js';
 
 /** The parts of the controller that creating chunks depends on. */
 export interface ChunkCreationContext {
@@ -26,13 +27,20 @@
 
 /** Creates chunks at the home shard of their job. */
 export class ChunkCreator {
+  private isAtTaskLimit = false;
+
   constructor(
     private readonly jobRecords: Pick<JobRecordWriter, 'write'>,
-    private readonly chunkIndex: Pick<ChunkIndex, 'find'>,
+    private readonly chunkIndex: Pick<ChunkIndex, 'entries' | 'find'>,
     private readonly clock: Clock,
     private readonly context: ChunkCreationContext,
   ) {}
 
+  /** Whether chunks wait to be created since the cluster has as many open tasks as its controllers can hold. */
+  get isTaskLimitReached(): boolean {
+    return this.isAtTaskLimit;
+  }
+
   /**
    * Creates the chunks of a home job that are neither in memory nor stored; no task of them was started. There are such
    * chunks after a shard is loaded, after the write that created a chunk got no answer, and after a job is released.
@@ -44,13 +52,26 @@
     this.addMissing(homeShard, job, 0);
   }
 
-  /** Creates the next chunks of a job, as many as may be created now, without waiting for them. */
-  createNext(homeShard: OwnedShard, job: HomeJob): void {
+  /** Creates the next chunks of all jobs of the owned shards, as many as may be created now, without waiting for them. */
+  createNextChunks(): void {
+    const { ownedShards } = this.context;
+    const budget = new OpenTaskBudget(this.chunkIndex, ownedShards);
+    for (const ownedShard of ownedShards.values()) {
+      for (const job of ownedShard.jobs.values()) this.createNext(ownedShard, job, budget);
+    }
+    if (budget.isExceeded && !this.isAtTaskLimit)
+      log.info(`no further chunks are created: the cluster has ${MAX_OPEN_TASKS} open tasks`);
+    this.isAtTaskLimit = budget.isExceeded;
+  }
+
+  private createNext(homeShard: OwnedShard, job: HomeJob, budget: OpenTaskBudget): void {
     const { record } = job;
     if (job.isWriteInFlight || record.state !== 'open') return;
-    const count = creatableChunks(record, (index) => this.progressOf(record, index));
-    if (count === 0 || this.context.isBlockedOnDependencies(job.id)) return;
+    const creatable = creatableChunks(record, (index) => this.progressOf(record, index));
+    if (creatable === 0 || this.context.isBlockedOnDependencies(job.id)) return;
     if (this.context.isBeingCancelled(job.id)) return;
+    const count = budget.takeChunks(creatable, Math.min(record.chunkSize, record.taskCount));
+    if (count === 0) return;
     void this.recordCreated(homeShard, job, record.createdChunks + count);
   }
 
--- a/src/coordination/persistence/jobPersistence.ts
+++ b/src/coordination/persistence/jobPersistence.ts
@@ -60,6 +60,11 @@
     return this.bucketWriter.write.bind(this.bucketWriter);
   }
 
+  /** Whether chunks wait to be created since the cluster has as many open tasks as its controllers can hold. */
+  get isTaskLimitReached(): boolean {
+    return this.chunkCreator.isTaskLimitReached;
+  }
+
   /** Starts the writes that are due in all owned shards, without waiting for them. */
   writeDueBuckets(): void {
     if (!this.context.isLeaseValid()) return;
@@ -83,9 +88,7 @@
         continue;
       void this.recordFinishedChunk(homeShard, job, Number(id.slice(id.lastIndexOf('/') + 1)));
     }
-    for (const ownedShard of this.context.ownedShards.values()) {
-      for (const job of ownedShard.jobs.values()) this.chunkCreator.createNext(ownedShard, job);
-    }
+    this.chunkCreator.createNextChunks();
   }
 
   private settleFinishedChunk(ownedShard: OwnedShard, chunk: Chunk): void {
--- a/test/jobs/waitReasons.test.ts
+++ b/test/jobs/waitReasons.test.ts
@@ -8,7 +8,11 @@
 import { jobRecord, jobSpec } from '../support/jobSpec.js';
 import { ShardFixture } from '../support/shardFixture.js';
 
-function reasonFor(fixture: ShardFixture, record: OpenJobRecord): string {
+function reasonFor(
+  fixture: ShardFixture,
+  record: OpenJobRecord,
+  isTaskLimitReached = false,
+): string {
   const { shard } = fixture;
   const ownedShard = createOwnedShard(shard, { fencingToken: 5, revision: 1 }, 0);
   const context = {
@@ -16,6 +20,7 @@
     leadership: { isLeaseValid: true },
     pipelines: { waitReason: () => null },
     ownedShards: new Map([['p', ownedShard]]),
+    persistence: { isTaskLimitReached },
   };
   return waitReason(context, record, shard.chunksOf(record.spec.id));
 }
@@ -43,7 +48,20 @@
 });
 
 // Guards against "Its last tasks are being completed." for replicas that have not been started.
-const uncreated: { name: string; isService: boolean; zones: string[]; expected: RegExp }[] = [
+const uncreated: {
+  name: string;
+  isService: boolean;
+  zones: string[];
+  isTaskLimitReached?: boolean;
+  expected: RegExp;
+}[] = [
+  {
+    name: 'of a service beyond the limit of open tasks',
+    isService: true,
+    zones: [],
+    isTaskLimitReached: true,
+    expected: /16 further task\(s\) wait until others have ended/,
+  },
   { name: 'of a service', isService: true, zones: [], expected: /16 further task\(s\) are queued/ },
   {
     name: 'of a service that only one zone can run',
@@ -58,7 +76,7 @@
     expected: /12 task\(s\) wait for the others to end/,
   },
 ];
-for (const { name, isService, zones, expected } of uncreated) {
+for (const { name, isService, zones, isTaskLimitReached, expected } of uncreated) {
   test(`a user reads why tasks without a chunk wait: ${name}`, () => {
     const fixture = new ShardFixture();
     fixture.machineTypes.set('m8', { ...m8, cpus: 64, memoryGb: 512 });
@@ -73,6 +91,6 @@
     const spec = jobSpec({ ...chunk.spec, taskCount: 24 });
     const createdChunks = zones.length > 0 ? 2 : 1;
     const record = recordOf({ spec, taskCount: 24, zones, createdChunks });
-    assert.match(reasonFor(fixture, record), expected);
+    assert.match(reasonFor(fixture, record, isTaskLimitReached), expected);
   });
 }
