One job at the limit of open tasks holds back no other

Callers would see: while a service has used up the limit of 40,000 open tasks, no other job gets a chunk beyond those that were created with it; an array of more than four chunks is never done.

Tests: chunkCreator.test.ts (an array is done although …; a service has no more than four …) both failed before.

--- a/src/coordination/persistence/chunkCreator.ts
+++ b/src/coordination/persistence/chunkCreator.ts
@@ -70,7 +70,7 @@
     const creatable = creatableChunks(record, (index) => this.progressOf(record, index));
     if (creatable === 0 || this.context.isBlockedOnDependencies(job.id)) return;
     if (this.context.isBeingCancelled(job.id)) return;
-    const count = budget.takeChunks(creatable, Math.min(record.chunkSize, record.taskCount));
+    const count = budget.takeChunks(record, creatable);
     if (count === 0) return;
     void this.recordCreated(homeShard, job, record.createdChunks + count);
   }
--- a/src/coordination/persistence/openTaskBudget.ts
+++ b/src/coordination/persistence/openTaskBudget.ts
@@ -1,6 +1,7 @@
 /** Limits the tasks that the controllers keep in memory: any one of them may have to lead all shards. */
 import type { Chunk } from '../model/chunk.js';
 import type { ChunkIndex } from '../../storage/chunkIndex.js';
+import type { OpenJobRecord } from '../../storage/records.js';
 import type { OwnedShard } from '../leadership/ownedShard.js';
 
 /**
@@ -9,6 +10,12 @@
  */
 export const MAX_OPEN_TASKS = 40_000;
 
+/**
+ * Number of open chunks that each job may have whatever the others have: without it, one service that uses up the limit would hold
+ * back all other jobs for as long as it runs.
+ */
+const GUARANTEED_CHUNKS = 4;
+
 /** Tasks for which chunks may still be created, at the moment when the first ones are taken and less what was taken since. */
 export class OpenTaskBudget {
   /** Null until the first tasks are taken: few reviews create a chunk, and each open chunk is visited. */
@@ -26,10 +33,14 @@
     return this.wasExceeded;
   }
 
-  /** Takes the tasks of up to `count` chunks of this size; returns the number of chunks that the budget allows. */
-  takeChunks(count: number, chunkSize: number): number {
+  /** Takes the tasks of up to `count` further chunks of a job; returns the number of chunks that may be created. */
+  takeChunks(job: OpenJobRecord, count: number): number {
     this.remaining ??= this.limit - this.openTasks();
-    const allowed = Math.max(0, Math.min(count, Math.floor(this.remaining / chunkSize)));
+    const chunkSize = Math.min(job.chunkSize, job.taskCount);
+    const openChunks = job.createdChunks - job.doneChunks.length;
+    const guaranteed = Math.max(0, GUARANTEED_CHUNKS - openChunks);
+    const affordable = Math.max(0, Math.floor(this.remaining / chunkSize));
+    const allowed = Math.min(count, Math.max(guaranteed, affordable));
     if (allowed < count) this.wasExceeded = true;
     this.remaining -= allowed * chunkSize;
     return allowed;
--- a/test/persistence/chunkCreator.test.ts
+++ b/test/persistence/chunkCreator.test.ts
@@ -3,7 +3,9 @@
 import { test } from 'node:test';
 import { StartCommands } from '../../src/coordination/model/startCommands.js';
 import type { Chunk } from '../../src/coordination/model/chunk.js';
+import { MAX_OPEN_TASKS } from '../../src/coordination/persistence/openTaskBudget.js';
 import { missingChunks } from '../../src/coordination/persistence/missingChunks.js';
+import { startedChunkRecord } from '../support/jobSpec.js';
 import { HomeShardFixture, ID } from '../support/homeShardFixture.js';
 
 /** Number of reviews, after each of which all due writes are answered. */
@@ -91,3 +93,28 @@
   const loaded = missingChunks(ID, fixture.stored, fixture.ownedShard.shard.chunks, fixture.now);
   assert.equal(fixture.chunks.length + loaded.length, 10);
 });
+
+/** A chunk of another job, at another shard, that uses up the limit of open tasks. */
+function useUpTaskLimit({ chunkIndex }: HomeShardFixture): void {
+  const record = { ...startedChunkRecord(), firstTask: 0, endTask: MAX_OPEN_TASKS };
+  chunkIndex.update('q', 'x', { chunks: { 'wk-2/0': record } }, 1);
+}
+
+// Guards against an array that never goes on, since a service of another user has used up the limit of open tasks for good.
+test('an array is done although a service of another user uses up the limit of open tasks', async () => {
+  const fixture = new HomeShardFixture(4, { taskCount: 80 });
+  useUpTaskLimit(fixture);
+  for (let index = 0; index < 10; index++) {
+    await review(fixture, 2);
+    fixture.complete(index);
+  }
+  await review(fixture, 4);
+  assert.equal(fixture.stored.state, 'done');
+});
+
+test('a service has no more than four open chunks while others use up the limit of open tasks', async () => {
+  const fixture = new HomeShardFixture(2, { isService: true, taskCount: 80 });
+  useUpTaskLimit(fixture);
+  await review(fixture, 20);
+  assert.equal(fixture.stored.createdChunks, 4);
+});
--- a/test/persistence/openTaskBudget.test.ts
+++ b/test/persistence/openTaskBudget.test.ts
@@ -6,6 +6,7 @@
   OpenTaskBudget,
 } from '../../src/coordination/persistence/openTaskBudget.js';
 import type { IndexedChunk } from '../../src/storage/chunkIndex.js';
+import type { OpenJobRecord } from '../../src/storage/records.js';
 import { startedChunkRecord } from '../support/jobSpec.js';
 import { HomeShardFixture } from '../support/homeShardFixture.js';
 
@@ -16,12 +17,13 @@
     ['wk-2/0', { shard: 'q', bucket: 'x', record, revision: 1 }],
   ];
   // Two chunks of eight tasks are in memory and not stored yet.
-  const { ownedShard } = new HomeShardFixture(2, { isService: true });
+  const { ownedShard, job } = new HomeShardFixture(2, { isService: true });
   const index = { entries: () => new Map(stored).entries() };
   const budget = new OpenTaskBudget(index, new Map([['p', ownedShard]]), 100);
-  assert.equal(budget.takeChunks(3, 8), 3);
+  const ofEight = { ...(job.record as OpenJobRecord), createdChunks: 4 };
+  assert.equal(budget.takeChunks(ofEight, 3), 3);
   assert.ok(!budget.isExceeded);
-  assert.equal(budget.takeChunks(3, 8), 1);
+  assert.equal(budget.takeChunks(ofEight, 3), 1);
   assert.ok(budget.isExceeded);
 });
 
--- a/test/support/homeShardFixture.ts
+++ b/test/support/homeShardFixture.ts
@@ -30,6 +30,7 @@
   readonly job: HomeJob;
   readonly persistence: JobPersistence;
   readonly stateCache: StateCache;
+  readonly chunkIndex = new ChunkIndex();
   now = 100;
 
   constructor(
@@ -58,7 +59,7 @@
     this.persistence = new JobPersistence(
       this.store,
       stateCache,
-      new ChunkIndex(),
+      this.chunkIndex,
       clock,
       {
         ownedShards,
